--- /dev/null
+++ b/cmd/greengagectl/main.go
@@ -0,0 +1,4 @@
+// Command greengagectl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/greengaged/main.go
@@ -0,0 +1,4 @@
+// Command greengaged is the daemon that runs on every entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/catalogue/state.go
@@ -0,0 +1,61 @@
+package catalogue
+
+import (
+	"maps"
+
+	"greengagedeck/internal/record"
+)
+
+// Versioned is an object with the version that last changed it. A version is
+// the offset of the accepted edit, so versions only grow.
+type Versioned[T any] struct {
+	Version uint64 `cbor:"1,keyasint" json:"version"`
+	Value   T      `cbor:"2,keyasint" json:"value"`
+}
+
+// State is the folded catalogue. It is a value of the replica's state: the
+// replica clones it before it applies records, and readers share published
+// clones without locks.
+type State struct {
+	// Version is the offset of the last accepted edit.
+	Version uint64                      `cbor:"1,keyasint"`
+	Teams   map[string]Versioned[Team]  `cbor:"2,keyasint"`
+	Pools   map[string]Versioned[Pool]  `cbor:"3,keyasint"`
+	Hosts   map[string]Versioned[Host]  `cbor:"4,keyasint"`
+	Entries map[string]Versioned[Entry] `cbor:"5,keyasint"`
+	Waves   map[string]Versioned[Wave]  `cbor:"6,keyasint"`
+	// Removed keeps the version at which an object was removed, so that an
+	// edit based on the removed object is turned down.
+	Removed map[string]uint64 `cbor:"7,keyasint"`
+}
+
+// NewState returns an empty catalogue.
+func NewState() State {
+	return State{
+		Teams:   map[string]Versioned[Team]{},
+		Pools:   map[string]Versioned[Pool]{},
+		Hosts:   map[string]Versioned[Host]{},
+		Entries: map[string]Versioned[Entry]{},
+		Waves:   map[string]Versioned[Wave]{},
+		Removed: map[string]uint64{},
+	}
+}
+
+// Clone returns a copy that shares no maps with s.
+func (s State) Clone() State {
+	s.Teams = maps.Clone(s.Teams)
+	s.Pools = maps.Clone(s.Pools)
+	s.Hosts = maps.Clone(s.Hosts)
+	s.Entries = maps.Clone(s.Entries)
+	s.Waves = maps.Clone(s.Waves)
+	s.Removed = maps.Clone(s.Removed)
+	return s
+}
+
+// KindEdit is the record kind of an operator's edit.
+const KindEdit record.Kind = "catalogue.edit"
+
+// Apply folds one record of this slice.
+func (s *State) Apply(offset uint64, r record.Record) record.Outcome {
+	return record.Reject("unknown kind " + string(r.Kind))
+}
--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,110 @@
+// Package membership knows which daemons are there: the members that the
+// control stream names, and which of them answer heartbeats now.
+package membership
+
+import (
+	"maps"
+
+	"greengagedeck/internal/record"
+)
+
+// Member is a daemon that has joined. A daemon that starts again is a new
+// member with a new ID: the ID names one incarnation.
+type Member struct {
+	ID   string `cbor:"1,keyasint" json:"id"`
+	Host string `cbor:"2,keyasint" json:"host"`
+	Zone string `cbor:"3,keyasint" json:"zone"`
+	// PeerAddress is the IP:port that other daemons dial.
+	PeerAddress string `cbor:"4,keyasint" json:"peer_address"`
+	// Joined is the offset of the record that admitted the member.
+	Joined uint64 `cbor:"5,keyasint" json:"joined"`
+}
+
+// State is the folded membership.
+type State struct {
+	// Epoch is the offset of the last change of Members.
+	Epoch   uint64            `cbor:"1,keyasint"`
+	Members map[string]Member `cbor:"2,keyasint"`
+}
+
+// NewState returns a membership without members.
+func NewState() State { return State{Members: map[string]Member{}} }
+
+// Clone returns a copy that shares no maps with s.
+func (s State) Clone() State {
+	s.Members = maps.Clone(s.Members)
+	return s
+}
+
+// The record kinds of this slice.
+const (
+	KindJoin   record.Kind = "membership.join"
+	KindRemove record.Kind = "membership.remove"
+)
+
+// Join is the body of a KindJoin record. It admits the member and removes any
+// earlier incarnation on the same host.
+type Join struct {
+	Member Member `cbor:"1,keyasint"`
+}
+
+// Remove is the body of a KindRemove record.
+type Remove struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// Apply folds one record at offset.
+func (s *State) Apply(offset uint64, r record.Record) record.Outcome {
+	switch r.Kind {
+	case KindJoin:
+		return s.join(offset, r)
+	case KindRemove:
+		return s.remove(offset, r)
+	default:
+		return record.Reject("unknown kind " + string(r.Kind))
+	}
+}
+
+func (s *State) join(offset uint64, r record.Record) record.Outcome {
+	var j Join
+	if err := record.Decode(r.Body, &j); err != nil {
+		return record.Reject(err.Error())
+	}
+	m := j.Member
+	if m.ID == "" || m.Zone == "" || m.PeerAddress == "" {
+		return record.Reject("member lacks id, zone or peer address")
+	}
+	for id, old := range s.Members {
+		if old.Host == m.Host || old.PeerAddress == m.PeerAddress {
+			delete(s.Members, id)
+		}
+	}
+	m.Joined = offset
+	s.Members[m.ID] = m
+	s.Epoch = offset
+	return record.Accept("daemon/" + m.ID)
+}
+
+func (s *State) remove(offset uint64, r record.Record) record.Outcome {
+	var rm Remove
+	if err := record.Decode(r.Body, &rm); err != nil {
+		return record.Reject(err.Error())
+	}
+	if _, ok := s.Members[rm.ID]; !ok {
+		return record.Reject("no such member", "daemon/"+rm.ID)
+	}
+	delete(s.Members, rm.ID)
+	s.Epoch = offset
+	return record.Accept("daemon/" + rm.ID)
+}
+
+// InZone returns the IDs of the members of a zone.
+func (s *State) InZone(zone string) []string {
+	var ids []string
+	for id, m := range s.Members {
+		if m.Zone == zone {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
