--- /dev/null
+++ b/standin/deployment/deployment.go
@@ -0,0 +1,148 @@
+// Package deployment serves the stand-ins of a whole deployment in one
+// process: the platform, its switches and one target for each host of a
+// catalogue.
+package deployment
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/platform/httpplatform"
+	"greengagedeck/standin/platformsim"
+	"greengagedeck/standin/targetsim"
+)
+
+const (
+	slots                   = 8
+	connections             = 64
+	defaultAppendsPerSecond = 500
+)
+
+// Options configures a Deployment.
+type Options struct {
+	// Platform is the platform's IP:port; port 0 takes a free one.
+	Platform string
+	// Hosts are the workers.
+	Hosts []catalogue.Host
+	// EntryHosts are the daemons' hosts that the list shows at the start.
+	EntryHosts []httpplatform.HostAnswer
+}
+
+// Deployment is a running platform and its targets.
+type Deployment struct {
+	Platform *platformsim.Platform
+	Targets  map[string]*targetsim.Target
+	Book     *targetsim.Book
+	ln       net.Listener
+}
+
+// LoadHosts returns the hosts of a catalogue file.
+func LoadHosts(path string) ([]catalogue.Host, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var doc catalogue.Document
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return doc.Hosts, nil
+}
+
+// ParseEntryHosts reads a list of name=zone=address, separated by commas.
+func ParseEntryHosts(s string) ([]httpplatform.HostAnswer, error) {
+	var hosts []httpplatform.HostAnswer
+	for _, item := range strings.FieldsFunc(s, func(r rune) bool { return r == ',' }) {
+		parts := strings.Split(item, "=")
+		if len(parts) != 3 {
+			return nil, fmt.Errorf("entry host %q: want name=zone=address", item)
+		}
+		hosts = append(hosts, httpplatform.HostAnswer{ID: parts[0], Zone: parts[1], Address: parts[2], Entry: true})
+	}
+	return hosts, nil
+}
+
+// Start serves until Close.
+func Start(opts Options) (*Deployment, error) {
+	d := &Deployment{Targets: map[string]*targetsim.Target{}, Book: targetsim.NewBook()}
+	list, err := d.startTargets(opts.Hosts)
+	if err != nil {
+		d.Close()
+		return nil, err
+	}
+	workers := map[string]platformsim.Worker{}
+	for name, t := range d.Targets {
+		workers[name] = t
+	}
+	d.Platform = platformsim.New(platformsim.Options{
+		Hosts:   append(list, opts.EntryHosts...),
+		Workers: workers,
+		Log:     platformsim.LogSwitches{AppendsPerSecond: defaultAppendsPerSecond},
+	})
+	d.routes()
+	if d.ln, err = net.Listen("tcp", opts.Platform); err != nil {
+		d.Close()
+		return nil, err
+	}
+	go func() { _ = d.Platform.Serve(d.ln) }()
+	return d, nil
+}
+
+func (d *Deployment) startTargets(hosts []catalogue.Host) ([]httpplatform.HostAnswer, error) {
+	var list []httpplatform.HostAnswer
+	for _, h := range hosts {
+		t, err := targetsim.Start(targetsim.Options{
+			Name: h.Name, Address: h.Address, Slots: slots, Connections: connections, Book: d.Book,
+		})
+		if err != nil {
+			return nil, err
+		}
+		d.Targets[h.Name] = t
+		list = append(list, httpplatform.HostAnswer{ID: h.Name, Address: t.Address(), Zone: h.Zone, Rack: h.Rack})
+	}
+	return list, nil
+}
+
+// URL returns the platform's base URL.
+func (d *Deployment) URL() string { return "http://" + d.ln.Addr().String() }
+
+// Close stops everything.
+func (d *Deployment) Close() {
+	for _, t := range d.Targets {
+		t.Close()
+	}
+	if d.ln != nil {
+		_ = d.ln.Close()
+		_ = d.Platform.Close()
+	}
+}
+
+// Report is what all targets have seen.
+type Report struct {
+	targetsim.Summary
+	// PoolOverlaps adds up those of the targets.
+	PoolOverlaps int `json:"pool_overlaps"`
+	// Appends and AppendBytes count what the log took.
+	Appends     int               `json:"appends"`
+	AppendBytes int               `json:"append_bytes"`
+	Targets     []targetsim.Stats `json:"targets"`
+}
+
+// Report returns what all targets have seen, ordered by name.
+func (d *Deployment) Report() Report {
+	r := Report{Summary: d.Book.Summary()}
+	r.Appends, r.AppendBytes = d.Platform.Appends()
+	for _, t := range d.Targets {
+		s := t.Stats()
+		r.PoolOverlaps += s.PoolOverlaps
+		r.Targets = append(r.Targets, s)
+	}
+	slices.SortFunc(r.Targets, func(a, b targetsim.Stats) int { return strings.Compare(a.Name, b.Name) })
+	return r
+}
