Read, check and edit catalogues

Cause: operators drive the system only by editing the catalogue. Ruled out: one version for the whole file, since two operators on different objects would turn each other down; merging by field, since a reader of the outcome could not tell who won.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -139,6 +139,9 @@
 
 // Document is a whole catalogue, as in a catalogue file.
 type Document struct {
+	// Version is the catalogue version the document was read at. An edit
+	// made from it is turned down when what it changes has changed since.
+	Version uint64  `yaml:"version,omitempty" json:"version,omitempty"`
 	Teams   []Team  `yaml:"teams" json:"teams"`
 	Pools   []Pool  `yaml:"pools" json:"pools"`
 	Hosts   []Host  `yaml:"hosts" json:"hosts"`
--- /dev/null
+++ b/internal/catalogue/diff.go
@@ -0,0 +1,103 @@
+package catalogue
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedeck/internal/record"
+)
+
+// Document returns the catalogue as a document, objects ordered by name.
+func (s *State) Document() Document {
+	return Document{
+		Version: s.Version,
+		Teams:   values(s.Teams),
+		Pools:   values(s.Pools),
+		Hosts:   values(s.Hosts),
+		Entries: values(s.Entries),
+		Waves:   values(s.Waves),
+	}
+}
+
+func values[T any](m map[string]Versioned[T]) []T {
+	out := make([]T, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[name].Value)
+	}
+	return out
+}
+
+// Diff returns the changes that turn from into to, ordered by kind and name.
+// Without prune, objects that to lacks stay.
+func Diff(from, to Document, prune bool) ([]Change, error) {
+	old, err := specs(from)
+	if err != nil {
+		return nil, err
+	}
+	want, err := specs(to)
+	if err != nil {
+		return nil, err
+	}
+	var out []Change
+	for k, spec := range want {
+		if was, ok := old[k]; !ok || !bytes.Equal(was, spec) {
+			out = append(out, Change{Key: k, Spec: spec})
+		}
+	}
+	for k := range old {
+		if _, ok := want[k]; !ok && prune {
+			out = append(out, Change{Key: k, Delete: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return compareKeys(a.Key, b.Key) })
+	return out, nil
+}
+
+func compareKeys(a, b Key) int {
+	if c := bytes.Compare([]byte(a.Kind), []byte(b.Kind)); c != 0 {
+		return c
+	}
+	return bytes.Compare([]byte(a.Name), []byte(b.Name))
+}
+
+// specs returns the CBOR form of every object of a document.
+func specs(d Document) (map[Key][]byte, error) {
+	out := map[Key][]byte{}
+	add := func(kind Kind, name string, v any) error {
+		data, err := record.Encode(v)
+		if err != nil {
+			return eris.Wrapf(err, "%s/%s", kind, name)
+		}
+		out[Key{kind, name}] = data
+		return nil
+	}
+	var errs []error
+	for _, t := range d.Teams {
+		errs = append(errs, add(KindTeam, t.Name, t))
+	}
+	for _, p := range d.Pools {
+		errs = append(errs, add(KindPool, p.Name, p))
+	}
+	for _, h := range d.Hosts {
+		errs = append(errs, add(KindHost, h.Name, h))
+	}
+	for _, e := range d.Entries {
+		errs = append(errs, add(KindEntry, e.Name, e))
+	}
+	for _, w := range d.Waves {
+		errs = append(errs, add(KindWave, w.Name, w))
+	}
+	return out, eris.Wrap(firstError(errs), "encode catalogue")
+}
+
+func firstError(errs []error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -11,6 +11,14 @@
 type Versioned[T any] struct {
 	Version uint64 `cbor:"1,keyasint" json:"version"`
 	Value   T      `cbor:"2,keyasint" json:"value"`
+	// By is the operator who made the last change.
+	By string `cbor:"3,keyasint" json:"by"`
+}
+
+// Tombstone says when and by whom an object was removed.
+type Tombstone struct {
+	Version uint64 `cbor:"1,keyasint"`
+	By      string `cbor:"2,keyasint"`
 }
 
 // State is the folded catalogue. It is a value of the replica's state: the
@@ -24,9 +32,9 @@
 	Hosts   map[string]Versioned[Host]  `cbor:"4,keyasint"`
 	Entries map[string]Versioned[Entry] `cbor:"5,keyasint"`
 	Waves   map[string]Versioned[Wave]  `cbor:"6,keyasint"`
-	// Removed keeps the version at which an object was removed, so that an
+	// Removed keeps when an object was removed, by Key.String, so that an
 	// edit based on the removed object is turned down.
-	Removed map[string]uint64 `cbor:"7,keyasint"`
+	Removed map[string]Tombstone `cbor:"7,keyasint"`
 }
 
 // NewState returns an empty catalogue.
@@ -37,7 +45,7 @@
 		Hosts:   map[string]Versioned[Host]{},
 		Entries: map[string]Versioned[Entry]{},
 		Waves:   map[string]Versioned[Wave]{},
-		Removed: map[string]uint64{},
+		Removed: map[string]Tombstone{},
 	}
 }
 
@@ -52,10 +60,14 @@
 	return s
 }
 
-// KindEdit is the record kind of an operator's edit.
-const KindEdit record.Kind = "catalogue.edit"
-
 // Apply folds one record of this slice.
 func (s *State) Apply(offset uint64, r record.Record) record.Outcome {
-	return record.Reject("unknown kind " + string(r.Kind))
+	if r.Kind != KindEdit {
+		return record.Reject("unknown kind " + string(r.Kind))
+	}
+	var e Edit
+	if err := record.Decode(r.Body, &e); err != nil {
+		return record.Reject(err.Error())
+	}
+	return s.apply(offset, e)
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"greengagedeck/internal/record"
 )
@@ -98,7 +99,7 @@
 	return record.Accept("daemon/" + rm.ID)
 }
 
-// InZone returns the IDs of the members of a zone.
+// InZone returns the IDs of the members of a zone, in order.
 func (s *State) InZone(zone string) []string {
 	var ids []string
 	for id, m := range s.Members {
@@ -106,5 +107,6 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
