--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"greengagedeck/internal/record"
 )
 
@@ -19,6 +21,8 @@
 	// Refusal says why a record was turned down.
 	Refusal  string   `cbor:"7,keyasint,omitempty" json:"refusal,omitempty"`
 	Subjects []string `cbor:"8,keyasint,omitempty" json:"subjects,omitempty"`
+	// ID is the record's ID.
+	ID ulid.ULID `cbor:"9,keyasint" json:"id"`
 }
 
 // State is the bounded history of decisions, oldest first.
@@ -32,12 +36,10 @@
 // NewState returns an empty history.
 func NewState() State { return State{} }
 
-// Clone returns a copy. Decisions are never changed in place, so the two share
-// their backing array; capacity is cut so that an append copies.
-func (s State) Clone() State {
-	s.Recent = s.Recent[:len(s.Recent):len(s.Recent)]
-	return s
-}
+// Clone returns a copy that shares the backing array. That is safe because
+// decisions are never changed in place and states form one line: only the
+// newest is ever appended to, beyond the length that older ones see.
+func (s State) Clone() State { return s }
 
 // Add appends the decision made by folding r.
 func (s *State) Add(offset uint64, r record.Record, out record.Outcome) {
@@ -50,6 +52,7 @@
 		Accepted: out.Accepted,
 		Refusal:  out.Reason,
 		Subjects: out.Subjects,
+		ID:       r.ID,
 	}
 	s.Recent = append(s.Recent, d)
 	if len(s.Recent) > maxRecent {
@@ -68,6 +71,16 @@
 	return out
 }
 
+// ByID returns the decision on the record with an ID.
+func (s *State) ByID(id ulid.ULID) (Decision, bool) {
+	for _, d := range s.Recent {
+		if d.ID == id {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
 func (d Decision) matches(subject string) bool {
 	if d.Cause.Object == subject {
 		return true
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// clone returns a copy that apply may change.
+// clone returns a copy that apply may change. Seen and its index are shared:
+// states form one line and only the newest is folded further, by one writer.
 func (s *State) clone() *State {
 	c := *s
 	c.Catalogue = s.Catalogue.Clone()
@@ -57,7 +58,6 @@
 	c.Pools = s.Pools.Clone()
 	c.Waves = s.Waves.Clone()
 	c.Decisions = s.Decisions.Clone()
-	c.Seen = s.Seen[:len(s.Seen):len(s.Seen)]
 	return &c
 }
 
@@ -73,9 +73,6 @@
 // apply folds the record at offset, which must be s.Offset+1.
 func (s *State) apply(offset uint64, r record.Record) record.Outcome {
 	s.Offset = offset
-	if s.repeated(r.ID) {
-		return record.Reject("repeated record")
-	}
 	out := s.dispatch(offset, r)
 	s.Decisions.Add(offset, r, out)
 	return out
