--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"greengagedeck/standin/loadgen"
+)
+
+const (
+	pollEvery   = 20 * time.Millisecond
+	httpTimeout = 5 * time.Second
+	// Ports are taken below the kernel's range for outgoing connections, so
+	// that none of those can take a port that is free for a while.
+	lowestPort  = 10_000
+	highestPort = 32_000
+	portTries   = 1000
+)
+
+var client = &http.Client{Timeout: httpTimeout}
+
+// Site is one daemon's place, before it has addresses.
+type Site struct {
+	Host string
+	Zone string
+}
+
+// Options configures a Fleet.
+type Options struct {
+	// Bin holds the programs greengaged and greengagectl.
+	Bin string
+	// Dir takes the logs.
+	Dir string
+	// PlatformURL is the platform's base URL.
+	PlatformURL string
+	Sites       []Site
+	// DaemonArgs are added to every daemon's flags.
+	DaemonArgs []string
+}
+
+// Fleet is a set of daemons.
+type Fleet struct {
+	Daemons []*Daemon
+	opts    Options
+}
+
+// New gives every daemon its addresses. Nothing runs yet.
+func New(opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts}
+	ports, err := FreePorts(3 * len(opts.Sites))
+	if err != nil {
+		return nil, err
+	}
+	for i, s := range opts.Sites {
+		f.Daemons = append(f.Daemons, &Daemon{
+			Host:   s.Host,
+			Zone:   s.Zone,
+			Caller: ports[3*i],
+			Admin:  ports[3*i+1],
+			Peer:   ports[3*i+2],
+			fleet:  f,
+		})
+	}
+	return f, nil
+}
+
+// FreePorts returns n loopback addresses that nothing listens on.
+func FreePorts(n int) ([]string, error) {
+	var out []string
+	var held []net.Listener
+	defer func() {
+		for _, ln := range held {
+			_ = ln.Close()
+		}
+	}()
+	for range portTries {
+		if len(out) == n {
+			return out, nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		held = append(held, ln)
+		out = append(out, ln.Addr().String())
+	}
+	return nil, errors.New("no free ports")
+}
+
+func (f *Fleet) peers() []string {
+	var out []string
+	for _, d := range f.Daemons {
+		out = append(out, d.Peer)
+	}
+	return out
+}
+
+// Start runs every daemon.
+func (f *Fleet) Start() error {
+	for _, d := range f.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends every daemon gracefully, all at once.
+func (f *Fleet) Stop() error {
+	errs := make([]error, len(f.Daemons))
+	var wg sync.WaitGroup
+	for i, d := range f.Daemons {
+		if d.process == nil {
+			continue
+		}
+		wg.Go(func() {
+			_ = d.Resume()
+			errs[i] = d.Stop()
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// Loads returns the daemons as the load tool sees them.
+func (f *Fleet) Loads() []loadgen.Daemon {
+	var out []loadgen.Daemon
+	for _, d := range f.Daemons {
+		out = append(out, d.Load())
+	}
+	return out
+}
+
+// WaitReady waits until every daemon is ready.
+func (f *Fleet) WaitReady(timeout time.Duration) error {
+	return Poll(timeout, func() error {
+		for _, d := range f.Daemons {
+			if exited, err := d.Exited(); exited {
+				return fmt.Errorf("%s ended: %v\n%s", d.Host, err, d.Tail())
+			}
+			if !d.Ready() {
+				return fmt.Errorf("%s is not ready\n%s", d.Host, d.Tail())
+			}
+		}
+		return nil
+	})
+}
+
+// Control runs the operators' command line against one daemon.
+func (f *Fleet) Control(d *Daemon, args ...string) ([]byte, error) {
+	args = append(args, "-server", "http://"+d.Admin)
+	cmd := exec.Command(filepath.Join(f.opts.Bin, "greengagectl"), args...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil {
+		return stdout.Bytes(), fmt.Errorf("greengagectl %v: %w: %s", args, err, stderr.String())
+	}
+	return stdout.Bytes(), nil
+}
+
+// Poll calls check until it returns nil or the timeout has passed.
+func Poll(timeout time.Duration, check func() error) error {
+	end := time.Now().Add(timeout)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("after %s: %w", timeout, err)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func getOK(url string) bool {
+	resp, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// GetJSON reads a JSON answer into v.
+func GetJSON(url string, v any) error {
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	return readJSON(resp, v)
+}
+
+// PutJSON sends body as JSON, which is how the stand-ins' switches are set.
+func PutJSON(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	return readJSON(resp, nil)
+}
+
+func readJSON(resp *http.Response, v any) error {
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s: %s", resp.Request.URL, resp.Status, data)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(data, v)
+}
--- a/standin/targetsim/serve.go
+++ b/standin/targetsim/serve.go
@@ -78,6 +78,7 @@
 	t.mu.Unlock()
 	ctx.Error("no free slot", fasthttp.StatusServiceUnavailable)
 	ctx.Response.Header.Set(HeaderVerdict, "not-run")
+	echo(ctx)
 }
 
 // begin counts a task as started and returns the channel that interrupts it.
@@ -160,10 +161,18 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 	ctx.Response.Header.Set(HeaderRequestID, id)
+	echo(ctx)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
 
+// echo repeats the attempt's ID.
+func echo(ctx *fasthttp.RequestCtx) {
+	if id := ctx.Request.Header.Peek(HeaderAttempt); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(HeaderAttempt, id)
+	}
+}
+
 // reset closes the connection so that its peer sees a reset.
 func reset(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*limitedConn); ok {
--- a/standin/targetsim/target.go
+++ b/standin/targetsim/target.go
@@ -19,6 +19,7 @@
 const (
 	HeaderRequestID = "Request-Id"
 	HeaderPool      = "Request-Pool"
+	HeaderAttempt   = "Request-Attempt"
 	HeaderVerdict   = "Request-Verdict"
 	// HeaderServiceMs is how long the work takes, in milliseconds.
 	HeaderServiceMs = "X-Service-Ms"
