--- a/internal/catalogue/load.go
+++ b/internal/catalogue/load.go
@@ -50,9 +50,16 @@
 	return b.String()
 }
 
-// Load reads and checks a catalogue file. name is used in messages only. The
-// error is an *InvalidError that lists every problem found.
+// Load reads and checks a whole catalogue file. name is used in messages only.
+// The error is an *InvalidError that lists every problem found.
 func Load(name string, data []byte) (Document, error) {
+	return LoadOver(name, data, Document{}, true)
+}
+
+// LoadOver reads a catalogue file that changes current and returns the
+// catalogue that results. Without prune, objects of current that the file
+// lacks stay, so that a file may hold only what changes.
+func LoadOver(name string, data []byte, current Document, prune bool) (Document, error) {
 	if len(data) > MaxFileBytes {
 		reason := fmt.Sprintf("file has %d bytes, more than %d", len(data), MaxFileBytes)
 		return Document{}, invalid(name, Problem{Line: 1, Reason: reason})
@@ -61,9 +68,13 @@
 	if err != nil {
 		return Document{}, invalid(name, syntaxProblem(err))
 	}
-	problems := doc.Check()
+	merged := doc
+	if !prune {
+		merged = overlay(current, doc)
+	}
+	problems := merged.Check()
 	if len(problems) == 0 {
-		return doc, nil
+		return merged, nil
 	}
 	lines := indexLines(file)
 	for i := range problems {
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -71,6 +71,17 @@
 	return out
 }
 
+// OfKind returns the decisions on records of one kind, newest last.
+func (s *State) OfKind(k record.Kind) []Decision {
+	var out []Decision
+	for _, d := range s.Recent {
+		if d.Kind == k {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // ByID returns the decision on the record with an ID.
 func (s *State) ByID(id ulid.ULID) (Decision, bool) {
 	for _, d := range s.Recent {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -113,3 +113,13 @@
 	}
 	return MayHaveRun
 }
+
+// MarshalText writes the form of String, also in JSON.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText is the inverse of MarshalText.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	parsed, err := Parse(string(text))
+	*v = parsed
+	return err
+}
