Add one attempt at a target

A daemon needs one try at a target whose failure says what it proves. fasthttp's HostClient was ruled out: it decides itself about retries and reuse, and hides whether a byte left.

--- /dev/null
+++ b/internal/attempt/header.go
@@ -0,0 +1,133 @@
+package attempt
+
+import (
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"greengagedeck/internal/request"
+	"greengagedeck/internal/verdict"
+)
+
+// The header fields that a target is sent and may answer with.
+const (
+	// HeaderID carries the caller's request ID.
+	HeaderID = "Request-Id"
+	// HeaderPool carries the pool that the request runs for.
+	HeaderPool = "Request-Pool"
+	// HeaderAttempt carries an ID that is new for every try. A target may
+	// repeat it in its answer, which is then matched to the request.
+	HeaderAttempt = "Request-Attempt"
+	// HeaderVerdict with status 503 is a target's own word that it did not
+	// start the request.
+	HeaderVerdict = "Request-Verdict"
+)
+
+// connectionFields concern one connection only and are not passed on.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	// A request leaves whole and its length is set anew on each way.
+	"Expect", "Content-Length",
+	// The fields of this package are set anew for every try.
+	HeaderID, HeaderPool, HeaderAttempt, HeaderVerdict,
+}
+
+var dropped = func() map[string]bool {
+	m := map[string]bool{}
+	for _, name := range connectionFields {
+		m[name] = true
+	}
+	return m
+}()
+
+// forwardable returns the fields that may go on to the next hop.
+func forwardable(fields []request.Field) []request.Field {
+	named := connectionTokens(fields)
+	out := make([]request.Field, 0, len(fields))
+	for _, f := range fields {
+		key := textproto.CanonicalMIMEHeaderKey(f.Name)
+		if !dropped[key] && !slices.Contains(named, key) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// connectionTokens returns the fields that Connection fields name.
+func connectionTokens(fields []request.Field) []string {
+	var named []string
+	for _, f := range fields {
+		if !strings.EqualFold(f.Name, "Connection") {
+			continue
+		}
+		for token := range strings.SplitSeq(f.Value, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+		}
+	}
+	return named
+}
+
+// writeRequest fills req with r for one try.
+func writeRequest(req *fasthttp.Request, r *request.Request, attempt, address string) {
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(r.Method)
+	req.Header.SetRequestURI(r.Path)
+	for _, f := range forwardable(r.Header) {
+		req.Header.Add(f.Name, f.Value)
+	}
+	if len(req.Header.Host()) == 0 {
+		req.Header.SetHost(address)
+	}
+	req.Header.Set(HeaderID, r.ID)
+	req.Header.Set(HeaderPool, r.Pool)
+	req.Header.Set(HeaderAttempt, attempt)
+	req.SetBodyRaw(r.Body)
+}
+
+// readResponse copies a whole answer out of resp.
+func readResponse(resp *fasthttp.Response) *request.Response {
+	fields := make([]request.Field, 0, resp.Header.Len())
+	for name, value := range resp.Header.All() {
+		fields = append(fields, request.Field{Name: string(name), Value: string(value)})
+	}
+	return &request.Response{
+		Status: resp.StatusCode(),
+		Header: forwardable(fields),
+		Body:   resp.SwapBody(nil),
+	}
+}
+
+// checkRequest refuses what cannot be sent as it is.
+func checkRequest(r *request.Request) *verdict.Error {
+	switch {
+	case !validMethod(r.Method):
+		return verdict.Refuse(verdict.ReasonBadRequest, "method %q", r.Method)
+	case !validPath(r.Path):
+		return verdict.Refuse(verdict.ReasonBadRequest, "path %q", r.Path)
+	case len(r.Body) > 0 && (r.Method == fasthttp.MethodGet || r.Method == fasthttp.MethodHead):
+		return verdict.Refuse(verdict.ReasonBadRequest, "%s with a body", r.Method)
+	}
+	return nil
+}
+
+func validMethod(m string) bool {
+	for i := range len(m) {
+		if m[i] < 'A' || m[i] > 'Z' {
+			return false
+		}
+	}
+	return m != "" && m != fasthttp.MethodConnect
+}
+
+// validPath keeps a path from ending the request line.
+func validPath(p string) bool {
+	for i := range len(p) {
+		if p[i] <= ' ' || p[i] == 0x7f {
+			return false
+		}
+	}
+	return strings.HasPrefix(p, "/")
+}
--- /dev/null
+++ b/internal/attempt/metrics.go
@@ -0,0 +1,47 @@
+package attempt
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/verdict"
+)
+
+// metrics counts tries by verdict and the life of connections.
+type metrics struct {
+	ran        tally.Counter
+	notRun     tally.Counter
+	mayHaveRun tally.Counter
+	dialed     tally.Counter
+	reused     tally.Counter
+	stale      tally.Counter
+	abandoned  tally.Counter
+	unmatched  tally.Counter
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	s = s.SubScope("attempt")
+	byVerdict := func(v verdict.Verdict) tally.Counter {
+		return s.Tagged(map[string]string{"verdict": v.String()}).Counter("tries")
+	}
+	return &metrics{
+		ran:        byVerdict(verdict.Ran),
+		notRun:     byVerdict(verdict.NotRun),
+		mayHaveRun: byVerdict(verdict.MayHaveRun),
+		dialed:     s.Counter("connections_opened"),
+		reused:     s.Counter("connections_reused"),
+		stale:      s.Counter("connections_stale"),
+		abandoned:  s.Counter("connections_abandoned"),
+		unmatched:  s.Counter("answers_unmatched"),
+	}
+}
+
+func (m *metrics) count(err *verdict.Error) {
+	switch {
+	case err == nil:
+		m.ran.Inc(1)
+	case err.Verdict == verdict.NotRun:
+		m.notRun.Inc(1)
+	default:
+		m.mayHaveRun.Inc(1)
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -70,6 +70,7 @@
 	ReasonConnectionLost Reason = "connection-lost"
 	ReasonTimeout        Reason = "timeout"
 	ReasonTruncated      Reason = "truncated"
+	ReasonMalformed      Reason = "malformed-answer"
 	ReasonTargetRefused  Reason = "target-refused"
 	ReasonPeerLost       Reason = "peer-lost"
 )
