Add the gate that says which hosts a daemon may use

Cause: requests may start only on hosts whose folded owner is the request's pool, and a drain must be able to rely on 'nothing of mine runs there'.

--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"greengagedeck/internal/catalogue"
 	"greengagedeck/internal/record"
@@ -31,18 +32,39 @@
 	Phase Phase  `cbor:"2,keyasint" json:"phase"`
 	// Since is the offset of the record that began the phase.
 	Since uint64 `cbor:"3,keyasint" json:"since"`
+	// Address, Zone and Rack are those of the incarnation in service. They
+	// follow the catalogue only once the host has been drained.
+	Address string `cbor:"4,keyasint" json:"address"`
+	Zone    string `cbor:"5,keyasint" json:"zone"`
+	Rack    string `cbor:"6,keyasint" json:"rack"`
+	// Declared is the pool that the catalogue last named. The host's own
+	// pool differs from it while the host is lent.
+	Declared string `cbor:"7,keyasint" json:"declared"`
+	// Wanted is the pool that a catalogue edit wants the host in, empty when
+	// nothing is wanted.
+	Wanted string `cbor:"8,keyasint,omitempty" json:"wanted,omitempty"`
+	// Failed hosts take no requests and count against availability budgets.
+	Failed bool `cbor:"9,keyasint,omitempty" json:"failed,omitempty"`
+	// Drain is the ID of the drain in progress or, for a host that is out,
+	// of the drain that took it out.
+	Drain string `cbor:"10,keyasint,omitempty" json:"drain,omitempty"`
 }
 
+// Usable reports whether the host may take requests of its pool.
+func (h Host) Usable() bool { return h.Phase == PhaseServing && !h.Failed }
+
 // State is the folded ownership of every host.
 type State struct {
 	Hosts map[string]Host `cbor:"1,keyasint"`
+	// Epoch is the offset of the last record that changed anything here.
+	Epoch uint64 `cbor:"2,keyasint"`
 }
 
 // View is what the fold of this slice reads of other slices.
 type View interface {
 	// Catalogue returns the folded catalogue.
 	Catalogue() *catalogue.State
-	// ZoneMembers returns the IDs of the members of a zone.
+	// ZoneMembers returns the IDs of the members of a zone, in any order.
 	ZoneMembers(zone string) []string
 }
 
@@ -55,6 +77,19 @@
 	return s
 }
 
+// Usable returns the names of the hosts of a pool in a zone that may take
+// requests, sorted.
+func (s *State) Usable(pool, zone string) []string {
+	var names []string
+	for name, h := range s.Hosts {
+		if h.Pool == pool && h.Zone == zone && h.Usable() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Apply folds one record of this slice.
 func (s *State) Apply(offset uint64, r record.Record, v View) record.Outcome {
 	return record.Reject("unknown kind " + string(r.Kind))
@@ -68,6 +103,19 @@
 		if _, ok := s.Hosts[name]; ok {
 			continue
 		}
-		s.Hosts[name] = Host{Pool: h.Value.Pool, Phase: PhaseServing, Since: offset}
+		s.Hosts[name] = newHost(offset, h.Value)
+		s.Epoch = offset
+	}
+}
+
+func newHost(offset uint64, h catalogue.Host) Host {
+	return Host{
+		Pool:     h.Pool,
+		Phase:    PhaseServing,
+		Since:    offset,
+		Address:  h.Address,
+		Zone:     h.Zone,
+		Rack:     h.Rack,
+		Declared: h.Pool,
 	}
 }
