--- a/Makefile
+++ b/Makefile
@@ -8,3 +8,7 @@
 
 test:
 	$(GO) test -count=1 ./... ./standin/...
+
+# Runs a whole deployment on loopback: make demo DEPLOYMENT=ruedasol
+demo: build
+	bin/demo -deployment $(DEPLOYMENT)
--- /dev/null
+++ b/standin/cmd/demo/demo.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/request"
+	"greengagedeck/standin/deployment"
+	"greengagedeck/standin/fleet"
+	"greengagedeck/standin/loadgen"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	// forceLimit is how soon an accepted catalogue must be in force, and
+	// leavingLimit how soon a leaving host must get no new work.
+	forceLimit   = 5 * time.Second
+	leavingLimit = 5 * time.Second
+	// replaceAfter and drainAfter are times within the mixed load.
+	replaceAfter = 2 * time.Second
+	drainAfter   = 4 * time.Second
+)
+
+// The demand, for each entry of a class.
+const (
+	shortRate    = 40
+	shortService = 20 * time.Millisecond
+	longRate     = 4
+	longService  = 1500 * time.Millisecond
+	burstPeriod  = 6 * time.Second
+	bodyBytes    = 512
+)
+
+// daemonsPerZone is how many entry hosts each zone has, in order of name.
+var daemonsPerZone = map[string][]int{
+	"kumot":    {2, 2, 2, 2},
+	"ruedasol": {3, 2, 2},
+}
+
+type settings struct {
+	deployment string
+	bin        string
+	examples   string
+	logs       string
+	seed       uint64
+	alone      time.Duration
+	mixed      time.Duration
+}
+
+// demo is one run.
+type demo struct {
+	settings settings
+	file     string
+	doc      catalogue.Document
+	standin  *fleet.Standin
+	fleet    *fleet.Fleet
+	report   report
+}
+
+func newDemo(s settings) (*demo, error) {
+	d := &demo{settings: s, file: filepath.Join(s.examples, s.deployment+".yaml")}
+	data, err := os.ReadFile(d.file)
+	if err != nil {
+		return nil, err
+	}
+	if d.doc, err = catalogue.Load(d.file, data); err != nil {
+		return nil, err
+	}
+	ports, err := fleet.FreePorts(1)
+	if err != nil {
+		return nil, err
+	}
+	d.fleet, err = fleet.New(fleet.Options{
+		Bin: s.bin, Dir: s.logs, PlatformURL: "http://" + ports[0], Sites: d.sites(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.standin, err = fleet.StartStandin(s.bin, s.logs, ports[0], d.file, d.fleet)
+	return d, err
+}
+
+// sites names the entry hosts of the deployment.
+func (d *demo) sites() []fleet.Site {
+	var zones []string
+	for _, h := range d.doc.Hosts {
+		if !slices.Contains(zones, h.Zone) {
+			zones = append(zones, h.Zone)
+		}
+	}
+	slices.Sort(zones)
+	var out []fleet.Site
+	for i, n := range daemonsPerZone[d.settings.deployment] {
+		for k := range n {
+			out = append(out, fleet.Site{Host: fmt.Sprintf("%s-gw%d", zones[i], k+1), Zone: zones[i]})
+		}
+	}
+	return out
+}
+
+func (d *demo) run(ctx context.Context) error {
+	if err := d.fleet.Start(); err != nil {
+		return err
+	}
+	if err := d.apply(); err != nil {
+		return err
+	}
+	if err := d.fleet.WaitReady(readyTimeout); err != nil {
+		return err
+	}
+	var err error
+	if d.report.alone, err = d.load(ctx, d.settings.alone, false); err != nil {
+		return err
+	}
+	var work sync.WaitGroup
+	var replaceErr, drainErr error
+	work.Go(func() { replaceErr = d.replace(ctx) })
+	work.Go(func() { drainErr = d.drain(ctx) })
+	d.report.mixed, err = d.load(ctx, d.settings.mixed, true)
+	work.Wait()
+	if err = errors.Join(err, replaceErr, drainErr); err != nil {
+		return err
+	}
+	return d.judge()
+}
+
+// apply puts the catalogue in force and measures how long that takes.
+func (d *demo) apply() error {
+	first := d.fleet.Daemons[0]
+	if err := d.fleet.WaitAlive(readyTimeout); err != nil {
+		return err
+	}
+	start := time.Now()
+	if _, err := d.fleet.Control(first, "catalogue", "apply", d.file); err != nil {
+		return err
+	}
+	version, err := first.Version()
+	if err != nil {
+		return err
+	}
+	err = d.fleet.WaitVersion(version, readyTimeout)
+	d.report.inForce = time.Since(start)
+	return err
+}
+
+func (d *demo) load(ctx context.Context, length time.Duration, long bool) (loadgen.Summary, error) {
+	return loadgen.Run(ctx, loadgen.Options{
+		Seed:     d.settings.seed,
+		Duration: length,
+		Daemons:  d.fleet.Loads(),
+		Entries:  d.demand(long),
+		CheckURL: d.standin.URL,
+	})
+}
+
+// demand returns the load on the catalogue's entries.
+func (d *demo) demand(long bool) []loadgen.Entry {
+	var out []loadgen.Entry
+	for _, e := range d.doc.Entries {
+		l := loadgen.Entry{
+			Name:       e.Name,
+			Rate:       shortRate,
+			Class:      string(e.Class),
+			Idempotent: e.Idempotent,
+			Service:    shortService,
+			Deadline:   e.Limits.Deadline,
+			BodyBytes:  bodyBytes,
+			Period:     burstPeriod,
+		}
+		if e.Class == request.ClassLong {
+			l.Rate, l.Service, l.Period = longRate, longService, 0
+		}
+		if long || e.Class != request.ClassLong {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// replace stops one daemon gracefully and starts a new one on its host.
+func (d *demo) replace(ctx context.Context) error {
+	if !wait(ctx, replaceAfter) {
+		return ctx.Err()
+	}
+	victim := d.fleet.Daemons[len(d.fleet.Daemons)-1]
+	if err := victim.Stop(); err != nil {
+		return err
+	}
+	if err := victim.Start(); err != nil {
+		return err
+	}
+	return d.fleet.WaitReady(readyTimeout)
+}
+
+// drain has the platform mark one host as leaving.
+func (d *demo) drain(ctx context.Context) error {
+	if !wait(ctx, drainAfter) {
+		return ctx.Err()
+	}
+	d.report.leaving = d.doc.Hosts[0].Name
+	d.report.leavingSince = time.Now()
+	path := d.standin.URL + "/admin/hosts/" + url.PathEscape(d.report.leaving)
+	return fleet.PutJSON(path, map[string]bool{"leaving": true})
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// judge gathers what the stand-ins saw and what broke.
+func (d *demo) judge() error {
+	var seen deployment.Report
+	if err := fleet.GetJSON(d.standin.URL+"/admin/report", &seen); err != nil {
+		return err
+	}
+	d.report.judge(seen)
+	return nil
+}
+
+// stop ends everything that the demo started.
+func (d *demo) stop() {
+	if err := d.fleet.Stop(); err != nil {
+		d.report.breach("planned stop: %v", err)
+	}
+	d.standin.Stop()
+}
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,63 @@
+// Command demo runs a whole deployment on loopback: the stand-ins, the
+// daemons, an operator who applies the catalogue, and mixed load. Meanwhile it
+// replaces one daemon and drains one host. It prints a summary and exits with
+// 1 when a promise broke.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+func main() {
+	var s settings
+	flag.StringVar(&s.deployment, "deployment", "kumot", "kumot or ruedasol")
+	flag.StringVar(&s.bin, "bin", "bin", "directory of the programs")
+	flag.StringVar(&s.examples, "examples", "examples", "directory of the catalogue files")
+	flag.StringVar(&s.logs, "logs", "", "directory for the daemons' logs, kept; empty for one that is removed")
+	flag.Uint64Var(&s.seed, "seed", 1, "seed of the load")
+	flag.DurationVar(&s.alone, "short-only", 6*time.Second, "how long short work runs alone")
+	flag.DurationVar(&s.mixed, "mixed", 14*time.Second, "how long short and long work run together")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	broken, err := run(ctx, s)
+	stop()
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(2)
+	case broken:
+		os.Exit(1)
+	}
+}
+
+// run removes the logs only when nothing went wrong.
+func run(ctx context.Context, s settings) (broken bool, err error) {
+	keep := s.logs != ""
+	if !keep {
+		if s.logs, err = os.MkdirTemp("", "greengagedeck-demo-"); err != nil {
+			return false, err
+		}
+	}
+	d, err := newDemo(s)
+	if err != nil {
+		return false, err
+	}
+	err = d.run(ctx)
+	d.stop()
+	d.report.print(os.Stdout)
+	broken = len(d.report.broken) > 0
+	if broken || err != nil {
+		fmt.Fprintln(os.Stderr, "demo: logs are in", s.logs)
+		return broken, err
+	}
+	if !keep {
+		return false, os.RemoveAll(s.logs)
+	}
+	return false, nil
+}
--- a/standin/loadgen/summary.go
+++ b/standin/loadgen/summary.go
@@ -53,6 +53,20 @@
 	return s.WrongAnswers+s.NotRunThatRan+s.RanMoreThanOnce+s.RanThatDidNot > 0
 }
 
+// cutReasons are why a request in progress ends when its daemon goes away.
+var cutReasons = []string{"cancelled", "connection-lost", "peer-lost", "stopping"}
+
+// Cut counts requests that were sent and whose outcome their caller does not
+// know because a connection on the way broke. Without faults at the targets
+// only a daemon can have cut them.
+func (s Summary) Cut() int {
+	n := s.ByVerdict[VerdictLost] + s.ByVerdict[VerdictUnsent]
+	for _, reason := range cutReasons {
+		n += s.ByReason[VerdictMayHaveRun+"/"+reason]
+	}
+	return n
+}
+
 // tally gathers outcomes.
 type tally struct {
 	mu       sync.Mutex
