--- a/standin/cmd/demo/demo.go
+++ b/standin/cmd/demo/demo.go
@@ -116,7 +116,10 @@
 	if err := d.fleet.WaitReady(readyTimeout); err != nil {
 		return err
 	}
-	var err error
+	before, err := d.pools()
+	if err != nil {
+		return err
+	}
 	if d.report.alone, err = d.load(ctx, d.settings.alone, false); err != nil {
 		return err
 	}
@@ -129,24 +132,39 @@
 	if err = errors.Join(err, replaceErr, drainErr); err != nil {
 		return err
 	}
+	after, err := d.pools()
+	if err != nil {
+		return err
+	}
+	for name, pool := range after {
+		if before[name] != pool {
+			d.report.moves++
+		}
+	}
 	return d.judge()
 }
 
+// pools returns the pool of every worker.
+func (d *demo) pools() (map[string]string, error) {
+	hosts, err := d.fleet.Daemons[0].Hosts()
+	out := make(map[string]string, len(hosts))
+	for _, h := range hosts {
+		out[h.Name] = h.Pool
+	}
+	return out, err
+}
+
 // apply puts the catalogue in force and measures how long that takes.
 func (d *demo) apply() error {
-	first := d.fleet.Daemons[0]
 	if err := d.fleet.WaitAlive(readyTimeout); err != nil {
 		return err
 	}
 	start := time.Now()
-	if _, err := d.fleet.Control(first, "catalogue", "apply", d.file); err != nil {
-		return err
-	}
-	version, err := first.Version()
+	edit, err := d.fleet.Apply(nil, d.file)
 	if err != nil {
 		return err
 	}
-	err = d.fleet.WaitVersion(version, readyTimeout)
+	err = d.fleet.WaitVersion(edit.Version, readyTimeout)
 	d.report.inForce = time.Since(start)
 	return err
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -157,18 +159,65 @@
 	})
 }
 
-// Control runs the operators' command line against one daemon.
-func (f *Fleet) Control(d *Daemon, args ...string) ([]byte, error) {
-	args = append(args, "-server", "http://"+d.Admin)
+// Control runs the operators' command line. It calls the daemons given, or
+// all of them, in order.
+func (f *Fleet) Control(daemons []*Daemon, args ...string) ([]byte, error) {
+	if len(daemons) == 0 {
+		daemons = f.Daemons
+	}
+	var servers []string
+	for _, d := range daemons {
+		servers = append(servers, "http://"+d.Admin)
+	}
 	cmd := exec.Command(filepath.Join(f.opts.Bin, "greengagectl"), args...)
+	cmd.Env = append(os.Environ(), "GREENGAGECTL_SERVER="+strings.Join(servers, ","))
 	var stdout, stderr bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &stdout, &stderr
 	if err := cmd.Run(); err != nil {
-		return stdout.Bytes(), fmt.Errorf("greengagectl %v: %w: %s", args, err, stderr.String())
+		return stdout.Bytes(), &ControlError{Args: args, Message: stderr.String(), Err: err}
 	}
 	return stdout.Bytes(), nil
 }
 
+// ControlError is a failed run of the operators' command line.
+type ControlError struct {
+	Args    []string
+	Message string
+	Err     error
+}
+
+// Error implements error.
+func (e *ControlError) Error() string {
+	return fmt.Sprintf("greengagectl %s: %v: %s", strings.Join(e.Args, " "), e.Err, e.Message)
+}
+
+// ExitCode returns the exit code, or -1 when the program did not run.
+func (e *ControlError) ExitCode() int {
+	var exit *exec.ExitError
+	if errors.As(e.Err, &exit) {
+		return exit.ExitCode()
+	}
+	return -1
+}
+
+// Edit is the answer to an applied catalogue.
+type Edit struct {
+	ID      string   `json:"id"`
+	Version uint64   `json:"version"`
+	Changed []string `json:"changed"`
+}
+
+// Apply puts a catalogue file in force.
+func (f *Fleet) Apply(daemons []*Daemon, file string, flags ...string) (Edit, error) {
+	args := append([]string{"catalogue", "apply", "-o", "json"}, flags...)
+	out, err := f.Control(daemons, append(args, file)...)
+	if err != nil {
+		return Edit{}, err
+	}
+	var e Edit
+	return e, json.Unmarshal(out, &e)
+}
+
 // Poll calls check until it returns nil or the timeout has passed.
 func Poll(timeout time.Duration, check func() error) error {
 	end := time.Now().Add(timeout)
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -143,6 +143,7 @@
 type outcome struct {
 	id         string
 	entry      *Entry
+	daemon     string
 	verdict    string
 	reason     string
 	status     int
@@ -185,7 +186,7 @@
 			continue
 		}
 		if err != nil {
-			o.verdict, o.reason = VerdictLost, err.Error()
+			o.verdict, o.reason, o.daemon = VerdictLost, err.Error(), r.opts.Daemons[d].URL
 		}
 		return o, d
 	}
--- a/standin/loadgen/summary.go
+++ b/standin/loadgen/summary.go
@@ -31,6 +31,8 @@
 	ByReason  map[string]int `json:"by_reason"`
 	ByStatus  map[int]int    `json:"by_status"`
 	Resent    int            `json:"resent"`
+	// LostBy counts requests whose connection to a daemon broke, by its URL.
+	LostBy map[string]int `json:"lost_by"`
 	// WrongAnswers counts answers that do not belong to their request or
 	// carry no verdict.
 	WrongAnswers int `json:"wrong_answers"`
@@ -81,6 +83,7 @@
 			ByVerdict:  map[string]int{},
 			ByReason:   map[string]int{},
 			ByStatus:   map[int]int{},
+			LostBy:     map[string]int{},
 			Violations: []string{},
 			Latency:    map[string]Latency{},
 		},
@@ -101,6 +104,9 @@
 	if o.status != 0 {
 		t.sum.ByStatus[o.status]++
 	}
+	if o.verdict == VerdictLost {
+		t.sum.LostBy[o.daemon]++
+	}
 	if o.wrong != "" {
 		t.sum.WrongAnswers++
 		t.violate("%s: %s", o.id, o.wrong)
