--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -39,10 +39,13 @@
 // run removes the logs only when nothing went wrong.
 func run(ctx context.Context, s settings) (broken bool, err error) {
 	keep := s.logs != ""
-	if !keep {
-		if s.logs, err = os.MkdirTemp("", "greengagedeck-demo-"); err != nil {
-			return false, err
-		}
+	if keep {
+		err = os.MkdirAll(s.logs, 0o700)
+	} else {
+		s.logs, err = os.MkdirTemp("", "greengagedeck-demo-")
+	}
+	if err != nil {
+		return false, err
 	}
 	d, err := newDemo(s)
 	if err != nil {
--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -79,13 +79,13 @@
 func (d *Daemon) Pause() error  { return d.process.signal(syscall.SIGSTOP) }
 func (d *Daemon) Resume() error { return d.process.signal(syscall.SIGCONT) }
 
-// Exited reports whether the process has ended by itself, and its error.
-func (d *Daemon) Exited() (bool, error) {
+// ended returns an error when the process has ended by itself.
+func (d *Daemon) ended() error {
 	select {
 	case <-d.process.done:
-		return true, d.process.err
+		return &EndedError{Host: d.Host, Err: d.process.err, Log: d.Tail()}
 	default:
-		return false, nil
+		return nil
 	}
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -148,8 +148,8 @@
 func (f *Fleet) WaitReady(timeout time.Duration) error {
 	return Poll(timeout, func() error {
 		for _, d := range f.Daemons {
-			if exited, err := d.Exited(); exited {
-				return fmt.Errorf("%s ended: %v\n%s", d.Host, err, d.Tail())
+			if err := d.ended(); err != nil {
+				return err
 			}
 			if !d.Ready() {
 				return fmt.Errorf("%s is not ready\n%s", d.Host, d.Tail())
@@ -218,13 +218,27 @@
 	return e, json.Unmarshal(out, &e)
 }
 
-// Poll calls check until it returns nil or the timeout has passed.
+// EndedError means that a daemon's process has ended by itself.
+type EndedError struct {
+	Host string
+	Err  error
+	Log  string
+}
+
+// Error implements error.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("%s ended: %v\n%s", e.Host, e.Err, e.Log)
+}
+
+// Poll calls check until it returns nil, a process has ended, or the timeout
+// has passed.
 func Poll(timeout time.Duration, check func() error) error {
 	end := time.Now().Add(timeout)
 	for {
 		err := check()
-		if err == nil {
-			return nil
+		var ended *EndedError
+		if err == nil || errors.As(err, &ended) {
+			return err
 		}
 		if time.Now().After(end) {
 			return fmt.Errorf("after %s: %w", timeout, err)
--- a/standin/fleet/status.go
+++ b/standin/fleet/status.go
@@ -41,8 +41,8 @@
 func (f *Fleet) WaitAlive(timeout time.Duration) error {
 	return Poll(timeout, func() error {
 		for _, d := range f.Daemons {
-			if exited, err := d.Exited(); exited {
-				return fmt.Errorf("%s ended: %v\n%s", d.Host, err, d.Tail())
+			if err := d.ended(); err != nil {
+				return err
 			}
 			if !getOK("http://" + d.Admin + "/healthz") {
 				return fmt.Errorf("%s does not answer\n%s", d.Host, d.Tail())
