Wire the daemon: a request is served from end to end

Cause: the whole path comes first, as separate processes. Ruled out: a redirect for a missing trailing slash, since it makes callers send a request twice. Change: checked settings in flags and environment, dig wiring, admission to the membership before anything is served, planned stop in an order that cuts nothing.

--- /dev/null
+++ b/cmd/greengaged/inforce.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"greengagedeck/internal/attempt"
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dispatch"
+	"greengagedeck/internal/gateway"
+	"greengagedeck/internal/membership"
+	"greengagedeck/internal/pool"
+	"greengagedeck/internal/replica"
+	"greengagedeck/internal/request"
+	"greengagedeck/internal/verdict"
+)
+
+// inForce reads the folded state for the request path.
+type inForce struct {
+	self    membership.Member
+	replica *replica.Replica
+}
+
+func newInForce(self membership.Member, r *replica.Replica) *inForce {
+	return &inForce{self: self, replica: r}
+}
+
+func (f *inForce) catalogue() *catalogue.State { return &f.replica.State().Catalogue }
+
+// Entry returns an entry in force.
+func (f *inForce) Entry(name string) (catalogue.Entry, bool) {
+	v, ok := f.catalogue().Entries[name]
+	return v.Value, ok
+}
+
+// Pool returns a pool in force.
+func (f *inForce) Pool(name string) (catalogue.Pool, bool) {
+	v, ok := f.catalogue().Pools[name]
+	return v.Value, ok
+}
+
+// Team returns a team in force.
+func (f *inForce) Team(name string) (catalogue.Team, bool) {
+	v, ok := f.catalogue().Teams[name]
+	return v.Value, ok
+}
+
+// Largest returns the size of the largest host of a pool.
+func (f *inForce) Largest(name string) (cores, memoryGB int) {
+	s := f.replica.State()
+	for host, h := range s.Pools.Hosts {
+		if h.Pool != name {
+			continue
+		}
+		spec := s.Catalogue.Hosts[host].Value
+		cores = max(cores, spec.Cores)
+		memoryGB = max(memoryGB, spec.MemoryGB)
+	}
+	return cores, memoryGB
+}
+
+// peerAddress returns where a member is dialled.
+func (f *inForce) peerAddress(id string) (string, bool) {
+	m, ok := f.replica.State().Members.Members[id]
+	return m.PeerAddress, ok
+}
+
+// Self returns this daemon's member ID.
+func (f *inForce) Self() string { return f.self.ID }
+
+// Mates returns the members of this daemon's zone.
+func (f *inForce) Mates() []string { return f.replica.State().Members.InZone(f.self.Zone) }
+
+// Others returns the members of each other zone.
+func (f *inForce) Others() map[string][]string {
+	out := map[string][]string{}
+	for id, m := range f.replica.State().Members.Members {
+		if m.Zone != f.self.Zone {
+			out[m.Zone] = append(out[m.Zone], id)
+		}
+	}
+	return out
+}
+
+// Ahead names no peer: without heartbeats nothing tells.
+func (f *inForce) Ahead(uint64) []string { return nil }
+
+// targets lists the hosts of this daemon's zone that may take new work.
+type targets struct {
+	inForce *inForce
+	gate    *pool.Gate
+}
+
+// Targets implements dispatch.Targets.
+func (t targets) Targets(name string) []dispatch.Target {
+	s := t.inForce.replica.State()
+	spec, ok := s.Catalogue.Pools[name]
+	if !ok {
+		return nil
+	}
+	hosts := t.gate.Hosts(name)
+	out := make([]dispatch.Target, 0, len(hosts))
+	for _, h := range hosts {
+		owned := s.Pools.Hosts[h]
+		size := s.Catalogue.Hosts[h].Value
+		out = append(out, dispatch.Target{
+			Host:        h,
+			Address:     owned.Address,
+			Zone:        owned.Zone,
+			Slots:       spec.Value.SlotsPerHost,
+			Connections: spec.Value.ConnectionsPerHost,
+			Cores:       size.Cores,
+			MemoryGB:    size.MemoryGB,
+		})
+	}
+	return out
+}
+
+// doer adapts an attempt.Client to dispatch.Doer.
+type doer struct{ client *attempt.Client }
+
+// Do implements dispatch.Doer.
+func (d doer) Do(ctx context.Context, t dispatch.Target, r *request.Request) (*request.Response, error) {
+	at := attempt.Target{Host: t.Host, Address: t.Address, Connections: t.Connections}
+	return d.client.Do(ctx, at, r)
+}
+
+// recorder traces finished requests.
+type recorder struct {
+	self   membership.Member
+	traces *decision.Traces
+}
+
+func newRecorder(self membership.Member, t *decision.Traces) *recorder {
+	return &recorder{self, t}
+}
+
+// Record implements gateway.Recorder.
+func (r *recorder) Record(res gateway.Result) {
+	v := verdict.Of(res.Err)
+	if v == verdict.Ran && !decision.Sampled(res.Request.ID) {
+		return
+	}
+	r.traces.Add(traceOf(r.self.ID, v, res))
+}
+
+func traceOf(daemon string, v verdict.Verdict, res gateway.Result) decision.Trace {
+	req := res.Request
+	t := decision.Trace{
+		ID:      req.ID,
+		Entry:   req.Entry,
+		Owner:   req.Owner,
+		Pool:    req.Pool,
+		Class:   string(req.Class),
+		Daemon:  daemon,
+		Verdict: v,
+		Arrived: req.Arrived,
+		Took:    res.Took,
+	}
+	if res.Err != nil {
+		t.Reason = res.Err.Error()
+	}
+	if res.Response != nil {
+		t.Host = res.Response.Host
+		t.Attempts = res.Response.Attempts
+		t.Queued = res.Response.Queued
+	}
+	return t
+}
+
+// Trace returns what this daemon knows of a request.
+func (r *recorder) Trace(_ context.Context, id string) []decision.Trace {
+	t, ok := r.traces.Get(id)
+	if !ok {
+		return nil
+	}
+	return []decision.Trace{t}
+}
+
+// joinTimeout bounds one wait for the fold to admit this daemon.
+const joinTimeout = time.Minute
--- a/cmd/greengaged/main.go
+++ b/cmd/greengaged/main.go
@@ -1,4 +1,48 @@
-// Command greengaged is the daemon that runs on every entry host.
+// Command greengaged is the daemon that runs on every entry host: it serves
+// callers and carries its share of control.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"greengagedeck/internal/release"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	s, err := parseSettings(args, os.Stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	case s.Version:
+		fmt.Println(release.String())
+		return exitOK
+	}
+	logger := zerolog.New(os.Stderr).Level(s.LogLevel).With().Timestamp().Str("host", s.Host).Str("zone", s.Zone).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serve(ctx, s, logger); err != nil {
+		logger.Error().Err(err).Msg("stopped")
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/greengaged/wire.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/dig"
+
+	"greengagedeck/internal/attempt"
+	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dispatch"
+	"greengagedeck/internal/gateway"
+	"greengagedeck/internal/membership"
+	"greengagedeck/internal/peer"
+	"greengagedeck/internal/platform"
+	"greengagedeck/internal/platform/httpplatform"
+	"greengagedeck/internal/pool"
+	"greengagedeck/internal/replica"
+)
+
+// metricsInterval is how often counters reach the metrics page.
+const metricsInterval = time.Second
+
+// serve builds the daemon and runs it until ctx ends.
+func serve(ctx context.Context, s Settings, logger zerolog.Logger) error {
+	c := dig.New()
+	self := membership.Member{ID: ulid.Make().String(), Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress}
+	constructors := []any{
+		func() Settings { return s },
+		func() zerolog.Logger { return logger.With().Str("daemon", self.ID).Logger() },
+		func() membership.Member { return self },
+		newMetrics,
+		newStage,
+		newPlatform,
+		replica.New,
+		newInForce,
+		newNode,
+		newAppender,
+		newPeerSource,
+		newFollower,
+		newGate,
+		newAttempts,
+		newDispatcher,
+		decision.NewTraces,
+		newRecorder,
+		newCallers,
+		newAdmin,
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return eris.Wrap(err, "wire")
+		}
+	}
+	return dig.RootCause(c.Invoke(func(p parts) error { return (&daemon{p}).run(ctx) }))
+}
+
+// metrics is the root of all counters and the registry that shows them.
+type metrics struct {
+	scope    tally.Scope
+	registry *prometheus.Registry
+}
+
+func newMetrics() metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "greengaged",
+		Separator:      promreporter.DefaultSeparator,
+		CachedReporter: reporter,
+	}, metricsInterval)
+	return metrics{scope, registry}
+}
+
+func newPlatform(s Settings, l zerolog.Logger, m metrics) (platform.Log, platform.Hosts, platform.Tasks) {
+	c := httpplatform.New(httpplatform.Options{BaseURL: s.PlatformURL, Logger: l, Scope: m.scope})
+	return c.Log(), c.Hosts(), c.Tasks()
+}
+
+func newNode(s Settings, self membership.Member, f *inForce, l zerolog.Logger, m metrics) *peer.Node {
+	return peer.NewNode(peer.Options{
+		Self:    self.ID,
+		Resolve: f.peerAddress,
+		Token:   s.PeerToken,
+		Logger:  l,
+		Scope:   m.scope,
+	})
+}
+
+func newAppender(log platform.Log, r *replica.Replica, m metrics) *replica.Appender {
+	return replica.NewAppender(log, r, m.scope)
+}
+
+func newPeerSource(r *replica.Replica, n *peer.Node, m metrics) *replica.PeerSource {
+	src := replica.NewPeerSource(r, n, n, m.scope)
+	src.Register(n)
+	return src
+}
+
+func newFollower(s Settings, log platform.Log, r *replica.Replica, src *replica.PeerSource, f *inForce, l zerolog.Logger, m metrics) *replica.Follower {
+	return replica.NewFollower(replica.FollowerOptions{
+		Replica: r,
+		Log:     log,
+		Source:  src,
+		Ahead:   f,
+		Seeds:   s.Peers,
+		Logger:  l,
+		Scope:   m.scope,
+	})
+}
+
+func newGate(self membership.Member, r *replica.Replica) *pool.Gate {
+	g := pool.NewGate(self.ID, self.Zone)
+	r.Observe(func(s *replica.State) {
+		_, member := s.Members.Members[self.ID]
+		g.Update(&s.Pools, member)
+	})
+	return g
+}
+
+func newAttempts(self membership.Member, m metrics) *attempt.Client {
+	return attempt.New(attempt.Options{Daemon: self.ID, Metrics: m.scope})
+}
+
+func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Targets: targets{f, g},
+		Gate:    g,
+		Doer:    doer{a},
+		Policy:  f,
+		Zone:    f,
+		Logger:  l,
+		Scope:   m.scope,
+	})
+}
+
+func newCallers(f *inForce, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
+	return gateway.NewCallers(gateway.CallerOptions{
+		Entries:  f,
+		Server:   d,
+		Ready:    st.serving,
+		Recorder: rec,
+		Scope:    m.scope,
+	})
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -72,6 +72,7 @@
 
 // NewCallers returns the callers' side of the gateway.
 func NewCallers(opt CallerOptions) *Callers {
+	opt.Scope = opt.Scope.SubScope("gateway")
 	c := &Callers{
 		opt:      opt,
 		counters: map[verdict.Verdict]tally.Counter{},
@@ -86,7 +87,11 @@
 // Handler returns the handler of the callers' listener.
 func (c *Callers) Handler() fasthttp.RequestHandler {
 	r := router.New()
+	// A redirect would make the caller send its request again.
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
 	r.ANY("/v1/entries/{entry}", c.serve)
+	r.ANY("/v1/entries/{entry}/", c.serve)
 	r.ANY("/v1/entries/{entry}/{path:*}", c.serve)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeError(ctx, verdict.Refuse(verdict.ReasonBadRequest, "no such path: requests go to /v1/entries/ENTRY/"))
--- a/internal/replica/appender.go
+++ b/internal/replica/appender.go
@@ -40,6 +40,7 @@
 
 // NewAppender returns an appender over log that learns outcomes from r.
 func NewAppender(log platform.Log, r *Replica, scope tally.Scope) *Appender {
+	scope = scope.SubScope("replica")
 	return &Appender{
 		log:       log,
 		replica:   r,
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -60,12 +60,13 @@
 
 // NewFollower returns a follower that does nothing until Run.
 func NewFollower(opt FollowerOptions) *Follower {
+	scope := opt.Scope.SubScope("replica")
 	return &Follower{
 		opt:        opt,
-		reads:      opt.Scope.Counter("log_reads"),
-		readErrors: opt.Scope.Counter("log_read_errors"),
-		truncated:  opt.Scope.Counter("log_truncated"),
-		offset:     opt.Scope.Gauge("offset"),
+		reads:      scope.Counter("log_reads"),
+		readErrors: scope.Counter("log_read_errors"),
+		truncated:  scope.Counter("log_truncated"),
+		offset:     scope.Gauge("offset"),
 	}
 }
 
--- a/internal/replica/peersource.go
+++ b/internal/replica/peersource.go
@@ -57,6 +57,7 @@
 
 // NewPeerSource returns a source that folds what it fetches into r.
 func NewPeerSource(r *Replica, c peer.Caller, a AddressCaller, scope tally.Scope) *PeerSource {
+	scope = scope.SubScope("replica")
 	return &PeerSource{
 		replica:   r,
 		caller:    c,
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -147,8 +147,9 @@
 
 // Run writes a snapshot whenever one is due, until ctx ends.
 func (s *Snapshotter) Run(ctx context.Context) error {
-	written := s.Scope.Counter("snapshots_written")
-	size := s.Scope.Gauge("snapshot_bytes")
+	scope := s.Scope.SubScope("replica")
+	written := scope.Counter("snapshots_written")
+	size := scope.Gauge("snapshot_bytes")
 	for ctx.Err() == nil {
 		sleep(ctx, snapshotCheck)
 		if !s.Leader.Leads() || !s.due(ctx) {
