--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -90,7 +90,6 @@
 	// A redirect would make the caller send its request again.
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
-	r.ANY("/v1/entries/{entry}", c.serve)
 	r.ANY("/v1/entries/{entry}/", c.serve)
 	r.ANY("/v1/entries/{entry}/{path:*}", c.serve)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
--- /dev/null
+++ b/standin/e2e/harness_test.go
@@ -0,0 +1,246 @@
+// Package e2e_test runs real daemons as processes against the stand-ins and
+// breaks something in each test.
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/platform/httpplatform"
+	"greengagedeck/internal/request"
+	"greengagedeck/standin/deployment"
+	"greengagedeck/standin/fleet"
+	"greengagedeck/standin/loadgen"
+)
+
+const (
+	// patience bounds waiting for what must happen in the end.
+	patience = 30 * time.Second
+	// listLag is what the daemons are told of the host list's lag.
+	listLag = 2 * time.Second
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "greengagedeck-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/greengaged", "./cmd/greengagectl")
+	cmd.Dir = filepath.Join("..", "..")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// cluster is a small deployment: two zones, five daemons, eight workers.
+type cluster struct {
+	*WithT
+	t       *testing.T
+	standin *deployment.Deployment
+	fleet   *fleet.Fleet
+	dir     string
+	version uint64
+}
+
+var sites = []fleet.Site{
+	{Host: "gw-a1", Zone: "a"}, {Host: "gw-a2", Zone: "a"}, {Host: "gw-a3", Zone: "a"},
+	{Host: "gw-b1", Zone: "b"}, {Host: "gw-b2", Zone: "b"},
+}
+
+// start runs a cluster with its catalogue in force on every daemon.
+func start(t *testing.T, daemonArgs ...string) *cluster {
+	t.Helper()
+	c := &cluster{WithT: NewWithT(t), t: t, dir: t.TempDir()}
+	doc := testCatalogue(c.WithT)
+	// The fleet's addresses are known before the platform listens, so that
+	// the list shows them from the start.
+	ports, err := fleet.FreePorts(1)
+	c.Expect(err).NotTo(HaveOccurred())
+	args := append([]string{"-host-list-lag", listLag.String(), "-stop-grace", "300ms"}, daemonArgs...)
+	c.fleet, err = fleet.New(fleet.Options{
+		Bin: bin, Dir: c.dir, PlatformURL: "http://" + ports[0], Sites: sites, DaemonArgs: args,
+	})
+	c.Expect(err).NotTo(HaveOccurred())
+	c.standin, err = deployment.Start(deployment.Options{
+		Platform: ports[0], Hosts: doc.Hosts, EntryHosts: listed(c.fleet),
+	})
+	c.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(c.close)
+	c.Expect(c.fleet.Start()).To(Succeed())
+	c.Expect(c.fleet.WaitAlive(patience)).To(Succeed())
+	c.apply(doc)
+	c.Expect(c.fleet.WaitReady(patience)).To(Succeed())
+	return c
+}
+
+func listed(f *fleet.Fleet) []httpplatform.HostAnswer {
+	var out []httpplatform.HostAnswer
+	for _, d := range f.Daemons {
+		out = append(out, d.Listed())
+	}
+	return out
+}
+
+func (c *cluster) close() {
+	for _, d := range c.fleet.Daemons {
+		if c.t.Failed() {
+			c.t.Logf("--- %s\n%s", d.Host, d.Tail())
+		}
+		_ = d.Resume()
+		d.Kill()
+	}
+	c.standin.Close()
+}
+
+// testCatalogue declares two pools with two hosts in each zone, and a spare.
+func testCatalogue(g *WithT) catalogue.Document {
+	doc := catalogue.Document{
+		Teams: []catalogue.Team{{Name: "laundry"}, {Name: "settlement"}},
+		Pools: []catalogue.Pool{
+			pool("labada", "laundry", false), pool("kuwenta", "settlement", false), pool("iba-pa", "settlement", true),
+		},
+		Entries: []catalogue.Entry{
+			entry("pickup", "laundry", "labada", request.ClassShort, false),
+			entry("stock", "laundry", "labada", request.ClassShort, true),
+			entry("settle", "settlement", "kuwenta", request.ClassLong, false),
+		},
+	}
+	owners := []string{"labada", "labada", "kuwenta", "iba-pa"}
+	ports, err := fleet.FreePorts(2 * len(owners))
+	g.Expect(err).NotTo(HaveOccurred())
+	for i, address := range ports {
+		zone := []string{"a", "b"}[i/len(owners)]
+		doc.Hosts = append(doc.Hosts, catalogue.Host{
+			Name:     fmt.Sprintf("%s-w%d", zone, i%len(owners)),
+			Address:  address,
+			Zone:     zone,
+			Rack:     fmt.Sprintf("%s-r%d", zone, i%2),
+			Pool:     owners[i%len(owners)],
+			Cores:    32,
+			MemoryGB: 64,
+		})
+	}
+	return doc
+}
+
+func pool(name, owner string, spare bool) catalogue.Pool {
+	return catalogue.Pool{
+		Name: name, Owner: owner, Spare: spare, MinHosts: 1, MaxUnavailable: 1,
+		SlotsPerHost: 8, ConnectionsPerHost: 64, LongShare: 0.5,
+	}
+}
+
+func entry(name, owner, pool string, class request.Class, idempotent bool) catalogue.Entry {
+	return catalogue.Entry{
+		Name: name, Owner: owner, Pool: pool, Class: class, Idempotent: idempotent,
+		Limits: catalogue.Limits{
+			Queue: 400, Deadline: 10 * time.Second, BodyBytes: 1 << 16, MemoryGB: 1, Cores: 1,
+		},
+		Objective: catalogue.Objective{Availability: 0.99, Latency: time.Second},
+	}
+}
+
+// file writes a catalogue, or a part of one, and returns its path.
+func (c *cluster) file(name string, doc catalogue.Document) string {
+	data, err := yaml.Marshal(doc)
+	c.Expect(err).NotTo(HaveOccurred())
+	path := filepath.Join(c.dir, name)
+	c.Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+	return path
+}
+
+// apply puts a catalogue, or a part of one, in force on every daemon.
+func (c *cluster) apply(doc catalogue.Document) {
+	edit, err := c.fleet.Apply(nil, c.file("catalogue.yaml", doc))
+	c.Expect(err).NotTo(HaveOccurred())
+	c.version = edit.Version
+	c.Expect(c.fleet.WaitVersion(edit.Version, patience)).To(Succeed())
+}
+
+// wave returns a part of a catalogue that differs in one number.
+func wave(limit int) catalogue.Document {
+	return catalogue.Document{Waves: []catalogue.Wave{{
+		Name: "monthly", Owner: "settlement", MaxParallel: 1, MaxFailures: limit,
+		Start:        time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		Deadline:     time.Date(2030, 2, 1, 0, 0, 0, 0, time.UTC),
+		DrainTimeout: time.Minute, Paused: true,
+	}}}
+}
+
+// running is load that goes on until it is stopped.
+type running struct {
+	stop func()
+	done chan struct{}
+	sum  loadgen.Summary
+	err  error
+}
+
+const (
+	seed = 11
+	// longest bounds the load of a test.
+	longest = 60 * time.Second
+)
+
+// load starts mixed load: short work at a good part of the pool's slots, long
+// work beside it.
+func (c *cluster) load() *running {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{stop: stop, done: make(chan struct{})}
+	c.t.Logf("load seed %d", seed)
+	go func() {
+		defer close(r.done)
+		r.sum, r.err = loadgen.Run(ctx, loadgen.Options{
+			Seed:     seed,
+			Duration: longest,
+			Daemons:  c.fleet.Loads(),
+			CheckURL: c.standin.URL(),
+			Entries: []loadgen.Entry{
+				{Name: "pickup", Class: "short", Rate: 60, Service: 20 * time.Millisecond, Deadline: 5 * time.Second, BodyBytes: 100},
+				{Name: "stock", Class: "short", Rate: 60, Service: 20 * time.Millisecond, Deadline: 5 * time.Second, BodyBytes: 100, Idempotent: true},
+				{Name: "settle", Class: "long", Rate: 3, Service: time.Second, Deadline: 10 * time.Second, BodyBytes: 100},
+			},
+		})
+	}()
+	c.t.Cleanup(func() { stop(); <-r.done })
+	return r
+}
+
+// finish ends the load and returns what came of it. No answer may be wrong,
+// no verdict false, and no host may have served two pools at once.
+func (c *cluster) finish(r *running) loadgen.Summary {
+	r.stop()
+	<-r.done
+	c.Expect(r.err).NotTo(HaveOccurred())
+	c.t.Logf("verdicts %v, reasons %v", r.sum.ByVerdict, r.sum.ByReason)
+	c.Expect(r.sum.Violations).To(BeEmpty())
+	c.Expect(r.sum.Broken()).To(BeFalse())
+	c.Expect(r.sum.ByVerdict[loadgen.VerdictRan]).To(BeNumerically(">", 0))
+	c.Expect(c.standin.Report().PoolOverlaps).To(BeZero())
+	return r.sum
+}
+
+// ranMore waits until targets have run n requests more.
+func (c *cluster) ranMore(n int) {
+	from := c.standin.Book.Summary().Executions
+	c.Eventually(func() int { return c.standin.Book.Summary().Executions }, patience).Should(BeNumerically(">=", from+n))
+}
