load: drop idle connections to a daemon that went away

Cause: the first demonstrations lost 3 of 5550 requests, each within 2 ms of being sent to a daemon that had just been replaced. Ruled out: a cut by the planned stop. The old process had ended seconds before; the load tool's client sent on connections that led to it. Change: one client for each daemon; its idle connections are closed whenever the balancer's view of the daemon changes.

--- a/standin/cmd/demo/report.go
+++ b/standin/cmd/demo/report.go
@@ -36,7 +36,7 @@
 		r.count(s.RanMoreThanOnce, "non-idempotent requests that ran more than once")
 		r.count(s.RanThatDidNot, "requests answered as run that did not run")
 		r.count(s.Cut(), "requests cut")
-		for _, v := range s.Violations {
+		for _, v := range append(s.Violations, s.Losses...) {
 			r.breach("%s", v)
 		}
 	}
--- a/standin/loadgen/balancer.go
+++ b/standin/loadgen/balancer.go
@@ -24,22 +24,31 @@
 // balancer stands in for the platform's: round robin over the daemons that
 // are ready.
 type balancer struct {
-	client *fasthttp.Client
-
-	mu      sync.Mutex
 	daemons []Daemon
-	up      []bool
-	next    int
+	// clients holds the connections to each daemon.
+	clients []*fasthttp.Client
+	probes  *fasthttp.Client
+
+	mu   sync.Mutex
+	up   []bool
+	next int
 }
 
-func newBalancer(daemons []Daemon, client *fasthttp.Client) *balancer {
-	b := &balancer{client: client, daemons: daemons, up: make([]bool, len(daemons))}
+func newBalancer(daemons []Daemon) *balancer {
+	b := &balancer{daemons: daemons, probes: newClient(), up: make([]bool, len(daemons))}
 	for i := range b.up {
 		b.up[i] = true
+		b.clients = append(b.clients, newClient())
 	}
 	return b
 }
 
+func (b *balancer) close() {
+	for _, c := range append(b.clients, b.probes) {
+		c.CloseIdleConnections()
+	}
+}
+
 // pick returns the index of the next daemon that is up, other than not, or of
 // the next one at all when none is. A not of -1 excludes nothing.
 func (b *balancer) pick(not int) int {
@@ -57,9 +66,14 @@
 	return b.next
 }
 
+// set notes whether a daemon is up. At each change its idle connections are
+// closed: they may lead to a process that is gone.
 func (b *balancer) set(d int, up bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.up[d] != up {
+		b.clients[d].CloseIdleConnections()
+	}
 	b.up[d] = up
 }
 
@@ -90,7 +104,7 @@
 	if url == "" {
 		url = d.URL
 	}
-	status, _, err := b.client.GetTimeout(nil, url, probeTimeout)
+	status, _, err := b.probes.GetTimeout(nil, url, probeTimeout)
 	if err != nil {
 		return false
 	}
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -65,7 +65,6 @@
 
 type runner struct {
 	opts     Options
-	client   *fasthttp.Client
 	balancer *balancer
 	tally    *tally
 }
@@ -94,15 +93,14 @@
 	if len(opts.Daemons) == 0 {
 		return Summary{}, errors.New("no daemons")
 	}
-	client := newClient()
-	r := &runner{opts: opts, client: client, balancer: newBalancer(opts.Daemons, client), tally: newTally()}
+	r := &runner{opts: opts, balancer: newBalancer(opts.Daemons), tally: newTally()}
+	defer r.balancer.close()
 	stop := make(chan struct{})
 	var probes sync.WaitGroup
 	probes.Go(func() { r.balancer.probe(stop) })
 	r.send(ctx)
 	close(stop)
 	probes.Wait()
-	client.CloseIdleConnections()
 	if opts.CheckURL != "" {
 		if err := r.check(); err != nil {
 			return Summary{}, err
@@ -148,6 +146,7 @@
 	reason     string
 	status     int
 	wrong      string
+	sent       time.Time
 	latency    time.Duration
 	resends    int
 	idempotent bool
@@ -176,17 +175,17 @@
 // dialAndSend sends a request to the first daemon that accepts a connection,
 // as the platform's balancer does.
 func (r *runner) dialAndSend(a arrival, deadline time.Duration, not int) (outcome, int) {
-	o := outcome{id: a.id, entry: a.entry, idempotent: a.entry.Idempotent}
+	o := outcome{id: a.id, entry: a.entry, idempotent: a.entry.Idempotent, sent: time.Now()}
 	for range maxDials {
 		d := r.balancer.pick(not)
-		err := r.exchange(a, deadline, r.opts.Daemons[d].URL, &o)
+		err := r.exchange(a, deadline, d, &o)
 		var dial dialError
 		if errors.As(err, &dial) {
 			r.balancer.set(d, false)
 			continue
 		}
 		if err != nil {
-			o.verdict, o.reason, o.daemon = VerdictLost, err.Error(), r.opts.Daemons[d].URL
+			o.verdict, o.reason, o.daemon = VerdictLost, "connection to daemon broke", r.opts.Daemons[d].URL
 		}
 		return o, d
 	}
@@ -194,12 +193,12 @@
 	return o, -1
 }
 
-func (r *runner) exchange(a arrival, deadline time.Duration, url string, o *outcome) error {
+func (r *runner) exchange(a arrival, deadline time.Duration, daemon int, o *outcome) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(url + requestPath(a))
+	req.SetRequestURI(r.opts.Daemons[daemon].URL + requestPath(a))
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.Set(headerRequestID, a.id)
 	req.Header.Set(headerIdempotent, strconv.FormatBool(a.entry.Idempotent))
@@ -210,7 +209,7 @@
 	ms := float64(a.service) / float64(time.Millisecond)
 	req.Header.Set(targetsim.HeaderServiceMs, strconv.FormatFloat(ms, 'f', 3, 64))
 	req.SetBody(a.body)
-	if err := r.client.DoTimeout(req, resp, deadline+answerGrace); err != nil {
+	if err := r.balancer.clients[daemon].DoTimeout(req, resp, deadline+answerGrace); err != nil {
 		return err
 	}
 	o.read(a, resp)
@@ -269,7 +268,7 @@
 	req.SetRequestURI(r.opts.CheckURL + "/admin/executions")
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
-	if err := r.client.DoTimeout(req, resp, checkTimeout); err != nil {
+	if err := r.balancer.probes.DoTimeout(req, resp, checkTimeout); err != nil {
 		return fmt.Errorf("read executions: %w", err)
 	}
 	var counts map[string]int
--- a/standin/loadgen/summary.go
+++ b/standin/loadgen/summary.go
@@ -33,6 +33,8 @@
 	Resent    int            `json:"resent"`
 	// LostBy counts requests whose connection to a daemon broke, by its URL.
 	LostBy map[string]int `json:"lost_by"`
+	// Losses describes the first of them.
+	Losses []string `json:"losses"`
 	// WrongAnswers counts answers that do not belong to their request or
 	// carry no verdict.
 	WrongAnswers int `json:"wrong_answers"`
@@ -106,6 +108,7 @@
 	}
 	if o.verdict == VerdictLost {
 		t.sum.LostBy[o.daemon]++
+		t.lose(o)
 	}
 	if o.wrong != "" {
 		t.sum.WrongAnswers++
@@ -136,6 +139,14 @@
 	}
 }
 
+// lose keeps the description of a lost request. The caller holds t.mu.
+func (t *tally) lose(o outcome) {
+	if len(t.sum.Losses) < maxViolations {
+		t.sum.Losses = append(t.sum.Losses, fmt.Sprintf("%s (%s) at %s, sent %s, lost after %s: %s",
+			o.id, o.entry.Name, o.daemon, o.sent.Format(time.StampMilli), o.latency, o.reason))
+	}
+}
+
 func (t *tally) ids() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
