--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -3,6 +3,7 @@
 package decision
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -30,8 +31,16 @@
 	Recent []Decision `cbor:"1,keyasint"`
 }
 
-// maxRecent bounds the history that every daemon holds.
-const maxRecent = 10_000
+const (
+	// maxDecisions is the length at which the history is compacted.
+	maxDecisions = 8192
+	// keepNewest is how many of the newest decisions a compaction keeps
+	// whatever they are about.
+	keepNewest = 1024
+	// keepPerSubject is how many of the last decisions on a subject a
+	// compaction keeps, however old they are.
+	keepPerSubject = 4
+)
 
 // NewState returns an empty history.
 func NewState() State { return State{} }
@@ -55,9 +64,29 @@
 		ID:       r.ID,
 	}
 	s.Recent = append(s.Recent, d)
-	if len(s.Recent) > maxRecent {
-		s.Recent = s.Recent[len(s.Recent)-maxRecent:]
+	if len(s.Recent) >= maxDecisions {
+		s.Recent = compact(s.Recent)
+	}
+}
+
+// compact returns, in a new array, the newest decisions and the last few on
+// each subject, so that the reason for something that has long been as it is
+// stays known. At most half of maxDecisions are kept.
+func compact(ds []Decision) []Decision {
+	kept := make([]Decision, 0, maxDecisions)
+	perSubject := map[string]int{}
+	for i := len(ds) - 1; i >= 0 && len(kept) < maxDecisions/2; i-- {
+		wanted := len(ds)-i <= keepNewest
+		for _, subject := range ds[i].Subjects {
+			perSubject[subject]++
+			wanted = wanted || perSubject[subject] <= keepPerSubject
+		}
+		if wanted {
+			kept = append(kept, ds[i])
+		}
 	}
+	slices.Reverse(kept)
+	return kept
 }
 
 // About returns the decisions on a subject, newest last.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -90,9 +90,7 @@
 	// A redirect would make the caller send its request again.
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
-	r.ANY("/v1/entries/{entry}", c.serve)
-	r.ANY("/v1/entries/{entry}/", c.serve)
-	r.ANY("/v1/entries/{entry}/{path:*}", c.serve)
+	r.ANY("/v1/entries/{rest:*}", c.serve)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeError(ctx, verdict.Refuse(verdict.ReasonBadRequest, "no such path: requests go to /v1/entries/ENTRY/"))
 	}
@@ -135,7 +133,8 @@
 // parse checks a caller's request against its entry. Every error is a proof
 // that nothing ran.
 func (c *Callers) parse(ctx *fasthttp.RequestCtx, start time.Time) (*request.Request, error) {
-	name, _ := ctx.UserValue("entry").(string)
+	rest, _ := ctx.UserValue("rest").(string)
+	name, path, _ := strings.Cut(rest, "/")
 	e, ok := c.opt.Entries.Entry(name)
 	if !ok || e.Disabled {
 		return nil, verdict.Refuse(verdict.ReasonUnknownEntry, "no entry %q in force", name)
@@ -155,7 +154,7 @@
 		Deadline:   start.Add(p.deadline(e.Limits.Deadline)),
 		Arrived:    start,
 		Method:     string(ctx.Method()),
-		Path:       targetPath(ctx),
+		Path:       targetPath(path, ctx.URI().QueryString()),
 		Header:     p.forwarded(),
 		Body:       append([]byte(nil), body...),
 	}
@@ -166,11 +165,10 @@
 }
 
 // targetPath is what follows the entry's name, with the query.
-func targetPath(ctx *fasthttp.RequestCtx) string {
-	path, _ := ctx.UserValue("path").(string)
-	path = "/" + strings.TrimPrefix(path, "/")
-	if q := ctx.URI().QueryString(); len(q) > 0 {
-		path += "?" + string(q)
+func targetPath(path string, query []byte) string {
+	path = "/" + path
+	if len(query) > 0 {
+		path += "?" + string(query)
 	}
 	return path
 }
