--- /dev/null
+++ b/internal/pool/fold.go
@@ -0,0 +1,190 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/record"
+)
+
+func (s *State) applyDrain(offset uint64, r record.Record, v View) record.Outcome {
+	var body StartDrain
+	if err := record.Decode(r.Body, &body); err != nil {
+		return record.Reject(err.Error())
+	}
+	d := Drain{
+		ID:      r.ID.String(),
+		Host:    body.Host,
+		Purpose: body.Purpose,
+		From:    body.From,
+		To:      body.To,
+		Wave:    body.Wave,
+		Author:  r.Author,
+		At:      r.At,
+		Started: offset,
+		Cause:   r.Cause,
+	}
+	if refusal := s.CheckDrain(v.Catalogue(), body); refusal != "" {
+		return record.Reject(refusal, d.subjects()...)
+	}
+	h := s.Hosts[d.Host]
+	d.Zone = h.Zone
+	d.Waiting = sortedMembers(v, h.Zone)
+	if !d.waitsFor(r.Author) {
+		return record.Reject(r.Author+" is not a member of zone "+h.Zone, d.subjects()...)
+	}
+	h.Phase, h.Since, h.Drain = PhaseDraining, offset, d.ID
+	s.Hosts[d.Host] = h
+	s.Drains[d.ID] = d
+	return record.Accept(d.subjects()...)
+}
+
+func sortedMembers(v View, zone string) []string {
+	members := slices.Clone(v.ZoneMembers(zone))
+	slices.Sort(members)
+	return members
+}
+
+func (s *State) applyAck(offset uint64, r record.Record, v View) record.Outcome {
+	d, out := s.drainOf(r, PhaseDraining)
+	if d.ID == "" {
+		return out
+	}
+	if !d.waitsFor(r.Author) {
+		return record.Reject("drain does not wait for "+r.Author, d.subjects()...)
+	}
+	d.Waiting = without(d.Waiting, r.Author)
+	s.Drains[d.ID] = d
+	s.completeIfDrained(offset, d, v)
+	return record.Accept(d.subjects()...)
+}
+
+// without returns a copy of names that lacks name.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
+
+func (s *State) applyCancel(offset uint64, r record.Record, v View) record.Outcome {
+	d, out := s.drainOf(r, PhaseDraining)
+	if d.ID == "" {
+		return out
+	}
+	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+	}
+	h := s.Hosts[d.Host]
+	h.Phase, h.Since, h.Drain = PhaseServing, offset, ""
+	s.Hosts[d.Host] = h
+	delete(s.Drains, d.ID)
+	return record.Accept(d.subjects()...)
+}
+
+func (s *State) applyReturn(offset uint64, r record.Record, v View) record.Outcome {
+	d, out := s.drainOf(r, PhaseOut)
+	if d.ID == "" {
+		return out
+	}
+	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+	}
+	s.Return(offset, d.ID, v)
+	return record.Accept(d.subjects()...)
+}
+
+// Return puts the host that a drain took out back in service at offset. It
+// reports false, and changes nothing, when the drain has not taken it out.
+func (s *State) Return(offset uint64, drain string, v View) bool {
+	d, ok := s.Drains[drain]
+	if !ok || s.Hosts[d.Host].Phase != PhaseOut {
+		return false
+	}
+	s.Epoch = offset
+	s.serve(offset, d, d.From, v.Catalogue())
+	return true
+}
+
+// drainOf returns the drain that r refers to when its host is in phase. The
+// ID of the returned drain is empty otherwise.
+func (s *State) drainOf(r record.Record, phase Phase) (Drain, record.Outcome) {
+	var ref DrainRef
+	if err := record.Decode(r.Body, &ref); err != nil {
+		return Drain{}, record.Reject(err.Error())
+	}
+	d, ok := s.Drains[ref.Drain]
+	if !ok {
+		return Drain{}, record.Reject("no such drain", "move/"+ref.Drain)
+	}
+	if got := s.Hosts[d.Host].Phase; got != phase {
+		refusal := fmt.Sprintf("host %s is %s, not %s", d.Host, got, phase)
+		return Drain{}, record.Reject(refusal, d.subjects()...)
+	}
+	return d, record.Outcome{}
+}
+
+// completeIfDrained ends the drain once nobody is waited for. Only then may
+// another pool use the host: every member either promised to start nothing or
+// is gone.
+func (s *State) completeIfDrained(offset uint64, d Drain, v View) {
+	if len(d.Waiting) > 0 {
+		return
+	}
+	switch d.Purpose {
+	case PurposeMaintenance:
+		h := s.Hosts[d.Host]
+		h.Phase, h.Since = PhaseOut, offset
+		s.Hosts[d.Host] = h
+	case PurposeMove:
+		s.serve(offset, d, d.To, v.Catalogue())
+	default:
+		s.serve(offset, d, d.From, v.Catalogue())
+	}
+}
+
+// serve puts a host that runs nothing in service for pool, as the catalogue
+// describes it now, and forgets a host that the catalogue has dropped.
+func (s *State) serve(offset uint64, d Drain, pool string, c *catalogue.State) {
+	delete(s.Drains, d.ID)
+	declared, ok := c.Hosts[d.Host]
+	if !ok {
+		delete(s.Hosts, d.Host)
+		return
+	}
+	old := s.Hosts[d.Host]
+	h := newHost(offset, declared.Value)
+	h.Pool = pool
+	h.Wanted = old.Wanted
+	h.Failed = old.Failed && old.Address == h.Address
+	if h.Wanted == pool {
+		h.Wanted = ""
+	}
+	s.Hosts[d.Host] = h
+}
+
+func (s *State) applyHealth(r record.Record, v View) record.Outcome {
+	var body Health
+	if err := record.Decode(r.Body, &body); err != nil {
+		return record.Reject(err.Error())
+	}
+	h, ok := s.Hosts[body.Host]
+	if !ok {
+		return record.Reject("no such host", "host/"+body.Host)
+	}
+	subjects := []string{"host/" + body.Host, "pool/" + h.Pool}
+	if !slices.Contains(v.ZoneMembers(h.Zone), r.Author) {
+		return record.Reject(r.Author+" is not a member of zone "+h.Zone, subjects...)
+	}
+	if h.Failed == body.Failed {
+		return record.Reject(fmt.Sprintf("host is already marked failed=%t", h.Failed), subjects...)
+	}
+	s.SetFailed(body.Host, body.Failed)
+	return record.Accept(subjects...)
+}
+
+// SetFailed marks a known host as failed or healthy.
+func (s *State) SetFailed(host string, failed bool) {
+	if h, ok := s.Hosts[host]; ok {
+		h.Failed = failed
+		s.Hosts[host] = h
+	}
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -58,6 +58,9 @@
 	Hosts map[string]Host `cbor:"1,keyasint"`
 	// Epoch is the offset of the last record that changed anything here.
 	Epoch uint64 `cbor:"2,keyasint"`
+	// Drains holds the drains in progress and those of hosts that are out,
+	// by ID. A Drain is replaced as a whole and never changed in place.
+	Drains map[string]Drain `cbor:"3,keyasint"`
 }
 
 // View is what the fold of this slice reads of other slices.
@@ -69,11 +72,14 @@
 }
 
 // NewState returns a state without hosts.
-func NewState() State { return State{Hosts: map[string]Host{}} }
+func NewState() State {
+	return State{Hosts: map[string]Host{}, Drains: map[string]Drain{}}
+}
 
 // Clone returns a copy that shares no maps with s.
 func (s State) Clone() State {
 	s.Hosts = maps.Clone(s.Hosts)
+	s.Drains = maps.Clone(s.Drains)
 	return s
 }
 
@@ -92,30 +98,39 @@
 
 // Apply folds one record of this slice.
 func (s *State) Apply(offset uint64, r record.Record, v View) record.Outcome {
-	return record.Reject("unknown kind " + string(r.Kind))
+	out := s.dispatch(offset, r, v)
+	if out.Accepted {
+		s.Epoch = offset
+	}
+	return out
 }
 
-// Reconcile follows an accepted catalogue edit or a change of membership at
-// offset: it adds the hosts that the catalogue names and retires those that it
-// no longer does.
-func (s *State) Reconcile(offset uint64, v View) {
-	for name, h := range v.Catalogue().Hosts {
-		if _, ok := s.Hosts[name]; ok {
-			continue
-		}
-		s.Hosts[name] = newHost(offset, h.Value)
-		s.Epoch = offset
+func (s *State) dispatch(offset uint64, r record.Record, v View) record.Outcome {
+	switch r.Kind {
+	case KindDrain:
+		return s.applyDrain(offset, r, v)
+	case KindAck:
+		return s.applyAck(offset, r, v)
+	case KindCancel:
+		return s.applyCancel(offset, r, v)
+	case KindReturn:
+		return s.applyReturn(offset, r, v)
+	case KindHealth:
+		return s.applyHealth(r, v)
+	default:
+		return record.Reject("unknown kind " + string(r.Kind))
 	}
 }
 
-func newHost(offset uint64, h catalogue.Host) Host {
+// newHost returns a host that goes in service at offset as declared.
+func newHost(offset uint64, declared catalogue.Host) Host {
 	return Host{
-		Pool:     h.Pool,
+		Pool:     declared.Pool,
 		Phase:    PhaseServing,
 		Since:    offset,
-		Address:  h.Address,
-		Zone:     h.Zone,
-		Rack:     h.Rack,
-		Declared: h.Pool,
+		Address:  declared.Address,
+		Zone:     declared.Zone,
+		Rack:     declared.Rack,
+		Declared: declared.Pool,
 	}
 }
