membership: detect failures, join, leave, and follow the platform's list

Daemons of a zone exchange heartbeats in a full mesh, zones keep one link from each daemon, and a zone's answer carries what it heard of its own daemons with its age. Only the answer to an own heartbeat confirms an epoch, from the moment the heartbeat was sent: one that comes in may have waited on the way.

--- /dev/null
+++ b/internal/membership/detector_test.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/peer"
+	"greengagedeck/internal/platform"
+	"greengagedeck/internal/record"
+)
+
+var large = flag.Bool("membership.large", false, "measure heartbeats at larger sizes too")
+
+// frameOverhead is what the transport adds to a body: its own frame and the
+// WebSocket header.
+const frameOverhead = 40
+
+// network connects detectors in memory and counts bytes by daemon.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]map[peer.Method]peer.Handler
+	cut      map[string]bool
+	bytes    map[string]int
+}
+
+type port struct {
+	net  *network
+	self string
+}
+
+func newNetwork() *network {
+	return &network{handlers: map[string]map[peer.Method]peer.Handler{}, cut: map[string]bool{}, bytes: map[string]int{}}
+}
+
+func (n *network) port(id string) port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[id] = map[peer.Method]peer.Handler{}
+	return port{net: n, self: id}
+}
+
+func (p port) Handle(m peer.Method, h peer.Handler) { p.net.handlers[p.self][m] = h }
+
+func (p port) Send(ctx context.Context, to string, m peer.Method, msg any) error {
+	return p.Call(ctx, to, m, msg, nil)
+}
+
+func (p port) Call(ctx context.Context, to string, m peer.Method, req, resp any) error {
+	p.net.mu.Lock()
+	h := p.net.handlers[to][m]
+	if p.net.cut[to] || p.net.cut[p.self] {
+		h = nil
+	}
+	p.net.mu.Unlock()
+	if h == nil {
+		return peer.ErrNotSent
+	}
+	time.Sleep(time.Millisecond)
+	body, err := record.Encode(req)
+	if err != nil {
+		return err
+	}
+	out, err := h(ctx, p.self, cbor.RawMessage(body))
+	if err != nil {
+		return &peer.RemoteError{Message: err.Error()}
+	}
+	data, err := record.Encode(out)
+	if err != nil {
+		return err
+	}
+	p.net.mu.Lock()
+	for _, id := range []string{p.self, to} {
+		p.net.bytes[id] += len(body) + len(data) + 2*frameOverhead
+	}
+	p.net.mu.Unlock()
+	return record.Decode(data, resp)
+}
+
+// group runs detectors of a membership, each told the state.
+func group(ctx context.Context, n *network, s *State) map[string]*Detector {
+	out := map[string]*Detector{}
+	for _, m := range s.sorted() {
+		p := n.port(m.ID)
+		d := NewDetector(DetectorOptions{Self: m, Caller: p})
+		d.Register(p)
+		d.SetState(s, s.Epoch)
+		d.Publish("q", func() []byte { return make([]byte, 16) })
+		out[m.ID] = d
+	}
+	for _, d := range out {
+		go func() { _ = d.Run(ctx) }()
+	}
+	return out
+}
+
+// stop ends the detectors and lets exchanges in progress finish.
+func stop(cancel context.CancelFunc) {
+	cancel()
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+func spread(size, zones int) *State {
+	var ms []Member
+	for i := range size {
+		ms = append(ms, member(fmt.Sprintf("01J%023d", i), fmt.Sprint("z", i%zones)))
+	}
+	return stateOf(ms...)
+}
+
+func TestDaemonsSeeEachOtherAndACutZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		n, s := newNetwork(), spread(9, 4)
+		ds := group(ctx, n, s)
+		time.Sleep(5 * time.Second)
+		for _, d := range ds {
+			g.Expect(d.LiveMembers()).To(HaveLen(9))
+			g.Expect(time.Since(d.EpochConfirmed())).To(BeNumerically("<", 3*time.Second))
+			g.Expect(d.Paused()).To(BeFalse())
+		}
+		n.mu.Lock()
+		for _, id := range s.InZone("z1") {
+			n.cut[id] = true
+		}
+		n.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		d := ds[s.InZone("z0")[0]]
+		g.Expect(d.LiveMembers()).To(HaveLen(7))
+		g.Expect(d.Others()).NotTo(HaveKey("z1"))
+		g.Expect(time.Since(d.EpochConfirmed())).To(BeNumerically("<", 3*time.Second), "one zone may be missing")
+		cutOff := ds[s.InZone("z1")[0]]
+		g.Expect(time.Since(cutOff.EpochConfirmed())).To(BeNumerically(">", 3*time.Second))
+		stop(cancel)
+	})
+}
+
+// TestControlBytesOfHeartbeats bounds heartbeats by the target for all control.
+func TestControlBytesOfHeartbeats(t *testing.T) {
+	const target, seconds = 8 << 10, 60
+	sizes := []struct{ daemons, zones int }{{9, 4}}
+	if *large {
+		sizes = append(sizes, []struct{ daemons, zones int }{{7, 3}, {14, 7}, {28, 7}, {42, 7}}...)
+	}
+	for _, size := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			n := newNetwork()
+			group(ctx, n, spread(size.daemons, size.zones))
+			time.Sleep(seconds * time.Second)
+			stop(cancel)
+			most, sum := 0, 0
+			for _, b := range n.bytes {
+				most, sum = max(most, b), sum+b
+			}
+			t.Logf("%d daemons in %d zones: %d bytes/s a daemon in and out, most %d",
+				size.daemons, size.zones, sum/size.daemons/seconds, most/seconds)
+			NewWithT(t).Expect(most / seconds).To(BeNumerically("<", target))
+		})
+	}
+}
+
+// logOf folds what is appended and loses answers when told to.
+type logOf struct {
+	state   State
+	offset  uint64
+	lose    int
+	appends int
+	seen    map[string]bool
+}
+
+func (l *logOf) append(_ context.Context, r record.Record) error {
+	l.appends++
+	if !l.seen[r.ID.String()] {
+		l.seen[r.ID.String()] = true
+		l.offset++
+		l.state.Apply(l.offset, r)
+	}
+	if l.lose > 0 {
+		l.lose--
+		return platform.ErrUncertain
+	}
+	return nil
+}
+
+func TestJoinIsFoldedOnceWhenAppendAnswersAreLost(t *testing.T) {
+	g := NewWithT(t)
+	l := &logOf{state: NewState(), lose: 2, seen: map[string]bool{}}
+	self := NewMember("h", "a", "127.0.0.1:1")
+	d := NewDetector(DetectorOptions{Self: self})
+	hosts := NewListReader(ListReaderOptions{Detector: d})
+	stale := l.state.Clone()
+	state := func() *State { return &stale } // does not see its own join yet
+	j := NewJoiner(JoinerOptions{Self: self, Append: l.append, State: state, Detector: d, List: hosts,
+		LogConfirmed: func() time.Time { return time.Time{} }})
+	for range 3 {
+		j.step(context.Background())
+	}
+	g.Expect(l.appends).To(Equal(3))
+	g.Expect(l.offset).To(Equal(uint64(1)), "one record under one ID")
+	g.Expect(l.state.Members).To(HaveKey(self.ID))
+	l.lose = 1
+	g.Expect(j.Leave(context.Background())).To(Succeed())
+	g.Expect(l.state.Members).To(BeEmpty())
+}
+
+func TestSeedsComeFromSettingsMembersAndList(t *testing.T) {
+	g := NewWithT(t)
+	self := Member{ID: "1", PeerAddress: "10.0.0.1:7000"}
+	s := stateOf(Member{ID: "2", Host: "h2", Zone: "a", PeerAddress: "10.0.0.2:7000"})
+	d := NewDetector(DetectorOptions{Self: self})
+	r := NewListReader(ListReaderOptions{Detector: d})
+	r.list.Take(platform.HostList{Version: 1, Hosts: []platform.HostStatus{
+		{ID: "e", Address: "10.0.0.3", Entry: true}, {ID: "w", Address: "10.0.0.9", Entry: false},
+	}}, time.Now())
+	g.Expect(Seeds([]string{"10.0.0.4:7000", "10.0.0.1:7000"}, s, r, self)).To(Equal(
+		[]string{"10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"}))
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -26,6 +26,11 @@
 	// Epoch is the offset of the last change of Members.
 	Epoch   uint64            `cbor:"1,keyasint"`
 	Members map[string]Member `cbor:"2,keyasint"`
+	// Changes are the last changes of Members, oldest first.
+	Changes []Change `cbor:"3,keyasint"`
+	// Forgotten is the epoch of the newest change that Changes no longer
+	// holds, 0 while it holds all.
+	Forgotten uint64 `cbor:"4,keyasint"`
 }
 
 // NewState returns a membership without members.
@@ -34,6 +39,7 @@
 // Clone returns a copy that shares no maps with s.
 func (s State) Clone() State {
 	s.Members = maps.Clone(s.Members)
+	s.Changes = s.Changes[:len(s.Changes):len(s.Changes)]
 	return s
 }
 
@@ -75,14 +81,16 @@
 	if m.ID == "" || m.Zone == "" || m.PeerAddress == "" {
 		return record.Reject("member lacks id, zone or peer address")
 	}
-	for id, old := range s.Members {
-		if old.Host == m.Host || old.PeerAddress == m.PeerAddress {
-			delete(s.Members, id)
+	change := Change{Epoch: offset, Added: []Ref{{ID: m.ID, Zone: m.Zone}}}
+	for _, old := range s.sorted() {
+		if old.ID == m.ID || old.Host == m.Host || old.PeerAddress == m.PeerAddress {
+			delete(s.Members, old.ID)
+			change.Removed = append(change.Removed, Ref{ID: old.ID, Zone: old.Zone})
 		}
 	}
 	m.Joined = offset
 	s.Members[m.ID] = m
-	s.Epoch = offset
+	s.record(change)
 	return record.Accept("daemon/" + m.ID)
 }
 
@@ -91,11 +99,12 @@
 	if err := record.Decode(r.Body, &rm); err != nil {
 		return record.Reject(err.Error())
 	}
-	if _, ok := s.Members[rm.ID]; !ok {
+	m, ok := s.Members[rm.ID]
+	if !ok {
 		return record.Reject("no such member", "daemon/"+rm.ID)
 	}
 	delete(s.Members, rm.ID)
-	s.Epoch = offset
+	s.record(Change{Epoch: offset, Removed: []Ref{{ID: m.ID, Zone: m.Zone}}})
 	return record.Accept("daemon/" + rm.ID)
 }
 
