--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -103,7 +103,7 @@
 	w.Host, w.From = name, h.Pool
 	declared, ok := c.Hosts[name]
 	if !ok {
-		w.Purpose, w.Version = PurposeRetire, c.Removed["host/"+name]
+		w.Purpose, w.Version = PurposeRetire, c.Removed["host/"+name].Version
 		return w, true
 	}
 	w.Version = declared.Version
