Wire heartbeats, the host list and pauses; stop with closing connections

Cause: replacing all daemons under load cut 13 of 642 requests: the stopping daemon closed idle connections on which the next request was under way. Ruled out: a longer grace alone, since connections in use stayed open to its end. Change: from not ready on, every answer closes its connection; heartbeats decide who is live; hosts that the list marks as leaving get no new work; a paused process starts nothing until it has caught up.

--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +21,17 @@
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/pool"
-	"greengagedeck/internal/record"
 	"greengagedeck/internal/release"
 	"greengagedeck/internal/replica"
 )
 
+const (
+	// startPoll is the time between looks whether the daemon may serve.
+	startPoll = 20 * time.Millisecond
+	// leaveTimeout bounds the removal of a stopping member.
+	leaveTimeout = 5 * time.Second
+)
+
 // HTTP limits of the daemon's listeners.
 const (
 	readTimeout = 30 * time.Second
@@ -69,7 +75,10 @@
 	Node       *peer.Node
 	Replica    *replica.Replica
 	Follower   *replica.Follower
-	Appender   *replica.Appender
+	Detector   *membership.Detector
+	List       *membership.ListReader
+	Joiner     *membership.Joiner
+	Snapshots  *replica.Snapshotter
 	Gate       *pool.Gate
 	Attempts   *attempt.Client
 	Dispatcher *dispatch.Dispatcher
@@ -77,6 +86,13 @@
 	Admin      *gateway.Admin
 }
 
+// whileServing runs f if the daemon serves.
+func (s *stage) whileServing(f func()) {
+	if s.serving() {
+		f()
+	}
+}
+
 // daemon runs its parts in order.
 type daemon struct{ parts }
 
@@ -89,14 +105,16 @@
 		return err
 	}
 	d.start(work)
-	if err := d.join(ctx); err != nil {
+	joinCtx, stopJoining := context.WithCancel(work)
+	defer stopJoining()
+	if err := d.join(ctx, joinCtx); err != nil {
 		return err
 	}
 	d.Gate.Open()
 	d.Stage.set(stageServing)
 	d.Logger.Info().Str("release", release.String()).Msg("serving")
 	<-ctx.Done()
-	return d.stop(servers)
+	return d.stop(servers, stopJoining)
 }
 
 // servers are the daemon's HTTP listeners.
@@ -150,48 +168,48 @@
 // start runs the background loops until ctx ends.
 func (d *daemon) start(ctx context.Context) {
 	go func() { _ = d.Follower.Run(ctx) }()
+	go func() { _ = d.Detector.Run(ctx) }()
+	go func() { _ = d.List.Run(ctx) }()
+	go func() { _ = d.Snapshots.Run(ctx) }()
 	go func() { _ = d.Dispatcher.Run(ctx) }()
 	go d.Attempts.Run(ctx)
 }
 
-// join waits for a current state and appends this incarnation's admission.
+// join waits for a current state and for the admission of this incarnation.
 // Only a member may start requests, so nothing is served before.
-func (d *daemon) join(ctx context.Context) error {
+func (d *daemon) join(ctx, work context.Context) error {
 	for !d.Follower.Ready() {
-		if err := wait(ctx, 20*time.Millisecond); err != nil {
+		if err := wait(ctx, startPoll); err != nil {
 			return eris.Wrap(err, "waiting for a current state")
 		}
 	}
-	rec, err := record.New(membership.KindJoin, d.Self.ID, time.Now(), record.Cause{Object: "daemon/" + d.Self.ID, Reason: "started"}, membership.Join{Member: d.Self})
-	if err != nil {
-		return err
-	}
-	for {
-		wctx, cancel := context.WithTimeout(ctx, joinTimeout)
-		got, err := d.Appender.Append(wctx, rec)
-		cancel()
-		switch {
-		case err == nil && got.Outcome.Accepted:
-			return nil
-		case err == nil:
-			return eris.Errorf("admission refused: %s", got.Outcome.Reason)
-		case !errors.Is(err, replica.ErrUndecided) || ctx.Err() != nil:
-			return err
+	go func() { _ = d.Joiner.Run(work) }()
+	for !d.member() {
+		if err := wait(ctx, startPoll); err != nil {
+			return eris.Wrap(err, "waiting for admission")
 		}
 	}
+	return nil
+}
+
+func (d *daemon) member() bool {
+	_, ok := d.Replica.State().Members.Members[d.Self.ID]
+	return ok
 }
 
 // stop ends in an order that cuts nothing: first the balancer is told, then
 // new requests are refused, then those in progress finish.
-func (d *daemon) stop(s servers) error {
+func (d *daemon) stop(s servers, stopJoining func()) error {
 	d.Logger.Info().Msg("stopping")
 	d.Stage.set(stageDraining)
+	d.Detector.SetDraining()
 	_ = wait(context.Background(), d.Settings.StopGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
 	err := s.callers.ShutdownWithContext(ctx)
 	d.Stage.set(stageStopped)
 	d.Gate.Close()
+	stopJoining()
 	d.leave()
 	d.Attempts.Close()
 	_ = s.admin.ShutdownWithContext(ctx)
@@ -200,18 +218,12 @@
 	return eris.Wrap(err, "requests still in progress at stop-timeout")
 }
 
-// leaveTimeout bounds the removal of a stopping member. Without it the other
-// members wait for its host to leave the platform's list.
-const leaveTimeout = 5 * time.Second
-
+// leave removes this member. Should it fail, the others wait for its host to
+// leave the platform's list.
 func (d *daemon) leave() {
-	rec, err := record.New(membership.KindRemove, d.Self.ID, time.Now(), record.Cause{Object: "daemon/" + d.Self.ID, Reason: "planned stop"}, membership.Remove{ID: d.Self.ID})
-	if err != nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if _, err := d.Appender.Append(ctx, rec); err != nil {
+	if err := d.Joiner.Leave(ctx); err != nil {
 		d.Logger.Warn().Err(err).Msg("removal not recorded")
 	}
 }
@@ -227,14 +239,14 @@
 	}
 }
 
-func newAdmin(s Settings, self membership.Member, f *inForce, fo *replica.Follower, a *replica.Appender, st *stage, rec *recorder, l zerolog.Logger, m metrics) *gateway.Admin {
+func newAdmin(s Settings, self membership.Member, f *inForce, fo *replica.Follower, a *replica.Appender, d *membership.Detector, st *stage, rec *recorder, l zerolog.Logger, m metrics) *gateway.Admin {
 	page := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 	return gateway.NewAdmin(gateway.AdminOptions{
 		Self:     self.ID,
 		Tokens:   s.Tokens,
 		State:    f.replica.State,
 		Appender: a,
-		Status:   func() gateway.Status { return statusOf(f, fo, st) },
+		Status:   func() gateway.Status { return statusOf(f, fo, d, st) },
 		Ready:    st.ready,
 		Reports:  noReports{},
 		Traces:   rec,
@@ -243,7 +255,7 @@
 	})
 }
 
-func statusOf(f *inForce, fo *replica.Follower, st *stage) gateway.Status {
+func statusOf(f *inForce, fo *replica.Follower, d *membership.Detector, st *stage) gateway.Status {
 	s := f.replica.State()
 	out := gateway.Status{
 		Daemon:           f.self.ID,
@@ -257,27 +269,19 @@
 		CatalogueVersion: s.Catalogue.Version,
 	}
 	for id, m := range s.Members.Members {
-		ms := gateway.MemberStatus{ID: id, Host: m.Host, Zone: m.Zone, Live: id == f.self.ID}
-		if ms.Live {
-			ms.Offset = s.Offset
-		}
-		out.Members = append(out.Members, ms)
+		out.Members = append(out.Members, gateway.MemberStatus{
+			ID:       id,
+			Host:     m.Host,
+			Zone:     m.Zone,
+			Live:     d.Live(id),
+			Draining: d.Draining(id),
+			Offset:   d.OffsetOf(id),
+		})
 	}
-	slices.SortFunc(out.Members, func(a, b gateway.MemberStatus) int { return compare(a.Host, b.Host) })
+	slices.SortFunc(out.Members, func(a, b gateway.MemberStatus) int { return strings.Compare(a.Host, b.Host) })
 	return out
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // noReports stands until reports are wired.
 type noReports struct{}
 
--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"greengagedeck/internal/attempt"
 	"greengagedeck/internal/catalogue"
@@ -66,30 +65,11 @@
 	return m.PeerAddress, ok
 }
 
-// Self returns this daemon's member ID.
-func (f *inForce) Self() string { return f.self.ID }
-
-// Mates returns the members of this daemon's zone.
-func (f *inForce) Mates() []string { return f.replica.State().Members.InZone(f.self.Zone) }
-
-// Others returns the members of each other zone.
-func (f *inForce) Others() map[string][]string {
-	out := map[string][]string{}
-	for id, m := range f.replica.State().Members.Members {
-		if m.Zone != f.self.Zone {
-			out[m.Zone] = append(out[m.Zone], id)
-		}
-	}
-	return out
-}
-
-// Ahead names no peer: without heartbeats nothing tells.
-func (f *inForce) Ahead(uint64) []string { return nil }
-
 // targets lists the hosts of this daemon's zone that may take new work.
 type targets struct {
 	inForce *inForce
 	gate    *pool.Gate
+	list    *membership.ListReader
 }
 
 // Targets implements dispatch.Targets.
@@ -102,6 +82,9 @@
 	hosts := t.gate.Hosts(name)
 	out := make([]dispatch.Target, 0, len(hosts))
 	for _, h := range hosts {
+		if leaving, _ := t.list.Leaving(h); leaving {
+			continue
+		}
 		owned := s.Pools.Hosts[h]
 		size := s.Catalogue.Hosts[h].Value
 		out = append(out, dispatch.Target{
@@ -117,6 +100,21 @@
 	return out
 }
 
+// awakeGate keeps requests from starting in a process that was paused and has
+// not caught up since.
+type awakeGate struct {
+	*pool.Gate
+	detector *membership.Detector
+}
+
+// Enter implements dispatch.Gate.
+func (g awakeGate) Enter(host, pool string) (leave func(), ok bool) {
+	if g.detector.Paused() {
+		return nil, false
+	}
+	return g.Gate.Enter(host, pool)
+}
+
 // doer adapts an attempt.Client to dispatch.Doer.
 type doer struct{ client *attempt.Client }
 
@@ -177,6 +175,3 @@
 	}
 	return []decision.Trace{t}
 }
-
-// joinTimeout bounds one wait for the fold to admit this daemon.
-const joinTimeout = time.Minute
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -21,6 +20,7 @@
 	"greengagedeck/internal/platform"
 	"greengagedeck/internal/platform/httpplatform"
 	"greengagedeck/internal/pool"
+	"greengagedeck/internal/record"
 	"greengagedeck/internal/replica"
 )
 
@@ -30,7 +30,7 @@
 // serve builds the daemon and runs it until ctx ends.
 func serve(ctx context.Context, s Settings, logger zerolog.Logger) error {
 	c := dig.New()
-	self := membership.Member{ID: ulid.Make().String(), Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress}
+	self := membership.NewMember(s.Host, s.Zone, s.PeerAddress)
 	constructors := []any{
 		func() Settings { return s },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID).Logger() },
@@ -43,7 +43,12 @@
 		newNode,
 		newAppender,
 		newPeerSource,
+		newAhead,
 		newFollower,
+		newDetector,
+		newListReader,
+		newJoiner,
+		newSnapshotter,
 		newGate,
 		newAttempts,
 		newDispatcher,
@@ -102,18 +107,71 @@
 	return src
 }
 
-func newFollower(s Settings, log platform.Log, r *replica.Replica, src *replica.PeerSource, f *inForce, l zerolog.Logger, m metrics) *replica.Follower {
+// ahead breaks the ring between follower and detector: each reads the other,
+// but only once both run.
+type ahead struct{ detector *membership.Detector }
+
+// Ahead implements replica.Ahead.
+func (a *ahead) Ahead(offset uint64) []string { return a.detector.Ahead(offset) }
+
+func newAhead() *ahead { return &ahead{} }
+
+func newFollower(s Settings, self membership.Member, log platform.Log, r *replica.Replica, src *replica.PeerSource, a *ahead, l zerolog.Logger, m metrics) *replica.Follower {
 	return replica.NewFollower(replica.FollowerOptions{
 		Replica: r,
 		Log:     log,
 		Source:  src,
-		Ahead:   f,
-		Seeds:   s.Peers,
+		Ahead:   a,
+		Seeds:   func() []string { return membership.Seeds(s.Peers, &r.State().Members, nil, self) },
 		Logger:  l,
 		Scope:   m.scope,
 	})
 }
 
+func newDetector(s Settings, self membership.Member, n *peer.Node, r *replica.Replica, f *replica.Follower, a *ahead, g *pool.Gate, st *stage, l zerolog.Logger, m metrics) *membership.Detector {
+	d := membership.NewDetector(membership.DetectorOptions{
+		Self:           self,
+		Caller:         n,
+		LogConfirmed:   f.LogConfirmed,
+		OnPause:        func(time.Duration) { g.Close() },
+		OnResume:       func() { st.whileServing(g.Open) },
+		PauseThreshold: s.PauseThreshold,
+		Logger:         l,
+		Scope:          m.scope,
+	})
+	d.Register(n)
+	r.Observe(func(s *replica.State) { d.SetState(&s.Members, s.Offset) })
+	a.detector = d
+	return d
+}
+
+func newListReader(h platform.Hosts, d *membership.Detector, n *peer.Node, l zerolog.Logger, m metrics) *membership.ListReader {
+	r := membership.NewListReader(membership.ListReaderOptions{Hosts: h, Detector: d, Caller: n, Logger: l, Scope: m.scope})
+	r.Register(n)
+	return r
+}
+
+func newJoiner(s Settings, self membership.Member, a *replica.Appender, r *replica.Replica, d *membership.Detector, lr *membership.ListReader, f *replica.Follower, l zerolog.Logger, m metrics) *membership.Joiner {
+	return membership.NewJoiner(membership.JoinerOptions{
+		Self: self,
+		Append: func(ctx context.Context, rec record.Record) error {
+			_, err := a.Append(ctx, rec)
+			return err
+		},
+		State:        func() *membership.State { return &r.State().Members },
+		Detector:     d,
+		List:         lr,
+		LogConfirmed: f.LogConfirmed,
+		ListLag:      s.HostListLag,
+		Logger:       l,
+		Scope:        m.scope,
+	})
+}
+
+func newSnapshotter(s Settings, log platform.Log, r *replica.Replica, d *membership.Detector, l zerolog.Logger, m metrics) *replica.Snapshotter {
+	return &replica.Snapshotter{Replica: r, Log: log, Leader: d, MaxAge: s.SnapshotAge, Logger: l, Scope: m.scope}
+}
+
 func newGate(self membership.Member, r *replica.Replica) *pool.Gate {
 	g := pool.NewGate(self.ID, self.Zone)
 	r.Observe(func(s *replica.State) {
@@ -127,13 +185,13 @@
 	return attempt.New(attempt.Options{Daemon: self.ID, Metrics: m.scope})
 }
 
-func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
+func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
-		Targets: targets{f, g},
-		Gate:    g,
+		Targets: targets{f, g, lr},
+		Gate:    awakeGate{g, d},
 		Doer:    doer{a},
 		Policy:  f,
-		Zone:    f,
+		Zone:    d,
 		Logger:  l,
 		Scope:   m.scope,
 	})
@@ -144,6 +202,7 @@
 		Entries:  f,
 		Server:   d,
 		Ready:    st.serving,
+		Closing:  func() bool { return !st.ready() },
 		Recorder: rec,
 		Scope:    m.scope,
 	})
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -58,7 +58,10 @@
 	Entries Entries
 	Server  request.Server
 	// Ready reports whether this daemon may serve.
-	Ready    func() bool
+	Ready func() bool
+	// Closing reports whether this daemon stops: answers then close their
+	// connections, so that the balancer opens its next ones elsewhere.
+	Closing  func() bool
 	Recorder Recorder
 	Scope    tally.Scope
 }
@@ -99,6 +102,9 @@
 
 func (c *Callers) serve(ctx *fasthttp.RequestCtx) {
 	start := time.Now()
+	if c.opt.Closing() {
+		ctx.SetConnectionClose()
+	}
 	req, resp, err := c.run(ctx, start)
 	took := time.Since(start)
 	c.counters[verdict.Of(err)].Inc(1)
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -44,6 +44,9 @@
 	if opt.Recorder == nil {
 		opt.Recorder = &lastResult{}
 	}
+	if opt.Closing == nil {
+		opt.Closing = func() bool { return false }
+	}
 	opt.Entries = entries
 	opt.Scope = tally.NoopScope
 	var ctx fasthttp.RequestCtx
@@ -159,6 +162,14 @@
 	g.Expect(string(ctx.Response.Header.Peek("Request-Verdict"))).To(Equal("not-run"))
 }
 
+func TestStoppingDaemonClosesConnectionsWithItsAnswers(t *testing.T) {
+	g := NewWithT(t)
+	server := &answers{resp: &request.Response{Status: 200}}
+	ctx := call(gateway.CallerOptions{Server: server, Closing: func() bool { return true }}, "/v1/entries/quote", "")
+	g.Expect(ctx.Response.ConnectionClose()).To(BeTrue())
+	g.Expect(ctx.Response.StatusCode()).To(Equal(200))
+}
+
 func FuzzCallerHeaders(f *testing.F) {
 	f.Add("01M904GS00RPVNAV3ZEEHW8BY5", "true", "100", "short", "quote/x")
 	f.Add("", "", "-1", "\x00", "../..")
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -14,6 +14,8 @@
 	Zone string `json:"zone"`
 	// Live is whether its heartbeats arrive.
 	Live bool `json:"live"`
+	// Draining is whether it has said that it stops.
+	Draining bool `json:"draining"`
 	// Offset is how far it has folded the control stream. A catalogue
 	// version is in force on every member whose offset has reached it.
 	Offset uint64 `json:"offset"`
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -320,6 +320,19 @@
 	return d.view.EpochOf(id)
 }
 
+// OffsetOf returns the highest folded offset that a member has named.
+func (d *Detector) OffsetOf(id string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if id == d.opt.Self.ID {
+		return d.offset
+	}
+	if o, ok := d.view.seen[id]; ok {
+		return o.offset
+	}
+	return 0
+}
+
 // EpochConfirmed returns the latest moment at which every other member, but
 // for those of one single zone, was in this daemon's epoch.
 func (d *Detector) EpochConfirmed() time.Time {
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -37,8 +37,8 @@
 	Source *PeerSource
 	// Ahead names the peers to fetch from while running.
 	Ahead Ahead
-	// Seeds are the peer addresses to ask at start.
-	Seeds  []string
+	// Seeds returns the peer addresses to ask at start.
+	Seeds  func() []string
 	Logger zerolog.Logger
 	Scope  tally.Scope
 }
@@ -198,7 +198,7 @@
 func (f *Follower) askSeeds(ctx context.Context) bool {
 	before := f.opt.Replica.State().Offset
 	answered := 0
-	for _, addr := range f.opt.Seeds {
+	for _, addr := range f.opt.Seeds() {
 		if f.opt.Source.FetchAddress(ctx, addr) {
 			answered++
 		}
