--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -146,6 +146,7 @@
 	p := headerParser{h: &ctx.Request.Header}
 	req := &request.Request{
 		ID:         p.id(start),
+		Minted:     len(p.h.Peek(HeaderRequestID)) == 0,
 		Entry:      e.Name,
 		Owner:      e.Owner,
 		Pool:       e.Pool,
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -320,10 +320,10 @@
 	return d.view.EpochOf(id)
 }
 
-// EpochConfirmed returns the latest moment at which every other member, but
-// for those of one single zone, was in this daemon's epoch.
-func (d *Detector) EpochConfirmed() time.Time {
+// EpochConfirmed returns this daemon's epoch and the latest moment at which
+// every other member, but for those of one single zone, was in it.
+func (d *Detector) EpochConfirmed() (epoch uint64, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.EpochConfirmed(time.Now())
+	return d.state.Epoch, d.view.EpochConfirmed(time.Now())
 }
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -101,6 +101,11 @@
 	return out
 }
 
+func sinceConfirmed(d *Detector) time.Duration {
+	_, at := d.EpochConfirmed()
+	return time.Since(at)
+}
+
 // stop ends the detectors and lets exchanges in progress finish.
 func stop(cancel context.CancelFunc) {
 	cancel()
@@ -125,7 +130,7 @@
 		time.Sleep(5 * time.Second)
 		for _, d := range ds {
 			g.Expect(d.LiveMembers()).To(HaveLen(9))
-			g.Expect(time.Since(d.EpochConfirmed())).To(BeNumerically("<", 3*time.Second))
+			g.Expect(sinceConfirmed(d)).To(BeNumerically("<", 3*time.Second))
 			g.Expect(d.Paused()).To(BeFalse())
 		}
 		n.mu.Lock()
@@ -137,9 +142,9 @@
 		d := ds[s.InZone("z0")[0]]
 		g.Expect(d.LiveMembers()).To(HaveLen(7))
 		g.Expect(d.Others()).NotTo(HaveKey("z1"))
-		g.Expect(time.Since(d.EpochConfirmed())).To(BeNumerically("<", 3*time.Second), "one zone may be missing")
+		g.Expect(sinceConfirmed(d)).To(BeNumerically("<", 3*time.Second), "one zone may be missing")
 		cutOff := ds[s.InZone("z1")[0]]
-		g.Expect(time.Since(cutOff.EpochConfirmed())).To(BeNumerically(">", 3*time.Second))
+		g.Expect(sinceConfirmed(cutOff)).To(BeNumerically(">", 3*time.Second))
 		stop(cancel)
 	})
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -58,6 +58,9 @@
 	Body   []byte  `cbor:"12,keyasint,omitempty"`
 	// Hops counts the daemons that handed the request on.
 	Hops int `cbor:"13,keyasint,omitempty"`
+	// Minted is set when the first daemon made the ID, so that no earlier
+	// send of the request can exist.
+	Minted bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Response is the whole answer of a target.
