--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -18,6 +18,8 @@
 	// Avoid names a host that the job should not get again, if there is
 	// another.
 	Avoid string
+	// Foreign is set for a job that another daemon handed over.
+	Foreign bool
 	// Limits are those of the job's entry.
 	Limits JobLimits
 	// Granted is called by the owner of the scheduler when the job gets a
--- /dev/null
+++ b/internal/dispatch/lending.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import "time"
+
+// DefaultReportInterval is the shortest time between two reports of a
+// daemon's state to its zone-mates.
+const DefaultReportInterval = 10 * time.Millisecond
+
+// State is what a daemon tells its zone-mates of its part of a pool.
+type State struct {
+	// Free is how many more short requests it could start now, LongFree how
+	// many long ones.
+	Free     int `cbor:"1,keyasint,omitempty"`
+	LongFree int `cbor:"2,keyasint,omitempty"`
+	// Queued is how many of its own urgent and short requests wait, and
+	// LongQueued how many long ones.
+	Queued     int `cbor:"3,keyasint,omitempty"`
+	LongQueued int `cbor:"4,keyasint,omitempty"`
+}
+
+// kind is the part of a state that others act on.
+type kind struct {
+	free, longFree, queued, longQueued bool
+}
+
+func (s State) kind() kind {
+	return kind{s.Free > 0, s.LongFree > 0, s.Queued > 0, s.LongQueued > 0}
+}
+
+// Lending decides when a daemon without a free slot hands a new request to a
+// zone-mate that has one, and when one without work asks a zone-mate for a
+// request that waits. It knows what the mates last reported; a report that was
+// wrong costs a wait at the mate, never a second use of a slot.
+//
+// It does no I/O, reads no clock and is not safe for concurrent use.
+type Lending struct {
+	known map[string]State
+	// order holds the mates by ID, so that equal mates are chosen alike in
+	// every run.
+	order    []string
+	sent     State
+	sentAt   time.Time
+	interval time.Duration
+}
+
+// NewLending returns a lending without mates.
+func NewLending(interval time.Duration) *Lending {
+	if interval == 0 {
+		interval = DefaultReportInterval
+	}
+	return &Lending{known: map[string]State{}, interval: interval}
+}
+
+// SetMates replaces the live zone-mates, this daemon not included. A new mate
+// counts as full until it reports.
+func (l *Lending) SetMates(mates []string) {
+	known := make(map[string]State, len(mates))
+	for _, m := range mates {
+		known[m] = l.known[m]
+	}
+	l.known = known
+	l.order = append(l.order[:0], mates...)
+}
+
+// Observe takes in what a mate reported.
+func (l *Lending) Observe(mate string, s State) {
+	if _, ok := l.known[mate]; ok {
+		l.known[mate] = s
+	}
+}
+
+// LendTo returns the mate with most free slots and counts one of them as taken.
+func (l *Lending) LendTo(long bool) (string, bool) {
+	best, most := "", 0
+	for _, m := range l.order {
+		if n := freeFor(l.known[m], long); n > most {
+			best, most = m, n
+		}
+	}
+	if most == 0 {
+		return "", false
+	}
+	s := l.known[best]
+	s.Free = max(0, s.Free-1)
+	if long {
+		s.LongFree--
+	}
+	l.known[best] = s
+	return best, true
+}
+
+// PullFrom returns the mate with most requests waiting, given own free slots,
+// and counts one of them as gone.
+func (l *Lending) PullFrom(own State) (mate string, long, ok bool) {
+	best, most := "", 0
+	for _, m := range l.order {
+		s := l.known[m]
+		if own.Free > 0 && s.Queued > most {
+			best, most, long = m, s.Queued, false
+		}
+	}
+	if most == 0 && own.LongFree > 0 {
+		for _, m := range l.order {
+			if s := l.known[m]; s.LongQueued > most {
+				best, most, long = m, s.LongQueued, true
+			}
+		}
+	}
+	if most == 0 {
+		return "", false, false
+	}
+	s := l.known[best]
+	if long {
+		s.LongQueued--
+	} else {
+		s.Queued--
+	}
+	l.known[best] = s
+	return best, long, true
+}
+
+// Report returns whether the own state should be sent now: it has changed in
+// kind, and the last report is an interval ago. Otherwise it returns when to
+// ask again, or 0 for the next change.
+func (l *Lending) Report(now time.Time, own State) (send bool, again time.Duration) {
+	if own.kind() == l.sent.kind() {
+		return false, 0
+	}
+	if wait := l.sentAt.Add(l.interval).Sub(now); wait > 0 {
+		return false, wait
+	}
+	l.sent = own
+	l.sentAt = now
+	return true, 0
+}
+
+func freeFor(s State, long bool) int {
+	if long {
+		return s.LongFree
+	}
+	return s.Free
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -21,6 +21,7 @@
 	weight float64 // sum of the weights of teams with a job
 	work   time.Duration
 	jobs   int
+	own    int // jobs that are not foreign
 }
 
 // team is one team's standing in a classQueue.
@@ -65,6 +66,9 @@
 	t.jobs++
 	t.work += j.cost
 	q.jobs++
+	if !j.Foreign {
+		q.own++
+	}
 	q.work += j.cost
 }
 
@@ -76,6 +80,9 @@
 	t.jobs--
 	t.work -= j.cost
 	q.jobs--
+	if !j.Foreign {
+		q.own--
+	}
 	q.work -= j.cost
 	if len(f.jobs) == 0 {
 		q.deactivate(f)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -240,6 +240,71 @@
 	return l
 }
 
+// State returns what zone-mates need to know.
+func (s *Scheduler) State() State {
+	st := State{Free: s.free()}
+	if room := s.longSlots() - s.long; room > 0 {
+		st.LongFree = min(room, s.longRoom())
+	}
+	st.LongQueued = s.queues[request.ClassLong].own
+	st.Queued = s.queues[request.ClassShort].own + s.queues[request.ClassUrgent].own
+	return st
+}
+
+// longRoom is how many long jobs the hosts have room for.
+func (s *Scheduler) longRoom() int {
+	n := 0
+	for _, h := range s.hosts {
+		room := min(h.target.Slots-h.used, s.longPart(h.target.Slots)-h.long)
+		n += max(0, room)
+	}
+	return n
+}
+
+// Long reports whether a job would queue as long.
+func (s *Scheduler) Long(j *Job) bool { return s.effectiveClass(j) == request.ClassLong }
+
+// Full reports whether a new job would have to wait.
+func (s *Scheduler) Full(j *Job) bool {
+	c := s.effectiveClass(j)
+	for _, more := range request.Classes {
+		if s.queues[more].jobs > 0 {
+			return true
+		}
+		if more == c {
+			break
+		}
+	}
+	return !s.mayStart(c, j)
+}
+
+// Surrender takes out the waiting job that would start next, for a daemon that
+// has a slot for it. Jobs that came from another daemon stay.
+func (s *Scheduler) Surrender(long bool) (*Job, bool) {
+	for _, c := range request.Classes {
+		if long != (c == request.ClassLong) {
+			continue
+		}
+		q := s.queues[c]
+		j := q.first(func(j *Job) bool { return !j.Foreign })
+		if j == nil {
+			continue
+		}
+		q.charge(j)
+		s.drop(q, j)
+		return j, true
+	}
+	return nil, false
+}
+
+// Used returns how many slots of a host are in use.
+func (s *Scheduler) Used(host string) int {
+	if h, ok := s.byName[host]; ok {
+		return h.used
+	}
+	return 0
+}
+
 // order is the order in which classes get a slot: the most pressing first, but
 // long work while it is under its floor.
 func (s *Scheduler) order() []request.Class {
--- /dev/null
+++ b/standin/bench/lend.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"strconv"
+	"time"
+
+	"greengagedeck/internal/dispatch"
+)
+
+// pullMessage asks a daemon for its next waiting request.
+type pullMessage struct {
+	Pool  string         `cbor:"1,keyasint"`
+	Long  bool           `cbor:"2,keyasint,omitempty"`
+	State dispatch.State `cbor:"3,keyasint"`
+}
+
+// stateMessage reports a daemon's state.
+type stateMessage struct {
+	Pool  string         `cbor:"1,keyasint"`
+	State dispatch.State `cbor:"2,keyasint"`
+}
+
+const poolName = "bantay-resv"
+
+// lend is the static split in which a daemon without a free slot hands a new
+// request to one that has, and one without work asks one whose requests wait.
+type lend struct {
+	z       *zone
+	daemons []*lendDaemon
+}
+
+type lendDaemon struct {
+	l       *lend
+	id      int
+	n       *node
+	lending *dispatch.Lending
+	waiting map[*dispatch.Job]lendWaiting
+	due     bool // a report is scheduled
+	pulling bool
+}
+
+// lendWaiting is what a job that another daemon pulls stands for.
+type lendWaiting struct {
+	w     *work
+	reply func(outcome)
+}
+
+func newLend(z *zone) sharing { return newLendEvery(z, dispatch.DefaultReportInterval) }
+
+func newLendEvery(z *zone, interval time.Duration) *lend {
+	l := &lend{z: z}
+	for d := range z.shape.daemons {
+		ld := &lendDaemon{
+			l: l, id: d,
+			n:       newNode(z, policy),
+			lending: dispatch.NewLending(interval),
+			waiting: map[*dispatch.Job]lendWaiting{},
+		}
+		ld.n.sched.SetTargets(splitTargets(z.list, d, z.shape.daemons))
+		ld.n.freed = ld.freed
+		ld.lending.SetMates(l.matesOf(d))
+		l.daemons = append(l.daemons, ld)
+	}
+	return l
+}
+
+func (l *lend) matesOf(d int) []string {
+	var ids []string
+	for i := range l.z.shape.daemons {
+		if i != d {
+			ids = append(ids, strconv.Itoa(i))
+		}
+	}
+	return ids
+}
+
+func (l *lend) daemon(id string) *lendDaemon {
+	i, err := strconv.Atoi(id)
+	if err != nil {
+		panic(err)
+	}
+	return l.daemons[i]
+}
+
+func (l *lend) arrive(w *work) {
+	d := l.daemons[w.daemon]
+	d.admit(w, func(o outcome) { l.z.answer(w, o) })
+}
+
+// admit takes a caller's request: a mate gets it when only that mate has a
+// slot for it.
+func (d *lendDaemon) admit(w *work, reply func(outcome)) {
+	j := w.job(1)
+	if d.n.sched.Full(j) {
+		if to, ok := d.lending.LendTo(d.n.sched.Long(j)); ok {
+			d.hand(to, w, reply)
+			return
+		}
+	}
+	d.queue(w, j, reply)
+}
+
+func (d *lendDaemon) queue(w *work, j *dispatch.Job, reply func(outcome)) {
+	d.waiting[j] = lendWaiting{w: w, reply: reply}
+	d.n.offer(w, j, func(o outcome) {
+		delete(d.waiting, j)
+		reply(o)
+	})
+	d.report()
+}
+
+// hand gives a request to a mate. Its answer carries the mate's state back.
+func (d *lendDaemon) hand(to string, w *work, reply func(outcome)) {
+	m := d.l.daemon(to)
+	d.l.z.handed++
+	d.l.z.hand(d.id, m.id, requestBytes, func() {
+		j := w.job(1)
+		j.Foreign = true
+		m.queue(w, j, func(o outcome) {
+			st := m.n.sched.State()
+			d.l.z.hand(m.id, d.id, answerBytes, func() {
+				d.lending.Observe(to, st)
+				reply(o)
+			})
+		})
+	})
+}
+
+// freed runs when a slot has become free: the own queue goes first.
+func (d *lendDaemon) freed() {
+	d.n.pump()
+	d.report()
+	d.pull()
+}
+
+func (d *lendDaemon) pull() {
+	if d.pulling {
+		return
+	}
+	own := d.n.sched.State()
+	from, long, ok := d.lending.PullFrom(own)
+	if !ok {
+		return
+	}
+	d.pulling = true
+	m := d.l.daemon(from)
+	msg := pullMessage{Pool: poolName, Long: long, State: own}
+	d.l.z.send(d.id, m.id, msg, func() {
+		m.lending.Observe(strconv.Itoa(d.id), own)
+		m.surrender(strconv.Itoa(d.id), long)
+	})
+	d.l.z.sim.After(2*zoneHop, func() { d.pulling = false })
+}
+
+// surrender gives the next waiting request to the daemon that asked.
+func (d *lendDaemon) surrender(to string, long bool) {
+	j, ok := d.n.sched.Surrender(long)
+	if !ok {
+		return
+	}
+	next := d.waiting[j]
+	delete(d.waiting, j)
+	d.hand(to, next.w, next.reply)
+	d.report()
+}
+
+// report tells the mates when the state has changed in kind.
+func (d *lendDaemon) report() {
+	if d.due {
+		return
+	}
+	own := d.n.sched.State()
+	send, again := d.lending.Report(d.l.z.sim.Now(), own)
+	if again > 0 {
+		d.due = true
+		d.l.z.sim.After(again, func() {
+			d.due = false
+			d.report()
+		})
+	}
+	if !send {
+		return
+	}
+	for _, m := range d.l.daemons {
+		if m != d {
+			d.l.z.send(d.id, m.id, stateMessage{Pool: poolName, State: own}, func() { m.onState(strconv.Itoa(d.id), own) })
+		}
+	}
+}
+
+func (d *lendDaemon) onState(from string, s dispatch.State) {
+	d.lending.Observe(from, s)
+	d.pull()
+}
--- /dev/null
+++ b/standin/bench/node.go
@@ -0,0 +1,69 @@
+package bench
+
+import "greengagedeck/internal/dispatch"
+
+// node is one daemon's scheduler of one pool in a zone.
+type node struct {
+	z     *zone
+	sched *dispatch.Scheduler
+	// freed, when set, is called when a job has given its slot back and
+	// before the slot goes to a waiting job.
+	freed func()
+	// queues is how many daemons' queues the node stands for.
+	queues int
+	down   bool
+}
+
+func newNode(z *zone, cfg dispatch.SchedulerConfig) *node {
+	n := &node{z: z, queues: 1, sched: dispatch.NewScheduler(cfg)}
+	z.sim.Every(tickInterval, z.end, func() {
+		n.sched.Tick(z.sim.Now())
+		n.pump()
+	})
+	return n
+}
+
+// submit queues w and calls reply with how it ended.
+func (n *node) submit(w *work, reply func(outcome)) {
+	n.offer(w, w.job(n.queues), reply)
+}
+
+func (n *node) offer(w *work, j *dispatch.Job, reply func(outcome)) {
+	j.Granted = func(s dispatch.Start) {
+		if s.Refusal != nil {
+			reply(outcome{refused: s.Refusal})
+			return
+		}
+		n.z.run(s.Target.Host, w, func() { n.finish(j, reply) })
+	}
+	if err := n.sched.Offer(n.z.sim.Now(), j); err != nil {
+		reply(outcome{refused: err})
+		return
+	}
+	n.pump()
+}
+
+func (n *node) finish(j *dispatch.Job, reply func(outcome)) {
+	if n.down {
+		return
+	}
+	n.sched.Finish(n.z.sim.Now(), j, true)
+	if n.freed != nil {
+		n.freed()
+	}
+	n.pump()
+	reply(outcome{})
+}
+
+func (n *node) pump() {
+	if n.down {
+		return
+	}
+	for {
+		s, ok := n.sched.Next(n.z.sim.Now())
+		if !ok {
+			return
+		}
+		s.Job.Granted(s)
+	}
+}
