--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"container/heap"
 	"container/list"
 	"time"
 
@@ -58,33 +57,42 @@
 	jobDone
 )
 
+// Waiting reports whether the job waits in a queue.
+func (j *Job) Waiting() bool { return j.state == jobQueued }
+
 // jobHeap orders the jobs of one flow by deadline.
-type jobHeap []*Job
+type jobHeap struct {
+	jobs []*Job
+	// moves counts the steps of the heap's work.
+	moves int
+}
 
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, k int) bool { return h[i].Deadline.Before(h[k].Deadline) }
+// Len implements heap.Interface.
+func (h *jobHeap) Len() int { return len(h.jobs) }
 
-func (h jobHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].index = i
-	h[k].index = k
+// Less implements heap.Interface.
+func (h *jobHeap) Less(i, k int) bool { return h.jobs[i].Deadline.Before(h.jobs[k].Deadline) }
+
+// Swap implements heap.Interface.
+func (h *jobHeap) Swap(i, k int) {
+	h.moves++
+	h.jobs[i], h.jobs[k] = h.jobs[k], h.jobs[i]
+	h.jobs[i].index = i
+	h.jobs[k].index = k
 }
 
 // Push implements heap.Interface.
 func (h *jobHeap) Push(x any) {
 	j := x.(*Job)
-	j.index = len(*h)
-	*h = append(*h, j)
+	j.index = len(h.jobs)
+	h.jobs = append(h.jobs, j)
 }
 
 // Pop implements heap.Interface.
 func (h *jobHeap) Pop() any {
-	old := *h
-	last := len(old) - 1
-	j := old[last]
-	old[last] = nil
-	*h = old[:last]
+	last := len(h.jobs) - 1
+	j := h.jobs[last]
+	h.jobs[last] = nil
+	h.jobs = h.jobs[:last]
 	return j
 }
-
-var _ heap.Interface = (*jobHeap)(nil)
--- a/internal/dispatch/lending.go
+++ b/internal/dispatch/lending.go
@@ -1,11 +1,21 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // DefaultReportInterval is the shortest time between two reports of a
 // daemon's state to its zone-mates.
 const DefaultReportInterval = 10 * time.Millisecond
 
+// The bytes of control messages, framing included.
+const (
+	reportBytes = 40
+	pullBytes   = 48
+)
+
 // State is what a daemon tells its zone-mates of its part of a pool.
 type State struct {
 	// Free is how many more short requests it could start now, LongFree how
@@ -18,6 +28,14 @@
 	LongQueued int `cbor:"4,keyasint,omitempty"`
 }
 
+// Waits reports whether requests wait that could be handed over.
+func (s State) Waits(long bool) bool {
+	if long {
+		return s.LongQueued > 0
+	}
+	return s.Queued > 0
+}
+
 // kind is the part of a state that others act on.
 type kind struct {
 	free, longFree, queued, longQueued bool
@@ -41,14 +59,12 @@
 	sent     State
 	sentAt   time.Time
 	interval time.Duration
+	budget   *rate.Limiter
 }
 
 // NewLending returns a lending without mates.
-func NewLending(interval time.Duration) *Lending {
-	if interval == 0 {
-		interval = DefaultReportInterval
-	}
-	return &Lending{known: map[string]State{}, interval: interval}
+func NewLending(budget *rate.Limiter) *Lending {
+	return &Lending{known: map[string]State{}, interval: DefaultReportInterval, budget: budget}
 }
 
 // SetMates replaces the live zone-mates, this daemon not included. A new mate
@@ -119,6 +135,9 @@
 	return best, long, true
 }
 
+// MayPull reports whether the budget of control bytes has room for a pull.
+func (l *Lending) MayPull(now time.Time) bool { return l.budget.AllowN(now, pullBytes) }
+
 // Report returns whether the own state should be sent now: it has changed in
 // kind, and the last report is an interval ago. Otherwise it returns when to
 // ask again, or 0 for the next change.
@@ -129,6 +148,9 @@
 	if wait := l.sentAt.Add(l.interval).Sub(now); wait > 0 {
 		return false, wait
 	}
+	if !l.budget.AllowN(now, reportBytes*len(l.order)) {
+		return false, l.interval
+	}
 	l.sent = own
 	l.sentAt = now
 	return true, 0
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -55,7 +55,7 @@
 		t.weight = weightOf(j.Limits.Weight)
 		q.weight += t.weight
 	}
-	if len(f.jobs) == 0 {
+	if f.jobs.Len() == 0 {
 		f.tag = max(f.tag, t.served)
 		f.active = len(q.active)
 		q.active = append(q.active, f)
@@ -84,7 +84,7 @@
 		q.own--
 	}
 	q.work -= j.cost
-	if len(f.jobs) == 0 {
+	if f.jobs.Len() == 0 {
 		q.deactivate(f)
 	}
 	if t.jobs == 0 {
@@ -112,14 +112,14 @@
 		if best != nil && !f.before(best) {
 			continue
 		}
-		if may(f.jobs[0]) {
+		if may(f.jobs.jobs[0]) {
 			best = f
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	return best.jobs[0]
+	return best.jobs.jobs[0]
 }
 
 func (f *flow) before(g *flow) bool {
@@ -156,7 +156,7 @@
 // waiting returns how many jobs of an entry wait.
 func (q *classQueue) waiting(entry string) int {
 	if f, ok := q.flows[entry]; ok {
-		return len(f.jobs)
+		return f.jobs.Len()
 	}
 	return 0
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -41,12 +41,12 @@
 // Load is how busy a scheduler is.
 type Load struct {
 	// Slots is how many slots there are and Free how many are idle.
-	Slots int
-	Free  int
+	Slots int `cbor:"1,keyasint,omitempty"`
+	Free  int `cbor:"2,keyasint,omitempty"`
 	// Wait is the expected wait of a new job of short class.
-	Wait time.Duration
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 	// Queued is how many jobs wait.
-	Queued int
+	Queued int `cbor:"4,keyasint,omitempty"`
 }
 
 // Scheduler decides which job of a pool starts next, and where. It does no
@@ -134,7 +134,7 @@
 func (s *Scheduler) Offer(now time.Time, j *Job) *verdict.Error {
 	c := s.effectiveClass(j)
 	q := s.queues[c]
-	j.cost = s.sizes.of(j.Entry).expected(c == request.ClassLong)
+	j.cost = s.expectedSize(c, j)
 	wait := s.expectedWait(c, j)
 	if j.Limits.Queue > 0 && q.waiting(j.Entry) >= j.Limits.Queue {
 		e := verdict.Refuse(verdict.ReasonQueueFull, "%d requests of %s wait", j.Limits.Queue, j.Entry)
@@ -264,6 +264,16 @@
 // Long reports whether a job would queue as long.
 func (s *Scheduler) Long(j *Job) bool { return s.effectiveClass(j) == request.ClassLong }
 
+// Wait returns how long a new job would wait for a slot, and the size it is
+// expected to have.
+func (s *Scheduler) Wait(j *Job) (wait, size time.Duration) {
+	c := s.effectiveClass(j)
+	if !s.Full(j) {
+		return 0, s.expectedSize(c, j)
+	}
+	return s.expectedWait(c, j), s.expectedSize(c, j)
+}
+
 // Full reports whether a new job would have to wait.
 func (s *Scheduler) Full(j *Job) bool {
 	c := s.effectiveClass(j)
@@ -345,33 +355,24 @@
 	if j.Limits.Slots > 0 && s.held[j.Entry] >= j.Limits.Slots {
 		return false
 	}
-	if s.needsLongShare(c, j) && s.long >= s.longSlots() {
+	z := s.sizes.of(j.Entry)
+	if c != request.ClassLong && !z.proven() && s.held[j.Entry] >= provenRuns {
+		return false
+	}
+	if (c == request.ClassLong || z.suspect()) && s.long >= s.longSlots() {
 		return false
 	}
 	return s.choose(c, j) != nil
 }
 
-// needsLongShare reports whether a job may only start while the long share has
-// room: long work, and work that may turn out long.
-func (s *Scheduler) needsLongShare(c request.Class, j *Job) bool {
-	return c == request.ClassLong || s.sizes.of(j.Entry).suspect()
-}
-
-// countsLong reports whether a job counts as long from its start: long work,
-// and work of entries about which nothing is known.
-func (s *Scheduler) countsLong(c request.Class, j *Job) bool {
-	return c == request.ClassLong || !s.sizes.of(j.Entry).proven()
-}
-
 // choose returns the host with the most free slots that may take the job.
 func (s *Scheduler) choose(c request.Class, j *Job) *hostSlots {
-	counts := s.countsLong(c, j)
 	var best *hostSlots
 	for _, h := range s.hosts {
 		if h.used >= h.target.Slots || !h.target.fits(j) {
 			continue
 		}
-		if counts && h.long >= s.longPart(h.target.Slots) {
+		if c == request.ClassLong && h.long >= s.longPart(h.target.Slots) {
 			continue
 		}
 		if best == nil || better(h, best, j.Avoid) {
@@ -395,7 +396,7 @@
 	h.used++
 	s.used++
 	s.held[j.Entry]++
-	if s.countsLong(c, j) {
+	if c == request.ClassLong {
 		s.countLong(j)
 	}
 	if j.Class != request.ClassLong {
@@ -436,6 +437,10 @@
 	return s.wait(c, s.queues[c].backlog(j.Team, j.Limits.Weight))
 }
 
+func (s *Scheduler) expectedSize(c request.Class, j *Job) time.Duration {
+	return s.sizes.of(j.Entry).expected(c == request.ClassLong)
+}
+
 // wait is how long the slots of a class take to work off the queues of more
 // pressing classes and the given work of its own.
 func (s *Scheduler) wait(c request.Class, own time.Duration) time.Duration {
--- a/internal/dispatch/sizes.go
+++ b/internal/dispatch/sizes.go
@@ -8,7 +8,7 @@
 	// classGain is the weight of the newest run in its share of long runs.
 	classGain = 1.0 / 128
 	// provenRuns is how many runs an entry needs before its declared class
-	// is believed.
+	// is believed, and how many slots it may hold until then.
 	provenRuns = 4
 	// suspectShare is the share of runs past the threshold from which any
 	// job of an entry may turn out long.
--- a/standin/bench/leases.go
+++ b/standin/bench/leases.go
@@ -8,6 +8,7 @@
 
 var (
 	queueFull = *verdict.Refuse(verdict.ReasonQueueFull, "bench")
+	noHome    = *verdict.Refuse(verdict.ReasonPeerLost, "bench")
 	tooLate   = *verdict.Refuse(verdict.ReasonDeadline, "bench")
 )
 
--- a/standin/bench/lend.go
+++ b/standin/bench/lend.go
@@ -2,7 +2,8 @@
 
 import (
 	"strconv"
-	"time"
+
+	"golang.org/x/time/rate"
 
 	"greengagedeck/internal/dispatch"
 )
@@ -35,8 +36,11 @@
 	n       *node
 	lending *dispatch.Lending
 	waiting map[*dispatch.Job]lendWaiting
-	due     bool // a report is scheduled
-	pulling bool
+	// away, when set, may hand a request that would wait to another zone.
+	away     func(w *work, reply func(outcome)) bool
+	observer *awayDaemon
+	due      bool // a report is scheduled
+	pulling  bool
 }
 
 // lendWaiting is what a job that another daemon pulls stands for.
@@ -45,15 +49,22 @@
 	reply func(outcome)
 }
 
-func newLend(z *zone) sharing { return newLendEvery(z, dispatch.DefaultReportInterval) }
+// controlBudget is the bytes a second that one pool of a daemon may spend on
+// reports and pulls; budgetBurst is what it may save up.
+const (
+	controlBudget = 4000
+	budgetBurst   = 2000
+)
+
+func newLend(z *zone) sharing { return newLendWithin(z, controlBudget) }
 
-func newLendEvery(z *zone, interval time.Duration) *lend {
+func newLendWithin(z *zone, budget rate.Limit) *lend {
 	l := &lend{z: z}
 	for d := range z.shape.daemons {
 		ld := &lendDaemon{
 			l: l, id: d,
 			n:       newNode(z, policy),
-			lending: dispatch.NewLending(interval),
+			lending: dispatch.NewLending(rate.NewLimiter(budget, budgetBurst)),
 			waiting: map[*dispatch.Job]lendWaiting{},
 		}
 		ld.n.sched.SetTargets(splitTargets(z.list, d, z.shape.daemons))
@@ -91,11 +102,15 @@
 // slot for it.
 func (d *lendDaemon) admit(w *work, reply func(outcome)) {
 	j := w.job(1)
+	j.Foreign = w.handed
 	if d.n.sched.Full(j) {
 		if to, ok := d.lending.LendTo(d.n.sched.Long(j)); ok {
 			d.hand(to, w, reply)
 			return
 		}
+		if d.away != nil && !w.handed && d.away(w, reply) {
+			return
+		}
 	}
 	d.queue(w, j, reply)
 }
@@ -112,17 +127,20 @@
 // hand gives a request to a mate. Its answer carries the mate's state back.
 func (d *lendDaemon) hand(to string, w *work, reply func(outcome)) {
 	m := d.l.daemon(to)
-	d.l.z.handed++
-	d.l.z.hand(d.id, m.id, requestBytes, func() {
+	run := func(reply func(outcome)) {
 		j := w.job(1)
 		j.Foreign = true
 		m.queue(w, j, func(o outcome) {
-			st := m.n.sched.State()
-			d.l.z.hand(m.id, d.id, answerBytes, func() {
-				d.lending.Observe(to, st)
-				reply(o)
-			})
+			o.state = m.n.sched.State()
+			reply(o)
 		})
+	}
+	d.l.z.handOver(d.id, m.id, w, run, func(o outcome) {
+		if !o.lost {
+			d.lending.Observe(to, o.state)
+			d.push()
+		}
+		reply(o)
 	})
 }
 
@@ -139,7 +157,7 @@
 	}
 	own := d.n.sched.State()
 	from, long, ok := d.lending.PullFrom(own)
-	if !ok {
+	if !ok || !d.lending.MayPull(d.l.z.sim.Now()) {
 		return
 	}
 	d.pulling = true
@@ -190,5 +208,19 @@
 
 func (d *lendDaemon) onState(from string, s dispatch.State) {
 	d.lending.Observe(from, s)
+	d.push()
 	d.pull()
 }
+
+// push hands waiting requests to mates that have free slots.
+func (d *lendDaemon) push() {
+	for _, long := range []bool{false, true} {
+		for d.n.sched.State().Waits(long) {
+			to, ok := d.lending.LendTo(long)
+			if !ok {
+				break
+			}
+			d.surrender(to, long)
+		}
+	}
+}
--- a/standin/bench/node.go
+++ b/standin/bench/node.go
@@ -1,6 +1,10 @@
 package bench
 
-import "greengagedeck/internal/dispatch"
+import (
+	"time"
+
+	"greengagedeck/internal/dispatch"
+)
 
 // node is one daemon's scheduler of one pool in a zone.
 type node struct {
@@ -11,7 +15,9 @@
 	freed func()
 	// queues is how many daemons' queues the node stands for.
 	queues int
-	down   bool
+	// patient drops deadlines and queue limits, so that nothing is refused.
+	patient bool
+	down    bool
 }
 
 func newNode(z *zone, cfg dispatch.SchedulerConfig) *node {
@@ -29,11 +35,16 @@
 }
 
 func (n *node) offer(w *work, j *dispatch.Job, reply func(outcome)) {
+	if n.patient {
+		j.Deadline = j.Deadline.Add(time.Hour)
+		j.Limits.Queue = 0
+	}
 	j.Granted = func(s dispatch.Start) {
 		if s.Refusal != nil {
 			reply(outcome{refused: s.Refusal})
 			return
 		}
+		n.z.stats.start(n.z.sim.now, w)
 		n.z.run(s.Target.Host, w, func() { n.finish(j, reply) })
 	}
 	if err := n.sched.Offer(n.z.sim.Now(), j); err != nil {
--- a/standin/bench/sharing.go
+++ b/standin/bench/sharing.go
@@ -26,10 +26,13 @@
 	choicesMethod = method{"power of two choices", newChoices}
 	leaseMethod   = method{"slot leases", newLeases}
 	homeMethod    = method{"home queue, request handed over", newHome}
-	lendMethod    = method{"static split, lend and pull", newLend}
+	lendMethod    = method{"split, lend and pull", newLend}
+	// lendFifthMethod has the control bytes that are left to one pool when
+	// five are contended at once.
+	lendFifthMethod = method{"split, lend and pull, 0.8 KB/s", func(z *zone) sharing { return newLendWithin(z, controlBudget/5) }}
 )
 
-var methods = []method{centralMethod, staticMethod, choicesMethod, leaseMethod, homeMethod, lendMethod}
+var methods = []method{centralMethod, staticMethod, choicesMethod, leaseMethod, homeMethod, lendMethod, lendFifthMethod}
 
 // central is one queue that knows everything and costs nothing.
 type central struct {
@@ -88,6 +91,8 @@
 	z  *zone
 	at int
 	n  *node
+	// orphaned is set while the home is dead and has no successor.
+	orphaned bool
 }
 
 func newHome(z *zone) sharing {
@@ -98,16 +103,17 @@
 }
 
 func (h *home) arrive(w *work) {
+	reply := func(o outcome) { h.z.answer(w, o) }
+	if h.orphaned {
+		reply(outcome{refused: &noHome})
+		return
+	}
 	if w.daemon == h.at {
-		h.n.submit(w, func(o outcome) { h.z.answer(w, o) })
+		h.n.submit(w, reply)
 		return
 	}
-	h.z.handed++
-	h.z.hand(w.daemon, h.at, requestBytes, func() {
-		h.n.submit(w, func(o outcome) {
-			h.z.hand(h.at, w.daemon, answerBytes, func() { h.z.answer(w, o) })
-		})
-	})
+	n := h.n
+	h.z.handOver(w.daemon, h.at, w, func(reply func(outcome)) { n.submit(w, reply) }, reply)
 }
 
 // choices is the power of two choices: a daemon sends a request to the less
--- a/standin/bench/slots.go
+++ b/standin/bench/slots.go
@@ -99,6 +99,7 @@
 	slotsTable(w, seed, kumotZone, slotsRun)
 	slotsTable(w, seed, thinZone, slotsRun)
 	slotsTable(w, seed, largeZone, slotsLargeRun)
+	deathTable(w, seed)
 }
 
 func slotsTable(w io.Writer, seed uint64, sh shape, end time.Duration) {
--- a/standin/bench/workload.go
+++ b/standin/bench/workload.go
@@ -21,8 +21,12 @@
 	short    bool // what it really is
 	daemon   int
 	zone     int
-	handed   bool
-	retries  int
+	// handed is set once another zone has it.
+	handed bool
+	// large is set for work that fits the hosts of some zones only.
+	large bool
+	// oneQueue is set to put all teams into one queue.
+	oneQueue bool
 }
 
 // stream is a Poisson stream of requests of one entry.
@@ -99,9 +103,13 @@
 func (w *work) job(queues int) *dispatch.Job {
 	limits := w.limits
 	limits.Queue *= queues
+	entry, team := w.entry, w.team
+	if w.oneQueue {
+		entry, team = "all", "all"
+	}
 	return &dispatch.Job{
-		Entry:    w.entry,
-		Team:     w.team,
+		Entry:    entry,
+		Team:     team,
 		Class:    w.class,
 		Deadline: epoch.Add(w.arrive + w.deadline),
 		Limits:   limits,
--- a/standin/bench/zone.go
+++ b/standin/bench/zone.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"greengagedeck/internal/dispatch"
+	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
 )
 
@@ -43,6 +44,8 @@
 type outcome struct {
 	refused *verdict.Error
 	lost    bool
+	// state is that of the daemon that answers for another.
+	state dispatch.State
 }
 
 // zone is the fake part of a run: targets, messages and the record of answers.
@@ -57,6 +60,9 @@
 	data    []int64
 	handed  int
 	stats   *stats
+	// pending are the requests that daemons have handed to each other.
+	pending map[int]pending
+	handSeq int
 	// dead marks daemons that neither receive nor act.
 	dead []bool
 }
@@ -71,6 +77,7 @@
 		data:    make([]int64, sh.daemons),
 		dead:    make([]bool, sh.daemons),
 		stats:   newStats(),
+		pending: map[int]pending{},
 	}
 	for i := range sh.hosts {
 		t := dispatch.Target{Host: fmt.Sprintf("w%04d", i), Slots: sh.slots}
@@ -82,12 +89,17 @@
 
 // send carries a control message and counts its bytes.
 func (z *zone) send(from, to int, msg any, receive func()) {
+	z.count(from, msg)
+	z.deliver(from, to, receive)
+}
+
+// count adds a control message to the bytes that a daemon has sent.
+func (z *zone) count(from int, msg any) {
 	b, err := cbor.Marshal(msg)
 	if err != nil {
 		panic(err)
 	}
 	z.control[from] += int64(len(b) + frameBytes)
-	z.deliver(from, to, receive)
 }
 
 // hand carries a caller's request or answer to another daemon.
@@ -179,6 +191,8 @@
 	good     int
 	goodWork time.Duration
 	late     int
+	// urgentWait is the longest wait of urgent work for a slot.
+	urgentWait time.Duration
 	// from is the virtual time from which answers are counted, by arrival.
 	from, to time.Duration
 }
@@ -226,6 +240,13 @@
 	_ = h.RecordValue(us)
 }
 
+// start notes that w has got a slot.
+func (s *stats) start(now time.Duration, w *work) {
+	if w.class == request.ClassUrgent {
+		s.urgentWait = max(s.urgentWait, now-w.arrive)
+	}
+}
+
 func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -20,6 +20,10 @@
 
 var tables = []table{
 	{"slots", bench.Slots},
+	{"hol", bench.HOL},
+	{"overload", bench.Overload},
+	{"zones", bench.BetweenZones},
+	{"quota", bench.Quota},
 }
 
 func main() {
