--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -70,6 +70,7 @@
 	ReasonConnectionLost Reason = "connection-lost"
 	ReasonTimeout        Reason = "timeout"
 	ReasonTruncated      Reason = "truncated"
+	ReasonMalformed      Reason = "malformed-answer"
 	ReasonTargetRefused  Reason = "target-refused"
 	ReasonPeerLost       Reason = "peer-lost"
 )
@@ -113,3 +114,13 @@
 	}
 	return MayHaveRun
 }
+
+// MarshalText writes the form of String, also in JSON.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText is the inverse of MarshalText.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	parsed, err := Parse(string(text))
+	*v = parsed
+	return err
+}
