Move and drain hosts by records that the whole zone acknowledges

Cause: a host must belong to exactly one pool, and budgets must hold, whatever is paused, lost, cut, killed or replaced meanwhile.

Change: one mechanism, Drain, for moves, maintenance, new incarnations and retirement. A member that is gone starts another round of acknowledgements.

--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,73 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/membership"
+	"greengagedeck/internal/record"
+)
+
+// fleetOf has n hosts in zones of up to 150, 18 to a pool, four to a rack, and
+// two members a zone.
+func fleetOf(n int) *fleet {
+	f := &fleet{0, catalogue.NewState(), membership.NewState(), NewState()}
+	for i := range n {
+		zone := fmt.Sprintf("z%d", i/150)
+		pool := fmt.Sprintf("pool-%02d", i/18)
+		f.catalogue.Pools[pool] = versioned(catalogue.Pool{Name: pool, Spare: true, MaxUnavailable: 4})
+		h := catalogue.Host{
+			Name: fmt.Sprintf("worker-%04d", i), Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
+			Zone: zone, Rack: fmt.Sprintf("rack-%03d", i/4), Pool: pool,
+		}
+		f.catalogue.Hosts[h.Name] = versioned(h)
+		for _, id := range []string{zone + "-a", zone + "-b"} {
+			f.members.Members[id] = membership.Member{ID: id, Host: id, Zone: zone}
+		}
+	}
+	f.pools.Reconcile(1, f)
+	return f
+}
+
+// BenchmarkMove folds the three records of a move: its start and an
+// acknowledgement of each of two members. It reports the size of the state.
+func BenchmarkMove(b *testing.B) {
+	for _, n := range []int{50, 250, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			f := fleetOf(n)
+			data, _ := record.Encode(f.pools)
+			pools := [2]string{"pool-00", "pool-01"}
+			offset := uint64(1)
+			for i := 0; b.Loop(); i++ {
+				start := newRecord(KindDrain, "z0-a", time.Time{}, StartDrain{
+					Host: "worker-0000", Purpose: PurposeMove, From: pools[i%2], To: pools[(i+1)%2],
+				})
+				f.pools.Apply(offset, start, f)
+				for _, m := range []string{"z0-a", "z0-b"} {
+					ack := newRecord(KindAck, m, time.Time{}, Ack{Drain: start.ID.String(), Round: offset})
+					if out := f.pools.Apply(offset, ack, f); !out.Accepted {
+						b.Fatal(out.Reason)
+					}
+				}
+				offset++
+			}
+			b.ReportMetric(float64(len(data)), "state-bytes")
+			b.ReportMetric(float64(len(data))/float64(n), "bytes/host")
+		})
+	}
+}
+
+// BenchmarkClone copies the state, as the replica does before each fold.
+func BenchmarkClone(b *testing.B) {
+	for _, n := range []int{50, 250, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			f := fleetOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = f.pools.Clone()
+			}
+		})
+	}
+}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -55,7 +55,7 @@
 	if !wanted && h.Failed {
 		return "host " + b.Host + " has failed"
 	}
-	src, dst := s.Usage(b.From), s.Usage(b.To)
+	src, dst := s.Spent(b.From), s.Spent(b.To)
 	if left := src.Owned - src.Leaving - 1; left < from.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, from.MinHosts)
 	}
@@ -73,7 +73,7 @@
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Usage(b.From)
+	u := s.Spent(b.From)
 	if left := u.Owned - u.Leaving - 1; left < p.Value.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, p.Value.MinHosts)
 	}
@@ -91,7 +91,7 @@
 	if !Selects(w.Value, h) {
 		return fmt.Sprintf("wave %s does not select host %s", b.Wave, b.Host)
 	}
-	u := s.Usage(b.From)
+	u := s.Spent(b.From)
 	for rack := range u.MaintainedRacks {
 		if rack != h.rackKey() {
 			return fmt.Sprintf("pool %s already has hosts of another rack in maintenance", b.From)
@@ -116,7 +116,7 @@
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Usage(b.From)
+	u := s.Spent(b.From)
 	limit := p.Value.MaxUnavailable
 	if u.Unavailable+1 > limit {
 		return fmt.Sprintf("pool %s has %d hosts unavailable of at most %d", b.From, u.Unavailable, limit)
@@ -131,8 +131,8 @@
 	return ""
 }
 
-// Usage is how much of a pool's budgets is spent.
-type Usage struct {
+// Spent is how much of a pool's budgets is spent.
+type Spent struct {
 	// Owned counts the pool's hosts; Leaving those of them that are being
 	// moved away or retired; Arriving the hosts that are being moved in.
 	Owned, Leaving, Arriving int
@@ -144,9 +144,9 @@
 	available map[string]int
 }
 
-// Usage counts what is spent of a pool's budgets.
-func (s *State) Usage(pool string) Usage {
-	u := Usage{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
+// Spent counts what is spent of a pool's budgets.
+func (s *State) Spent(pool string) Spent {
+	u := Spent{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
 	for _, h := range s.Hosts {
 		if h.Pool == pool {
 			u.add(h)
@@ -158,7 +158,7 @@
 	return u
 }
 
-func (u *Usage) add(h Host) {
+func (u *Spent) add(h Host) {
 	u.Owned++
 	if h.Usable() {
 		u.available[h.rackKey()]++
@@ -167,7 +167,7 @@
 	u.Unavailable++
 }
 
-func (u *Usage) addDrain(pool string, d Drain, h Host) {
+func (u *Spent) addDrain(pool string, d Drain, h Host) {
 	switch {
 	case d.Purpose == PurposeMove && d.To == pool:
 		u.Arriving++
@@ -181,7 +181,7 @@
 
 // largestRackWithout returns how many usable hosts the pool would lose with its
 // largest rack, once a host of the given rack has been taken.
-func (u Usage) largestRackWithout(taken string) int {
+func (u Spent) largestRackWithout(taken string) int {
 	largest := 0
 	for rack, n := range u.available {
 		if rack == taken {
--- /dev/null
+++ b/internal/pool/budget_test.go
@@ -0,0 +1,133 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/catalogue"
+)
+
+// budgetCase has four hosts of pool p in racks r0, r0, r1, r2 and one spare
+// host, with a budget of two hosts of p.
+type budgetCase struct {
+	state     State
+	catalogue catalogue.State
+}
+
+func newBudgetCase() *budgetCase {
+	c := &budgetCase{NewState(), catalogue.NewState()}
+	c.catalogue.Pools["p"] = versioned(catalogue.Pool{Name: "p", MinHosts: 3, MaxHosts: 5, MaxUnavailable: 2})
+	c.catalogue.Pools["q"] = versioned(catalogue.Pool{Name: "q", MaxUnavailable: 2})
+	c.catalogue.Pools["s"] = versioned(catalogue.Pool{Name: "s", Spare: true, MaxUnavailable: 1})
+	c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w"})
+	for i, rack := range []string{"r0", "r0", "r1", "r2"} {
+		c.add(fmt.Sprintf("p%d", i), "p", rack)
+	}
+	c.add("s0", "s", "r9")
+	return c
+}
+
+func versioned[T any](v T) catalogue.Versioned[T] {
+	return catalogue.Versioned[T]{Version: 1, Value: v}
+}
+
+func (c *budgetCase) add(name, pool, rack string) {
+	h := catalogue.Host{Name: name, Pool: pool, Zone: "a", Rack: rack}
+	c.catalogue.Hosts[name] = versioned(h)
+	c.state.Hosts[name] = newHost(1, h)
+}
+
+func (c *budgetCase) maintain(hosts ...string) {
+	for _, h := range hosts {
+		c.state.Begin(Drain{ID: "d-" + h, Host: h, Purpose: PurposeMaintenance, From: "p", Wave: "other"})
+	}
+}
+
+func (c *budgetCase) move(host, from, to string) {
+	c.state.Begin(Drain{ID: "d-" + host, Host: host, Purpose: PurposeMove, From: from, To: to})
+}
+
+func (c *budgetCase) setPool(change func(*catalogue.Pool)) {
+	p := c.catalogue.Pools["p"].Value
+	change(&p)
+	c.catalogue.Pools["p"] = versioned(p)
+}
+
+func TestCheckDrainKeepsBudgets(t *testing.T) {
+	maintain := func(host string) StartDrain {
+		return StartDrain{Host: host, Purpose: PurposeMaintenance, From: "p", Wave: "w"}
+	}
+	move := func(host, from, to string) StartDrain {
+		return StartDrain{Host: host, Purpose: PurposeMove, From: from, To: to}
+	}
+	tests := []struct {
+		name    string
+		given   func(c *budgetCase)
+		drain   StartDrain
+		refusal string
+	}{
+		{"room for maintenance", nil, maintain("p0"), ""},
+		{"room for a move", nil, move("p0", "p", "s"), ""},
+		{"same rack again", func(c *budgetCase) { c.maintain("p0") }, maintain("p1"), "could lose a rack of 1"},
+		{"same rack again with room", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 3 })
+			c.maintain("p0")
+		}, maintain("p1"), ""},
+		{"second rack at once", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 9 })
+			c.maintain("p0")
+		}, maintain("p2"), "another rack"},
+		{"failed hosts spend the budget", func(c *budgetCase) {
+			c.state.SetFailed("p2", true)
+			c.state.SetFailed("p3", true)
+		}, maintain("p0"), "2 hosts unavailable"},
+		{"a move spends the wave's budget", func(c *budgetCase) { c.move("p3", "p", "s") }, maintain("p0"), "could lose a rack"},
+		{"a wave spends the move's budget", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 1 })
+			c.maintain("p0")
+		}, move("p3", "p", "s"), "1 hosts unavailable of at most 1"},
+		{"a failed host is counted already", func(c *budgetCase) {
+			c.state.SetFailed("p0", true)
+			c.state.SetFailed("p2", true)
+		}, maintain("p0"), ""},
+		{"no budget at all", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 0 })
+		}, maintain("p0"), "0 hosts unavailable of at most 0"},
+		{"minimum of the giver", func(c *budgetCase) { c.move("p3", "p", "s") }, move("p0", "p", "s"), "would keep 2 hosts of at least 3"},
+		{"maximum of the taker", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxHosts = 4 })
+		}, move("s0", "s", "p"), "would own 5 hosts of at most 4"},
+		{"arriving hosts count", func(c *budgetCase) {
+			c.add("s1", "s", "r9")
+			c.move("s1", "s", "p")
+		}, move("s0", "s", "p"), "at most 5"},
+		{"neither pool is spare", nil, move("p0", "p", "q"), "neither"},
+		{"unknown pool", nil, move("p0", "p", "nowhere"), "cannot move"},
+		{"wrong owner", nil, move("p0", "s", "q"), "belongs to p, not s"},
+		{"paused wave", func(c *budgetCase) {
+			c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", Paused: true})
+		}, maintain("p0"), "paused"},
+		{"wave of another pool", func(c *budgetCase) {
+			c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", Pool: "q"})
+		}, maintain("p0"), "does not select"},
+		{"retiring a named host", nil, StartDrain{Host: "p0", Purpose: PurposeRetire, From: "p"}, "still names"},
+		{"draining host", func(c *budgetCase) { c.maintain("p0") }, move("p0", "p", "s"), "draining for maintenance d-p0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newBudgetCase()
+			if tt.given != nil {
+				tt.given(c)
+			}
+			got := c.state.CheckDrain(&c.catalogue, tt.drain)
+			if tt.refusal == "" {
+				g.Expect(got).To(BeEmpty())
+				return
+			}
+			g.Expect(got).To(ContainSubstring(tt.refusal))
+		})
+	}
+}
--- a/internal/pool/fold.go
+++ b/internal/pool/fold.go
@@ -28,16 +28,23 @@
 	if refusal := s.CheckDrain(v.Catalogue(), body); refusal != "" {
 		return record.Reject(refusal, d.subjects()...)
 	}
-	h := s.Hosts[d.Host]
-	d.Zone = h.Zone
-	d.Waiting = sortedMembers(v, h.Zone)
+	d.Zone = s.Hosts[d.Host].Zone
+	d.Round = offset
+	d.Waiting = sortedMembers(v, d.Zone)
 	if !d.waitsFor(r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+h.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
 	}
-	h.Phase, h.Since, h.Drain = PhaseDraining, offset, d.ID
+	s.Begin(d)
+	return record.Accept(d.subjects()...)
+}
+
+// Begin marks the host of d as draining. Planners use it on a clone to see
+// what room is left once d has started.
+func (s *State) Begin(d Drain) {
+	h := s.Hosts[d.Host]
+	h.Phase, h.Since, h.Drain = PhaseDraining, d.Started, d.ID
 	s.Hosts[d.Host] = h
 	s.Drains[d.ID] = d
-	return record.Accept(d.subjects()...)
 }
 
 func sortedMembers(v View, zone string) []string {
@@ -47,16 +54,26 @@
 }
 
 func (s *State) applyAck(offset uint64, r record.Record, v View) record.Outcome {
-	d, out := s.drainOf(r, PhaseDraining)
+	var body Ack
+	if err := record.Decode(r.Body, &body); err != nil {
+		return record.Reject(err.Error())
+	}
+	d, out := s.drainIn(PhaseDraining, body.Drain)
 	if d.ID == "" {
 		return out
 	}
+	if body.Round != d.Round {
+		refusal := fmt.Sprintf("acknowledges round %d, the drain is in round %d", body.Round, d.Round)
+		return record.Reject(refusal, d.subjects()...)
+	}
 	if !d.waitsFor(r.Author) {
 		return record.Reject("drain does not wait for "+r.Author, d.subjects()...)
 	}
 	d.Waiting = without(d.Waiting, r.Author)
 	s.Drains[d.ID] = d
-	s.completeIfDrained(offset, d, v)
+	if len(d.Waiting) == 0 {
+		s.complete(offset, d, v.Catalogue())
+	}
 	return record.Accept(d.subjects()...)
 }
 
@@ -111,9 +128,13 @@
 	if err := record.Decode(r.Body, &ref); err != nil {
 		return Drain{}, record.Reject(err.Error())
 	}
-	d, ok := s.Drains[ref.Drain]
+	return s.drainIn(phase, ref.Drain)
+}
+
+func (s *State) drainIn(phase Phase, id string) (Drain, record.Outcome) {
+	d, ok := s.Drains[id]
 	if !ok {
-		return Drain{}, record.Reject("no such drain", "move/"+ref.Drain)
+		return Drain{}, record.Reject("no such drain", "move/"+id)
 	}
 	if got := s.Hosts[d.Host].Phase; got != phase {
 		refusal := fmt.Sprintf("host %s is %s, not %s", d.Host, got, phase)
@@ -122,22 +143,18 @@
 	return d, record.Outcome{}
 }
 
-// completeIfDrained ends the drain once nobody is waited for. Only then may
-// another pool use the host: every member either promised to start nothing or
-// is gone.
-func (s *State) completeIfDrained(offset uint64, d Drain, v View) {
-	if len(d.Waiting) > 0 {
-		return
-	}
+// complete ends a drain that waits for nobody. Only then may another pool use
+// the host: every member has promised to start nothing there.
+func (s *State) complete(offset uint64, d Drain, c *catalogue.State) {
 	switch d.Purpose {
 	case PurposeMaintenance:
 		h := s.Hosts[d.Host]
 		h.Phase, h.Since = PhaseOut, offset
 		s.Hosts[d.Host] = h
 	case PurposeMove:
-		s.serve(offset, d, d.To, v.Catalogue())
+		s.serve(offset, d, d.To, c)
 	default:
-		s.serve(offset, d, d.From, v.Catalogue())
+		s.serve(offset, d, d.From, c)
 	}
 }
 
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -50,7 +50,14 @@
 	Wave string `cbor:"5,keyasint,omitempty"`
 }
 
-// DrainRef is the body of KindAck, KindCancel and KindReturn records.
+// Ack is the body of a KindAck record. An acknowledgement of an earlier round
+// counts for nothing.
+type Ack struct {
+	Drain string `cbor:"1,keyasint"`
+	Round uint64 `cbor:"2,keyasint"`
+}
+
+// DrainRef is the body of KindCancel and KindReturn records.
 type DrainRef struct {
 	Drain string `cbor:"1,keyasint"`
 }
@@ -76,12 +83,16 @@
 	Started uint64 `cbor:"9,keyasint" json:"started"`
 	// Zone is the availability zone whose members must acknowledge.
 	Zone string `cbor:"10,keyasint" json:"zone"`
-	// Waiting names the members that have not acknowledged, sorted. It holds
-	// those that were members when the drain started: one that joins later
-	// starts nothing before it has folded its own admission, and with it the
-	// drain.
-	Waiting []string     `cbor:"11,keyasint,omitempty" json:"waiting,omitempty"`
-	Cause   record.Cause `cbor:"12,keyasint" json:"cause"`
+	// Round is the offset at which the members were last asked. They are
+	// asked again when one of them is gone without an acknowledgement, since
+	// its last requests may outlive it on the host.
+	Round uint64 `cbor:"11,keyasint" json:"round"`
+	// Waiting names the members that have not acknowledged in this round,
+	// sorted. It starts with all members of the zone. A member that joins
+	// later starts nothing before it has folded its own admission, and with
+	// it the drain.
+	Waiting []string     `cbor:"12,keyasint,omitempty" json:"waiting,omitempty"`
+	Cause   record.Cause `cbor:"13,keyasint" json:"cause"`
 }
 
 // waitsFor reports whether member has yet to acknowledge.
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -1,8 +1,8 @@
 package pool
 
 import (
-	"maps"
 	"slices"
+	"strings"
 
 	"greengagedeck/internal/catalogue"
 )
@@ -13,7 +13,7 @@
 // member is removed only when its process is known to have ended.
 func (s *State) Reconcile(offset uint64, v View) {
 	changed := s.followCatalogue(offset, v.Catalogue())
-	if s.releaseGone(offset, v) {
+	if s.askAgain(offset, v) {
 		changed = true
 	}
 	if changed {
@@ -44,30 +44,36 @@
 	return changed
 }
 
-// releaseGone drops the members that are gone from what drains wait for.
-func (s *State) releaseGone(offset uint64, v View) bool {
+// askAgain starts another round for each drain that waits for a member that is
+// gone. The members of today must then acknowledge: they see to it that the
+// last requests of the one that is gone have ended too.
+func (s *State) askAgain(offset uint64, v View) bool {
 	changed := false
-	for _, id := range slices.Sorted(maps.Keys(s.Drains)) {
-		d := s.Drains[id]
+	for id, d := range s.Drains {
 		if s.Hosts[d.Host].Phase != PhaseDraining {
 			continue
 		}
 		members := sortedMembers(v, d.Zone)
-		waiting := slices.DeleteFunc(slices.Clone(d.Waiting), func(m string) bool {
-			_, present := slices.BinarySearch(members, m)
-			return !present
-		})
-		if len(waiting) == len(d.Waiting) {
+		if len(d.Waiting) > 0 && containsAll(members, d.Waiting) {
 			continue
 		}
-		d.Waiting = waiting
+		d.Round, d.Waiting = offset, members
 		s.Drains[id] = d
-		s.completeIfDrained(offset, d, v)
 		changed = true
 	}
 	return changed
 }
 
+// containsAll reports whether the sorted names hold every one of wanted.
+func containsAll(names, wanted []string) bool {
+	for _, w := range wanted {
+		if _, ok := slices.BinarySearch(names, w); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Want is a drain that the catalogue asks for.
 type Want struct {
 	StartDrain
@@ -89,12 +95,7 @@
 			wants = append(wants, w)
 		}
 	}
-	slices.SortFunc(wants, func(a, b Want) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(wants, func(a, b Want) int { return strings.Compare(a.Host, b.Host) })
 	return wants
 }
 
@@ -103,7 +104,7 @@
 	w.Host, w.From = name, h.Pool
 	declared, ok := c.Hosts[name]
 	if !ok {
-		w.Purpose, w.Version = PurposeRetire, c.Removed["host/"+name]
+		w.Purpose, w.Version = PurposeRetire, c.Removed["host/"+name].Version
 		return w, true
 	}
 	w.Version = declared.Version
