Send control records through an outbox that retries by record ID

Cause: moves and maintenance both append records whose answer may be lost. Change: package intent holds the retry; pool marks failed hosts; the fold keeps a wave's max_parallel.

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -91,6 +91,9 @@
 	if !Selects(w.Value, h) {
 		return fmt.Sprintf("wave %s does not select host %s", b.Wave, b.Host)
 	}
+	if n := s.inWave(b.Wave); n >= w.Value.MaxParallel {
+		return fmt.Sprintf("wave %s has %d hosts out of at most %d", b.Wave, n, w.Value.MaxParallel)
+	}
 	u := s.Spent(b.From)
 	for rack := range u.MaintainedRacks {
 		if rack != h.rackKey() {
@@ -100,6 +103,18 @@
 	return ""
 }
 
+// inWave counts the hosts that a wave has out. Those that failed are counted
+// by their pool's budget instead, or a wave could never pass them.
+func (s *State) inWave(wave string) int {
+	n := 0
+	for _, d := range s.Drains {
+		if d.Wave == wave && !s.Hosts[d.Host].Failed {
+			n++
+		}
+	}
+	return n
+}
+
 // Selects reports whether a wave covers a host.
 func Selects(w catalogue.Wave, h Host) bool {
 	return (w.Pool == "" || w.Pool == h.Pool) && (w.Zone == "" || w.Zone == h.Zone)
--- a/internal/pool/budget_test.go
+++ b/internal/pool/budget_test.go
@@ -21,7 +21,7 @@
 	c.catalogue.Pools["p"] = versioned(catalogue.Pool{Name: "p", MinHosts: 3, MaxHosts: 5, MaxUnavailable: 2})
 	c.catalogue.Pools["q"] = versioned(catalogue.Pool{Name: "q", MaxUnavailable: 2})
 	c.catalogue.Pools["s"] = versioned(catalogue.Pool{Name: "s", Spare: true, MaxUnavailable: 1})
-	c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w"})
+	c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", MaxParallel: 1})
 	for i, rack := range []string{"r0", "r0", "r1", "r2"} {
 		c.add(fmt.Sprintf("p%d", i), "p", rack)
 	}
@@ -80,8 +80,8 @@
 			c.maintain("p0")
 		}, maintain("p2"), "another rack"},
 		{"failed hosts spend the budget", func(c *budgetCase) {
-			c.state.SetFailed("p2", true)
-			c.state.SetFailed("p3", true)
+			c.state.SetFailed(1, "p2", true)
+			c.state.SetFailed(1, "p3", true)
 		}, maintain("p0"), "2 hosts unavailable"},
 		{"a move spends the wave's budget", func(c *budgetCase) { c.move("p3", "p", "s") }, maintain("p0"), "could lose a rack"},
 		{"a wave spends the move's budget", func(c *budgetCase) {
@@ -89,8 +89,8 @@
 			c.maintain("p0")
 		}, move("p3", "p", "s"), "1 hosts unavailable of at most 1"},
 		{"a failed host is counted already", func(c *budgetCase) {
-			c.state.SetFailed("p0", true)
-			c.state.SetFailed("p2", true)
+			c.state.SetFailed(1, "p0", true)
+			c.state.SetFailed(1, "p2", true)
 		}, maintain("p0"), ""},
 		{"no budget at all", func(c *budgetCase) {
 			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 0 })
@@ -106,11 +106,15 @@
 		{"neither pool is spare", nil, move("p0", "p", "q"), "neither"},
 		{"unknown pool", nil, move("p0", "p", "nowhere"), "cannot move"},
 		{"wrong owner", nil, move("p0", "s", "q"), "belongs to p, not s"},
+		{"full wave", func(c *budgetCase) {
+			c.setPool(func(p *catalogue.Pool) { p.MaxUnavailable = 3 })
+			c.state.Begin(Drain{ID: "d", Host: "p0", Purpose: PurposeMaintenance, From: "p", Wave: "w"})
+		}, maintain("p1"), "1 hosts out of at most 1"},
 		{"paused wave", func(c *budgetCase) {
 			c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", Paused: true})
 		}, maintain("p0"), "paused"},
 		{"wave of another pool", func(c *budgetCase) {
-			c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", Pool: "q"})
+			c.catalogue.Waves["w"] = versioned(catalogue.Wave{Name: "w", Pool: "q", MaxParallel: 1})
 		}, maintain("p0"), "does not select"},
 		{"retiring a named host", nil, StartDrain{Host: "p0", Purpose: PurposeRetire, From: "p"}, "still names"},
 		{"draining host", func(c *budgetCase) { c.maintain("p0") }, move("p0", "p", "s"), "draining for maintenance d-p0"},
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -9,16 +9,10 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/intent"
 	"greengagedeck/internal/platform"
-	"greengagedeck/internal/record"
 )
 
-// Appender appends records to the control stream. After an error the record
-// may or may not have been appended; appending the same record again is safe.
-type Appender interface {
-	Append(ctx context.Context, r record.Record) error
-}
-
 // Usage tells what runs on a host, by its own last report.
 type Usage interface {
 	Usage(ctx context.Context, host string) (platform.HostUsage, error)
@@ -26,15 +20,9 @@
 
 // Defaults of ControllerOptions.
 const (
-	DefaultInterval      = 200 * time.Millisecond
-	DefaultAppendTimeout = 2 * time.Second
-	DefaultMoveTimeout   = time.Minute
-	// DefaultHandover is how long each member leaves a shared intent to the
-	// members that come before it.
-	DefaultHandover = 5 * time.Second
-	// DefaultHold is how long an appended record may take to be folded here
-	// before what it intended is tried again.
-	DefaultHold = 5 * time.Second
+	DefaultInterval     = 200 * time.Millisecond
+	DefaultUsageTimeout = 2 * time.Second
+	DefaultMoveTimeout  = time.Minute
 	// DefaultClockError bounds how far two hosts' clocks differ.
 	DefaultClockError = time.Second
 )
@@ -42,7 +30,7 @@
 // ControllerOptions configures a Controller. Gate and Appender are required.
 type ControllerOptions struct {
 	Gate     *Gate
-	Appender Appender
+	Appender intent.Appender
 	// Proposals returns what the spare policy proposes for the zone now. Nil
 	// proposes nothing.
 	Proposals func(p Published, now time.Time) []Move
@@ -51,23 +39,22 @@
 	Usage Usage
 	// Suspects returns the members of the zone that do not answer
 	// heartbeats. Nil suspects nobody.
-	Suspects      func() []string
-	Interval      time.Duration
-	AppendTimeout time.Duration
-	MoveTimeout   time.Duration
-	Handover      time.Duration
-	Hold          time.Duration
-	ClockError    time.Duration
-	Metrics       tally.Scope
-	Logger        zerolog.Logger
+	Suspects func() []string
+	// Failed returns the hosts of the zone that have failed, by the
+	// platform's list or their own reports. Nil marks no host.
+	Failed       func() map[string]bool
+	Interval     time.Duration
+	UsageTimeout time.Duration
+	MoveTimeout  time.Duration
+	ClockError   time.Duration
+	Metrics      tally.Scope
+	Logger       zerolog.Logger
 }
 
 func (o ControllerOptions) withDefaults() ControllerOptions {
 	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.AppendTimeout, DefaultAppendTimeout)
+	setDefault(&o.UsageTimeout, DefaultUsageTimeout)
 	setDefault(&o.MoveTimeout, DefaultMoveTimeout)
-	setDefault(&o.Handover, DefaultHandover)
-	setDefault(&o.Hold, DefaultHold)
 	setDefault(&o.ClockError, DefaultClockError)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
@@ -78,6 +65,9 @@
 	if o.Suspects == nil {
 		o.Suspects = func() []string { return nil }
 	}
+	if o.Failed == nil {
+		o.Failed = func() map[string]bool { return nil }
+	}
 	return o
 }
 
@@ -98,30 +88,26 @@
 	mu  sync.Mutex
 	pub Published
 
-	// pending and idle are used by Step alone.
-	pending map[string]*pending
-	idle    idleWatch
-}
-
-// pending is an intent that this daemon carries out. It keeps its record, so
-// that a retry after a lost answer repeats the same record ID.
-type pending struct {
-	record    record.Record
-	built     bool
-	firstSeen time.Time
-	notBefore time.Time
-	appended  bool
+	// outbox and idle are used by Step alone.
+	outbox *intent.Outbox
+	idle   idleWatch
 }
 
 // NewController returns a controller that has seen no state yet.
 func NewController(opts ControllerOptions) *Controller {
 	opts = opts.withDefaults()
+	scope := opts.Metrics.SubScope("pool")
 	return &Controller{
 		opts:    opts,
-		metrics: newControllerMetrics(opts.Metrics),
+		metrics: newControllerMetrics(scope),
 		wake:    make(chan struct{}, 1),
-		pending: map[string]*pending{},
 		idle:    idleWatch{since: map[string]time.Time{}},
+		outbox: intent.NewOutbox(intent.Options{
+			Author:   opts.Gate.Self(),
+			Appender: opts.Appender,
+			Metrics:  scope,
+			Logger:   opts.Logger,
+		}),
 	}
 }
 
@@ -155,8 +141,7 @@
 	}
 }
 
-// Step carries out what is due at now. It must not be called concurrently. It
-// stops at the first append that fails: the log is then likely to be down.
+// Step carries out what is due at now. It must not be called concurrently.
 func (c *Controller) Step(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	p := c.pub
@@ -165,14 +150,9 @@
 	if p.Pools == nil || !member {
 		return
 	}
-	intents := Plan(p, now, c.inputs(ctx, p, now))
-	c.forget(intents)
 	c.metrics.observe(p, c.opts.Gate.Zone())
-	for _, intent := range intents {
-		if !c.carryOut(ctx, intent, rank, now) {
-			return
-		}
-	}
+	intents := Plan(p, now, c.inputs(ctx, p, now))
+	c.outbox.Send(ctx, intents, rank, now)
 }
 
 func (c *Controller) inputs(ctx context.Context, p Published, now time.Time) Inputs {
@@ -181,75 +161,8 @@
 		Zone:        c.opts.Gate.Zone(),
 		Drained:     c.drained(ctx, p.Pools, now),
 		Suspects:    c.opts.Suspects(),
+		Failed:      c.opts.Failed(),
 		Moves:       c.opts.Proposals(p, now),
 		MoveTimeout: c.opts.MoveTimeout,
 	}
 }
-
-// forget drops what is no longer intended.
-func (c *Controller) forget(intents []Intent) {
-	wanted := make(map[string]bool, len(intents))
-	for _, intent := range intents {
-		wanted[intent.Key] = true
-	}
-	for key := range c.pending {
-		if !wanted[key] {
-			delete(c.pending, key)
-		}
-	}
-}
-
-// carryOut appends the intent's record when it is due. It reports false when
-// an append failed.
-func (c *Controller) carryOut(ctx context.Context, intent Intent, rank int, now time.Time) bool {
-	p := c.pendingFor(intent, rank, now)
-	if now.Before(p.notBefore) {
-		return true
-	}
-	if p.appended {
-		// The record was folded and turned down, or it is lost to this
-		// daemon's view: it is time for another one.
-		p.built, p.appended = false, false
-	}
-	if !p.built && !c.build(p, intent, now) {
-		return true
-	}
-	return c.append(ctx, p, now)
-}
-
-func (c *Controller) pendingFor(intent Intent, rank int, now time.Time) *pending {
-	p, ok := c.pending[intent.Key]
-	if ok {
-		return p
-	}
-	p = &pending{firstSeen: now, notBefore: now}
-	if intent.Shared {
-		p.notBefore = now.Add(time.Duration(rank) * c.opts.Handover)
-	}
-	c.pending[intent.Key] = p
-	return p
-}
-
-func (c *Controller) build(p *pending, intent Intent, now time.Time) bool {
-	r, err := record.New(intent.Kind, c.opts.Gate.Self(), now, intent.Cause, intent.Body)
-	if err != nil {
-		c.opts.Logger.Error().Err(err).Str("kind", string(intent.Kind)).Msg("cannot build record")
-		return false
-	}
-	p.record, p.built = r, true
-	return true
-}
-
-func (c *Controller) append(ctx context.Context, p *pending, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.AppendTimeout)
-	defer cancel()
-	if err := c.opts.Appender.Append(ctx, p.record); err != nil {
-		c.metrics.appendErrors.Inc(1)
-		p.notBefore = now.Add(c.opts.Interval)
-		return false
-	}
-	c.metrics.appended(p.record.Kind)
-	p.appended = true
-	p.notBefore = now.Add(c.opts.Hold)
-	return true
-}
--- a/internal/pool/fold.go
+++ b/internal/pool/fold.go
@@ -178,7 +178,7 @@
 	s.Hosts[d.Host] = h
 }
 
-func (s *State) applyHealth(r record.Record, v View) record.Outcome {
+func (s *State) applyHealth(offset uint64, r record.Record, v View) record.Outcome {
 	var body Health
 	if err := record.Decode(r.Body, &body); err != nil {
 		return record.Reject(err.Error())
@@ -194,14 +194,15 @@
 	if h.Failed == body.Failed {
 		return record.Reject(fmt.Sprintf("host is already marked failed=%t", h.Failed), subjects...)
 	}
-	s.SetFailed(body.Host, body.Failed)
+	s.SetFailed(offset, body.Host, body.Failed)
 	return record.Accept(subjects...)
 }
 
-// SetFailed marks a known host as failed or healthy.
-func (s *State) SetFailed(host string, failed bool) {
+// SetFailed marks a known host as failed or healthy at offset.
+func (s *State) SetFailed(offset uint64, host string, failed bool) {
 	if h, ok := s.Hosts[host]; ok {
 		h.Failed = failed
 		s.Hosts[host] = h
+		s.Epoch = offset
 	}
 }
--- a/internal/pool/idle.go
+++ b/internal/pool/idle.go
@@ -42,7 +42,7 @@
 	if c.opts.Usage == nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.opts.AppendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.UsageTimeout)
 	defer cancel()
 	u, err := c.opts.Usage.Usage(ctx, host)
 	if err != nil {
--- a/internal/pool/metrics.go
+++ b/internal/pool/metrics.go
@@ -1,38 +1,24 @@
 package pool
 
-import (
-	"github.com/uber-go/tally/v4"
-
-	"greengagedeck/internal/record"
-)
+import "github.com/uber-go/tally/v4"
 
 // controllerMetrics counts what a controller does.
 type controllerMetrics struct {
-	scope        tally.Scope
-	appendErrors tally.Counter
-	usageErrors  tally.Counter
-	draining     tally.Gauge
-	out          tally.Gauge
-	failed       tally.Gauge
+	usageErrors tally.Counter
+	draining    tally.Gauge
+	out         tally.Gauge
+	failed      tally.Gauge
 }
 
 func newControllerMetrics(scope tally.Scope) controllerMetrics {
-	scope = scope.SubScope("pool")
 	return controllerMetrics{
-		scope:        scope,
-		appendErrors: scope.Counter("append_errors"),
-		usageErrors:  scope.Counter("usage_errors"),
-		draining:     scope.Gauge("hosts_draining"),
-		out:          scope.Gauge("hosts_out"),
-		failed:       scope.Gauge("hosts_failed"),
+		usageErrors: scope.Counter("usage_errors"),
+		draining:    scope.Gauge("hosts_draining"),
+		out:         scope.Gauge("hosts_out"),
+		failed:      scope.Gauge("hosts_failed"),
 	}
 }
 
-// appended counts an appended record by its kind.
-func (m controllerMetrics) appended(kind record.Kind) {
-	m.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("records_appended").Inc(1)
-}
-
 // observe publishes how many hosts of the zone are in each phase.
 func (m controllerMetrics) observe(p Published, zone string) {
 	var draining, out, failed float64
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/intent"
 	"greengagedeck/internal/record"
 )
 
@@ -18,17 +19,6 @@
 	Members []string
 }
 
-// Intent is a record that the daemon should append.
-type Intent struct {
-	// Key names what is intended, the same in every plan that intends it.
-	Key string
-	// Shared intents are every member's; one member's record is enough.
-	Shared bool
-	Kind   record.Kind
-	Cause  record.Cause
-	Body   any
-}
-
 // Inputs is what a plan looks at besides the published state.
 type Inputs struct {
 	Self string
@@ -38,6 +28,9 @@
 	// Suspects holds the members of the zone that do not answer. No move is
 	// started while it would wait for one of them.
 	Suspects []string
+	// Failed holds the hosts of the zone that have failed; nil when nobody
+	// knows.
+	Failed map[string]bool
 	// Moves holds what the spare policy proposes.
 	Moves []Move
 	// MoveTimeout is how long a move of the spare policy may wait for
@@ -54,20 +47,21 @@
 // Plan returns what this daemon should append now: acknowledgements first,
 // since others wait for them, then drains that the catalogue or the spare
 // policy wants, then drains to give up. It changes nothing in p.
-func Plan(p Published, now time.Time, in Inputs) []Intent {
+func Plan(p Published, now time.Time, in Inputs) []intent.Intent {
 	intents := planAcks(p.Pools, in)
+	intents = append(intents, planHealth(p, in)...)
 	intents = append(intents, planDrains(p, in)...)
 	return append(intents, planCancels(p, now, in)...)
 }
 
-func planAcks(s *State, in Inputs) []Intent {
-	var intents []Intent
+func planAcks(s *State, in Inputs) []intent.Intent {
+	var intents []intent.Intent
 	for _, id := range slices.Sorted(maps.Keys(s.Drains)) {
 		d := s.Drains[id]
 		if !d.waitsFor(in.Self) || !in.Drained[id] {
 			continue
 		}
-		intents = append(intents, Intent{
+		intents = append(intents, intent.Intent{
 			Key:   fmt.Sprintf("ack/%s/%d", id, d.Round),
 			Kind:  KindAck,
 			Cause: d.Cause,
@@ -77,7 +71,41 @@
 	return intents
 }
 
-func planDrains(p Published, in Inputs) []Intent {
+// planHealth marks hosts that have failed or recovered. A host that is out is
+// expected to vanish for a while: whoever maintains it judges its health.
+func planHealth(p Published, in Inputs) []intent.Intent {
+	if in.Failed == nil {
+		return nil
+	}
+	var intents []intent.Intent
+	for _, name := range slices.Sorted(maps.Keys(p.Pools.Hosts)) {
+		h := p.Pools.Hosts[name]
+		if h.Zone != in.Zone || h.Phase == PhaseOut || h.Failed == in.Failed[name] {
+			continue
+		}
+		intents = append(intents, healthIntent(p.Catalogue, name, h, in.Failed[name]))
+	}
+	return intents
+}
+
+func healthIntent(c *catalogue.State, name string, h Host, failed bool) intent.Intent {
+	reason := "the host answers again"
+	if failed {
+		reason = "the platform or the host itself reports that it failed"
+	}
+	pool := c.Pools[h.Pool]
+	return intent.Intent{
+		Key:    fmt.Sprintf("health/%s/%t", name, failed),
+		Shared: true,
+		Kind:   KindHealth,
+		Cause: record.Cause{
+			Object: "pool/" + h.Pool, Owner: pool.Value.Owner, Version: pool.Version, Reason: reason,
+		},
+		Body: Health{Host: name, Failed: failed},
+	}
+}
+
+func planDrains(p Published, in Inputs) []intent.Intent {
 	if len(in.Suspects) > 0 {
 		return nil
 	}
@@ -86,14 +114,14 @@
 		return nil
 	}
 	scratch := p.Pools.Clone()
-	var intents []Intent
+	var intents []intent.Intent
 	propose := func(b StartDrain, cause record.Cause) {
 		if scratch.Hosts[b.Host].Zone != in.Zone || scratch.CheckDrain(p.Catalogue, b) != "" {
 			return
 		}
-		intent := drainIntent(b, cause)
-		scratch.Begin(Drain{ID: intent.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
-		intents = append(intents, intent)
+		wanted := drainIntent(b, cause)
+		scratch.Begin(Drain{ID: wanted.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
+		intents = append(intents, wanted)
 	}
 	for _, w := range wants {
 		propose(w.StartDrain, wantCause(p.Catalogue, w))
@@ -104,8 +132,8 @@
 	return intents
 }
 
-func drainIntent(b StartDrain, cause record.Cause) Intent {
-	return Intent{
+func drainIntent(b StartDrain, cause record.Cause) intent.Intent {
+	return intent.Intent{
 		Key:    fmt.Sprintf("drain/%s/%s/%s", b.Host, b.Purpose, b.To),
 		Shared: true,
 		Kind:   KindDrain,
@@ -127,8 +155,8 @@
 // planCancels gives up moves that nobody can finish: their pool is gone, or
 // they have waited too long. The host serves its old pool meanwhile. A drain
 // for maintenance is given up by the maintenance slice.
-func planCancels(p Published, now time.Time, in Inputs) []Intent {
-	var intents []Intent
+func planCancels(p Published, now time.Time, in Inputs) []intent.Intent {
+	var intents []intent.Intent
 	for _, id := range slices.Sorted(maps.Keys(p.Pools.Drains)) {
 		d := p.Pools.Drains[id]
 		if d.Zone != in.Zone || d.Purpose != PurposeMove {
@@ -140,7 +168,7 @@
 		}
 		cause := d.Cause
 		cause.Reason = reason
-		intents = append(intents, Intent{
+		intents = append(intents, intent.Intent{
 			Key:    "cancel/" + id,
 			Shared: true,
 			Kind:   KindCancel,
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -116,7 +116,7 @@
 	case KindReturn:
 		return s.applyReturn(offset, r, v)
 	case KindHealth:
-		return s.applyHealth(r, v)
+		return s.applyHealth(offset, r, v)
 	default:
 		return record.Reject("unknown kind " + string(r.Kind))
 	}
