--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -55,7 +55,7 @@
 	if !wanted && h.Failed {
 		return "host " + b.Host + " has failed"
 	}
-	src, dst := s.Usage(b.From), s.Usage(b.To)
+	src, dst := s.Spent(b.From), s.Spent(b.To)
 	if left := src.Owned - src.Leaving - 1; left < from.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, from.MinHosts)
 	}
@@ -73,7 +73,7 @@
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Usage(b.From)
+	u := s.Spent(b.From)
 	if left := u.Owned - u.Leaving - 1; left < p.Value.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, p.Value.MinHosts)
 	}
@@ -91,7 +91,10 @@
 	if !Selects(w.Value, h) {
 		return fmt.Sprintf("wave %s does not select host %s", b.Wave, b.Host)
 	}
-	u := s.Usage(b.From)
+	if n := s.inWave(b.Wave); n >= w.Value.MaxParallel {
+		return fmt.Sprintf("wave %s has %d hosts out of at most %d", b.Wave, n, w.Value.MaxParallel)
+	}
+	u := s.Spent(b.From)
 	for rack := range u.MaintainedRacks {
 		if rack != h.rackKey() {
 			return fmt.Sprintf("pool %s already has hosts of another rack in maintenance", b.From)
@@ -100,6 +103,18 @@
 	return ""
 }
 
+// inWave counts the hosts that a wave has out. Those that failed are counted
+// by their pool's budget instead, or a wave could never pass them.
+func (s *State) inWave(wave string) int {
+	n := 0
+	for _, d := range s.Drains {
+		if d.Wave == wave && !s.Hosts[d.Host].Failed {
+			n++
+		}
+	}
+	return n
+}
+
 // Selects reports whether a wave covers a host.
 func Selects(w catalogue.Wave, h Host) bool {
 	return (w.Pool == "" || w.Pool == h.Pool) && (w.Zone == "" || w.Zone == h.Zone)
@@ -116,7 +131,7 @@
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Usage(b.From)
+	u := s.Spent(b.From)
 	limit := p.Value.MaxUnavailable
 	if u.Unavailable+1 > limit {
 		return fmt.Sprintf("pool %s has %d hosts unavailable of at most %d", b.From, u.Unavailable, limit)
@@ -131,22 +146,23 @@
 	return ""
 }
 
-// Usage is how much of a pool's budgets is spent.
-type Usage struct {
+// Spent is how much of a pool's budgets is spent.
+type Spent struct {
 	// Owned counts the pool's hosts; Leaving those of them that are being
 	// moved away or retired; Arriving the hosts that are being moved in.
 	Owned, Leaving, Arriving int
 	// Unavailable counts the pool's hosts that drain, are out or have failed.
 	Unavailable int
 	// MaintainedRacks holds the racks with hosts drained for maintenance.
+	// A host that failed there is an outage like any other.
 	MaintainedRacks map[string]bool
 	// available counts usable hosts by rack.
 	available map[string]int
 }
 
-// Usage counts what is spent of a pool's budgets.
-func (s *State) Usage(pool string) Usage {
-	u := Usage{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
+// Spent counts what is spent of a pool's budgets.
+func (s *State) Spent(pool string) Spent {
+	u := Spent{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
 	for _, h := range s.Hosts {
 		if h.Pool == pool {
 			u.add(h)
@@ -158,7 +174,7 @@
 	return u
 }
 
-func (u *Usage) add(h Host) {
+func (u *Spent) add(h Host) {
 	u.Owned++
 	if h.Usable() {
 		u.available[h.rackKey()]++
@@ -167,13 +183,15 @@
 	u.Unavailable++
 }
 
-func (u *Usage) addDrain(pool string, d Drain, h Host) {
+func (u *Spent) addDrain(pool string, d Drain, h Host) {
 	switch {
 	case d.Purpose == PurposeMove && d.To == pool:
 		u.Arriving++
 	case d.From != pool:
 	case d.Purpose == PurposeMaintenance:
-		u.MaintainedRacks[h.rackKey()] = true
+		if !h.Failed {
+			u.MaintainedRacks[h.rackKey()] = true
+		}
 	case d.Purpose == PurposeMove || d.Purpose == PurposeRetire:
 		u.Leaving++
 	}
@@ -181,7 +199,7 @@
 
 // largestRackWithout returns how many usable hosts the pool would lose with its
 // largest rack, once a host of the given rack has been taken.
-func (u Usage) largestRackWithout(taken string) int {
+func (u Spent) largestRackWithout(taken string) int {
 	largest := 0
 	for rack, n := range u.available {
 		if rack == taken {
