Prove verdicts, match answers, budget retries and eject failing hosts

Cause: a failed try has to say what it proves, answers must reach only their own caller, and retries or a failing host must not take a pool down.

Ruled out: the library's HostClient (hides whether a byte left, reuses on its own terms); ejection on a host's own failures (ejects a whole pool when what it depends on fails); ejection by latency (healthy hosts differ too, since they run work of very different lengths).

Change: verdict table over raw TCP targets that count executions, liveness peek and fresh connections for work that must not be repeated, answers matched by attempt, retry budget, ejector with digests, fuzzing of target answers. The verdict package gains the reason malformed-answer.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -40,10 +40,15 @@
 	Connections int
 }
 
-// Observer is told how each try went. err is nil for a success; a complete
-// answer with a status of 500 or more is a *StatusError. Tries that the caller
-// cancelled are not reported.
-type Observer func(host, pool string, err error, took time.Duration)
+// Health follows how tries at hosts go. *Ejector implements it.
+type Health interface {
+	// Started notes that a try at host begins.
+	Started(host string, now time.Time)
+	// Observe notes how a try went. err is nil for a success; a complete
+	// answer with a status of 500 or more is a *StatusError. Tries that say
+	// nothing about the host, as cancelled ones, are not observed.
+	Observe(host, pool string, err error, took time.Duration, now time.Time)
+}
 
 // Options configures a Client. Zero values take the package's defaults.
 type Options struct {
@@ -58,8 +63,8 @@
 	FreshAfter time.Duration
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
-	// Observe is told of every try, or nil.
-	Observe Observer
+	// Health is told of every try, or nil.
+	Health Health
 	// Metrics receives the counters of this package, or nil.
 	Metrics tally.Scope
 }
@@ -109,8 +114,12 @@
 // start the request.
 func (c *Client) Do(ctx context.Context, t Target, r *request.Request) (*request.Response, error) {
 	start := time.Now()
+	if c.opts.Health != nil {
+		c.opts.Health.Started(t.Host, start)
+	}
 	resp, err := c.try(ctx, t, r)
-	c.report(t, r, resp, err, time.Since(start))
+	c.metrics.count(err)
+	c.observe(t, r, resp, err, start)
 	if err != nil {
 		return nil, err
 	}
@@ -120,20 +129,32 @@
 	return resp, nil
 }
 
-func (c *Client) report(t Target, r *request.Request, resp *request.Response, err *verdict.Error, took time.Duration) {
-	c.metrics.count(err)
-	if c.opts.Observe == nil {
+func (c *Client) observe(t Target, r *request.Request, resp *request.Response, err *verdict.Error, start time.Time) {
+	if c.opts.Health == nil {
 		return
 	}
+	outcome, ok := hostOutcome(resp, err)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	c.opts.Health.Observe(t.Host, r.Pool, outcome, now.Sub(start), now)
+}
+
+// hostOutcome returns what a try says about its host, if it says anything.
+func hostOutcome(resp *request.Response, err *verdict.Error) (outcome error, ok bool) {
 	switch {
 	case err == nil && resp.Status >= fasthttp.StatusInternalServerError:
-		c.opts.Observe(t.Host, r.Pool, &StatusError{Status: resp.Status}, took)
+		return &StatusError{Status: resp.Status}, true
 	case err == nil:
-		c.opts.Observe(t.Host, r.Pool, nil, took)
+		return nil, true
 	case err.Reason == verdict.ReasonCancelled, err.Reason == verdict.ReasonBadRequest:
-		// These say nothing about the host.
+		return nil, false
+	case err.Reason == verdict.ReasonDeadline:
+		// The deadline passed before the request left.
+		return nil, false
 	default:
-		c.opts.Observe(t.Host, r.Pool, err, took)
+		return err, true
 	}
 }
 
@@ -143,20 +164,16 @@
 	if err := checkRequest(r); err != nil {
 		return nil, err
 	}
-	if !r.Deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
-		defer cancel()
-	}
-	if err := contextError(ctx, verdict.NotRun); err != nil {
+	deadline := earliestDeadline(ctx, r)
+	if err := ended(ctx, deadline); err != nil {
 		return nil, err
 	}
 	p := c.pool(t)
-	cn, err := p.acquire(ctx, r.Idempotent)
+	cn, err := p.acquire(ctx, deadline, r.Idempotent)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := exchange(ctx, cn, r, ulid.Make().String(), c.opts.MaxAnswerBytes)
+	resp, err := exchange(ctx, cn, deadline, r, ulid.Make().String(), c.opts.MaxAnswerBytes)
 	p.release(cn)
 	return resp, err
 }
@@ -215,6 +232,26 @@
 	}
 }
 
+// earliestDeadline returns the deadline of r or of ctx, or zero for none.
+func earliestDeadline(ctx context.Context, r *request.Request) time.Time {
+	d, ok := ctx.Deadline()
+	if !ok || !r.Deadline.IsZero() && r.Deadline.Before(d) {
+		return r.Deadline
+	}
+	return d
+}
+
+// ended refuses a request whose caller no longer waits for it.
+func ended(ctx context.Context, deadline time.Time) *verdict.Error {
+	if err := contextError(ctx, verdict.NotRun); err != nil {
+		return err
+	}
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		return verdict.Refuse(verdict.ReasonDeadline, "deadline passed")
+	}
+	return nil
+}
+
 // contextError returns a failure when ctx is done, else nil.
 func contextError(ctx context.Context, v verdict.Verdict) *verdict.Error {
 	err := ctx.Err()
--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -15,9 +15,10 @@
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	raw syscall.RawConn
-	br  *bufio.Reader
-	bw  *bufio.Writer
+	address string
+	raw     syscall.RawConn
+	br      *bufio.Reader
+	bw      *bufio.Writer
 	// sent counts the bytes of the current request that the kernel took.
 	// While it is 0, nothing has left for the target.
 	sent int64
@@ -29,8 +30,8 @@
 	idleSince time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	cn := &conn{Conn: c}
+func newConn(c net.Conn, address string) *conn {
+	cn := &conn{Conn: c, address: address}
 	if sc, ok := c.(syscall.Conn); ok {
 		cn.raw, _ = sc.SyscallConn()
 	}
@@ -50,21 +51,23 @@
 // sent anything on it. Bytes on an idle connection answer no request of ours,
 // so such a connection is not used again.
 func (c *conn) quiet() bool {
-	if c.br.Buffered() > 0 || c.raw == nil {
+	if c.raw == nil {
 		return false
 	}
 	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not heed the deadline of the last exchange.
+	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
 
 // dial opens a connection. No byte of a request can have left when it fails.
-func (c *Client) dial(ctx context.Context, address string) (*conn, *verdict.Error) {
+func (c *Client) dial(ctx context.Context, deadline time.Time, address string) (*conn, *verdict.Error) {
+	ctx, cancel := withDeadline(ctx, deadline)
+	defer cancel()
 	nc, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		if cerr := contextError(ctx, verdict.NotRun); cerr != nil {
@@ -73,5 +76,5 @@
 		return nil, verdict.Refuse(verdict.ReasonConnect, "%v", err)
 	}
 	c.metrics.dialed.Inc(1)
-	return newConn(nc), nil
+	return newConn(nc, address), nil
 }
--- /dev/null
+++ b/internal/attempt/ejector_test.go
@@ -0,0 +1,182 @@
+package attempt_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"greengagedeck/internal/attempt"
+)
+
+var (
+	errFailed = errors.New("failed")
+	epoch     = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// fleet drives an ejector over the hosts w-0, w-1, ... of one pool.
+type fleet struct {
+	*attempt.Ejector
+	now     time.Time
+	hosts   int
+	changes []attempt.Change
+}
+
+func newFleet(hosts int) *fleet {
+	f := &fleet{now: epoch, hosts: hosts}
+	f.Ejector = attempt.NewEjector(attempt.EjectorOptions{
+		OnChange: func(c attempt.Change) { f.changes = append(f.changes, c) },
+	})
+	return f
+}
+
+func hostName(i int) string { return fmt.Sprintf("w-%d", i) }
+
+// try gives host i a request unless it is ejected and reports whether it did.
+func (f *fleet) try(i int, fails bool) bool {
+	if f.Ejected(hostName(i), f.now) {
+		return false
+	}
+	f.Started(hostName(i), f.now)
+	var err error
+	if fails {
+		err = errFailed
+	}
+	f.Observe(hostName(i), "labada", err, time.Millisecond, f.now)
+	return true
+}
+
+// rounds tries every host once a round, 100 ms apart.
+func (f *fleet) rounds(n int, fails func(host int) bool) {
+	for range n {
+		for i := range f.hosts {
+			f.try(i, fails(i))
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+}
+
+func (f *fleet) out() int {
+	n := 0
+	for _, h := range f.Snapshot(f.now) {
+		if h.State != attempt.HealthServing {
+			n++
+		}
+	}
+	return n
+}
+
+func TestHostThatFailsAllItStartsIsEjected(t *testing.T) {
+	for _, hosts := range []int{2, 3, 8} {
+		g := NewWithT(t)
+		f := newFleet(hosts)
+		f.rounds(10, func(host int) bool { return host == 1 })
+		g.Expect(f.Ejected("w-1", f.now)).To(BeTrue())
+		g.Expect(f.out()).To(Equal(1))
+		g.Expect(f.changes).To(HaveLen(1))
+		c := f.changes[0]
+		g.Expect(c.Host).To(Equal("w-1"))
+		g.Expect(c.To).To(Equal(attempt.HealthEjected))
+		g.Expect(c.Failures).To(Equal(c.Tries))
+		g.Expect(c.OtherTries).To(BeNumerically(">=", 5))
+		g.Expect(c.OtherFailures).To(BeZero())
+	}
+}
+
+func TestWholePoolFailingEjectsNoHost(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9)
+	f.rounds(100, func(int) bool { return true })
+	g.Expect(f.out()).To(BeZero())
+}
+
+func TestOnlyHostOfAPoolIsNotEjected(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	f.rounds(100, func(int) bool { return true })
+	g.Expect(f.out()).To(BeZero())
+}
+
+func TestNoMoreThanAThirdIsEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 12).Draw(t, "hosts")
+		bad := rapid.SliceOfN(rapid.Float64Range(0, 1), hosts, hosts).Draw(t, "failure ratios")
+		f := newFleet(hosts)
+		for range rapid.IntRange(1, 60).Draw(t, "rounds") {
+			f.rounds(1, func(i int) bool { return rapid.Float64Range(0, 1).Draw(t, "draw") < bad[i] })
+			if limit := max(1, hosts/3); f.out() > limit {
+				t.Fatalf("%d of %d hosts out", f.out(), hosts)
+			}
+		}
+	})
+}
+
+func TestEjectedHostIsProbedByOneRequestWithDoublingBackoff(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	f.rounds(10, func(host int) bool { return host == 0 })
+	for _, backoff := range []time.Duration{5, 10, 20, 40} {
+		ejected := f.changes[len(f.changes)-1]
+		g.Expect(ejected.Until.Sub(ejected.At)).To(Equal(backoff * time.Second))
+		f.now = ejected.Until.Add(-time.Nanosecond)
+		g.Expect(f.Ejected("w-0", f.now)).To(BeTrue())
+		f.now = ejected.Until
+		g.Expect(f.Ejected("w-0", f.now)).To(BeFalse())
+		f.Started("w-0", f.now)
+		g.Expect(f.Ejected("w-0", f.now)).To(BeTrue(), "a probe is in progress")
+		f.Observe("w-0", "labada", errFailed, time.Second, f.now)
+	}
+}
+
+func TestHostIsBackAfterProbesInARow(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	f.rounds(10, func(host int) bool { return host == 0 })
+	f.now = f.changes[0].Until
+	for range 3 {
+		g.Expect(f.out()).To(Equal(1))
+		g.Expect(f.try(0, false)).To(BeTrue())
+	}
+	g.Expect(f.out()).To(BeZero())
+	g.Expect(f.changes[len(f.changes)-1].To).To(Equal(attempt.HealthServing))
+}
+
+func TestLostProbeIsFollowedByAnother(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	f.rounds(10, func(host int) bool { return host == 0 })
+	f.now = f.changes[0].Until
+	f.Started("w-0", f.now)
+	f.now = f.now.Add(9 * time.Second)
+	g.Expect(f.Ejected("w-0", f.now)).To(BeTrue())
+	f.now = f.now.Add(time.Second)
+	g.Expect(f.Ejected("w-0", f.now)).To(BeFalse())
+}
+
+func TestDigestsOfOtherDaemonsCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newFleet(3), newFleet(3)
+	// Neither daemon alone has tried any host often enough.
+	b.rounds(3, func(host int) bool { return host == 2 })
+	digest, err := b.Digest(b.now)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 5 {
+		g.Expect(a.Merge("b", digest, b.now)).To(Succeed())
+	}
+	a.now = b.now
+	a.rounds(1, func(host int) bool { return host == 2 })
+	g.Expect(a.out()).To(BeZero(), "4 tries are too few")
+	a.rounds(1, func(host int) bool { return host == 2 })
+	g.Expect(a.Ejected("w-2", a.now)).To(BeTrue())
+}
+
+func TestForgedDigestIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	g.Expect(f.Merge("b", []byte{0xff}, f.now)).NotTo(Succeed())
+	// {"w": {1: "labada", 2: {1: 1, 2: 2}}}: more failures than tries.
+	g.Expect(f.Merge("b", []byte("\xa1\x61w\xa2\x01\x66labada\x02\xa2\x01\x01\x02\x02"), f.now)).NotTo(Succeed())
+}
--- a/internal/attempt/exchange.go
+++ b/internal/attempt/exchange.go
@@ -16,15 +16,21 @@
 // maxInterimAnswers bounds the 1xx answers before the final one.
 const maxInterimAnswers = 8
 
+// maxDetailBytes bounds the part of a malformed answer that an error quotes.
+const maxDetailBytes = 200
+
 // aLongTimeAgo is a deadline that fails all reading and writing at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
 // exchange sends r over cn and reads the whole answer. It leaves cn.reusable
 // set only when nothing of this exchange can reach the next one. The end of
-// ctx interrupts both writing and reading.
-func exchange(ctx context.Context, cn *conn, r *request.Request, attempt string, maxBytes int) (*request.Response, *verdict.Error) {
+// ctx and the deadline interrupt both writing and reading.
+func exchange(ctx context.Context, cn *conn, deadline time.Time, r *request.Request, attempt string, maxBytes int) (*request.Response, *verdict.Error) {
 	cn.reusable = false
 	cn.sent = 0
+	if err := cn.SetDeadline(deadline); err != nil {
+		return nil, verdict.Refuse(verdict.ReasonConnectionLost, "%v", err)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(aLongTimeAgo) })
 	resp, err := sendAndReceive(ctx, cn, r, attempt, maxBytes)
 	// Once the function above has started it may still touch the
@@ -37,7 +43,6 @@
 
 func sendAndReceive(ctx context.Context, cn *conn, r *request.Request, attempt string, maxBytes int) (*request.Response, *verdict.Error) {
 	if err := contextError(ctx, verdict.NotRun); err != nil {
-		cn.reusable = true
 		return nil, err
 	}
 	if err := send(cn, r, attempt); err != nil {
@@ -59,7 +64,7 @@
 func send(cn *conn, r *request.Request, attempt string) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	writeRequest(req, r, attempt, cn.RemoteAddr().String())
+	writeRequest(req, r, attempt, cn.address)
 	cn.bw.Reset(cn)
 	if err := req.Write(cn.bw); err != nil {
 		return err
@@ -74,8 +79,20 @@
 // errInterim marks an answer that never becomes final.
 var errInterim = errors.New("no final answer")
 
-// receive reads one whole answer.
+// receive reads one whole answer. An answer that began and then ends early
+// fails with io.ErrUnexpectedEOF, one that never began with io.EOF.
 func receive(cn *conn, resp *fasthttp.Response, head bool, maxBytes int) error {
+	if _, err := cn.br.Peek(1); err != nil {
+		return err
+	}
+	err := receiveWhole(cn, resp, head, maxBytes)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func receiveWhole(cn *conn, resp *fasthttp.Response, head bool, maxBytes int) error {
 	resp.SkipBody = head
 	resp.Header.SetNoDefaultContentType(true)
 	if err := receiveHeader(cn, resp); err != nil {
@@ -149,7 +166,11 @@
 	if cerr := contextError(ctx, v); cerr != nil {
 		return cerr
 	}
-	return &verdict.Error{Verdict: v, Reason: ioReason(err, v), Detail: err.Error()}
+	detail := err.Error()
+	if len(detail) > maxDetailBytes {
+		detail = detail[:maxDetailBytes]
+	}
+	return &verdict.Error{Verdict: v, Reason: ioReason(err, v), Detail: detail}
 }
 
 func ioReason(err error, v verdict.Verdict) verdict.Reason {
--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -43,40 +43,41 @@
 	return m
 }()
 
-// forwardable returns the fields that may go on to the next hop.
-func forwardable(fields []request.Field) []request.Field {
-	named := connectionTokens(fields)
-	out := make([]request.Field, 0, len(fields))
-	for _, f := range fields {
-		key := textproto.CanonicalMIMEHeaderKey(f.Name)
-		if !dropped[key] && !slices.Contains(named, key) {
-			out = append(out, f)
-		}
-	}
-	return out
+// forwardable reports whether a field goes on to the next hop. named are the
+// fields that the Connection fields name.
+func forwardable(name string, named []string) bool {
+	key := textproto.CanonicalMIMEHeaderKey(name)
+	return !dropped[key] && !slices.Contains(named, key)
 }
 
 // connectionTokens returns the fields that Connection fields name.
 func connectionTokens(fields []request.Field) []string {
 	var named []string
 	for _, f := range fields {
-		if !strings.EqualFold(f.Name, "Connection") {
-			continue
-		}
-		for token := range strings.SplitSeq(f.Value, ",") {
-			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+		if strings.EqualFold(f.Name, "Connection") {
+			named = appendTokens(named, f.Value)
 		}
 	}
 	return named
 }
 
+func appendTokens(named []string, value string) []string {
+	for token := range strings.SplitSeq(value, ",") {
+		named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+	}
+	return named
+}
+
 // writeRequest fills req with r for one try.
 func writeRequest(req *fasthttp.Request, r *request.Request, attempt, address string) {
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.Path)
-	for _, f := range forwardable(r.Header) {
-		req.Header.Add(f.Name, f.Value)
+	named := connectionTokens(r.Header)
+	for _, f := range r.Header {
+		if forwardable(f.Name, named) {
+			req.Header.Add(f.Name, f.Value)
+		}
 	}
 	if len(req.Header.Host()) == 0 {
 		req.Header.SetHost(address)
@@ -89,13 +90,20 @@
 
 // readResponse copies a whole answer out of resp.
 func readResponse(resp *fasthttp.Response) *request.Response {
+	var named []string
+	for _, value := range resp.Header.PeekAll("Connection") {
+		named = appendTokens(named, string(value))
+	}
 	fields := make([]request.Field, 0, resp.Header.Len())
 	for name, value := range resp.Header.All() {
-		fields = append(fields, request.Field{Name: string(name), Value: string(value)})
+		// The library has put names into their canonical form.
+		if !dropped[string(name)] && !slices.Contains(named, string(name)) {
+			fields = append(fields, request.Field{Name: string(name), Value: string(value)})
+		}
 	}
 	return &request.Response{
 		Status: resp.StatusCode(),
-		Header: forwardable(fields),
+		Header: fields,
 		Body:   resp.SwapBody(nil),
 	}
 }
--- a/internal/attempt/metrics.go
+++ b/internal/attempt/metrics.go
@@ -15,7 +15,7 @@
 	reused     tally.Counter
 	stale      tally.Counter
 	abandoned  tally.Counter
-	unmatched  tally.Counter
+	malformed  tally.Counter
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -31,11 +31,14 @@
 		reused:     s.Counter("connections_reused"),
 		stale:      s.Counter("connections_stale"),
 		abandoned:  s.Counter("connections_abandoned"),
-		unmatched:  s.Counter("answers_unmatched"),
+		malformed:  s.Counter("answers_malformed"),
 	}
 }
 
 func (m *metrics) count(err *verdict.Error) {
+	if err != nil && err.Reason == verdict.ReasonMalformed {
+		m.malformed.Inc(1)
+	}
 	switch {
 	case err == nil:
 		m.ran.Inc(1)
--- a/internal/attempt/pool.go
+++ b/internal/attempt/pool.go
@@ -38,8 +38,8 @@
 
 // acquire returns a connection for one exchange, waiting while the limit is
 // reached. Any failure is NotRun.
-func (p *connPool) acquire(ctx context.Context, idempotent bool) (*conn, *verdict.Error) {
-	cn, err := p.permit(ctx)
+func (p *connPool) acquire(ctx context.Context, deadline time.Time, idempotent bool) (*conn, *verdict.Error) {
+	cn, err := p.permit(ctx, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +51,7 @@
 		p.client.metrics.stale.Inc(1)
 		cn.Close()
 	}
-	cn, err = p.client.dial(ctx, p.address)
+	cn, err = p.client.dial(ctx, deadline, p.address)
 	if err != nil {
 		p.handOn(nil)
 	}
@@ -75,7 +75,7 @@
 
 // permit returns the right to hold one connection, with an idle connection or
 // with nil.
-func (p *connPool) permit(ctx context.Context) (*conn, *verdict.Error) {
+func (p *connPool) permit(ctx context.Context, deadline time.Time) (*conn, *verdict.Error) {
 	p.mu.Lock()
 	if n := len(p.idle); n > 0 {
 		cn := p.idle[n-1]
@@ -91,6 +91,8 @@
 	w := make(chan *conn, 1)
 	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
+	ctx, cancel := withDeadline(ctx, deadline)
+	defer cancel()
 	select {
 	case cn := <-w:
 		return cn, nil
@@ -100,6 +102,13 @@
 	}
 }
 
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 // leave withdraws a waiter and passes on the permit it may have been given.
 func (p *connPool) leave(w chan *conn) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/attempt/target_test.go
@@ -0,0 +1,166 @@
+package attempt_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// script plays a target on one accepted connection.
+type script func(s *session)
+
+// rawTarget accepts connections and plays a script on each. It counts what it
+// executes, so that a test can hold a verdict against it.
+type rawTarget struct {
+	addr     string
+	executed atomic.Int64
+	accepted atomic.Int64
+	open     atomic.Int64
+	mostOpen atomic.Int64
+	// executions receives one value for each execution, while it has room.
+	executions chan struct{}
+	// done is closed when the test ends.
+	done chan struct{}
+
+	mu     sync.Mutex
+	script script
+}
+
+// session is one accepted connection of a rawTarget.
+type session struct {
+	*net.TCPConn
+	target *rawTarget
+	number int64
+	br     *bufio.Reader
+}
+
+func newRawTarget(tb testing.TB, sc script) *rawTarget {
+	tb.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	rt := &rawTarget{
+		addr:       ln.Addr().String(),
+		script:     sc,
+		executions: make(chan struct{}, 1),
+		done:       make(chan struct{}),
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { rt.accept(ln, &wg) })
+	tb.Cleanup(func() {
+		ln.Close()
+		close(rt.done)
+		wg.Wait()
+	})
+	return rt
+}
+
+func (rt *rawTarget) accept(ln net.Listener, wg *sync.WaitGroup) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s := &session{TCPConn: c.(*net.TCPConn), target: rt, number: rt.accepted.Add(1), br: bufio.NewReader(c)}
+		rt.count(rt.open.Add(1))
+		wg.Go(func() {
+			rt.current()(s)
+			rt.open.Add(-1)
+			s.Close()
+		})
+	}
+}
+
+func (rt *rawTarget) count(open int64) {
+	for {
+		most := rt.mostOpen.Load()
+		if open <= most || rt.mostOpen.CompareAndSwap(most, open) {
+			return
+		}
+	}
+}
+
+func (rt *rawTarget) current() script {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.script
+}
+
+// play changes the script of connections that are accepted from now on.
+func (rt *rawTarget) play(sc script) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.script = sc
+}
+
+// read returns the next whole request, or nil when there is none.
+func (s *session) read() *fasthttp.Request {
+	var req fasthttp.Request
+	if err := req.Read(s.br); err != nil {
+		return nil
+	}
+	return &req
+}
+
+func (s *session) execute() {
+	s.target.executed.Add(1)
+	select {
+	case s.target.executions <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) send(text string) { _, _ = s.Write([]byte(text)) }
+
+// reset closes the connection with a RST.
+func (s *session) reset() {
+	_ = s.SetLinger(0)
+	s.Close()
+}
+
+// waitClosed returns once the client has closed the connection.
+func (s *session) waitClosed() { _, _ = s.br.ReadByte() }
+
+// answer is a whole answer that repeats the request's ID and attempt.
+func answer(req *fasthttp.Request) string {
+	body := "answer to " + string(req.Header.Peek("Request-Id"))
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s",
+		req.Header.Peek("Request-Attempt"), len(body), body)
+}
+
+// honest executes and answers every request.
+func honest(s *session) {
+	for req := s.read(); req != nil; req = s.read() {
+		s.execute()
+		s.send(answer(req))
+	}
+}
+
+// once reads one request, executes it and sends text, then waits for the
+// client to close.
+func once(text string) script {
+	return func(s *session) {
+		if req := s.read(); req != nil {
+			s.execute()
+			s.send(strings.ReplaceAll(text, "{attempt}", string(req.Header.Peek("Request-Attempt"))))
+			s.waitClosed()
+		}
+	}
+}
+
+// cut is once, but closes after text.
+func cut(text string) script {
+	return func(s *session) {
+		if s.read() != nil {
+			s.execute()
+			s.send(text)
+		}
+	}
+}
