--- a/internal/membership/history.go
+++ b/internal/membership/history.go
@@ -15,7 +15,7 @@
 	Zone string `cbor:"2,keyasint"`
 }
 
-// Change is one change of the membership.
+// Change is one change of the active members.
 type Change struct {
 	Epoch   uint64 `cbor:"1,keyasint"`
 	Added   []Ref  `cbor:"2,keyasint,omitempty"`
@@ -50,7 +50,7 @@
 	return epochs, from >= s.Forgotten
 }
 
-// MembersAt returns the members at an epoch, in the order of their IDs. ok is
+// MembersAt returns the active members at an epoch, in the order of their IDs. ok is
 // false when the epoch is forgotten or has not come yet.
 func (s *State) MembersAt(epoch uint64) (members []Ref, ok bool) {
 	if epoch < s.Forgotten || epoch > s.Epoch {
@@ -58,7 +58,9 @@
 	}
 	set := make(map[string]string, len(s.Members))
 	for id, m := range s.Members {
-		set[id] = m.Zone
+		if _, suspended := s.Suspended[id]; !suspended {
+			set[id] = m.Zone
+		}
 	}
 	for _, c := range slices.Backward(s.Changes) {
 		if c.Epoch <= epoch {
--- a/internal/membership/joiner.go
+++ b/internal/membership/joiner.go
@@ -19,6 +19,9 @@
 	// logCurrentWithin is how lately the log's tail must have been read by a
 	// daemon that removes others.
 	logCurrentWithin = 5 * time.Second
+	// settleAfter is how long a daemon listens after its start before it
+	// takes others for unheard.
+	settleAfter = 10 * time.Second
 	// joinInterval is the time between looks at what is left to do.
 	joinInterval = time.Second
 	// appendTimeout bounds one wait for a record to be decided. The record
@@ -49,14 +52,16 @@
 	Scope   tally.Scope
 }
 
-// Joiner keeps this daemon a member and removes the dead.
+// Joiner keeps this daemon a member, removes the dead and suspends those that
+// are not heard.
 type Joiner struct {
 	opt JoinerOptions
 	// pending holds records whose outcome is not known, by member ID, so
 	// that they are repeated under their IDs.
 	pending map[string]record.Record
+	started time.Time
 
-	joins, removals, failures tally.Counter
+	joins, removals, suspensions, failures tally.Counter
 }
 
 // NewJoiner returns a joiner that does nothing until Run.
@@ -67,15 +72,17 @@
 	}
 	s := opt.Scope.SubScope("membership")
 	return &Joiner{
-		opt:      opt,
-		pending:  map[string]record.Record{},
-		joins:    s.Counter("joins"),
-		removals: s.Counter("removals"),
-		failures: s.Counter("append_failures"),
+		opt:         opt,
+		pending:     map[string]record.Record{},
+		started:     time.Now(),
+		joins:       s.Counter("joins"),
+		removals:    s.Counter("removals"),
+		suspensions: s.Counter("suspensions"),
+		failures:    s.Counter("append_failures"),
 	}
 }
 
-// Run joins and then removes dead members, until ctx ends. It joins again when
+// Run joins and then looks after the other members, until ctx ends. It joins again when
 // others took this daemon for dead, but not after another incarnation took its
 // host or address.
 func (j *Joiner) Run(ctx context.Context) error {
@@ -94,7 +101,7 @@
 func (j *Joiner) step(ctx context.Context) {
 	s := j.opt.State()
 	if _, ok := s.Members[j.opt.Self.ID]; ok {
-		j.reap(ctx, s)
+		j.settle(ctx, s)
 		return
 	}
 	if Replaced(s, j.opt.Self) {
@@ -117,8 +124,9 @@
 	return false
 }
 
-func (j *Joiner) reap(ctx context.Context, s *State) {
-	dead := reap(reapInput{
+// settle removes the dead, suspends the unheard and resumes this daemon.
+func (j *Joiner) settle(ctx context.Context, s *State) {
+	in := reapInput{
 		Self:       j.opt.Self,
 		State:      s,
 		Live:       j.opt.Detector.Live,
@@ -126,16 +134,33 @@
 		ListLag:    j.opt.ListLag,
 		Paused:     j.opt.Detector.Paused(),
 		LogCurrent: time.Since(j.opt.LogConfirmed()) < logCurrentWithin,
-	})
-	for _, m := range dead {
-		gone, _ := j.opt.List.DroppedFor(m.Host)
-		reason := fmt.Sprintf("host %s dropped from the platform's list %s ago, above its lag of %s, and not heard",
-			m.Host, gone.Round(time.Second), j.opt.ListLag)
-		if j.append(ctx, KindRemove, m.ID, record.Cause{Reason: reason}, Remove{ID: m.ID}) {
-			j.removals.Inc(1)
-			j.opt.Logger.Info().Str("member", m.ID).Str("host", m.Host).Msg("dead member removed")
+	}
+	for _, m := range reap(in) {
+		j.remove(ctx, m)
+	}
+	if time.Since(j.started) < settleAfter {
+		return
+	}
+	for _, m := range suspend(in) {
+		cause := record.Cause{Reason: "not heard by its zone, or its zone by any other"}
+		if j.append(ctx, KindSuspend, m.ID, cause, Suspend{ID: m.ID}) {
+			j.suspensions.Inc(1)
+			j.opt.Logger.Info().Str("member", m.ID).Str("host", m.Host).Msg("unheard member suspended")
 		}
 	}
+	if resumes(in) {
+		j.append(ctx, KindResume, j.opt.Self.ID, record.Cause{Reason: "hears the others again"}, Resume{ID: j.opt.Self.ID})
+	}
+}
+
+func (j *Joiner) remove(ctx context.Context, m Member) {
+	gone, _ := j.opt.List.DroppedFor(m.Host)
+	reason := fmt.Sprintf("host %s dropped from the platform's list %s ago, above its lag of %s, and not heard",
+		m.Host, gone.Round(time.Second), j.opt.ListLag)
+	if j.append(ctx, KindRemove, m.ID, record.Cause{Reason: reason}, Remove{ID: m.ID}) {
+		j.removals.Inc(1)
+		j.opt.Logger.Info().Str("member", m.ID).Str("host", m.Host).Msg("dead member removed")
+	}
 }
 
 // Leave removes this daemon from the membership. It is called once its work is
--- a/internal/membership/reaper.go
+++ b/internal/membership/reaper.go
@@ -39,6 +39,50 @@
 	return out
 }
 
+// suspend returns the members that this daemon should take out of the active
+// ones: those that nobody hears, while this daemon hears more than half of the
+// active members and enough are left for pairs across two zones. It falls to
+// the same daemon as a removal.
+func suspend(in reapInput) []Member {
+	if in.Paused || !in.LogCurrent {
+		return nil
+	}
+	var out []Member
+	zones := map[string]bool{}
+	heard, active := 0, 0
+	for _, m := range in.State.sorted() {
+		if _, suspended := in.State.Suspended[m.ID]; suspended {
+			continue
+		}
+		active++
+		if in.Live(m.ID) {
+			heard++
+			zones[m.Zone] = true
+		} else if in.removes(m.Zone) {
+			out = append(out, m)
+		}
+	}
+	if 2*heard <= active || len(zones) < 2 {
+		return nil
+	}
+	return out
+}
+
+// resumes reports whether this daemon is suspended and should come back: it
+// reads the log and hears more than half of the members.
+func resumes(in reapInput) bool {
+	if _, suspended := in.State.Suspended[in.Self.ID]; !suspended || in.Paused || !in.LogCurrent {
+		return false
+	}
+	heard := 0
+	for id := range in.State.Members {
+		if in.Live(id) {
+			heard++
+		}
+	}
+	return 2*heard > len(in.State.Members)
+}
+
 // removes reports whether it falls to this daemon to remove the dead members
 // of a zone.
 func (in reapInput) removes(zone string) bool {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -23,22 +23,27 @@
 
 // State is the folded membership.
 type State struct {
-	// Epoch is the offset of the last change of Members.
+	// Epoch is the offset of the last change of the active members: those
+	// that are not suspended.
 	Epoch   uint64            `cbor:"1,keyasint"`
 	Members map[string]Member `cbor:"2,keyasint"`
-	// Changes are the last changes of Members, oldest first.
+	// Changes are the last changes of the active members, oldest first.
 	Changes []Change `cbor:"3,keyasint"`
 	// Forgotten is the epoch of the newest change that Changes no longer
 	// holds, 0 while it holds all.
 	Forgotten uint64 `cbor:"4,keyasint"`
+	// Suspended holds the members that others have not heard for a while,
+	// with the offset since which they are.
+	Suspended map[string]uint64 `cbor:"5,keyasint"`
 }
 
 // NewState returns a membership without members.
-func NewState() State { return State{Members: map[string]Member{}} }
+func NewState() State { return State{Members: map[string]Member{}, Suspended: map[string]uint64{}} }
 
 // Clone returns a copy that shares no maps with s.
 func (s State) Clone() State {
 	s.Members = maps.Clone(s.Members)
+	s.Suspended = maps.Clone(s.Suspended)
 	s.Changes = s.Changes[:len(s.Changes):len(s.Changes)]
 	return s
 }
@@ -47,6 +52,10 @@
 const (
 	KindJoin   record.Kind = "membership.join"
 	KindRemove record.Kind = "membership.remove"
+	// KindSuspend and KindResume take a member out of the active ones and
+	// back. Unlike a removal it is no claim that the member is dead.
+	KindSuspend record.Kind = "membership.suspend"
+	KindResume  record.Kind = "membership.resume"
 )
 
 // Join is the body of a KindJoin record. It admits the member and removes any
@@ -60,6 +69,16 @@
 	ID string `cbor:"1,keyasint"`
 }
 
+// Suspend is the body of a KindSuspend record, Resume of a KindResume record.
+type Suspend struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// Resume is the body of a KindResume record.
+type Resume struct {
+	ID string `cbor:"1,keyasint"`
+}
+
 // Apply folds one record at offset.
 func (s *State) Apply(offset uint64, r record.Record) record.Outcome {
 	switch r.Kind {
@@ -67,6 +86,10 @@
 		return s.join(offset, r)
 	case KindRemove:
 		return s.remove(offset, r)
+	case KindSuspend:
+		return s.suspend(offset, r)
+	case KindResume:
+		return s.resume(offset, r)
 	default:
 		return record.Reject("unknown kind " + string(r.Kind))
 	}
@@ -84,8 +107,7 @@
 	change := Change{Epoch: offset, Added: []Ref{{ID: m.ID, Zone: m.Zone}}}
 	for _, old := range s.sorted() {
 		if old.ID == m.ID || old.Host == m.Host || old.PeerAddress == m.PeerAddress {
-			delete(s.Members, old.ID)
-			change.Removed = append(change.Removed, Ref{ID: old.ID, Zone: old.Zone})
+			change.Removed = append(change.Removed, s.drop(old.ID)...)
 		}
 	}
 	m.Joined = offset
@@ -94,20 +116,57 @@
 	return record.Accept("daemon/" + m.ID)
 }
 
+// drop deletes a member and returns it if it was active.
+func (s *State) drop(id string) []Ref {
+	m := s.Members[id]
+	delete(s.Members, id)
+	if _, ok := s.Suspended[id]; ok {
+		delete(s.Suspended, id)
+		return nil
+	}
+	return []Ref{{ID: id, Zone: m.Zone}}
+}
+
 func (s *State) remove(offset uint64, r record.Record) record.Outcome {
 	var rm Remove
 	if err := record.Decode(r.Body, &rm); err != nil {
 		return record.Reject(err.Error())
 	}
-	m, ok := s.Members[rm.ID]
-	if !ok {
+	if _, ok := s.Members[rm.ID]; !ok {
 		return record.Reject("no such member", "daemon/"+rm.ID)
 	}
-	delete(s.Members, rm.ID)
-	s.record(Change{Epoch: offset, Removed: []Ref{{ID: m.ID, Zone: m.Zone}}})
+	s.record(Change{Epoch: offset, Removed: s.drop(rm.ID)})
 	return record.Accept("daemon/" + rm.ID)
 }
 
+func (s *State) suspend(offset uint64, r record.Record) record.Outcome {
+	var b Suspend
+	if err := record.Decode(r.Body, &b); err != nil {
+		return record.Reject(err.Error())
+	}
+	m, ok := s.Members[b.ID]
+	if _, suspended := s.Suspended[b.ID]; !ok || suspended {
+		return record.Reject("no such active member", "daemon/"+b.ID)
+	}
+	s.Suspended[b.ID] = offset
+	s.record(Change{Epoch: offset, Removed: []Ref{{ID: m.ID, Zone: m.Zone}}})
+	return record.Accept("daemon/" + b.ID)
+}
+
+func (s *State) resume(offset uint64, r record.Record) record.Outcome {
+	var b Resume
+	if err := record.Decode(r.Body, &b); err != nil {
+		return record.Reject(err.Error())
+	}
+	if _, ok := s.Suspended[b.ID]; !ok {
+		return record.Reject("no such suspended member", "daemon/"+b.ID)
+	}
+	m := s.Members[b.ID]
+	delete(s.Suspended, b.ID)
+	s.record(Change{Epoch: offset, Added: []Ref{{ID: m.ID, Zone: m.Zone}}})
+	return record.Accept("daemon/" + b.ID)
+}
+
 // InZone returns the IDs of the members of a zone, in order.
 func (s *State) InZone(zone string) []string {
 	var ids []string
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -248,13 +248,15 @@
 	return rendezvous.New(live, xxhash.Sum64String).Lookup(v.opt.Self.ID)
 }
 
-// EpochConfirmed returns the latest moment at which every other member was in
+// EpochConfirmed returns the latest moment at which every other active member was in
 // the current epoch, but for members that all lie in one zone. It returns the
 // zero time when there is no such moment.
 func (v *View) EpochConfirmed(now time.Time) time.Time {
 	oldest := map[string]time.Time{}
 	for zone, ids := range v.zoneIDs {
-		oldest[zone] = v.zoneConfirmed(ids, now)
+		if active := v.active(ids); len(active) > 0 {
+			oldest[zone] = v.zoneConfirmed(active, now)
+		}
 	}
 	// The zone heard longest ago is the one that may be missing.
 	times := slices.SortedFunc(maps.Values(oldest), time.Time.Compare)
@@ -264,6 +266,16 @@
 	return times[1]
 }
 
+func (v *View) active(ids []string) []string {
+	var out []string
+	for _, id := range ids {
+		if _, suspended := v.state.Suspended[id]; !suspended {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (v *View) zoneConfirmed(ids []string, now time.Time) time.Time {
 	oldest := now
 	for _, id := range ids {
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -165,3 +165,28 @@
 		})
 	}
 }
+
+func TestUnheardMembersAreSuspendedByAMajorityOnly(t *testing.T) {
+	s := stateOf(member("1", "a"), member("2", "a"), member("3", "b"), member("4", "b"), member("5", "c"))
+	in := func(self string, live ...string) reapInput {
+		heard := map[string]bool{self: true}
+		for _, id := range live {
+			heard[id] = true
+		}
+		return reapInput{Self: s.Members[self], State: s, LogCurrent: true, Live: func(id string) bool { return heard[id] }}
+	}
+	g := NewWithT(t)
+	g.Expect(suspend(in("1", "2", "3", "4"))).To(HaveLen(1), "zone c unheard")
+	g.Expect(suspend(in("3", "1", "2", "4"))).To(BeEmpty(), "left to the lowest")
+	g.Expect(suspend(in("1", "2"))).To(BeEmpty(), "a minority")
+	g.Expect(suspend(in("1", "3", "5"))).To(HaveLen(1), "only the mate; b's daemon sees to the rest")
+	stale := in("1", "2", "3", "4")
+	stale.LogCurrent = false
+	g.Expect(suspend(stale)).To(BeEmpty())
+	fold(s, 6, KindSuspend, Suspend{ID: "5"})
+	members, _ := s.MembersAt(6)
+	g.Expect(members).To(HaveLen(4))
+	g.Expect(s.Members).To(HaveLen(5), "still a member")
+	g.Expect(resumes(in("5", "1"))).To(BeFalse())
+	g.Expect(resumes(in("5", "1", "3"))).To(BeTrue())
+}
