Wire claims, moves, waves, ejection and the retry budget

Cause: the slices stood beside the daemon. Ruled out: each part observing the state by itself, since the order between claims, gate and heartbeats is what makes their promises true; it is now written in one place. Change: one function shows a published state to the parts; ejections become notes in the control stream.

--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -16,8 +16,11 @@
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/attempt"
+	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dedupe"
 	"greengagedeck/internal/dispatch"
 	"greengagedeck/internal/gateway"
+	"greengagedeck/internal/maintenance"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/pool"
@@ -81,6 +84,11 @@
 	Snapshots  *replica.Snapshotter
 	Gate       *pool.Gate
 	Attempts   *attempt.Client
+	Ejector    *attempt.Ejector
+	Notebook   *decision.Notebook
+	Claims     *dedupe.Service
+	Moves      *pool.Controller
+	Waves      *maintenance.Controller
 	Dispatcher *dispatch.Dispatcher
 	Callers    *gateway.Callers
 	Admin      *gateway.Admin
@@ -100,6 +108,7 @@
 func (d *daemon) run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
+	d.Replica.Observe(d.published)
 	servers, err := d.listen()
 	if err != nil {
 		return err
@@ -117,6 +126,18 @@
 	return d.stop(servers, stopJoining)
 }
 
+// published shows a new state to the parts, in an order that is safe: claims
+// come before the detector, because a heartbeat that names an epoch is a
+// promise to grant in no lower one; the gate comes before the controllers,
+// because an acknowledgement promises that no request starts any more.
+func (d *daemon) published(s *replica.State) {
+	d.Claims.SetState(&s.Members)
+	mates := s.Members.InZone(d.Self.Zone)
+	d.Moves.Update(pool.Published{Pools: &s.Pools, Catalogue: &s.Catalogue, Members: mates})
+	d.Waves.Update(maintenance.Published{Waves: &s.Waves, Pools: &s.Pools, Catalogue: &s.Catalogue, Members: mates})
+	d.Detector.SetState(&s.Members, s.Offset)
+}
+
 // servers are the daemon's HTTP listeners.
 type servers struct{ callers, admin *fasthttp.Server }
 
@@ -171,6 +192,10 @@
 	go func() { _ = d.Detector.Run(ctx) }()
 	go func() { _ = d.List.Run(ctx) }()
 	go func() { _ = d.Snapshots.Run(ctx) }()
+	go func() { _ = d.Notebook.Run(ctx) }()
+	go func() { _ = d.Claims.Run(ctx) }()
+	go func() { _ = d.Moves.Run(ctx) }()
+	go func() { _ = d.Waves.Run(ctx) }()
 	go func() { _ = d.Dispatcher.Run(ctx) }()
 	go d.Attempts.Run(ctx)
 }
--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+
+	"github.com/rs/zerolog"
 
 	"greengagedeck/internal/attempt"
 	"greengagedeck/internal/catalogue"
@@ -10,6 +13,7 @@
 	"greengagedeck/internal/gateway"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/pool"
+	"greengagedeck/internal/record"
 	"greengagedeck/internal/replica"
 	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
@@ -124,6 +128,15 @@
 	return d.client.Do(ctx, at, r)
 }
 
+// noteEjection records why a host takes no requests, or takes them again.
+func noteEjection(n *decision.Notebook, f *inForce, l zerolog.Logger, c attempt.Change) {
+	p, _ := f.Pool(c.Pool)
+	reason := fmt.Sprintf("%s, was %s: %d of its %d tries failed, %d of %d on the pool's other hosts", c.To, c.From, c.Failures, c.Tries, c.OtherFailures, c.OtherTries)
+	cause := record.Cause{Object: "pool/" + c.Pool, Owner: p.Owner, Reason: reason}
+	n.Write(c.At, cause, "host/"+c.Host, "pool/"+c.Pool)
+	l.Warn().Str("target", c.Host).Str("pool", c.Pool).Str("reason", reason).Msg("target health changed")
+}
+
 // recorder traces finished requests.
 type recorder struct {
 	self   membership.Member
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,8 +14,10 @@
 
 	"greengagedeck/internal/attempt"
 	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dedupe"
 	"greengagedeck/internal/dispatch"
 	"greengagedeck/internal/gateway"
+	"greengagedeck/internal/maintenance"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/platform"
@@ -50,7 +53,12 @@
 		newJoiner,
 		newSnapshotter,
 		newGate,
+		newNotebook,
+		newEjector,
 		newAttempts,
+		newClaims,
+		newPoolController,
+		newMaintenanceController,
 		newDispatcher,
 		decision.NewTraces,
 		newRecorder,
@@ -140,7 +148,6 @@
 		Scope:          m.scope,
 	})
 	d.Register(n)
-	r.Observe(func(s *replica.State) { d.SetState(&s.Members, s.Offset) })
 	a.detector = d
 	return d
 }
@@ -172,35 +179,92 @@
 	return &replica.Snapshotter{Replica: r, Log: log, Leader: d, MaxAge: s.SnapshotAge, Logger: l, Scope: m.scope}
 }
 
-func newGate(self membership.Member, r *replica.Replica) *pool.Gate {
-	g := pool.NewGate(self.ID, self.Zone)
-	r.Observe(func(s *replica.State) {
-		_, member := s.Members.Members[self.ID]
-		g.Update(&s.Pools, member)
+func newGate(self membership.Member) *pool.Gate { return pool.NewGate(self.ID, self.Zone) }
+
+func newNotebook(self membership.Member, a *replica.Appender, l zerolog.Logger, m metrics) *decision.Notebook {
+	return decision.NewNotebook(self.ID, a, l, m.scope)
+}
+
+func newEjector(n *decision.Notebook, f *inForce, l zerolog.Logger, m metrics) *attempt.Ejector {
+	return attempt.NewEjector(attempt.EjectorOptions{
+		OnChange: func(c attempt.Change) { noteEjection(n, f, l, c) },
+		Metrics:  m.scope,
+	})
+}
+
+func newAttempts(self membership.Member, e *attempt.Ejector, m metrics) *attempt.Client {
+	return attempt.New(attempt.Options{Daemon: self.ID, Health: e, Metrics: m.scope})
+}
+
+func newClaims(self membership.Member, n *peer.Node, d *membership.Detector, fo *replica.Follower, src *replica.PeerSource, l zerolog.Logger, m metrics) *dedupe.Service {
+	s := dedupe.NewService(dedupe.ServiceOptions{
+		Options:      dedupe.Options{Self: self.ID},
+		Caller:       n,
+		Members:      d,
+		LogConfirmed: fo.LogConfirmed,
+		CatchUp:      src.Fetch,
+		Logger:       l,
+		Scope:        m.scope,
 	})
-	return g
+	s.Register(n)
+	return s
 }
 
-func newAttempts(self membership.Member, m metrics) *attempt.Client {
-	return attempt.New(attempt.Options{Daemon: self.ID, Metrics: m.scope})
+// submitter lets controllers append without waiting for the fold.
+type submitter struct{ *replica.Appender }
+
+// Append implements intent.Appender.
+func (s submitter) Append(ctx context.Context, r record.Record) error { return s.Submit(ctx, r) }
+
+// suspects returns the members of this daemon's zone that do not answer
+// heartbeats.
+func suspects(self membership.Member, r *replica.Replica, d *membership.Detector) func() []string {
+	return func() []string {
+		return slices.DeleteFunc(r.State().Members.InZone(self.Zone), d.Live)
+	}
+}
+
+func newPoolController(self membership.Member, g *pool.Gate, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *pool.Controller {
+	return pool.NewController(pool.ControllerOptions{
+		Gate:     g,
+		Appender: submitter{a},
+		Usage:    t,
+		Suspects: suspects(self, r, d),
+		Metrics:  m.scope,
+		Logger:   l,
+	})
+}
+
+func newMaintenanceController(self membership.Member, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *maintenance.Controller {
+	return maintenance.NewController(maintenance.ControllerOptions{
+		Self:     self.ID,
+		Zone:     self.Zone,
+		Appender: submitter{a},
+		Tasks:    t,
+		Suspects: suspects(self, r, d),
+		Metrics:  m.scope,
+		Logger:   l,
+	})
 }
 
-func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
+func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, e *attempt.Ejector, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Targets: targets{f, g, lr},
 		Gate:    awakeGate{g, d},
 		Doer:    doer{a},
 		Policy:  f,
 		Zone:    d,
+		Health:  e,
+		Budget:  attempt.NewBudget(attempt.BudgetOptions{}),
 		Logger:  l,
 		Scope:   m.scope,
 	})
 }
 
-func newCallers(f *inForce, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
+func newCallers(f *inForce, c *dedupe.Service, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
 	return gateway.NewCallers(gateway.CallerOptions{
 		Entries:  f,
-		Server:   d,
+		Server:   dedupe.NewGuard(c, d),
 		Ready:    st.serving,
 		Closing:  func() bool { return !st.ready() },
 		Recorder: rec,
--- a/internal/replica/appender.go
+++ b/internal/replica/appender.go
@@ -54,10 +54,6 @@
 // answer was lost is repeated under the same ID, which the fold counts once.
 // When ctx ends first the error matches ErrUndecided.
 func (a *Appender) Append(ctx context.Context, rec record.Record) (Applied, error) {
-	data, err := record.Encode(rec)
-	if err != nil {
-		return Applied{}, err
-	}
 	decided, stop := a.replica.await(rec.ID)
 	defer stop()
 	// The record may have been decided before the wait began, by an earlier
@@ -67,7 +63,7 @@
 	}
 	pause := newPause()
 	for {
-		wait := a.tryAppend(ctx, data, pause)
+		wait := a.tryAppend(ctx, rec, pause)
 		select {
 		case got := <-decided:
 			return got, nil
@@ -78,21 +74,33 @@
 	}
 }
 
-// tryAppend appends once and returns how long to wait for the fold before the
-// next try.
-func (a *Appender) tryAppend(ctx context.Context, data []byte, pause backoff.BackOff) time.Duration {
+// Submit appends rec once and does not wait for the fold. After an error the
+// record may or may not have been appended; submitting it again is safe.
+func (a *Appender) Submit(ctx context.Context, rec record.Record) error {
+	data, err := record.Encode(rec)
+	if err != nil {
+		return err
+	}
 	a.appends.Inc(1)
-	_, err := a.log.Append(ctx, platform.StreamControl, data)
+	_, err = a.log.Append(ctx, platform.StreamControl, data)
 	switch {
 	case err == nil:
-		return foldWait
 	case eris.Is(err, platform.ErrUnavailable):
 		a.failed.Inc(1)
-		return pause.NextBackOff()
 	default:
 		a.uncertain.Inc(1)
-		return foldWait
 	}
+	return eris.Wrapf(err, "append %s", rec.Kind)
+}
+
+// tryAppend appends once and returns how long to wait for the fold before the
+// next try.
+func (a *Appender) tryAppend(ctx context.Context, rec record.Record, pause backoff.BackOff) time.Duration {
+	err := a.Submit(ctx, rec)
+	if eris.Is(err, platform.ErrUnavailable) {
+		return pause.NextBackOff()
+	}
+	return foldWait
 }
 
 func (a *Appender) lookup(id ulid.ULID) (Applied, bool) {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -94,6 +94,8 @@
 		return s.Pools.Apply(offset, r, v)
 	case "maintenance":
 		return s.Waves.Apply(offset, r, v)
+	case "decision":
+		return s.Decisions.Apply(r)
 	default:
 		return record.Reject("unknown kind " + string(r.Kind))
 	}
