dispatch: lend slots between the daemons of a zone, hand on between zones

A daemon runs requests on its even part of every host's slots. Without a free slot it hands a new request to a zone-mate that reported one, a mate that becomes free pulls what waits, and a request that would wait clearly longer here than in another zone is handed on once. Every handover is made by the daemon that holds the request, so its verdict is decided in one place.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/peer"
 	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
 )
@@ -18,9 +21,6 @@
 // read again.
 const tickInterval = 50 * time.Millisecond
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 3
-
 // Options holds what a Dispatcher needs.
 type Options struct {
 	Targets Targets
@@ -31,6 +31,10 @@
 	// Health and Budget may be nil: no host is ejected, nothing retried.
 	Health Health
 	Budget Budget
+	// Caller and Mux connect the dispatchers of all daemons. Without them
+	// every request is served by the daemon that got it.
+	Caller peer.Caller
+	Mux    peer.Mux
 	Logger zerolog.Logger
 	// Scope receives the metrics; nil drops them.
 	Scope tally.Scope
@@ -38,23 +42,54 @@
 
 // Dispatcher queues requests and runs them on the hosts of its zone.
 type Dispatcher struct {
-	opts Options
+	opts     Options
+	reports  *reporter
+	inflight *inflight
+	// control bounds the bytes of reports and pulls of all pools.
+	control *rate.Limiter
+
+	quotaMu sync.Mutex
+	quotas  *Quotas
 
-	mu    sync.Mutex
+	mu    sync.RWMutex
 	pools map[string]*poolQueue
 }
 
-// New returns a dispatcher; Run must run beside Serve.
+// The bytes a second that reports and pulls may take, and how many they may
+// save up.
+const (
+	controlRate  = 4000
+	controlBurst = 2000
+)
+
+// New returns a dispatcher; Run must run beside Serve. It registers handlers on
+// Mux, so it must be called before the daemon listens.
 func New(o Options) *Dispatcher {
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	return &Dispatcher{opts: o, pools: map[string]*poolQueue{}}
+	d := &Dispatcher{
+		opts:     o,
+		reports:  newReporter(),
+		inflight: newInflight(),
+		control:  rate.NewLimiter(controlRate, controlBurst),
+		quotas:   NewQuotas(),
+		pools:    map[string]*poolQueue{},
+	}
+	if o.Mux != nil {
+		d.register(o.Mux)
+	}
+	return d
 }
 
-// Run reclassifies running work and follows changes of the hosts until ctx
-// ends.
+// Run reclassifies running work, follows changes of the hosts and daemons, and
+// reports to the zone-mates until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	var reports sync.WaitGroup
+	defer reports.Wait()
+	if d.opts.Caller != nil {
+		reports.Go(func() { d.runReports(ctx) })
+	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -63,30 +98,77 @@
 			return ctx.Err()
 		case now := <-tick.C:
 			for _, p := range d.allPools() {
-				p.tick(now, d.targets(p.name, now))
+				p.tick(now, d.view(p.name, now))
 			}
 		}
 	}
 }
 
-// Serve implements request.Server: it waits for a slot and runs the request.
+// Serve implements request.Server: it waits for a slot here or at another
+// daemon and runs the request.
 func (d *Dispatcher) Serve(ctx context.Context, r *request.Request) (*request.Response, error) {
-	e, ok := d.opts.Policy.Entry(r.Entry)
-	if !ok || e.Disabled {
-		return nil, verdict.Refuse(verdict.ReasonUnknownEntry, "no entry %s in force", r.Entry)
+	e, err := d.check(r)
+	if err != nil {
+		return nil, err
 	}
-	if err := d.runnable(e, r); err != nil {
+	if err := d.admitTeam(e.Owner); err != nil {
+		d.pool(e.Pool).metrics.refused(err.Reason)
+		return nil, err
+	}
+	return d.serve(ctx, e, r, route{mate: d.opts.Caller != nil, zone: d.opts.Caller != nil})
+}
+
+// serveForeign serves a request that another daemon handed over.
+func (d *Dispatcher) serveForeign(ctx context.Context, r *request.Request, otherZone bool) (*request.Response, error) {
+	e, err := d.check(r)
+	if err != nil {
 		return nil, err
 	}
+	d.pool(e.Pool).metrics.foreign.Inc(1)
+	return d.serve(ctx, e, r, route{mate: otherZone && r.Hops < maxHops})
+}
+
+func (d *Dispatcher) serve(ctx context.Context, e catalogue.Entry, r *request.Request, to route) (*request.Response, error) {
+	if !d.inflight.enter() {
+		return nil, verdict.Refuse(verdict.ReasonStopping, "daemon is stopping")
+	}
+	defer d.inflight.leave()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	resp, err := d.run(ctx, e, r)
+	resp, err := d.run(ctx, e, r, to)
 	if err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
+// check refuses what cannot run whatever the load.
+func (d *Dispatcher) check(r *request.Request) (catalogue.Entry, error) {
+	e, ok := d.opts.Policy.Entry(r.Entry)
+	if !ok || e.Disabled {
+		return e, verdict.Refuse(verdict.ReasonUnknownEntry, "no entry %s in force", r.Entry)
+	}
+	if err := d.runnable(e, r); err != nil {
+		return e, err
+	}
+	return e, nil
+}
+
+// admitTeam holds a team to this daemon's part of its quota.
+func (d *Dispatcher) admitTeam(name string) *verdict.Error {
+	t, ok := d.opts.Policy.Team(name)
+	if !ok || t.Rate <= 0 {
+		return nil
+	}
+	daemons := len(d.opts.Zone.Mates())
+	for _, ids := range d.opts.Zone.Others() {
+		daemons += len(ids)
+	}
+	d.quotaMu.Lock()
+	defer d.quotaMu.Unlock()
+	return d.quotas.Admit(time.Now(), name, Share(t.Rate, t.Burst, daemons))
+}
+
 // runnable refuses a request that no host could ever run.
 func (d *Dispatcher) runnable(e catalogue.Entry, r *request.Request) *verdict.Error {
 	if e.Limits.BodyBytes > 0 && len(r.Body) > e.Limits.BodyBytes {
@@ -105,68 +187,30 @@
 	return nil
 }
 
-// run makes attempts until one settles the request.
-func (d *Dispatcher) run(ctx context.Context, e catalogue.Entry, r *request.Request) (*request.Response, error) {
+// run makes attempts here, or hands the request to another daemon, until the
+// request is settled.
+func (d *Dispatcher) run(ctx context.Context, e catalogue.Entry, r *request.Request, to route) (*request.Response, error) {
 	p := d.pool(e.Pool)
-	began := time.Now()
-	avoid := ""
-	for n := 1; ; n++ {
-		start, err := p.acquire(ctx, d.job(e, r, avoid))
-		if err != nil {
-			return nil, err
-		}
-		queued := time.Since(began)
-		resp, err := d.attempt(ctx, p, start, r, n)
+	t := &try{d: d, p: p, entry: e, req: r, route: to, began: time.Now()}
+	for {
+		resp, again, err := t.next(ctx)
 		if err == nil {
-			resp.Attempts = n
-			resp.Queued = queued
 			return resp, nil
 		}
-		if n >= maxAttempts || !d.mayRetry(ctx, e.Pool, r, err) {
+		if !again {
+			t.count(err)
 			return nil, err
 		}
-		avoid = start.Target.Host
-	}
-}
-
-// attempt runs the request on the host it was given. The host's gate is held
-// until the attempt is over, so that the host cannot change hands under it.
-func (d *Dispatcher) attempt(ctx context.Context, p *poolQueue, s Start, r *request.Request, n int) (*request.Response, error) {
-	leave, ok := d.opts.Gate.Enter(s.Target.Host, p.name)
-	if !ok {
-		now := time.Now()
-		p.release(s.Job, false)
-		p.tick(now, d.targets(p.name, now))
-		return nil, verdict.Refuse(verdict.ReasonNoTarget, "host %s left the pool", s.Target.Host)
-	}
-	defer leave()
-	if n == 1 && d.opts.Budget != nil {
-		d.opts.Budget.Request(p.name)
 	}
-	resp, err := d.opts.Doer.Do(ctx, s.Target, r)
-	p.release(s.Job, verdict.Of(err) != verdict.NotRun)
-	return resp, err
 }
 
-// mayRetry reports whether a failed attempt may be followed by another: the
-// request did not run or may run twice, there is time, and the budget allows.
-func (d *Dispatcher) mayRetry(ctx context.Context, pool string, r *request.Request, err error) bool {
-	if ctx.Err() != nil || d.opts.Budget == nil {
-		return false
-	}
-	if verdict.Of(err) != verdict.NotRun && !r.Idempotent {
-		return false
-	}
-	return d.opts.Budget.Retry(pool)
-}
-
-func (d *Dispatcher) job(e catalogue.Entry, r *request.Request, avoid string) *Job {
+func (d *Dispatcher) job(e catalogue.Entry, r *request.Request) *Job {
 	j := &Job{
 		Entry:    e.Name,
 		Team:     e.Owner,
 		Class:    r.Class,
 		Deadline: r.Deadline,
-		Avoid:    avoid,
+		Foreign:  r.Hops > 0,
 		Limits: JobLimits{
 			Slots:    e.Limits.Slots,
 			Queue:    e.Limits.Queue,
@@ -180,10 +224,24 @@
 	return j
 }
 
+// view reads what a pool's queue depends on.
+func (d *Dispatcher) view(pool string, now time.Time) view {
+	cfg, _ := d.opts.Policy.Pool(pool)
+	mates := slices.Sorted(slices.Values(d.opts.Zone.Mates()))
+	v := view{
+		cfg:     SchedulerConfig{LongShare: cfg.LongShare},
+		targets: d.targets(pool, now, mates),
+	}
+	if d.opts.Caller != nil {
+		v.mates = without(mates, d.opts.Zone.Self())
+		v.others = d.opts.Zone.Others()
+	}
+	return v
+}
+
 // targets returns this daemon's part of the slots of each host.
-func (d *Dispatcher) targets(pool string, now time.Time) []Target {
+func (d *Dispatcher) targets(pool string, now time.Time, mates []string) []Target {
 	all := d.opts.Targets.Targets(pool)
-	mates := d.opts.Zone.Mates()
 	out := make([]Target, 0, len(all))
 	for i, t := range all {
 		if d.opts.Health != nil && d.opts.Health.Ejected(t.Host, now) {
@@ -195,22 +253,43 @@
 	return out
 }
 
+func (d *Dispatcher) mates() []string {
+	return without(d.opts.Zone.Mates(), d.opts.Zone.Self())
+}
+
+func (d *Dispatcher) isMate(id string) bool { return slices.Contains(d.opts.Zone.Mates(), id) }
+
+func without(ids []string, self string) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if id != self {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (d *Dispatcher) pool(name string) *poolQueue {
+	d.mu.RLock()
+	p, ok := d.pools[name]
+	d.mu.RUnlock()
+	if ok {
+		return p
+	}
+	v := d.view(name, time.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p, ok := d.pools[name]
-	if !ok {
-		cfg, _ := d.opts.Policy.Pool(name)
-		p = newPoolQueue(name, SchedulerConfig{LongShare: cfg.LongShare})
-		p.sched.SetTargets(d.targets(name, time.Now()))
-		d.pools[name] = p
+	if p, ok := d.pools[name]; ok {
+		return p
 	}
+	p = newPoolQueue(name, v, d.control, newPoolMetrics(d.opts.Scope, name), d.reports.mark)
+	d.pools[name] = p
 	return p
 }
 
 func (d *Dispatcher) allPools() []*poolQueue {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
 	all := make([]*poolQueue, 0, len(d.pools))
 	for _, p := range d.pools {
 		all = append(all, p)
--- a/internal/dispatch/lending.go
+++ b/internal/dispatch/lending.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -10,6 +11,15 @@
 // daemon's state to its zone-mates.
 const DefaultReportInterval = 10 * time.Millisecond
 
+// countInterval is how often a state that has changed in number only is sent.
+const countInterval = 100 * time.Millisecond
+
+// refreshInterval is how often a state that has not changed is sent again.
+const refreshInterval = 5 * time.Second
+
+// pullInterval is the shortest time between two pulls.
+const pullInterval = 500 * time.Microsecond
+
 // The bytes of control messages, framing included.
 const (
 	reportBytes = 40
@@ -58,6 +68,8 @@
 	order    []string
 	sent     State
 	sentAt   time.Time
+	untold   bool // a mate has had no report yet
+	pulledAt time.Time
 	interval time.Duration
 	budget   *rate.Limiter
 }
@@ -72,7 +84,11 @@
 func (l *Lending) SetMates(mates []string) {
 	known := make(map[string]State, len(mates))
 	for _, m := range mates {
-		known[m] = l.known[m]
+		s, ok := l.known[m]
+		if !ok {
+			l.untold = true
+		}
+		known[m] = s
 	}
 	l.known = known
 	l.order = append(l.order[:0], mates...)
@@ -135,14 +151,59 @@
 	return best, long, true
 }
 
-// MayPull reports whether the budget of control bytes has room for a pull.
-func (l *Lending) MayPull(now time.Time) bool { return l.budget.AllowN(now, pullBytes) }
+// Pull is PullFrom within the budget of control bytes, and no more often than
+// an answer to the last pull takes.
+func (l *Lending) Pull(now time.Time, own State) (mate string, long, ok bool) {
+	if now.Sub(l.pulledAt) < pullInterval {
+		return "", false, false
+	}
+	mate, long, ok = l.PullFrom(own)
+	if !ok || !l.budget.AllowN(now, pullBytes) {
+		return "", false, false
+	}
+	l.pulledAt = now
+	return mate, long, true
+}
+
+// Mates returns the live zone-mates.
+func (l *Lending) Mates() []string { return slices.Clone(l.order) }
+
+// Due reports whether the own state is to be sent, or a pull may be made.
+func (l *Lending) Due(now time.Time, own State) bool {
+	if len(l.order) == 0 {
+		return false
+	}
+	return l.stale(now, own) || l.wanted(own)
+}
+
+// stale reports whether the mates should hear of the own state: it has changed
+// in kind, or in number for a while, a mate never heard of it, or a report may
+// have been lost.
+func (l *Lending) stale(now time.Time, own State) bool {
+	if l.untold || own.kind() != l.sent.kind() {
+		return true
+	}
+	age := now.Sub(l.sentAt)
+	return age >= refreshInterval || (own != l.sent && age >= countInterval)
+}
+
+// wanted reports whether a mate has requests waiting that could run here.
+func (l *Lending) wanted(own State) bool {
+	if own.Free == 0 {
+		return false
+	}
+	for _, s := range l.known {
+		if s.Queued > 0 || (s.LongQueued > 0 && own.LongFree > 0) {
+			return true
+		}
+	}
+	return false
+}
 
-// Report returns whether the own state should be sent now: it has changed in
-// kind, and the last report is an interval ago. Otherwise it returns when to
-// ask again, or 0 for the next change.
+// Report returns whether the own state should be sent now. Otherwise it returns
+// when to ask again, or 0 for the next change.
 func (l *Lending) Report(now time.Time, own State) (send bool, again time.Duration) {
-	if own.kind() == l.sent.kind() {
+	if len(l.order) == 0 || !l.stale(now, own) {
 		return false, 0
 	}
 	if wait := l.sentAt.Add(l.interval).Sub(now); wait > 0 {
@@ -153,6 +214,7 @@
 	}
 	l.sent = own
 	l.sentAt = now
+	l.untold = false
 	return true, 0
 }
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -36,17 +36,9 @@
 	Job     *Job
 	Target  Target
 	Refusal *verdict.Error
-}
-
-// Load is how busy a scheduler is.
-type Load struct {
-	// Slots is how many slots there are and Free how many are idle.
-	Slots int `cbor:"1,keyasint,omitempty"`
-	Free  int `cbor:"2,keyasint,omitempty"`
-	// Wait is the expected wait of a new job of short class.
-	Wait time.Duration `cbor:"3,keyasint,omitempty"`
-	// Queued is how many jobs wait.
-	Queued int `cbor:"4,keyasint,omitempty"`
+	// HandTo names the daemon that should have the job instead. The
+	// scheduler never sets it.
+	HandTo string
 }
 
 // Scheduler decides which job of a pool starts next, and where. It does no
@@ -230,48 +222,29 @@
 	}
 }
 
-// Load returns how busy the scheduler is.
-func (s *Scheduler) Load() Load {
-	l := Load{Slots: s.slots, Free: s.free()}
-	for _, q := range s.queues {
-		l.Queued += q.jobs
-	}
-	l.Wait = s.wait(request.ClassShort, s.queues[request.ClassShort].work)
-	return l
-}
-
-// State returns what zone-mates need to know.
-func (s *Scheduler) State() State {
-	st := State{Free: s.free()}
-	if room := s.longSlots() - s.long; room > 0 {
-		st.LongFree = min(room, s.longRoom())
-	}
-	st.LongQueued = s.queues[request.ClassLong].own
-	st.Queued = s.queues[request.ClassShort].own + s.queues[request.ClassUrgent].own
-	return st
-}
+// Long reports whether a job would queue as long.
+func (s *Scheduler) Long(j *Job) bool { return s.effectiveClass(j) == request.ClassLong }
 
-// longRoom is how many long jobs the hosts have room for.
-func (s *Scheduler) longRoom() int {
-	n := 0
+// Fits reports whether any host is large enough for a job.
+func (s *Scheduler) Fits(j *Job) bool {
 	for _, h := range s.hosts {
-		room := min(h.target.Slots-h.used, s.longPart(h.target.Slots)-h.long)
-		n += max(0, room)
+		if h.target.fits(j) {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
-// Long reports whether a job would queue as long.
-func (s *Scheduler) Long(j *Job) bool { return s.effectiveClass(j) == request.ClassLong }
-
-// Wait returns how long a new job would wait for a slot, and the size it is
-// expected to have.
-func (s *Scheduler) Wait(j *Job) (wait, size time.Duration) {
-	c := s.effectiveClass(j)
-	if !s.Full(j) {
-		return 0, s.expectedSize(c, j)
+// Waiting returns the jobs that wait, in the order in which they would start
+// if slots were all that they wait for.
+func (s *Scheduler) Waiting() []*Job {
+	var out []*Job
+	for _, c := range request.Classes {
+		for _, f := range s.queues[c].active {
+			out = append(out, f.jobs.jobs...)
+		}
 	}
-	return s.expectedWait(c, j), s.expectedSize(c, j)
+	return out
 }
 
 // Full reports whether a new job would have to wait.
@@ -432,38 +405,6 @@
 	return max(1, int(math.Floor(s.cfg.LongShare*float64(slots))))
 }
 
-// expectedWait is how long a new job would wait for a slot.
-func (s *Scheduler) expectedWait(c request.Class, j *Job) time.Duration {
-	return s.wait(c, s.queues[c].backlog(j.Team, j.Limits.Weight))
-}
-
-func (s *Scheduler) expectedSize(c request.Class, j *Job) time.Duration {
-	return s.sizes.of(j.Entry).expected(c == request.ClassLong)
-}
-
-// wait is how long the slots of a class take to work off the queues of more
-// pressing classes and the given work of its own.
-func (s *Scheduler) wait(c request.Class, own time.Duration) time.Duration {
-	if s.slots == 0 {
-		return 0
-	}
-	work := own
-	for _, more := range request.Classes {
-		if more == c {
-			break
-		}
-		work += s.queues[more].work
-	}
-	if work == 0 && s.free() > 0 {
-		return 0
-	}
-	slots := s.slots - s.long
-	if c == request.ClassLong {
-		slots = s.longSlots()
-	}
-	return work / time.Duration(max(1, slots))
-}
-
 func retryAfter(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
--- a/standin/bench/lend.go
+++ b/standin/bench/lend.go
@@ -40,7 +40,6 @@
 	away     func(w *work, reply func(outcome)) bool
 	observer *awayDaemon
 	due      bool // a report is scheduled
-	pulling  bool
 }
 
 // lendWaiting is what a job that another daemon pulls stands for.
@@ -152,22 +151,17 @@
 }
 
 func (d *lendDaemon) pull() {
-	if d.pulling {
-		return
-	}
 	own := d.n.sched.State()
-	from, long, ok := d.lending.PullFrom(own)
-	if !ok || !d.lending.MayPull(d.l.z.sim.Now()) {
+	from, long, ok := d.lending.Pull(d.l.z.sim.Now(), own)
+	if !ok {
 		return
 	}
-	d.pulling = true
 	m := d.l.daemon(from)
 	msg := pullMessage{Pool: poolName, Long: long, State: own}
 	d.l.z.send(d.id, m.id, msg, func() {
 		m.lending.Observe(strconv.Itoa(d.id), own)
 		m.surrender(strconv.Itoa(d.id), long)
 	})
-	d.l.z.sim.After(2*zoneHop, func() { d.pulling = false })
 }
 
 // surrender gives the next waiting request to the daemon that asked.
--- a/standin/bench/slots.go
+++ b/standin/bench/slots.go
@@ -42,14 +42,13 @@
 
 // slotsResult is one cell of the slots table.
 type slotsResult struct {
-	p50, p99    time.Duration
-	refused     float64 // share of requests
-	control     float64 // bytes a second of the busiest daemon
-	data        float64
-	handed      float64 // share of requests
-	overrun     float64 // share that met a full target
-	arrived     int
-	utilisation float64
+	p50, p99 time.Duration
+	refused  float64 // share of requests
+	control  float64 // bytes a second of the busiest daemon
+	data     float64
+	handed   float64 // share of requests
+	overrun  float64 // share that met a full target
+	arrived  int
 }
 
 // runSlots runs one way of sharing under one pattern of short work of two
