--- a/standin/bench/death.go
+++ b/standin/bench/death.go
@@ -85,7 +85,7 @@
 func (h *home) detected() {
 	h.orphaned = false
 	h.at = 1
-	h.n = newNode(h.z, policy)
+	h.n = newNode(h.z)
 	h.n.queues = h.z.shape.daemons - 1
 	h.n.sched.SetTargets(h.z.list)
 }
--- a/standin/bench/leases.go
+++ b/standin/bench/leases.go
@@ -64,7 +64,7 @@
 	for d := range z.shape.daemons {
 		n := z.shape.hosts
 		ld := &leaseDaemon{
-			l: l, id: d, n: newNode(z, policy),
+			l: l, id: d, n: newNode(z),
 			held: make([]int, n), busy: make([]int, n),
 			asked: make([]bool, n), recalled: make([]bool, n),
 		}
--- a/standin/bench/lend.go
+++ b/standin/bench/lend.go
@@ -62,7 +62,7 @@
 	for d := range z.shape.daemons {
 		ld := &lendDaemon{
 			l: l, id: d,
-			n:       newNode(z, policy),
+			n:       newNode(z),
 			lending: dispatch.NewLending(rate.NewLimiter(budget, budgetBurst)),
 			waiting: map[*dispatch.Job]lendWaiting{},
 		}
--- a/standin/bench/node.go
+++ b/standin/bench/node.go
@@ -20,8 +20,8 @@
 	down    bool
 }
 
-func newNode(z *zone, cfg dispatch.SchedulerConfig) *node {
-	n := &node{z: z, queues: 1, sched: dispatch.NewScheduler(cfg)}
+func newNode(z *zone) *node {
+	n := &node{z: z, queues: 1, sched: dispatch.NewScheduler(z.policy)}
 	z.sim.Every(tickInterval, z.end, func() {
 		n.sched.Tick(z.sim.Now())
 		n.pump()
--- a/standin/bench/sharing.go
+++ b/standin/bench/sharing.go
@@ -18,7 +18,8 @@
 	make func(*zone) sharing
 }
 
-var policy = dispatch.SchedulerConfig{LongShare: 0.5}
+// longShare is the part of the slots that long work may hold.
+const longShare = 0.5
 
 var (
 	centralMethod = method{"central queue (reference)", newCentral}
@@ -41,7 +42,7 @@
 }
 
 func newCentral(z *zone) sharing {
-	n := newNode(z, policy)
+	n := newNode(z)
 	n.queues = z.shape.daemons
 	n.sched.SetTargets(z.list)
 	return &central{z: z, n: n}
@@ -60,7 +61,7 @@
 func newStatic(z *zone) sharing {
 	s := &static{z: z}
 	for d := range z.shape.daemons {
-		n := newNode(z, policy)
+		n := newNode(z)
 		n.sched.SetTargets(splitTargets(z.list, d, z.shape.daemons))
 		s.nodes = append(s.nodes, n)
 	}
@@ -96,7 +97,7 @@
 }
 
 func newHome(z *zone) sharing {
-	n := newNode(z, policy)
+	n := newNode(z)
 	n.queues = z.shape.daemons
 	n.sched.SetTargets(z.list)
 	return &home{z: z, n: n}
--- a/standin/bench/zone.go
+++ b/standin/bench/zone.go
@@ -60,6 +60,7 @@
 	data    []int64
 	handed  int
 	stats   *stats
+	policy  dispatch.SchedulerConfig
 	// pending are the requests that daemons have handed to each other.
 	pending map[int]pending
 	handSeq int
@@ -77,6 +78,7 @@
 		data:    make([]int64, sh.daemons),
 		dead:    make([]bool, sh.daemons),
 		stats:   newStats(),
+		policy:  dispatch.SchedulerConfig{LongShare: longShare},
 		pending: map[int]pending{},
 	}
 	for i := range sh.hosts {
