--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -187,7 +187,7 @@
 
 // start makes the dispatchers of all zones and runs them until the test ends.
 // It must be called in a synctest bubble, whose stop function ends them.
-func (f *fleet) start(t *testing.T, retries int) (stop func()) {
+func (f *fleet) start(t testing.TB, retries int) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +49,8 @@
 	// control bounds the bytes of reports and pulls of all pools.
 	control *rate.Limiter
 
+	// daemons is how many live daemons there are in all zones.
+	daemons atomic.Int64
 	quotaMu sync.Mutex
 	quotas  *Quotas
 
@@ -90,6 +93,7 @@
 	if d.opts.Caller != nil {
 		reports.Go(func() { d.runReports(ctx) })
 	}
+	d.countDaemons()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -97,6 +101,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-tick.C:
+			d.countDaemons()
 			for _, p := range d.allPools() {
 				p.tick(now, d.view(p.name, now))
 			}
@@ -160,13 +165,18 @@
 	if !ok || t.Rate <= 0 {
 		return nil
 	}
-	daemons := len(d.opts.Zone.Mates())
-	for _, ids := range d.opts.Zone.Others() {
-		daemons += len(ids)
-	}
 	d.quotaMu.Lock()
 	defer d.quotaMu.Unlock()
-	return d.quotas.Admit(time.Now(), name, Share(t.Rate, t.Burst, daemons))
+	return d.quotas.Admit(time.Now(), name, Share(t.Rate, t.Burst, int(d.daemons.Load())))
+}
+
+// countDaemons notes how many daemons share the quotas.
+func (d *Dispatcher) countDaemons() {
+	n := len(d.opts.Zone.Mates())
+	for _, ids := range d.opts.Zone.Others() {
+		n += len(ids)
+	}
+	d.daemons.Store(int64(n))
 }
 
 // runnable refuses a request that no host could ever run.
