--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -320,10 +320,23 @@
 	return d.view.EpochOf(id)
 }
 
-// EpochConfirmed returns the latest moment at which every other member, but
-// for those of one single zone, was in this daemon's epoch.
-func (d *Detector) EpochConfirmed() time.Time {
+// OffsetOf returns the highest folded offset that a member has named.
+func (d *Detector) OffsetOf(id string) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.EpochConfirmed(time.Now())
+	if id == d.opt.Self.ID {
+		return d.offset
+	}
+	if o, ok := d.view.seen[id]; ok {
+		return o.offset
+	}
+	return 0
+}
+
+// EpochConfirmed returns this daemon's epoch and the latest moment at which
+// every other member, but for those of one single zone, was in it.
+func (d *Detector) EpochConfirmed() (epoch uint64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Epoch, d.view.EpochConfirmed(time.Now())
 }
--- /dev/null
+++ b/internal/pool/metrics.go
@@ -0,0 +1,41 @@
+package pool
+
+import "github.com/uber-go/tally/v4"
+
+// controllerMetrics counts what a controller does.
+type controllerMetrics struct {
+	usageErrors tally.Counter
+	draining    tally.Gauge
+	out         tally.Gauge
+	failed      tally.Gauge
+}
+
+func newControllerMetrics(scope tally.Scope) controllerMetrics {
+	return controllerMetrics{
+		usageErrors: scope.Counter("usage_errors"),
+		draining:    scope.Gauge("hosts_draining"),
+		out:         scope.Gauge("hosts_out"),
+		failed:      scope.Gauge("hosts_failed"),
+	}
+}
+
+// observe publishes how many hosts of the zone are in each phase.
+func (m controllerMetrics) observe(p Published, zone string) {
+	var draining, out, failed float64
+	for _, h := range p.Pools.Hosts {
+		if h.Zone != zone {
+			continue
+		}
+		switch {
+		case h.Phase == PhaseDraining:
+			draining++
+		case h.Phase == PhaseOut:
+			out++
+		case h.Failed:
+			failed++
+		}
+	}
+	m.draining.Update(draining)
+	m.out.Update(out)
+	m.failed.Update(failed)
+}
