--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -154,6 +154,7 @@
 	// Unavailable counts the pool's hosts that drain, are out or have failed.
 	Unavailable int
 	// MaintainedRacks holds the racks with hosts drained for maintenance.
+	// A host that failed there is an outage like any other.
 	MaintainedRacks map[string]bool
 	// available counts usable hosts by rack.
 	available map[string]int
@@ -188,7 +189,9 @@
 		u.Arriving++
 	case d.From != pool:
 	case d.Purpose == PurposeMaintenance:
-		u.MaintainedRacks[h.rackKey()] = true
+		if !h.Failed {
+			u.MaintainedRacks[h.rackKey()] = true
+		}
 	case d.Purpose == PurposeMove || d.Purpose == PurposeRetire:
 		u.Leaving++
 	}
--- a/internal/pool/fold.go
+++ b/internal/pool/fold.go
@@ -26,16 +26,16 @@
 		Cause:   r.Cause,
 	}
 	if refusal := s.CheckDrain(v.Catalogue(), body); refusal != "" {
-		return record.Reject(refusal, d.subjects()...)
+		return record.Reject(refusal, d.Subjects()...)
 	}
 	d.Zone = s.Hosts[d.Host].Zone
 	d.Round = offset
 	d.Waiting = sortedMembers(v, d.Zone)
 	if !d.waitsFor(r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
 	s.Begin(d)
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 // Begin marks the host of d as draining. Planners use it on a clone to see
@@ -64,17 +64,17 @@
 	}
 	if body.Round != d.Round {
 		refusal := fmt.Sprintf("acknowledges round %d, the drain is in round %d", body.Round, d.Round)
-		return record.Reject(refusal, d.subjects()...)
+		return record.Reject(refusal, d.Subjects()...)
 	}
 	if !d.waitsFor(r.Author) {
-		return record.Reject("drain does not wait for "+r.Author, d.subjects()...)
+		return record.Reject("drain does not wait for "+r.Author, d.Subjects()...)
 	}
 	d.Waiting = without(d.Waiting, r.Author)
 	s.Drains[d.ID] = d
 	if len(d.Waiting) == 0 {
 		s.complete(offset, d, v.Catalogue())
 	}
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 // without returns a copy of names that lacks name.
@@ -88,13 +88,13 @@
 		return out
 	}
 	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
 	h := s.Hosts[d.Host]
 	h.Phase, h.Since, h.Drain = PhaseServing, offset, ""
 	s.Hosts[d.Host] = h
 	delete(s.Drains, d.ID)
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 func (s *State) applyReturn(offset uint64, r record.Record, v View) record.Outcome {
@@ -103,10 +103,10 @@
 		return out
 	}
 	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
 	s.Return(offset, d.ID, v)
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 // Return puts the host that a drain took out back in service at offset. It
@@ -138,7 +138,7 @@
 	}
 	if got := s.Hosts[d.Host].Phase; got != phase {
 		refusal := fmt.Sprintf("host %s is %s, not %s", d.Host, got, phase)
-		return Drain{}, record.Reject(refusal, d.subjects()...)
+		return Drain{}, record.Reject(refusal, d.Subjects()...)
 	}
 	return d, record.Outcome{}
 }
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -101,8 +101,8 @@
 	return found
 }
 
-// subjects names what the drain is about.
-func (d Drain) subjects() []string {
+// Subjects names what the drain is about.
+func (d Drain) Subjects() []string {
 	subjects := []string{"host/" + d.Host, "move/" + d.ID, "pool/" + d.From}
 	if d.To != "" {
 		subjects = append(subjects, "pool/"+d.To)
