--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -58,7 +58,10 @@
 	Entries Entries
 	Server  request.Server
 	// Ready reports whether this daemon may serve.
-	Ready    func() bool
+	Ready func() bool
+	// Closing reports whether this daemon stops: answers then close their
+	// connections, so that the balancer opens its next ones elsewhere.
+	Closing  func() bool
 	Recorder Recorder
 	Scope    tally.Scope
 }
@@ -72,6 +75,7 @@
 
 // NewCallers returns the callers' side of the gateway.
 func NewCallers(opt CallerOptions) *Callers {
+	opt.Scope = opt.Scope.SubScope("gateway")
 	c := &Callers{
 		opt:      opt,
 		counters: map[verdict.Verdict]tally.Counter{},
@@ -86,8 +90,10 @@
 // Handler returns the handler of the callers' listener.
 func (c *Callers) Handler() fasthttp.RequestHandler {
 	r := router.New()
-	r.ANY("/v1/entries/{entry}", c.serve)
-	r.ANY("/v1/entries/{entry}/{path:*}", c.serve)
+	// A redirect would make the caller send its request again.
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.ANY("/v1/entries/{rest:*}", c.serve)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeError(ctx, verdict.Refuse(verdict.ReasonBadRequest, "no such path: requests go to /v1/entries/ENTRY/"))
 	}
@@ -96,6 +102,9 @@
 
 func (c *Callers) serve(ctx *fasthttp.RequestCtx) {
 	start := time.Now()
+	if c.opt.Closing() {
+		ctx.SetConnectionClose()
+	}
 	req, resp, err := c.run(ctx, start)
 	took := time.Since(start)
 	c.counters[verdict.Of(err)].Inc(1)
@@ -130,7 +139,8 @@
 // parse checks a caller's request against its entry. Every error is a proof
 // that nothing ran.
 func (c *Callers) parse(ctx *fasthttp.RequestCtx, start time.Time) (*request.Request, error) {
-	name, _ := ctx.UserValue("entry").(string)
+	rest, _ := ctx.UserValue("rest").(string)
+	name, path, _ := strings.Cut(rest, "/")
 	e, ok := c.opt.Entries.Entry(name)
 	if !ok || e.Disabled {
 		return nil, verdict.Refuse(verdict.ReasonUnknownEntry, "no entry %q in force", name)
@@ -142,6 +152,7 @@
 	p := headerParser{h: &ctx.Request.Header}
 	req := &request.Request{
 		ID:         p.id(start),
+		Minted:     len(p.h.Peek(HeaderRequestID)) == 0,
 		Entry:      e.Name,
 		Owner:      e.Owner,
 		Pool:       e.Pool,
@@ -150,7 +161,7 @@
 		Deadline:   start.Add(p.deadline(e.Limits.Deadline)),
 		Arrived:    start,
 		Method:     string(ctx.Method()),
-		Path:       targetPath(ctx),
+		Path:       targetPath(path, ctx.URI().QueryString()),
 		Header:     p.forwarded(),
 		Body:       append([]byte(nil), body...),
 	}
@@ -161,11 +172,10 @@
 }
 
 // targetPath is what follows the entry's name, with the query.
-func targetPath(ctx *fasthttp.RequestCtx) string {
-	path, _ := ctx.UserValue("path").(string)
-	path = "/" + strings.TrimPrefix(path, "/")
-	if q := ctx.URI().QueryString(); len(q) > 0 {
-		path += "?" + string(q)
+func targetPath(path string, query []byte) string {
+	path = "/" + path
+	if len(query) > 0 {
+		path += "?" + string(query)
 	}
 	return path
 }
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -37,8 +37,8 @@
 	Source *PeerSource
 	// Ahead names the peers to fetch from while running.
 	Ahead Ahead
-	// Seeds are the peer addresses to ask at start.
-	Seeds  []string
+	// Seeds returns the peer addresses to ask at start.
+	Seeds  func() []string
 	Logger zerolog.Logger
 	Scope  tally.Scope
 }
@@ -60,12 +60,13 @@
 
 // NewFollower returns a follower that does nothing until Run.
 func NewFollower(opt FollowerOptions) *Follower {
+	scope := opt.Scope.SubScope("replica")
 	return &Follower{
 		opt:        opt,
-		reads:      opt.Scope.Counter("log_reads"),
-		readErrors: opt.Scope.Counter("log_read_errors"),
-		truncated:  opt.Scope.Counter("log_truncated"),
-		offset:     opt.Scope.Gauge("offset"),
+		reads:      scope.Counter("log_reads"),
+		readErrors: scope.Counter("log_read_errors"),
+		truncated:  scope.Counter("log_truncated"),
+		offset:     scope.Gauge("offset"),
 	}
 }
 
@@ -197,7 +198,7 @@
 func (f *Follower) askSeeds(ctx context.Context) bool {
 	before := f.opt.Replica.State().Offset
 	answered := 0
-	for _, addr := range f.opt.Seeds {
+	for _, addr := range f.opt.Seeds() {
 		if f.opt.Source.FetchAddress(ctx, addr) {
 			answered++
 		}
--- a/standin/loadgen/summary.go
+++ b/standin/loadgen/summary.go
@@ -31,6 +31,10 @@
 	ByReason  map[string]int `json:"by_reason"`
 	ByStatus  map[int]int    `json:"by_status"`
 	Resent    int            `json:"resent"`
+	// LostBy counts requests whose connection to a daemon broke, by its URL.
+	LostBy map[string]int `json:"lost_by"`
+	// Losses describes the first of them.
+	Losses []string `json:"losses"`
 	// WrongAnswers counts answers that do not belong to their request or
 	// carry no verdict.
 	WrongAnswers int `json:"wrong_answers"`
@@ -53,6 +57,20 @@
 	return s.WrongAnswers+s.NotRunThatRan+s.RanMoreThanOnce+s.RanThatDidNot > 0
 }
 
+// cutReasons are why a request in progress ends when its daemon goes away.
+var cutReasons = []string{"cancelled", "connection-lost", "peer-lost", "stopping"}
+
+// Cut counts requests that were sent and whose outcome their caller does not
+// know because a connection on the way broke. Without faults at the targets
+// only a daemon can have cut them.
+func (s Summary) Cut() int {
+	n := s.ByVerdict[VerdictLost] + s.ByVerdict[VerdictUnsent]
+	for _, reason := range cutReasons {
+		n += s.ByReason[VerdictMayHaveRun+"/"+reason]
+	}
+	return n
+}
+
 // tally gathers outcomes.
 type tally struct {
 	mu       sync.Mutex
@@ -67,6 +85,7 @@
 			ByVerdict:  map[string]int{},
 			ByReason:   map[string]int{},
 			ByStatus:   map[int]int{},
+			LostBy:     map[string]int{},
 			Violations: []string{},
 			Latency:    map[string]Latency{},
 		},
@@ -87,6 +106,10 @@
 	if o.status != 0 {
 		t.sum.ByStatus[o.status]++
 	}
+	if o.verdict == VerdictLost {
+		t.sum.LostBy[o.daemon]++
+		t.lose(o)
+	}
 	if o.wrong != "" {
 		t.sum.WrongAnswers++
 		t.violate("%s: %s", o.id, o.wrong)
@@ -116,6 +139,14 @@
 	}
 }
 
+// lose keeps the description of a lost request. The caller holds t.mu.
+func (t *tally) lose(o outcome) {
+	if len(t.sum.Losses) < maxViolations {
+		t.sum.Losses = append(t.sum.Losses, fmt.Sprintf("%s (%s) at %s, sent %s, lost after %s: %s",
+			o.id, o.entry.Name, o.daemon, o.sent.Format(time.StampMilli), o.latency, o.reason))
+	}
+}
+
 func (t *tally) ids() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
