gateway: name the request in every refusal

Cause: a caller could not match a refusal that came before its request was read; the load tool counted it as a wrong answer after a daemon was killed. Change: an answer without an ID takes that of the request's header. Seen first: TestEveryRefusalNamesItsRequest failed for all three refusals.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -287,6 +287,9 @@
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(e.Error() + "\n")
 	h := &ctx.Response.Header
+	if id := ctx.Request.Header.Peek(HeaderRequestID); len(id) > 0 && len(h.Peek(HeaderRequestID)) == 0 {
+		h.SetBytesV(HeaderRequestID, id)
+	}
 	h.Set(HeaderVerdict, e.Verdict.String())
 	h.Set(HeaderReason, string(e.Reason))
 	if e.RetryAfter > 0 {
