--- a/internal/pool/fold.go
+++ b/internal/pool/fold.go
@@ -26,18 +26,25 @@
 		Cause:   r.Cause,
 	}
 	if refusal := s.CheckDrain(v.Catalogue(), body); refusal != "" {
-		return record.Reject(refusal, d.subjects()...)
+		return record.Reject(refusal, d.Subjects()...)
 	}
-	h := s.Hosts[d.Host]
-	d.Zone = h.Zone
-	d.Waiting = sortedMembers(v, h.Zone)
+	d.Zone = s.Hosts[d.Host].Zone
+	d.Round = offset
+	d.Waiting = sortedMembers(v, d.Zone)
 	if !d.waitsFor(r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+h.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
-	h.Phase, h.Since, h.Drain = PhaseDraining, offset, d.ID
+	s.Begin(d)
+	return record.Accept(d.Subjects()...)
+}
+
+// Begin marks the host of d as draining. Planners use it on a clone to see
+// what room is left once d has started.
+func (s *State) Begin(d Drain) {
+	h := s.Hosts[d.Host]
+	h.Phase, h.Since, h.Drain = PhaseDraining, d.Started, d.ID
 	s.Hosts[d.Host] = h
 	s.Drains[d.ID] = d
-	return record.Accept(d.subjects()...)
 }
 
 func sortedMembers(v View, zone string) []string {
@@ -47,17 +54,27 @@
 }
 
 func (s *State) applyAck(offset uint64, r record.Record, v View) record.Outcome {
-	d, out := s.drainOf(r, PhaseDraining)
+	var body Ack
+	if err := record.Decode(r.Body, &body); err != nil {
+		return record.Reject(err.Error())
+	}
+	d, out := s.drainIn(PhaseDraining, body.Drain)
 	if d.ID == "" {
 		return out
 	}
+	if body.Round != d.Round {
+		refusal := fmt.Sprintf("acknowledges round %d, the drain is in round %d", body.Round, d.Round)
+		return record.Reject(refusal, d.Subjects()...)
+	}
 	if !d.waitsFor(r.Author) {
-		return record.Reject("drain does not wait for "+r.Author, d.subjects()...)
+		return record.Reject("drain does not wait for "+r.Author, d.Subjects()...)
 	}
 	d.Waiting = without(d.Waiting, r.Author)
 	s.Drains[d.ID] = d
-	s.completeIfDrained(offset, d, v)
-	return record.Accept(d.subjects()...)
+	if len(d.Waiting) == 0 {
+		s.complete(offset, d, v.Catalogue())
+	}
+	return record.Accept(d.Subjects()...)
 }
 
 // without returns a copy of names that lacks name.
@@ -71,13 +88,13 @@
 		return out
 	}
 	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
 	h := s.Hosts[d.Host]
 	h.Phase, h.Since, h.Drain = PhaseServing, offset, ""
 	s.Hosts[d.Host] = h
 	delete(s.Drains, d.ID)
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 func (s *State) applyReturn(offset uint64, r record.Record, v View) record.Outcome {
@@ -86,10 +103,10 @@
 		return out
 	}
 	if !slices.Contains(v.ZoneMembers(d.Zone), r.Author) {
-		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.subjects()...)
+		return record.Reject(r.Author+" is not a member of zone "+d.Zone, d.Subjects()...)
 	}
 	s.Return(offset, d.ID, v)
-	return record.Accept(d.subjects()...)
+	return record.Accept(d.Subjects()...)
 }
 
 // Return puts the host that a drain took out back in service at offset. It
@@ -111,33 +128,33 @@
 	if err := record.Decode(r.Body, &ref); err != nil {
 		return Drain{}, record.Reject(err.Error())
 	}
-	d, ok := s.Drains[ref.Drain]
+	return s.drainIn(phase, ref.Drain)
+}
+
+func (s *State) drainIn(phase Phase, id string) (Drain, record.Outcome) {
+	d, ok := s.Drains[id]
 	if !ok {
-		return Drain{}, record.Reject("no such drain", "move/"+ref.Drain)
+		return Drain{}, record.Reject("no such drain", "move/"+id)
 	}
 	if got := s.Hosts[d.Host].Phase; got != phase {
 		refusal := fmt.Sprintf("host %s is %s, not %s", d.Host, got, phase)
-		return Drain{}, record.Reject(refusal, d.subjects()...)
+		return Drain{}, record.Reject(refusal, d.Subjects()...)
 	}
 	return d, record.Outcome{}
 }
 
-// completeIfDrained ends the drain once nobody is waited for. Only then may
-// another pool use the host: every member either promised to start nothing or
-// is gone.
-func (s *State) completeIfDrained(offset uint64, d Drain, v View) {
-	if len(d.Waiting) > 0 {
-		return
-	}
+// complete ends a drain that waits for nobody. Only then may another pool use
+// the host: every member has promised to start nothing there.
+func (s *State) complete(offset uint64, d Drain, c *catalogue.State) {
 	switch d.Purpose {
 	case PurposeMaintenance:
 		h := s.Hosts[d.Host]
 		h.Phase, h.Since = PhaseOut, offset
 		s.Hosts[d.Host] = h
 	case PurposeMove:
-		s.serve(offset, d, d.To, v.Catalogue())
+		s.serve(offset, d, d.To, c)
 	default:
-		s.serve(offset, d, d.From, v.Catalogue())
+		s.serve(offset, d, d.From, c)
 	}
 }
 
@@ -161,7 +178,7 @@
 	s.Hosts[d.Host] = h
 }
 
-func (s *State) applyHealth(r record.Record, v View) record.Outcome {
+func (s *State) applyHealth(offset uint64, r record.Record, v View) record.Outcome {
 	var body Health
 	if err := record.Decode(r.Body, &body); err != nil {
 		return record.Reject(err.Error())
@@ -177,14 +194,15 @@
 	if h.Failed == body.Failed {
 		return record.Reject(fmt.Sprintf("host is already marked failed=%t", h.Failed), subjects...)
 	}
-	s.SetFailed(body.Host, body.Failed)
+	s.SetFailed(offset, body.Host, body.Failed)
 	return record.Accept(subjects...)
 }
 
-// SetFailed marks a known host as failed or healthy.
-func (s *State) SetFailed(host string, failed bool) {
+// SetFailed marks a known host as failed or healthy at offset.
+func (s *State) SetFailed(offset uint64, host string, failed bool) {
 	if h, ok := s.Hosts[host]; ok {
 		h.Failed = failed
 		s.Hosts[host] = h
+		s.Epoch = offset
 	}
 }
