--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -231,6 +231,9 @@
 	_ = wait(context.Background(), d.Settings.StopGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
+	if err := d.Dispatcher.Drain(ctx); err != nil {
+		d.Logger.Warn().Err(err).Msg("dispatcher not drained")
+	}
 	err := s.callers.ShutdownWithContext(ctx)
 	d.Stage.set(stageStopped)
 	d.Gate.Close()
