--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -253,11 +253,11 @@
 func (d *Dispatcher) targets(pool string, now time.Time, mates []string) []Target {
 	all := d.opts.Targets.Targets(pool)
 	out := make([]Target, 0, len(all))
-	for i, t := range all {
+	for _, t := range all {
 		if d.opts.Health != nil && d.opts.Health.Ejected(t.Host, now) {
 			continue
 		}
-		t.Slots = splitSlots(t.Slots, i, mates, d.opts.Zone.Self())
+		t.Slots = SplitSlots(t.Slots, t.Host, mates, d.opts.Zone.Self())
 		out = append(out, t)
 	}
 	return out
--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -288,3 +288,26 @@
 	_, ok = z.Choose(epoch.Add(time.Second), 400*time.Millisecond, 20*time.Millisecond, nil)
 	g.Expect(ok).To(BeFalse(), "the answer is too old")
 }
+
+func TestSplitUsesEverySlotOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(0, 64).Draw(t, "slots")
+		n := rapid.IntRange(1, 9).Draw(t, "daemons")
+		host := rapid.StringN(1, 12, -1).Draw(t, "host")
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("d%d", i))
+		}
+		sum := 0
+		for _, id := range ids {
+			part := dispatch.SplitSlots(slots, host, ids, id)
+			if part < slots/n || part > slots/n+1 {
+				t.Fatalf("%s gets %d of %d slots between %d", id, part, slots, n)
+			}
+			sum += part
+		}
+		if sum != slots {
+			t.Fatalf("%d of %d slots given out", sum, slots)
+		}
+	})
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -70,9 +70,6 @@
 // wait is how long the slots of a class take to work off the queues of more
 // pressing classes and the given work of its own.
 func (s *Scheduler) wait(c request.Class, own time.Duration) time.Duration {
-	if s.slots == 0 {
-		return 0
-	}
 	work := own
 	for _, more := range request.Classes {
 		if more == c {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -380,18 +380,3 @@
 	}
 	p.note(time.Now())
 }
-
-// splitSlots returns self's part of a host's slots when the daemons of a zone
-// divide them evenly. The remainder goes to other daemons from host to host.
-func splitSlots(slots, host int, daemons []string, self string) int {
-	n := len(daemons)
-	rank := slices.Index(daemons, self)
-	if rank < 0 {
-		return 0
-	}
-	part := slots / n
-	if (rank+host)%n < slots%n {
-		part++
-	}
-	return part
-}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -4,8 +4,13 @@
 	"context"
 	"sync"
 	"time"
+
+	"greengagedeck/internal/peer"
 )
 
+// sendTimeout bounds how long a report may wait for a connection.
+const sendTimeout = 20 * time.Millisecond
+
 // reporter collects the pools whose state may have changed, and tells the
 // zone-mates in one message for all of them.
 type reporter struct {
@@ -73,18 +78,26 @@
 			wait = sooner(wait, r.again)
 		}
 		if r.pull != "" {
-			_ = d.opts.Caller.Send(ctx, r.pull, methodPull, pullMessage{Pool: p.name, Long: r.pullLong, State: r.state})
+			d.send(ctx, r.pull, methodPull, pullMessage{Pool: p.name, Long: r.pullLong, State: r.state})
 		}
 	}
 	if len(states) == 0 {
 		return wait
 	}
 	for _, mate := range d.mates() {
-		_ = d.opts.Caller.Send(ctx, mate, methodReport, reportMessage{Pools: states})
+		d.send(ctx, mate, methodReport, reportMessage{Pools: states})
 	}
 	return wait
 }
 
+// send gives up soon: a mate that cannot be reached must not hold up what the
+// others are told. A message that is lost is made good by the next report.
+func (d *Dispatcher) send(ctx context.Context, to string, m peer.Method, msg any) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_ = d.opts.Caller.Send(ctx, to, m, msg)
+}
+
 // keep marks a pool again without waking the reporter.
 func (r *reporter) keep(p *poolQueue) {
 	r.mu.Lock()
--- a/standin/bench/sharing.go
+++ b/standin/bench/sharing.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
 
 	"greengagedeck/internal/dispatch"
 )
@@ -72,17 +74,16 @@
 	s.nodes[w.daemon].submit(w, func(o outcome) { s.z.answer(w, o) })
 }
 
-// splitTargets returns a daemon's part of each target. The remainder of a
-// division goes to another daemon from target to target.
+// splitTargets returns a daemon's part of each target, as the product splits
+// them.
 func splitTargets(list []dispatch.Target, daemon, daemons int) []dispatch.Target {
-	out := make([]dispatch.Target, 0, len(list))
-	for i, t := range list {
-		part := t.Slots / daemons
-		if (daemon+i)%daemons < t.Slots%daemons {
-			part++
-		}
-		t.Slots = part
-		out = append(out, t)
+	var ids []string
+	for i := range daemons {
+		ids = append(ids, strconv.Itoa(i))
+	}
+	out := slices.Clone(list)
+	for i := range out {
+		out[i].Slots = dispatch.SplitSlots(out[i].Slots, out[i].Host, ids, strconv.Itoa(daemon))
 	}
 	return out
 }
