--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -179,8 +179,10 @@
 			gone <- err
 		}()
 		synctest.Wait()
+		cancelled := time.Now()
 		cancel()
 		err := <-gone
+		g.Expect(time.Since(cancelled)).To(BeZero(), "it does not wait for the slot")
 		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
 		busy()
 		g.Expect(f.executions("gone")).To(BeZero())
@@ -210,7 +212,9 @@
 		time.Sleep(time.Millisecond)
 		wait := f.load("d1", "r", 30, false)
 		time.Sleep(time.Millisecond)
+		began := time.Now()
 		g.Expect(f.daemons["d1"].Drain(context.Background())).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically(">=", f.service-2*time.Millisecond), "what runs is finished")
 		_, err := f.daemons["d1"].Serve(context.Background(), newRequest("late", "reserve", false))
 		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
 		for _, r := range wait() {
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -92,6 +92,28 @@
 	g.Expect(drain(s, later)).To(HaveLen(1))
 }
 
+func TestEntryWithSomeLongRunsWaitsWhileTheLongShareIsFull(t *testing.T) {
+	g := NewWithT(t)
+	s := dispatch.NewScheduler(dispatch.SchedulerConfig{LongShare: 0.5})
+	s.SetTargets(hosts(3, 8))
+	for range 25 {
+		prove(s, "mixed", "b", request.ClassShort, 20*time.Millisecond)
+	}
+	prove(s, "reserve", "a", request.ClassShort, 20*time.Millisecond)
+	for range 12 {
+		g.Expect(s.Offer(epoch, job("mixed", "b", request.ClassShort, time.Hour))).To(BeNil())
+	}
+	drain(s, epoch)
+	later := epoch.Add(dispatch.DefaultLongAfter)
+	s.Tick(later)
+	mixed := job("mixed", "b", request.ClassShort, time.Hour)
+	g.Expect(s.Long(mixed)).To(BeFalse(), "most of its runs were short")
+	g.Expect(s.Offer(later, mixed)).To(BeNil())
+	g.Expect(drain(s, later)).To(BeEmpty())
+	g.Expect(s.Offer(later, job("reserve", "a", request.ClassShort, time.Hour))).To(BeNil())
+	g.Expect(drain(s, later)).To(HaveLen(1))
+}
+
 func TestWorkThatCannotMeetItsDeadlineIsRefusedBeforeItRuns(t *testing.T) {
 	g := NewWithT(t)
 	s := dispatch.NewScheduler(dispatch.SchedulerConfig{LongShare: 0.5})
