Lend spare hosts by break-even on now and yesterday

Cause: bursts of seconds are shorter than a move; demand that lasts, and the nightly peak, should find hosts in place while few idle ones are held. Change: spare policies as pure functions, a Lending that turns their decisions into moves, and a comparison on both deployments' catalogues.

--- /dev/null
+++ b/internal/pool/spare_test.go
@@ -0,0 +1,163 @@
+package pool
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/catalogue"
+)
+
+// lender drives a policy of one pool with two hosts of its own and four spare
+// hosts, and carries out what it decides.
+type lender struct {
+	policy  SparePolicy
+	memory  SpareMemory
+	now     time.Time
+	lent    int
+	changes []time.Time
+}
+
+const ownHosts, spareCount = 2, 4
+
+func newLender(p SparePolicy) *lender {
+	return &lender{policy: p, memory: SpareMemory{}, now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)}
+}
+
+func (l *lender) input(demand float64) SpareInput {
+	return SpareInput{
+		Now: l.now, Elapsed: DefaultDecideInterval, Idle: spareCount - l.lent,
+		Loads: []Load{{Pool: "p", Hosts: ownHosts + l.lent, Lent: l.lent, Demand: demand}},
+	}
+}
+
+// run offers a demand, in hosts, for some time.
+func (l *lender) run(demand float64, d time.Duration) {
+	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(DefaultDecideInterval) {
+		next, changes := l.policy.Decide(l.memory, l.input(demand))
+		l.memory = next
+		for _, ch := range changes {
+			l.lent += ch.Hosts
+			l.changes = append(l.changes, l.now)
+		}
+	}
+}
+
+var breakEven = BreakEven{SpareRates: DefaultSpareRates}
+
+func TestBurstOfSecondsMovesNoHost(t *testing.T) {
+	for name, policy := range map[string]SparePolicy{"break-even": breakEven, "predictive": DefaultPredictive} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newLender(policy)
+			for range 120 {
+				l.run(2.5, 20*time.Second)
+				l.run(0.025, 80*time.Second)
+			}
+			g.Expect(l.changes).To(BeEmpty())
+		})
+	}
+}
+
+func TestLastingDemandMovesHostsOnceAndBack(t *testing.T) {
+	g := NewWithT(t)
+	l := newLender(breakEven)
+	l.run(0.5, time.Hour)
+	start := l.now
+	l.run(2, 4*time.Hour)
+	g.Expect(l.lent).To(Equal(2))
+	g.Expect(l.changes[0].Sub(start)).To(BeNumerically("<", DefaultSpareRates.Smoothing+DefaultSpareRates.MoveCost))
+	l.run(0.5, 4*time.Hour)
+	g.Expect(l.lent).To(Equal(0))
+	g.Expect(len(l.changes)).To(BeNumerically("<=", 4))
+}
+
+func TestNightlyPeakFindsItsHostsInPlace(t *testing.T) {
+	g := NewWithT(t)
+	l := newLender(DefaultPredictive)
+	l.run(0.5, 20*time.Hour)
+	l.run(2, 2*time.Hour)
+	l.run(0.5, 21*time.Hour)
+	g.Expect(l.lent).To(Equal(0), "an hour before the second peak")
+	l.run(0.5, time.Hour)
+	g.Expect(l.lent).To(Equal(2), "as the second peak begins")
+}
+
+func TestDecideChangesNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	l := newLender(DefaultPredictive)
+	l.run(2, time.Hour)
+	before := maps.Clone(l.memory)
+	_, first := l.policy.Decide(l.memory, l.input(2))
+	_, second := l.policy.Decide(l.memory, l.input(2))
+	g.Expect(l.memory).To(Equal(before))
+	g.Expect(first).To(Equal(second))
+}
+
+func TestHoldFollowsYesterday(t *testing.T) {
+	g := NewWithT(t)
+	l := newLender(DefaultPredictive)
+	l.run(0.5, 6*time.Hour)
+	g.Expect(l.policy.Hold(l.memory, l.input(0.5))).To(Equal(spareCount), "nothing is known of the day yet")
+	l.run(0.5, 14*time.Hour)
+	l.run(2, 2*time.Hour)
+	l.run(0.5, 10*time.Hour)
+	g.Expect(l.policy.Hold(l.memory, l.input(0.5))).To(Equal(1), "the peak is far")
+	l.run(0.5, 10*time.Hour+30*time.Minute)
+	g.Expect(l.policy.Hold(l.memory, l.input(0.5))).To(BeNumerically(">=", 2), "the peak is near")
+}
+
+func lendingFleet() *fleet {
+	f := &fleet{catalogue: catalogue.NewState(), pools: NewState()}
+	f.catalogue.Pools["p"] = versioned(catalogue.Pool{Name: "p", Owner: "team", SlotsPerHost: 8, MaxUnavailable: 2})
+	f.catalogue.Pools["s"] = versioned(catalogue.Pool{Name: "s", Spare: true, SlotsPerHost: 8, MaxUnavailable: 2})
+	for name, h := range map[string]catalogue.Host{
+		"p1": {Pool: "p", Zone: "a", Rack: "r1"}, "p2": {Pool: "p", Zone: "b", Rack: "r2"},
+		"s1": {Pool: "s", Zone: "a", Rack: "r1"}, "s2": {Pool: "s", Zone: "a", Rack: "r2"},
+		"s3": {Pool: "s", Zone: "b", Rack: "r3"},
+	} {
+		h.Name = name
+		f.catalogue.Hosts[name] = versioned(h)
+	}
+	f.pools.Reconcile(1, f)
+	return f
+}
+
+func TestLendingPicksAHostOfTheZoneOnAFreeRack(t *testing.T) {
+	g := NewWithT(t)
+	f := lendingFleet()
+	demand := map[string]float64{"p": 16}
+	l := NewLending(LendingOptions{
+		Zone: "a", Policy: DefaultThreshold, Demand: func() map[string]float64 { return demand },
+	})
+	p := Published{Pools: &f.pools, Catalogue: &f.catalogue}
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	var moves []Move
+	for range 60 {
+		now = now.Add(DefaultDecideInterval)
+		if moves = l.Proposals(p, now); len(moves) > 0 {
+			break
+		}
+	}
+	g.Expect(moves).To(HaveLen(1))
+	g.Expect(moves[0].Host).To(Equal("s2"), "rack r1 has a host of p")
+	g.Expect(moves[0].Cause.Object).To(Equal("pool/p"))
+	g.Expect(moves[0].Cause.Owner).To(Equal("team"))
+
+	h := f.pools.Hosts["s2"]
+	h.Pool = "p"
+	f.pools.Hosts["s2"] = h
+	g.Expect(l.Proposals(p, now)).To(BeEmpty(), "the proposal has been carried out")
+	demand["p"] = 0
+	for range 600 {
+		now = now.Add(DefaultDecideInterval)
+		if moves = l.Proposals(p, now); len(moves) > 0 {
+			break
+		}
+	}
+	g.Expect(moves).To(HaveLen(1))
+	g.Expect(moves[0]).To(HaveField("Host", "s2"))
+	g.Expect(moves[0]).To(HaveField("To", "s"), "a lent host goes back to its own pool")
+}
--- /dev/null
+++ b/standin/cmd/sparebench/main.go
@@ -0,0 +1,42 @@
+// Command sparebench compares spare policies on the demand of both deployments
+// and prints a table for each.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"greengagedeck/standin/sparebench"
+)
+
+func main() {
+	var o sparebench.Options
+	flag.StringVar(&o.Examples, "examples", "examples", "directory of the deployments' catalogue files")
+	flag.Uint64Var(&o.Seed, "seed", 1, "seed of the demand")
+	flag.IntVar(&o.Days, "days", 8, "days to simulate")
+	flag.IntVar(&o.Warmup, "warmup", 1, "first days that are not measured")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "sparebench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o sparebench.Options) error {
+	scenarios, err := sparebench.Scenarios(o)
+	if err != nil {
+		return err
+	}
+	for _, sc := range scenarios {
+		results, err := sparebench.Compare(sc)
+		if err != nil {
+			return err
+		}
+		if err := sparebench.Print(os.Stdout, sc, results); err != nil {
+			return err
+		}
+		fmt.Println()
+	}
+	return nil
+}
