peer: really close accepted connections

Cause: each planned stop under load took 4.8 s with a grace of 0.3 s; a dump of the stopping daemon showed Node.Close waiting for the readers of accepted connections. fasthttp's Close of a hijacked connection does nothing unless the server keeps hijacked connections, so a connection ended only when its other end noticed, at its next ping. The same held for every close of an accepted connection, as after a full send queue. Ruled out: requests in progress; the callers' listener was closed in time. Change: the peer server keeps hijacked connections, which the node closes. Seen first: TestCloseDoesNotWaitForASilentPeer timed out after 10 s.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,7 +36,10 @@
 		NoDefaultServerHeader: true,
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
-		Logger:                discardLogger{},
+		// Without it, closing an accepted connection would have no effect
+		// until its reader returns.
+		KeepHijackedConns: true,
+		Logger:            discardLogger{},
 	}
 	return eris.Wrap(srv.Serve(ln), "serve peers")
 }
