--- a/standin/sparebench/run_test.go
+++ b/standin/sparebench/run_test.go
@@ -42,5 +42,5 @@
 		g.Expect(mean).To(Equal(2.0))
 		sum += offered
 	}
-	g.Expect(sum/(hours*3600)).To(BeNumerically("~", 2, 0.2))
+	g.Expect(sum / (hours * 3600)).To(BeNumerically("~", 2, 0.2))
 }
