Wire the spare policy and the platform's list of failed hosts

Cause: moves followed catalogue edits only, and hosts that the platform takes away did not count against availability budgets. Ruled out: each daemon deciding on its own share of the demand, since it sees half of a zone; believing a list that drops most of a zone whose daemons live. Change: daemons add up their demand over heartbeats; hosts that are leaving or dropped become failed by a record, unless more than half of the zone is.

--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -57,6 +57,8 @@
 		newEjector,
 		newAttempts,
 		newClaims,
+		newZoneDemand,
+		newLending,
 		newPoolController,
 		newMaintenanceController,
 		newDispatcher,
@@ -224,14 +226,20 @@
 	}
 }
 
-func newPoolController(self membership.Member, g *pool.Gate, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *pool.Controller {
+func newLending(self membership.Member, zd *zoneDemand, m metrics) *pool.Lending {
+	return pool.NewLending(pool.LendingOptions{Zone: self.Zone, Demand: zd.demand, Metrics: m.scope})
+}
+
+func newPoolController(self membership.Member, g *pool.Gate, le *pool.Lending, lr *membership.ListReader, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *pool.Controller {
 	return pool.NewController(pool.ControllerOptions{
-		Gate:     g,
-		Appender: submitter{a},
-		Usage:    t,
-		Suspects: suspects(self, r, d),
-		Metrics:  m.scope,
-		Logger:   l,
+		Gate:      g,
+		Appender:  submitter{a},
+		Usage:     t,
+		Failed:    failedHosts{self.Zone, r, lr}.failed,
+		Proposals: le.Proposals,
+		Suspects:  suspects(self, r, d),
+		Metrics:   m.scope,
+		Logger:    l,
 	})
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -297,6 +297,15 @@
 	return p
 }
 
+// Loads returns how busy this daemon's share of each pool is.
+func (d *Dispatcher) Loads() map[string]Load {
+	loads := map[string]Load{}
+	for _, p := range d.allPools() {
+		loads[p.name] = p.load()
+	}
+	return loads
+}
+
 func (d *Dispatcher) allPools() []*poolQueue {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
