Count budgets once a plan, record edits that budgets block

An edit that a budget holds up left no record. Change: a Ledger counts what is spent once for a plan; pool.blocked says once for each edit why it waits; Summary tells how far a wave is.

--- a/internal/maintenance/choose.go
+++ b/internal/maintenance/choose.go
@@ -25,17 +25,18 @@
 		return nil
 	}
 	var steps []Step
-	var scratch pool.State
+	var ledger *pool.Ledger
 	for _, w := range activeWaves(p, now) {
 		z := zoneOf(p, w, in.Zone)
-		want := z.due(w.Value, now) - z.done - z.out
+		want := due(w.Value, z.total, now) - z.done - z.out
 		if want <= 0 {
 			continue
 		}
-		if scratch.Hosts == nil {
-			scratch = p.Pools.Clone()
+		if ledger == nil {
+			scratch := p.Pools.Clone()
+			ledger = scratch.Ledger()
 		}
-		started, refusal := z.start(p, &scratch, w, want)
+		started, refusal := z.start(p, ledger, w, want)
 		steps = append(steps, started...)
 		if len(started) == 0 && refusal != "" {
 			steps = append(steps, z.blocked(p, w, want, refusal, now, in)...)
@@ -96,29 +97,32 @@
 	}
 }
 
-// due is how many of the zone's hosts should have been taken by now, for all to
-// be done evenly and in time.
-func (z *zoneWave) due(w catalogue.Wave, now time.Time) int {
+// due is how many of a wave's hosts should have been taken by now, for all to be
+// done evenly and in time.
+func due(w catalogue.Wave, hosts int, now time.Time) int {
+	if now.Before(w.Start) {
+		return 0
+	}
 	span := w.Deadline.Sub(w.Start).Seconds() * paceShare
 	share := min(now.Sub(w.Start).Seconds()/span, 1)
-	return int(math.Ceil(share * float64(z.total)))
+	return int(math.Ceil(share * float64(hosts)))
 }
 
 // start takes up to want hosts for which every budget has room, and returns why
 // the last one was not taken.
-func (z *zoneWave) start(p Published, scratch *pool.State, w catalogue.Versioned[catalogue.Wave], want int) (steps []Step, refusal string) {
+func (z *zoneWave) start(p Published, ledger *pool.Ledger, w catalogue.Versioned[catalogue.Wave], want int) (steps []Step, refusal string) {
 	for _, name := range z.candidates {
 		if len(steps) == want {
 			break
 		}
-		h := scratch.Hosts[name]
+		h := p.Pools.Hosts[name]
 		body := pool.StartDrain{Host: name, Purpose: pool.PurposeMaintenance, From: h.Pool, Wave: w.Value.Name}
-		if why := scratch.CheckDrain(p.Catalogue, body); why != "" {
+		if why := ledger.CheckDrain(p.Catalogue, body); why != "" {
 			refusal = why
 			continue
 		}
-		step := z.drainStep(body, h, scratch.Spent(h.Pool), p, w)
-		scratch.Begin(pool.Drain{
+		step := z.drainStep(body, h, ledger.Spent(h.Pool), p, w)
+		ledger.Begin(pool.Drain{
 			ID: step.Intent.Key, Host: name, Purpose: body.Purpose, From: body.From, Wave: body.Wave,
 		})
 		steps = append(steps, step)
--- a/internal/maintenance/faults_test.go
+++ b/internal/maintenance/faults_test.go
@@ -85,6 +85,10 @@
 	s.hosts["h03"].breaks = true
 	g.Expect(s.until(600, func() bool { return s.halted("w") != "" })).To(BeTrue())
 	g.Expect(s.halted("w")).To(Equal("2 hosts failed after reboot, at most 1 may"))
+	sum := s.state.waves.Summary(s.state.catalogue.Waves["w"], &s.state.pools, s.now)
+	g.Expect(sum.Hosts).To(Equal(12))
+	g.Expect(sum.Failed).To(Equal(2))
+	g.Expect(sum.Halted).NotTo(BeEmpty())
 	g.Expect(s.state.pools.Hosts["h00"].Failed).To(BeTrue())
 	g.Expect(s.until(60, func() bool { return len(s.taken()) == 2 })).To(BeTrue(), "only the failed ones are out")
 	before := s.accepted[pool.KindDrain]
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -71,3 +72,41 @@
 		})
 	}
 }
+
+type nullAppender struct{}
+
+func (nullAppender) Append(context.Context, record.Record) error { return nil }
+
+// BenchmarkStep is one interval of a controller with nothing to do, and
+// BenchmarkLending one decision of the spare policy.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{50, 250, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			f := fleetOf(n)
+			c := NewController(ControllerOptions{Gate: NewGate("z0-a", "z0"), Appender: nullAppender{}})
+			c.Update(Published{Pools: &f.pools, Catalogue: &f.catalogue, Members: f.members.InZone("z0")})
+			for b.Loop() {
+				c.Step(b.Context(), time.Time{})
+			}
+		})
+	}
+}
+
+func BenchmarkLending(b *testing.B) {
+	for _, n := range []int{50, 250, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			f := fleetOf(n)
+			for name, p := range f.catalogue.Pools {
+				p.Value.Spare = name == "pool-00"
+				f.catalogue.Pools[name] = p
+			}
+			l := NewLending(LendingOptions{Zone: "z0", Demand: func() map[string]float64 { return nil }})
+			p := Published{Pools: &f.pools, Catalogue: &f.catalogue}
+			now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+			for b.Loop() {
+				now = now.Add(DefaultDecideInterval)
+				l.Proposals(p, now)
+			}
+		})
+	}
+}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -11,6 +11,69 @@
 // fold calls it again when it applies the record, so two authors that each saw
 // room never spend the same budget twice.
 func (s *State) CheckDrain(c *catalogue.State, b StartDrain) string {
+	return s.Ledger().CheckDrain(c, b)
+}
+
+// Ledger holds what is spent of every budget of a state. Planners that check
+// many drains use one for all of them.
+type Ledger struct {
+	state *State
+	pools map[string]*Spent
+	// waves counts the hosts that each wave has out. Those that failed are
+	// counted by their pool's budget instead, or a wave could never pass
+	// them.
+	waves map[string]int
+}
+
+// Ledger counts what is spent of every budget of s.
+func (s *State) Ledger() *Ledger {
+	l := &Ledger{state: s}
+	l.recount()
+	return l
+}
+
+func (l *Ledger) recount() {
+	l.pools, l.waves = map[string]*Spent{}, map[string]int{}
+	for _, h := range l.state.Hosts {
+		l.spent(h.Pool).add(h)
+	}
+	for _, d := range l.state.Drains {
+		h := l.state.Hosts[d.Host]
+		l.spent(d.From).addLeaving(d, h)
+		if d.Purpose == PurposeMove {
+			l.spent(d.To).Arriving++
+		}
+		if d.Wave != "" && !h.Failed {
+			l.waves[d.Wave]++
+		}
+	}
+}
+
+// spent returns the entry of a pool, to be changed in place.
+func (l *Ledger) spent(pool string) *Spent {
+	u, ok := l.pools[pool]
+	if !ok {
+		u = &Spent{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
+		l.pools[pool] = u
+	}
+	return u
+}
+
+// Spent returns what is spent of a pool's budgets.
+func (l *Ledger) Spent(pool string) Spent { return *l.spent(pool) }
+
+// Spent counts what is spent of a pool's budgets.
+func (s *State) Spent(pool string) Spent { return s.Ledger().Spent(pool) }
+
+// Begin marks the host of d as draining in the ledger's state, and counts it.
+func (l *Ledger) Begin(d Drain) {
+	l.state.Begin(d)
+	l.recount()
+}
+
+// CheckDrain says why a drain may not start now, or returns "".
+func (l *Ledger) CheckDrain(c *catalogue.State, b StartDrain) string {
+	s := l.state
 	h, ok := s.Hosts[b.Host]
 	if !ok {
 		return "no such host " + b.Host
@@ -21,20 +84,20 @@
 	if h.Pool != b.From {
 		return fmt.Sprintf("host %s belongs to %s, not %s", b.Host, h.Pool, b.From)
 	}
-	if refusal := s.checkPurpose(c, b, h); refusal != "" {
+	if refusal := l.checkPurpose(c, b, h); refusal != "" {
 		return refusal
 	}
-	return s.checkUnavailable(c, b, h)
+	return l.checkUnavailable(c, b, h)
 }
 
-func (s *State) checkPurpose(c *catalogue.State, b StartDrain, h Host) string {
+func (l *Ledger) checkPurpose(c *catalogue.State, b StartDrain, h Host) string {
 	switch b.Purpose {
 	case PurposeMove:
-		return s.checkMove(c, b, h)
+		return l.checkMove(c, b, h)
 	case PurposeMaintenance:
-		return s.checkMaintenance(c, b, h)
+		return l.checkMaintenance(c, b, h)
 	case PurposeRetire:
-		return s.checkRetire(c, b, h)
+		return l.checkRetire(c, b, h)
 	case PurposeReplace:
 		return ""
 	default:
@@ -42,7 +105,7 @@
 	}
 }
 
-func (s *State) checkMove(c *catalogue.State, b StartDrain, h Host) string {
+func (l *Ledger) checkMove(c *catalogue.State, b StartDrain, h Host) string {
 	from := c.Pools[b.From].Value
 	to, ok := c.Pools[b.To]
 	if !ok || b.To == b.From {
@@ -55,7 +118,7 @@
 	if !wanted && h.Failed {
 		return "host " + b.Host + " has failed"
 	}
-	src, dst := s.Spent(b.From), s.Spent(b.To)
+	src, dst := l.Spent(b.From), l.Spent(b.To)
 	if left := src.Owned - src.Leaving - 1; left < from.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, from.MinHosts)
 	}
@@ -65,7 +128,7 @@
 	return ""
 }
 
-func (s *State) checkRetire(c *catalogue.State, b StartDrain, h Host) string {
+func (l *Ledger) checkRetire(c *catalogue.State, b StartDrain, h Host) string {
 	if _, ok := c.Hosts[b.Host]; ok {
 		return "the catalogue still names host " + b.Host
 	}
@@ -73,14 +136,14 @@
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Spent(b.From)
+	u := l.Spent(b.From)
 	if left := u.Owned - u.Leaving - 1; left < p.Value.MinHosts {
 		return fmt.Sprintf("pool %s would keep %d hosts of at least %d", b.From, left, p.Value.MinHosts)
 	}
 	return ""
 }
 
-func (s *State) checkMaintenance(c *catalogue.State, b StartDrain, h Host) string {
+func (l *Ledger) checkMaintenance(c *catalogue.State, b StartDrain, h Host) string {
 	w, ok := c.Waves[b.Wave]
 	if !ok {
 		return "no such wave " + b.Wave
@@ -91,10 +154,10 @@
 	if !Selects(w.Value, h) {
 		return fmt.Sprintf("wave %s does not select host %s", b.Wave, b.Host)
 	}
-	if n := s.inWave(b.Wave); n >= w.Value.MaxParallel {
+	if n := l.waves[b.Wave]; n >= w.Value.MaxParallel {
 		return fmt.Sprintf("wave %s has %d hosts out of at most %d", b.Wave, n, w.Value.MaxParallel)
 	}
-	u := s.Spent(b.From)
+	u := l.Spent(b.From)
 	for rack := range u.MaintainedRacks {
 		if rack != h.rackKey() {
 			return fmt.Sprintf("pool %s already has hosts of another rack in maintenance", b.From)
@@ -103,18 +166,6 @@
 	return ""
 }
 
-// inWave counts the hosts that a wave has out. Those that failed are counted
-// by their pool's budget instead, or a wave could never pass them.
-func (s *State) inWave(wave string) int {
-	n := 0
-	for _, d := range s.Drains {
-		if d.Wave == wave && !s.Hosts[d.Host].Failed {
-			n++
-		}
-	}
-	return n
-}
-
 // Selects reports whether a wave covers a host.
 func Selects(w catalogue.Wave, h Host) bool {
 	return (w.Pool == "" || w.Pool == h.Pool) && (w.Zone == "" || w.Zone == h.Zone)
@@ -126,12 +177,12 @@
 // Maintenance must also leave room for the loss of the pool's largest rack. A
 // pool whose racks are so large that its budget never has that room is
 // maintained one host at a time, with all others available.
-func (s *State) checkUnavailable(c *catalogue.State, b StartDrain, h Host) string {
+func (l *Ledger) checkUnavailable(c *catalogue.State, b StartDrain, h Host) string {
 	p, ok := c.Pools[b.From]
 	if !ok || h.Failed {
 		return ""
 	}
-	u := s.Spent(b.From)
+	u := l.Spent(b.From)
 	limit := p.Value.MaxUnavailable
 	if u.Unavailable+1 > limit {
 		return fmt.Sprintf("pool %s has %d hosts unavailable of at most %d", b.From, u.Unavailable, limit)
@@ -160,20 +211,6 @@
 	available map[string]int
 }
 
-// Spent counts what is spent of a pool's budgets.
-func (s *State) Spent(pool string) Spent {
-	u := Spent{MaintainedRacks: map[string]bool{}, available: map[string]int{}}
-	for _, h := range s.Hosts {
-		if h.Pool == pool {
-			u.add(h)
-		}
-	}
-	for _, d := range s.Drains {
-		u.addDrain(pool, d, s.Hosts[d.Host])
-	}
-	return u
-}
-
 func (u *Spent) add(h Host) {
 	u.Owned++
 	if h.Usable() {
@@ -183,16 +220,14 @@
 	u.Unavailable++
 }
 
-func (u *Spent) addDrain(pool string, d Drain, h Host) {
-	switch {
-	case d.Purpose == PurposeMove && d.To == pool:
-		u.Arriving++
-	case d.From != pool:
-	case d.Purpose == PurposeMaintenance:
+// addLeaving adds a drain of one of the pool's hosts.
+func (u *Spent) addLeaving(d Drain, h Host) {
+	switch d.Purpose {
+	case PurposeMaintenance:
 		if !h.Failed {
 			u.MaintainedRacks[h.rackKey()] = true
 		}
-	case d.Purpose == PurposeMove || d.Purpose == PurposeRetire:
+	case PurposeMove, PurposeRetire:
 		u.Leaving++
 	}
 }
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -88,8 +88,11 @@
 	mu  sync.Mutex
 	pub Published
 
-	// outbox and idle are used by Step alone.
+	// outbox, idle, seen and wants are used by Step alone. wants are those of
+	// the state seen last.
 	outbox *intent.Outbox
+	seen   *State
+	wants  []Want
 	idle   idleWatch
 }
 
@@ -150,7 +153,11 @@
 	if p.Pools == nil || !member {
 		return
 	}
-	c.metrics.observe(p, c.opts.Gate.Zone())
+	if p.Pools != c.seen {
+		c.metrics.observe(p, c.opts.Gate.Zone())
+		c.wants = p.Pools.Wants(p.Catalogue)
+		c.seen = p.Pools
+	}
 	intents := Plan(p, now, c.inputs(ctx, p, now))
 	c.outbox.Send(ctx, intents, rank, now)
 }
@@ -162,6 +169,7 @@
 		Drained:     c.drained(ctx, p.Pools, now),
 		Suspects:    c.opts.Suspects(),
 		Failed:      c.opts.Failed(),
+		Wants:       c.wants,
 		Moves:       c.opts.Proposals(p, now),
 		MoveTimeout: c.opts.MoveTimeout,
 	}
--- a/internal/pool/faults_test.go
+++ b/internal/pool/faults_test.go
@@ -240,6 +240,30 @@
 	g.Expect(w.host("w0").Wanted).To(BeEmpty())
 }
 
+func TestBlockedEditIsRecordedOnceAndCarriedOutLater(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(variant{})
+	objects := map[catalogue.Key]any{}
+	for _, name := range worldHosts {
+		h := w.head().catalogue.Hosts[name].Value
+		h.Pool = "y"
+		objects[hostKey(name)] = h
+	}
+	x := w.head().catalogue.Pools["x"].Value
+	x.MinHosts = 1
+	objects[catalogue.Key{Kind: catalogue.KindPool, Name: "x"}] = x
+	w.append(editOf(w.head(), false, objects))
+	w.rounds(g, 30)
+	accepted, rejected := w.count(string(KindBlocked))
+	g.Expect(accepted).To(Equal(1))
+	g.Expect(rejected).To(Equal(0))
+	g.Expect(w.head().pools.Spent("x").Owned).To(Equal(1))
+	x.MinHosts = 0
+	w.append(editOf(w.head(), false, map[catalogue.Key]any{{Kind: catalogue.KindPool, Name: "x"}: x}))
+	w.rounds(g, 30)
+	g.Expect(w.head().pools.Spent("y").Owned).To(Equal(3))
+}
+
 func TestRemovedHostIsDrainedThenRetired(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(variant{})
--- a/internal/pool/fold.go
+++ b/internal/pool/fold.go
@@ -178,6 +178,21 @@
 	s.Hosts[d.Host] = h
 }
 
+func (s *State) applyBlocked(r record.Record) record.Outcome {
+	var body WantBlocked
+	if err := record.Decode(r.Body, &body); err != nil {
+		return record.Reject(err.Error())
+	}
+	subject := "host/" + body.Host
+	h, ok := s.Hosts[body.Host]
+	if !ok || h.Blocked >= body.Version {
+		return record.Reject("nothing new is blocked", subject)
+	}
+	h.Blocked = body.Version
+	s.Hosts[body.Host] = h
+	return record.Accept(subject, "pool/"+h.Pool)
+}
+
 func (s *State) applyHealth(offset uint64, r record.Record, v View) record.Outcome {
 	var body Health
 	if err := record.Decode(r.Body, &body); err != nil {
--- a/internal/pool/lending.go
+++ b/internal/pool/lending.go
@@ -24,8 +24,9 @@
 // LendingOptions configures a Lending. Zone and Demand are required.
 type LendingOptions struct {
 	Zone string
-	// Demand returns, by pool, how many slots of work run or wait in the
-	// zone now.
+	// Demand returns, by pool, how many slots the work offered to the zone
+	// would have filled on average since the last call: arrivals a second
+	// times seconds of service, refused work included.
 	Demand func() map[string]float64
 	// Policy defaults to DefaultPredictive.
 	Policy       SparePolicy
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -18,6 +18,8 @@
 	KindCancel record.Kind = "pool.cancel"
 	// KindReturn puts a host that is out back in service.
 	KindReturn record.Kind = "pool.return"
+	// KindBlocked says why a drain that the catalogue asks for cannot start.
+	KindBlocked record.Kind = "pool.blocked"
 	// KindHealth marks a host as failed or as healthy again.
 	KindHealth record.Kind = "pool.health"
 )
@@ -62,6 +64,13 @@
 	Drain string `cbor:"1,keyasint"`
 }
 
+// WantBlocked is the body of a KindBlocked record. Version is that of the
+// catalogue object that asks.
+type WantBlocked struct {
+	Host    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
 // Health is the body of a KindHealth record.
 type Health struct {
 	Host   string `cbor:"1,keyasint"`
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -31,6 +31,8 @@
 	// Failed holds the hosts of the zone that have failed; nil when nobody
 	// knows.
 	Failed map[string]bool
+	// Wants holds what the catalogue asks for (State.Wants).
+	Wants []Want
 	// Moves holds what the spare policy proposes.
 	Moves []Move
 	// MoveTimeout is how long a move of the spare policy may wait for
@@ -109,24 +111,35 @@
 	if len(in.Suspects) > 0 {
 		return nil
 	}
-	wants := p.Pools.Wants(p.Catalogue)
-	if len(wants) == 0 && len(in.Moves) == 0 {
+	if len(in.Wants) == 0 && len(in.Moves) == 0 {
 		return nil
 	}
 	scratch := p.Pools.Clone()
+	ledger := scratch.Ledger()
 	var intents []intent.Intent
-	propose := func(b StartDrain, cause record.Cause) {
-		if scratch.Hosts[b.Host].Zone != in.Zone || scratch.CheckDrain(p.Catalogue, b) != "" {
-			return
+	propose := func(b StartDrain, cause record.Cause) (refusal string) {
+		if refusal := ledger.CheckDrain(p.Catalogue, b); refusal != "" {
+			return refusal
 		}
 		wanted := drainIntent(b, cause)
-		scratch.Begin(Drain{ID: wanted.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
+		ledger.Begin(Drain{ID: wanted.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
 		intents = append(intents, wanted)
+		return ""
 	}
-	for _, w := range wants {
-		propose(w.StartDrain, wantCause(p.Catalogue, w))
+	for _, w := range in.Wants {
+		h := p.Pools.Hosts[w.Host]
+		if h.Zone != in.Zone {
+			continue
+		}
+		cause := wantCause(p.Catalogue, w)
+		if refusal := propose(w.StartDrain, cause); refusal != "" && h.Blocked < w.Version {
+			intents = append(intents, blockedIntent(w, cause, refusal))
+		}
 	}
 	for _, m := range in.Moves {
+		if p.Pools.Hosts[m.Host].Zone != in.Zone {
+			continue
+		}
 		propose(StartDrain{Host: m.Host, Purpose: PurposeMove, From: m.From, To: m.To}, m.Cause)
 	}
 	return intents
@@ -142,6 +155,18 @@
 	}
 }
 
+// blockedIntent records once why a want cannot be met yet. It stays wanted.
+func blockedIntent(w Want, cause record.Cause, refusal string) intent.Intent {
+	cause.Reason += ", but " + refusal
+	return intent.Intent{
+		Key:    fmt.Sprintf("blocked/%s/%d", w.Host, w.Version),
+		Shared: true,
+		Kind:   KindBlocked,
+		Cause:  cause,
+		Body:   WantBlocked{Host: w.Host, Version: w.Version},
+	}
+}
+
 func wantCause(c *catalogue.State, w Want) record.Cause {
 	reason := fmt.Sprintf("the catalogue asks to %s the host", w.Purpose)
 	owner := c.Pools[w.From].Value.Owner
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -48,6 +48,9 @@
 	// Drain is the ID of the drain in progress or, for a host that is out,
 	// of the drain that took it out.
 	Drain string `cbor:"10,keyasint,omitempty" json:"drain,omitempty"`
+	// Blocked is the version of the catalogue's demand for a drain that was
+	// last recorded as blocked.
+	Blocked uint64 `cbor:"11,keyasint,omitempty" json:"blocked,omitempty"`
 }
 
 // Usable reports whether the host may take requests of its pool.
@@ -117,6 +120,8 @@
 		return s.applyReturn(offset, r, v)
 	case KindHealth:
 		return s.applyHealth(offset, r, v)
+	case KindBlocked:
+		return s.applyBlocked(r)
 	default:
 		return record.Reject("unknown kind " + string(r.Kind))
 	}
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -1,110 +1,18 @@
 package pool
 
 import (
-	"context"
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
-	"greengagedeck/internal/catalogue"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/platform"
 	"greengagedeck/internal/record"
 )
 
-// fleet is one folded state: the real fold of each slice that moves depend on.
-type fleet struct {
-	offset    uint64
-	catalogue catalogue.State
-	members   membership.State
-	pools     State
-}
-
-func (f *fleet) Catalogue() *catalogue.State { return &f.catalogue }
-
-func (f *fleet) ZoneMembers(zone string) []string { return f.members.InZone(zone) }
-
-func (f *fleet) apply(r record.Record) (*fleet, record.Outcome) {
-	next := &fleet{f.offset + 1, f.catalogue.Clone(), f.members.Clone(), f.pools.Clone()}
-	var out record.Outcome
-	switch r.Kind {
-	case catalogue.KindEdit:
-		out = next.catalogue.Apply(next.offset, r)
-	case membership.KindJoin, membership.KindRemove:
-		out = next.members.Apply(next.offset, r)
-	default:
-		return next, next.pools.Apply(next.offset, r, next)
-	}
-	if out.Accepted {
-		next.pools.Reconcile(next.offset, next)
-	}
-	return next, out
-}
-
-func newRecord(kind record.Kind, author string, at time.Time, body any) record.Record {
-	r, err := record.New(kind, author, at, record.Cause{Object: "host/test", Owner: "ops"}, body)
-	if err != nil {
-		panic(err)
-	}
-	return r
-}
-
-// editOf returns an edit that sets objects, or removes them when del is set.
-func editOf(f *fleet, del bool, objects map[catalogue.Key]any) record.Record {
-	e := catalogue.Edit{Base: f.catalogue.Version, Operator: "ops"}
-	keys := slices.SortedFunc(maps.Keys(objects), func(a, b catalogue.Key) int {
-		return strings.Compare(a.String(), b.String())
-	})
-	for _, key := range keys {
-		ch := catalogue.Change{Key: key, Delete: del}
-		if !del {
-			spec, err := record.Encode(objects[key])
-			if err != nil {
-				panic(err)
-			}
-			ch.Spec = spec
-		}
-		e.Changes = append(e.Changes, ch)
-	}
-	return newRecord(catalogue.KindEdit, "ops", time.Time{}, e)
-}
-
-// smallFleet has three hosts of zone a on three racks: two in pool x, one in z.
-// Pool y starts without hosts; x and z are spare pools, so that any may lend.
-func smallFleet() *fleet {
-	f := &fleet{0, catalogue.NewState(), membership.NewState(), NewState()}
-	objects := map[catalogue.Key]any{
-		{Kind: catalogue.KindTeam, Name: "ops"}: catalogue.Team{Name: "ops"},
-	}
-	for _, name := range worldPools {
-		p := catalogue.Pool{
-			Name: name, Owner: "ops", Spare: name != "y", MaxUnavailable: 2,
-			SlotsPerHost: 8, ConnectionsPerHost: 64, LongShare: 0.5,
-		}
-		objects[catalogue.Key{Kind: catalogue.KindPool, Name: name}] = p
-	}
-	for i, name := range worldHosts {
-		pool := "x"
-		if i == 2 {
-			pool = "z"
-		}
-		objects[catalogue.Key{Kind: catalogue.KindHost, Name: name}] = catalogue.Host{
-			Name: name, Address: fmt.Sprintf("127.0.0.1:2000%d", i), Zone: "a",
-			Rack: fmt.Sprintf("r%d", i), Pool: pool, Cores: 1, MemoryGB: 1,
-		}
-	}
-	f, out := f.apply(editOf(f, false, objects))
-	if !out.Accepted {
-		panic(out.Reason)
-	}
-	return f
-}
-
 var (
 	worldPools = []string{"x", "y", "z"}
 	worldHosts = []string{"w0", "w1", "w2"}
@@ -171,20 +79,6 @@
 	done  bool
 }
 
-// daemon is one incarnation of a daemon.
-type daemon struct {
-	w       *world
-	slot    int
-	id      string
-	gate    *Gate
-	ctl     *Controller
-	offset  int
-	paused  bool
-	cut     bool
-	dead    bool
-	desired []Move
-}
-
 func newWorld(v variant) *world {
 	w := &world{
 		variant: v,
@@ -273,74 +167,6 @@
 	}
 }
 
-// Append implements Appender under the log's current mode.
-func (d *daemon) Append(_ context.Context, r record.Record) error {
-	switch {
-	case d.cut || d.w.mode == logDown:
-		return platform.ErrUnavailable
-	case d.w.mode == logDelays:
-		d.w.delayed = append(d.w.delayed, r)
-		return platform.ErrUncertain
-	case d.w.mode == logLosesAnswer:
-		d.w.append(r)
-		return platform.ErrUncertain
-	}
-	d.w.append(r)
-	return nil
-}
-
-// Usage implements Usage with the host's last report.
-func (d *daemon) Usage(_ context.Context, host string) (platform.HostUsage, error) {
-	if d.cut {
-		return platform.HostUsage{}, platform.ErrUnavailable
-	}
-	return d.w.hosts[host].report, nil
-}
-
-// fold lets the daemon see the next n records.
-func (d *daemon) fold(n int) {
-	if d.cut || d.paused || d.dead {
-		return
-	}
-	for ; n > 0 && d.offset < len(d.w.log)-1; n-- {
-		d.offset++
-		f := d.w.log[d.offset]
-		d.ctl.Update(Published{Pools: &f.pools, Catalogue: &f.catalogue, Members: f.members.InZone("a")})
-	}
-}
-
-func (d *daemon) step() {
-	if d.paused || d.dead {
-		return
-	}
-	if d.w.variant.skipCount {
-		d.gate.mu.Lock()
-		clear(d.gate.busy)
-		d.gate.mu.Unlock()
-	}
-	d.ctl.Step(context.Background(), d.w.now)
-}
-
-// enter asks the gate for a request; send puts it on the wire.
-func (d *daemon) enter(host, pool string) *run {
-	if d.paused || d.dead {
-		return nil
-	}
-	leave, ok := d.gate.Enter(host, pool)
-	if !ok {
-		return nil
-	}
-	r := &run{pool: pool, owner: d, leave: leave}
-	d.w.hosts[host].runs = append(d.w.hosts[host].runs, r)
-	d.w.started++
-	return r
-}
-
-// enterOwned asks for a request of the pool that the daemon knows to own host.
-func (d *daemon) enterOwned(host string) *run {
-	return d.enter(host, d.w.log[d.offset].pools.Hosts[host].Pool)
-}
-
 func (t *target) send() {
 	for _, r := range t.runs {
 		if !r.owner.paused && !r.owner.dead {
