Give a move up for a silent member, not for long work

Cause: a move that waits for a settlement run was given up and started again every minute. A host lent to a pool that an edit removes stayed with it. Change: moves wait for requests, up to ten minutes for the spare policy and without limit for an edit; they are given up when a member they wait for does not answer. A lent host of a removed pool goes back.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -23,6 +23,8 @@
 	DefaultInterval     = 200 * time.Millisecond
 	DefaultUsageTimeout = 2 * time.Second
 	DefaultMoveTimeout  = time.Minute
+	// DefaultLendingTimeout is about what a move is worth to the spare policy.
+	DefaultLendingTimeout = 10 * time.Minute
 	// DefaultClockError bounds how far two hosts' clocks differ.
 	DefaultClockError = time.Second
 )
@@ -46,15 +48,18 @@
 	Interval     time.Duration
 	UsageTimeout time.Duration
 	MoveTimeout  time.Duration
-	ClockError   time.Duration
-	Metrics      tally.Scope
-	Logger       zerolog.Logger
+	// LendingTimeout is how long a move of the spare policy may wait.
+	LendingTimeout time.Duration
+	ClockError     time.Duration
+	Metrics        tally.Scope
+	Logger         zerolog.Logger
 }
 
 func (o ControllerOptions) withDefaults() ControllerOptions {
 	setDefault(&o.Interval, DefaultInterval)
 	setDefault(&o.UsageTimeout, DefaultUsageTimeout)
 	setDefault(&o.MoveTimeout, DefaultMoveTimeout)
+	setDefault(&o.LendingTimeout, DefaultLendingTimeout)
 	setDefault(&o.ClockError, DefaultClockError)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
@@ -164,13 +169,14 @@
 
 func (c *Controller) inputs(ctx context.Context, p Published, now time.Time) Inputs {
 	return Inputs{
-		Self:        c.opts.Gate.Self(),
-		Zone:        c.opts.Gate.Zone(),
-		Drained:     c.drained(ctx, p.Pools, now),
-		Suspects:    c.opts.Suspects(),
-		Failed:      c.opts.Failed(),
-		Wants:       c.wants,
-		Moves:       c.opts.Proposals(p, now),
-		MoveTimeout: c.opts.MoveTimeout,
+		Self:           c.opts.Gate.Self(),
+		Zone:           c.opts.Gate.Zone(),
+		Drained:        c.drained(ctx, p.Pools, now),
+		Suspects:       c.opts.Suspects(),
+		Failed:         c.opts.Failed(),
+		Wants:          c.wants,
+		Moves:          c.opts.Proposals(p, now),
+		MoveTimeout:    c.opts.MoveTimeout,
+		LendingTimeout: c.opts.LendingTimeout,
 	}
 }
--- a/internal/pool/faults_test.go
+++ b/internal/pool/faults_test.go
@@ -213,14 +213,18 @@
 	g.Expect(w.host("w0").Phase).To(Equal(PhaseServing))
 }
 
-func TestHeldUpMoveGivesTheHostBack(t *testing.T) {
+func TestMoveWaitsForLongWorkButNotForASilentMember(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(variant{})
-	w.setPaused(w.daemons[2], true)
+	w.startRequest(g, w.daemons[2], "w0")
 	w.daemons[0].propose("w0", "y")
 	w.rounds(g, 2)
 	w.daemons[0].desired = nil
-	w.rounds(g, 62)
+	w.rounds(g, 120)
+	g.Expect(w.host("w0").Phase).To(Equal(PhaseDraining))
+	w.setPaused(w.daemons[2], true)
+	w.daemons[0].ctl.opts.Suspects = func() []string { return []string{w.daemons[2].id} }
+	w.rounds(g, 2)
 	g.Expect(w.host("w0").Phase).To(Equal(PhaseServing))
 	g.Expect(w.host("w0").Pool).To(Equal("x"))
 }
@@ -264,6 +268,43 @@
 	g.Expect(w.head().pools.Spent("y").Owned).To(Equal(3))
 }
 
+func TestLendingThatWaitsTooLongGivesTheHostBack(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(variant{})
+	w.startRequest(g, w.daemons[2], "w0")
+	w.daemons[0].propose("w0", "y")
+	w.rounds(g, 2)
+	w.daemons[0].desired = nil
+	w.now = w.now.Add(DefaultLendingTimeout)
+	w.rounds(g, 2)
+	g.Expect(w.host("w0").Phase).To(Equal(PhaseServing))
+}
+
+func TestMoveOfAnEditWaitsHoweverLong(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(variant{})
+	w.startRequest(g, w.daemons[2], "w0")
+	h := w.head().catalogue.Hosts["w0"].Value
+	h.Pool = "y"
+	w.append(editOf(w.head(), false, map[catalogue.Key]any{hostKey("w0"): h}))
+	w.rounds(g, 2)
+	w.now = w.now.Add(2 * DefaultLendingTimeout)
+	w.rounds(g, 2)
+	g.Expect(w.host("w0").Phase).To(Equal(PhaseDraining))
+}
+
+func TestLentHostOfARemovedPoolGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(variant{})
+	w.daemons[0].propose("w0", "y")
+	w.rounds(g, 10)
+	g.Expect(w.host("w0").Pool).To(Equal("y"))
+	w.daemons[0].desired = nil
+	w.append(editOf(w.head(), true, map[catalogue.Key]any{{Kind: catalogue.KindPool, Name: "y"}: nil}))
+	w.rounds(g, 10)
+	g.Expect(w.host("w0").Pool).To(Equal("x"))
+}
+
 func TestRemovedHostIsDrainedThenRetired(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(variant{})
--- a/internal/pool/gate.go
+++ b/internal/pool/gate.go
@@ -125,6 +125,15 @@
 	return g.usable[pool]
 }
 
+// Address returns the IP:port of the host's incarnation in service. It does not
+// change while a request that entered is in progress.
+func (g *Gate) Address(host string) (address string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h, ok := g.hosts[host]
+	return h.Address, ok
+}
+
 // InProgress returns how many requests of this daemon run on host.
 func (g *Gate) InProgress(host string) int {
 	g.mu.Lock()
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -35,9 +35,12 @@
 	Wants []Want
 	// Moves holds what the spare policy proposes.
 	Moves []Move
-	// MoveTimeout is how long a move of the spare policy may wait for
-	// acknowledgements before the host is given back.
+	// MoveTimeout is how long a move may wait for a member that does not
+	// answer before the host is given back.
 	MoveTimeout time.Duration
+	// LendingTimeout is how long a move of the spare policy may wait for
+	// requests to end before the host is given back.
+	LendingTimeout time.Duration
 }
 
 // Move is a proposal to lend or give back a host of the zone.
@@ -178,7 +181,7 @@
 }
 
 // planCancels gives up moves that nobody can finish: their pool is gone, or
-// they have waited too long. The host serves its old pool meanwhile. A drain
+// they wait for what does not come. The host serves its old pool meanwhile. A drain
 // for maintenance is given up by the maintenance slice.
 func planCancels(p Published, now time.Time, in Inputs) []intent.Intent {
 	var intents []intent.Intent
@@ -187,7 +190,7 @@
 		if d.Zone != in.Zone || d.Purpose != PurposeMove {
 			continue
 		}
-		reason := d.giveUp(p.Catalogue, now, in.MoveTimeout)
+		reason := d.giveUp(p, now, in)
 		if reason == "" {
 			continue
 		}
@@ -204,12 +207,19 @@
 	return intents
 }
 
-// giveUp says why a move should be given up, or returns "".
-func (d Drain) giveUp(c *catalogue.State, now time.Time, timeout time.Duration) string {
-	if _, ok := c.Pools[d.To]; !ok {
+// giveUp says why a move should be given up, or returns "". A move that an edit
+// wants waits for requests to end however long they take.
+func (d Drain) giveUp(p Published, now time.Time, in Inputs) string {
+	if _, ok := p.Catalogue.Pools[d.To]; !ok {
 		return "pool " + d.To + " is no longer in the catalogue"
 	}
-	if waited := now.Sub(d.At); waited > timeout {
+	waited := now.Sub(d.At)
+	for _, member := range d.Waiting {
+		if waited > in.MoveTimeout && slices.Contains(in.Suspects, member) {
+			return fmt.Sprintf("%s has not answered for %s", member, waited.Round(time.Second))
+		}
+	}
+	if wanted := p.Pools.Hosts[d.Host].Wanted == d.To; !wanted && waited > in.LendingTimeout {
 		return fmt.Sprintf("after %s still waiting for %v", waited.Round(time.Second), d.Waiting)
 	}
 	return ""
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -99,6 +99,12 @@
 	return wants
 }
 
+// orphaned reports whether a lent host serves a pool that is gone.
+func (h Host) orphaned(c *catalogue.State) bool {
+	_, ok := c.Pools[h.Pool]
+	return !ok && h.Declared != h.Pool
+}
+
 func (h Host) want(name string, c *catalogue.State) (Want, bool) {
 	w := Want{Object: "host/" + name}
 	w.Host, w.From = name, h.Pool
@@ -112,6 +118,8 @@
 	switch {
 	case h.Wanted != "":
 		w.Purpose, w.To = PurposeMove, h.Wanted
+	case h.orphaned(c):
+		w.Purpose, w.To = PurposeMove, h.Declared
 	case moved.Address != h.Address || moved.Zone != h.Zone || moved.Rack != h.Rack:
 		w.Purpose = PurposeReplace
 	default:
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -52,6 +52,7 @@
 	{1, func(w *world, d *daemon, _ *target, _ action) { w.kill(d); w.start(d.slot) }},
 	{1, func(w *world, d *daemon, _ *target, _ action) { w.remove(d) }},
 	{2, func(w *world, _ *daemon, _ *target, a action) { w.edit(a) }},
+	{1, func(w *world, d *daemon, _ *target, a action) { w.cancel(d, worldHosts[a.host]) }},
 }
 
 var opTable = func() []uint8 {
@@ -80,6 +81,13 @@
 	w.append(newRecord(membership.KindRemove, "d9", w.now, membership.Remove{ID: d.id}))
 }
 
+// cancel gives up the drain of a host, as a member may at any time.
+func (w *world) cancel(d *daemon, host string) {
+	if id := w.head().pools.Hosts[host].Drain; id != "" && !d.cut {
+		w.append(newRecord(KindCancel, d.id, w.now, DrainRef{Drain: id}))
+	}
+}
+
 // edit changes a host's pool or address in the catalogue.
 func (w *world) edit(a action) {
 	h := w.head().catalogue.Hosts[worldHosts[a.host]].Value
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -288,8 +288,9 @@
 func (w *world) budgetViolation() error {
 	s := &w.head().pools
 	for _, pool := range worldPools {
-		limit := w.head().catalogue.Pools[pool].Value.MaxUnavailable
-		if n := s.Spent(pool).Unavailable; n > limit {
+		p, ok := w.head().catalogue.Pools[pool]
+		limit := p.Value.MaxUnavailable
+		if n := s.Spent(pool).Unavailable; ok && n > limit {
 			return eris.Errorf("pool %s has %d hosts unavailable of at most %d", pool, n, limit)
 		}
 	}
