--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -31,11 +31,16 @@
 	// Failed holds the hosts of the zone that have failed; nil when nobody
 	// knows.
 	Failed map[string]bool
+	// Wants holds what the catalogue asks for (State.Wants).
+	Wants []Want
 	// Moves holds what the spare policy proposes.
 	Moves []Move
-	// MoveTimeout is how long a move of the spare policy may wait for
-	// acknowledgements before the host is given back.
+	// MoveTimeout is how long a move may wait for a member that does not
+	// answer before the host is given back.
 	MoveTimeout time.Duration
+	// LendingTimeout is how long a move of the spare policy may wait for
+	// requests to end before the host is given back.
+	LendingTimeout time.Duration
 }
 
 // Move is a proposal to lend or give back a host of the zone.
@@ -109,24 +114,35 @@
 	if len(in.Suspects) > 0 {
 		return nil
 	}
-	wants := p.Pools.Wants(p.Catalogue)
-	if len(wants) == 0 && len(in.Moves) == 0 {
+	if len(in.Wants) == 0 && len(in.Moves) == 0 {
 		return nil
 	}
 	scratch := p.Pools.Clone()
+	ledger := scratch.Ledger()
 	var intents []intent.Intent
-	propose := func(b StartDrain, cause record.Cause) {
-		if scratch.Hosts[b.Host].Zone != in.Zone || scratch.CheckDrain(p.Catalogue, b) != "" {
-			return
+	propose := func(b StartDrain, cause record.Cause) (refusal string) {
+		if refusal := ledger.CheckDrain(p.Catalogue, b); refusal != "" {
+			return refusal
 		}
 		wanted := drainIntent(b, cause)
-		scratch.Begin(Drain{ID: wanted.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
+		ledger.Begin(Drain{ID: wanted.Key, Host: b.Host, Purpose: b.Purpose, From: b.From, To: b.To})
 		intents = append(intents, wanted)
+		return ""
 	}
-	for _, w := range wants {
-		propose(w.StartDrain, wantCause(p.Catalogue, w))
+	for _, w := range in.Wants {
+		h := p.Pools.Hosts[w.Host]
+		if h.Zone != in.Zone {
+			continue
+		}
+		cause := wantCause(p.Catalogue, w)
+		if refusal := propose(w.StartDrain, cause); refusal != "" && h.Blocked < w.Version {
+			intents = append(intents, blockedIntent(w, cause, refusal))
+		}
 	}
 	for _, m := range in.Moves {
+		if p.Pools.Hosts[m.Host].Zone != in.Zone {
+			continue
+		}
 		propose(StartDrain{Host: m.Host, Purpose: PurposeMove, From: m.From, To: m.To}, m.Cause)
 	}
 	return intents
@@ -142,6 +158,18 @@
 	}
 }
 
+// blockedIntent records once why a want cannot be met yet. It stays wanted.
+func blockedIntent(w Want, cause record.Cause, refusal string) intent.Intent {
+	cause.Reason += ", but " + refusal
+	return intent.Intent{
+		Key:    fmt.Sprintf("blocked/%s/%d", w.Host, w.Version),
+		Shared: true,
+		Kind:   KindBlocked,
+		Cause:  cause,
+		Body:   WantBlocked{Host: w.Host, Version: w.Version},
+	}
+}
+
 func wantCause(c *catalogue.State, w Want) record.Cause {
 	reason := fmt.Sprintf("the catalogue asks to %s the host", w.Purpose)
 	owner := c.Pools[w.From].Value.Owner
@@ -153,7 +181,7 @@
 }
 
 // planCancels gives up moves that nobody can finish: their pool is gone, or
-// they have waited too long. The host serves its old pool meanwhile. A drain
+// they wait for what does not come. The host serves its old pool meanwhile. A drain
 // for maintenance is given up by the maintenance slice.
 func planCancels(p Published, now time.Time, in Inputs) []intent.Intent {
 	var intents []intent.Intent
@@ -162,7 +190,7 @@
 		if d.Zone != in.Zone || d.Purpose != PurposeMove {
 			continue
 		}
-		reason := d.giveUp(p.Catalogue, now, in.MoveTimeout)
+		reason := d.giveUp(p, now, in)
 		if reason == "" {
 			continue
 		}
@@ -179,12 +207,19 @@
 	return intents
 }
 
-// giveUp says why a move should be given up, or returns "".
-func (d Drain) giveUp(c *catalogue.State, now time.Time, timeout time.Duration) string {
-	if _, ok := c.Pools[d.To]; !ok {
+// giveUp says why a move should be given up, or returns "". A move that an edit
+// wants waits for requests to end however long they take.
+func (d Drain) giveUp(p Published, now time.Time, in Inputs) string {
+	if _, ok := p.Catalogue.Pools[d.To]; !ok {
 		return "pool " + d.To + " is no longer in the catalogue"
 	}
-	if waited := now.Sub(d.At); waited > timeout {
+	waited := now.Sub(d.At)
+	for _, member := range d.Waiting {
+		if waited > in.MoveTimeout && slices.Contains(in.Suspects, member) {
+			return fmt.Sprintf("%s has not answered for %s", member, waited.Round(time.Second))
+		}
+	}
+	if wanted := p.Pools.Hosts[d.Host].Wanted == d.To; !wanted && waited > in.LendingTimeout {
 		return fmt.Sprintf("after %s still waiting for %v", waited.Round(time.Second), d.Waiting)
 	}
 	return ""
