Add service-level burn: counts, summaries, rollups, reports

Cause: the lead of the operations team asks how much of each budget is used and by what, also after every daemon has been replaced.

Ruled out: a metrics store (none is given), a record a request (too many appends), running totals with one writer (loses what it did not hear), and histograms of the usual library (10 KB an entry, minute and shard).

Change: sharded counters by minute and entry; one summary a daemon and minute in the burn stream, named by that pair so that copies change nothing; hourly rollups by the lowest member that list what they hold; windows, budget, causes and decisions as table, JSON and one HTML page; the four measures with the users' weights; fuzzing of the stream's records.

The HTML page has been checked as text and XML, not looked at in a browser.

--- /dev/null
+++ b/internal/burn/counter_test.go
@@ -0,0 +1,133 @@
+package burn
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/request"
+	"greengagedeck/internal/verdict"
+)
+
+func TestClassify(t *testing.T) {
+	objective := catalogue.Objective{Latency: time.Second}
+	refuse := func(r verdict.Reason) error { return fmt.Errorf("x: %w", verdict.Refuse(r, "y")) }
+	for _, tt := range []struct {
+		name        string
+		sample      Sample
+		maintenance bool
+		outcome     outcome
+		cause       Cause
+	}{
+		{"in time", Sample{Took: time.Second, Objective: objective}, true, outcomeGood, 0},
+		{"late", Sample{Took: time.Second + 1, Objective: objective}, true, outcomeBad, CauseLate},
+		{"without a latency objective", Sample{Took: time.Hour}, false, outcomeGood, 0},
+		{"queue full", Sample{Err: refuse(verdict.ReasonQueueFull)}, false, outcomeBad, CauseRefused},
+		{"queue full in maintenance", Sample{Err: refuse(verdict.ReasonQueueFull)}, true, outcomeBad, CauseMaintenance},
+		{"connection lost", Sample{Err: verdict.Unsure(verdict.ReasonConnectionLost, "x")}, false, outcomeBad, CauseLostHost},
+		{"connection lost in maintenance", Sample{Err: verdict.Unsure(verdict.ReasonConnectionLost, "x")}, true, outcomeBad, CauseMaintenance},
+		{"unproven", Sample{Err: refuse(verdict.ReasonUnproven)}, true, outcomeBad, CauseUnproven},
+		{"timeout", Sample{Err: verdict.Unsure(verdict.ReasonTimeout, "x")}, true, outcomeBad, CauseFailed},
+		{"target's own failure", Sample{Err: errors.New("status 500")}, true, outcomeBad, CauseFailed},
+		{"caller's mistake", Sample{Err: refuse(verdict.ReasonBadRequest)}, true, outcomeExcluded, 0},
+		{"over quota", Sample{Err: refuse(verdict.ReasonQuota)}, false, outcomeExcluded, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			out, cause := classify(tt.sample, tt.maintenance)
+			g.Expect(out).To(Equal(tt.outcome))
+			g.Expect(cause).To(Equal(tt.cause))
+		})
+	}
+}
+
+// Requests end while their minute is being taken.
+func TestEverySampleIsTakenOnceAndNoMinuteTwice(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCounter(nil)
+	const writers, each = 4, 5000
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for i := range each {
+				c.Record(good, base.Add(time.Duration(i)*10*time.Millisecond))
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	seen := map[int64]bool{}
+	var sum uint64
+	take := func(minutes []Minute) {
+		for _, m := range minutes {
+			g.Expect(seen[m.Minute]).To(BeFalse(), "minute taken twice")
+			seen[m.Minute] = true
+			sum += m.Entries[0].Counts.Good
+		}
+	}
+	for i := 0; ; i++ {
+		take(c.Take(base.Add(time.Duration(i) * time.Second)))
+		select {
+		case <-done:
+			take(c.TakeAll(base.Add(time.Duration(i)*time.Second + time.Hour)))
+			g.Expect(sum).To(BeEquivalentTo(writers * each))
+			return
+		default:
+		}
+	}
+}
+
+type longHeld bool
+
+func (longHeld) Maintenance(string) bool { return false }
+func (l longHeld) LongHeld(string) bool  { return bool(l) }
+
+func TestWaitOfShortWorkBehindLongWork(t *testing.T) {
+	for held, want := range map[bool]uint64{true: 30, false: 0} {
+		g := NewWithT(t)
+		c := NewCounter(longHeld(held))
+		for _, class := range []request.Class{request.ClassUrgent, request.ClassShort, request.ClassLong} {
+			s := good
+			s.Class, s.Queued = class, 15*time.Millisecond
+			c.Record(s, base)
+		}
+		counts := c.TakeAll(base)[0].Entries[0].Counts
+		g.Expect(counts.Short).To(BeEquivalentTo(2))
+		g.Expect(counts.ShortQueued).To(BeEquivalentTo(30))
+		g.Expect(counts.ShortBlocked).To(Equal(want))
+	}
+}
+
+func TestEntriesWithoutBoundAreCountedTogether(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCounter(nil)
+	const entries = counterShards*maxEntries + 10_000
+	for i := range entries {
+		c.Record(Sample{Entry: fmt.Sprint("e", i)}, base)
+	}
+	m := c.TakeAll(base)
+	g.Expect(len(m[0].Entries)).To(BeNumerically("<=", counterShards*maxEntries+1))
+	var n uint64
+	for _, e := range m[0].Entries {
+		n += e.Counts.Good
+	}
+	g.Expect(n).To(BeEquivalentTo(entries))
+}
+
+func BenchmarkRecord(b *testing.B) {
+	c := NewCounter(nil)
+	now := time.Now()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c.Record(good, now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,328 @@
+package burn
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/decision"
+)
+
+const (
+	// monthDays is the length of the budget window.
+	monthDays = 30
+	day       = 24 * time.Hour
+	// maxDecisions bounds the decisions beside one service or entry.
+	maxDecisions = 20
+)
+
+// windowSpec is a window that burn is reported for.
+type windowSpec struct {
+	name   string
+	length time.Duration
+}
+
+var windowSpecs = []windowSpec{
+	{"5m", 5 * time.Minute},
+	{"1h", time.Hour},
+	{"6h", 6 * time.Hour},
+	{"3d", 3 * day},
+}
+
+// monthWindow is the name of the last window, which the budget is for.
+const monthWindow = "30d"
+
+// Report is the service-level burn of every service and entry.
+type Report struct {
+	GeneratedAt time.Time `json:"generated_at"`
+	// Stale says why the newest counts may be missing, or is empty.
+	Stale string `json:"stale,omitempty"`
+	// Services are the pools, Entries the catalogue's entries and those that
+	// have been removed in the month.
+	Services []Subject `json:"services"`
+	Entries  []Subject `json:"entries"`
+}
+
+// Subject is one service or entry.
+type Subject struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner,omitempty"`
+	Pool  string `json:"pool"`
+	// Availability is the objective; a service's is that of its entries,
+	// weighted by their requests. It is 0 without one.
+	Availability float64 `json:"availability"`
+	// BudgetLeft is the share of the month's budget that is left. It is
+	// negative once more than the budget is used.
+	BudgetLeft float64 `json:"budget_left"`
+	// Windows end now, shortest first, the month last.
+	Windows []Window `json:"windows"`
+	// Days are the days of the month, oldest first.
+	Days []Day `json:"days"`
+	// P50 and P99 are upper bounds of the latency of the last hour's
+	// answers, in milliseconds.
+	P50 float64 `json:"p50_ms"`
+	P99 float64 `json:"p99_ms"`
+	// Decisions are the last control decisions on the subject.
+	Decisions []decision.Decision `json:"decisions,omitempty"`
+}
+
+// Window is what happened in a span of time that ends now.
+type Window struct {
+	Name     string `json:"name"`
+	Requests uint64 `json:"requests"`
+	Bad      uint64 `json:"bad"`
+	Excluded uint64 `json:"excluded"`
+	// Burn is the share of failures over the share that the objective
+	// allows: at 1 the budget lasts exactly for the month.
+	Burn float64 `json:"burn"`
+	// Causes lists every cause with a count over 0.
+	Causes []CauseCount `json:"causes,omitempty"`
+}
+
+// CauseCount is how many requests one cause spoilt.
+type CauseCount struct {
+	Cause Cause  `json:"cause"`
+	Count uint64 `json:"count"`
+}
+
+// Day is one day of the month.
+type Day struct {
+	Start    time.Time `json:"start"`
+	Requests uint64    `json:"requests"`
+	Bad      uint64    `json:"bad"`
+	// BudgetLeft is the share of the month's budget left after this day.
+	BudgetLeft float64 `json:"budget_left"`
+}
+
+// Entries lists the catalogue's entries.
+type Entries interface {
+	Entries() []catalogue.Entry
+}
+
+// Decisions finds the control decisions on a subject such as "pool/labada".
+type Decisions interface {
+	Decisions(subject string) []decision.Decision
+}
+
+// Refresher brings a Store up to date.
+type Refresher interface {
+	Refresh(ctx context.Context) error
+}
+
+// ReporterOptions configures a Reporter.
+type ReporterOptions struct {
+	Store     *Store
+	Refresher Refresher
+	Entries   Entries
+	Decisions Decisions
+	Buffer    BufferSource
+	Rollouts  RolloutSource
+	Moves     MoveSource
+}
+
+// Reporter makes reports from what the daemons have counted.
+type Reporter struct {
+	opts ReporterOptions
+}
+
+// NewReporter returns a reporter.
+func NewReporter(opts ReporterOptions) *Reporter { return &Reporter{opts: opts} }
+
+// Burn renders the burn report as "json", "table" or "html".
+func (r *Reporter) Burn(format string) (contentType string, body []byte, err error) {
+	rep := r.Report(context.Background(), time.Now())
+	switch format {
+	case "json":
+		return renderJSON(rep)
+	case "html":
+		return renderHTML(rep)
+	case "table", "":
+		return contentTypeText, renderBurnTable(rep), nil
+	default:
+		return "", nil, eris.Errorf("no format %q: there are json, table and html", format)
+	}
+}
+
+// Report returns the burn report as of now. When the log cannot be read it
+// reports what has been read before and says so.
+func (r *Reporter) Report(ctx context.Context, now time.Time) Report {
+	rep := Report{GeneratedAt: now.UTC()}
+	if err := r.opts.Refresher.Refresh(ctx); err != nil {
+		rep.Stale = err.Error()
+	}
+	m := r.measure(now)
+	for _, e := range m.entries {
+		s := m.subject(e.Name, []catalogue.Entry{e})
+		s.Owner = e.Owner
+		s.Decisions = r.decisions("entry/" + e.Name)
+		rep.Entries = append(rep.Entries, s)
+	}
+	for _, pool := range m.pools() {
+		s := m.subject(pool, m.entriesOf(pool))
+		s.Decisions = r.decisions("pool/" + pool)
+		rep.Services = append(rep.Services, s)
+	}
+	return rep
+}
+
+func (r *Reporter) decisions(subject string) []decision.Decision {
+	all := r.opts.Decisions.Decisions(subject)
+	return all[max(0, len(all)-maxDecisions):]
+}
+
+// measured holds the sums that a report is made from.
+type measured struct {
+	entries []catalogue.Entry
+	windows []namedSums
+	days    []daySums
+}
+
+type namedSums struct {
+	name string
+	sums sums
+}
+
+type daySums struct {
+	start time.Time
+	sums  sums
+}
+
+func (r *Reporter) measure(now time.Time) measured {
+	var m measured
+	for _, w := range windowSpecs {
+		m.windows = append(m.windows, namedSums{w.name, r.opts.Store.between(now.Add(-w.length), now)})
+	}
+	// Days begin on the hour, because older counts are kept by the hour.
+	start := now.Add(-monthDays * day).Truncate(time.Hour)
+	month := sums{}
+	for i := range monthDays {
+		from := start.Add(time.Duration(i) * day)
+		to := from.Add(day)
+		if i == monthDays-1 {
+			to = now
+		}
+		d := r.opts.Store.between(from, to)
+		m.days = append(m.days, daySums{from.UTC(), d})
+		for key, c := range d {
+			month.addOne(key, *c)
+		}
+	}
+	m.windows = append(m.windows, namedSums{monthWindow, month})
+	m.entries = withRemoved(r.opts.Entries.Entries(), month)
+	return m
+}
+
+// withRemoved adds the entries that were counted but are gone from the
+// catalogue. They have no objective any more.
+func withRemoved(entries []catalogue.Entry, month sums) []catalogue.Entry {
+	entries = slices.Clone(entries)
+	known := map[string]bool{}
+	for _, e := range entries {
+		known[e.Name] = true
+	}
+	for key := range month {
+		if !known[key.entry] {
+			known[key.entry] = true
+			entries = append(entries, catalogue.Entry{Name: key.entry, Pool: key.pool})
+		}
+	}
+	slices.SortFunc(entries, func(a, b catalogue.Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return entries
+}
+
+func (m measured) pools() []string {
+	var out []string
+	for _, e := range m.entries {
+		out = append(out, e.Pool)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (m measured) entriesOf(pool string) []catalogue.Entry {
+	var out []catalogue.Entry
+	for _, e := range m.entries {
+		if e.Pool == pool {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// subject reports on entries together.
+func (m measured) subject(name string, entries []catalogue.Entry) Subject {
+	s := Subject{Name: name, Pool: entries[0].Pool}
+	for _, w := range m.windows {
+		c, allowed := w.sums.of(entries)
+		s.Windows = append(s.Windows, newWindow(w.name, c, allowed))
+		if w.name == "1h" {
+			s.P50, s.P99 = milliseconds(c.Quantile(0.5)), milliseconds(c.Quantile(0.99))
+		}
+	}
+	month, allowed := m.windows[len(m.windows)-1].sums.of(entries)
+	s.Availability = availability(entries, month, allowed)
+	s.BudgetLeft = budgetLeft(month.BadTotal(), allowed)
+	var bad uint64
+	for _, d := range m.days {
+		c, _ := d.sums.of(entries)
+		bad += c.BadTotal()
+		s.Days = append(s.Days, Day{
+			Start: d.start, Requests: c.Requests(), Bad: c.BadTotal(), BudgetLeft: budgetLeft(bad, allowed),
+		})
+	}
+	return s
+}
+
+// of returns the counts of entries and how many of their requests may fail.
+func (s sums) of(entries []catalogue.Entry) (total Counts, allowed float64) {
+	for _, e := range entries {
+		var c Counts
+		for key, sum := range s {
+			if key.entry == e.Name {
+				c.Add(*sum)
+			}
+		}
+		total.Add(c)
+		if a := e.Objective.Availability; a > 0 {
+			allowed += float64(c.Requests()) * (1 - a)
+		}
+	}
+	return total, allowed
+}
+
+func availability(entries []catalogue.Entry, month Counts, allowed float64) float64 {
+	if len(entries) == 1 {
+		return entries[0].Objective.Availability
+	}
+	if month.Requests() == 0 {
+		return 0
+	}
+	return 1 - allowed/float64(month.Requests())
+}
+
+func newWindow(name string, c Counts, allowed float64) Window {
+	w := Window{Name: name, Requests: c.Requests(), Bad: c.BadTotal(), Excluded: c.Excluded}
+	if allowed > 0 {
+		w.Burn = float64(w.Bad) / allowed
+	}
+	for _, cause := range Causes {
+		if n := c.BadBy(cause); n > 0 {
+			w.Causes = append(w.Causes, CauseCount{cause, n})
+		}
+	}
+	return w
+}
+
+// budgetLeft is 1 for entries without an objective, which have no budget.
+func budgetLeft(bad uint64, allowed float64) float64 {
+	if bad == 0 || allowed == 0 {
+		return 1
+	}
+	return 1 - float64(bad)/allowed
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
