--- a/standin/bench/sharing.go
+++ b/standin/bench/sharing.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
 
 	"greengagedeck/internal/dispatch"
 )
@@ -18,7 +20,8 @@
 	make func(*zone) sharing
 }
 
-var policy = dispatch.SchedulerConfig{LongShare: 0.5}
+// longShare is the part of the slots that long work may hold.
+const longShare = 0.5
 
 var (
 	centralMethod = method{"central queue (reference)", newCentral}
@@ -41,7 +44,7 @@
 }
 
 func newCentral(z *zone) sharing {
-	n := newNode(z, policy)
+	n := newNode(z)
 	n.queues = z.shape.daemons
 	n.sched.SetTargets(z.list)
 	return &central{z: z, n: n}
@@ -60,7 +63,7 @@
 func newStatic(z *zone) sharing {
 	s := &static{z: z}
 	for d := range z.shape.daemons {
-		n := newNode(z, policy)
+		n := newNode(z)
 		n.sched.SetTargets(splitTargets(z.list, d, z.shape.daemons))
 		s.nodes = append(s.nodes, n)
 	}
@@ -71,17 +74,16 @@
 	s.nodes[w.daemon].submit(w, func(o outcome) { s.z.answer(w, o) })
 }
 
-// splitTargets returns a daemon's part of each target. The remainder of a
-// division goes to another daemon from target to target.
+// splitTargets returns a daemon's part of each target, as the product splits
+// them.
 func splitTargets(list []dispatch.Target, daemon, daemons int) []dispatch.Target {
-	out := make([]dispatch.Target, 0, len(list))
-	for i, t := range list {
-		part := t.Slots / daemons
-		if (daemon+i)%daemons < t.Slots%daemons {
-			part++
-		}
-		t.Slots = part
-		out = append(out, t)
+	var ids []string
+	for i := range daemons {
+		ids = append(ids, strconv.Itoa(i))
+	}
+	out := slices.Clone(list)
+	for i := range out {
+		out[i].Slots = dispatch.SplitSlots(out[i].Slots, out[i].Host, ids, strconv.Itoa(daemon))
 	}
 	return out
 }
@@ -96,7 +98,7 @@
 }
 
 func newHome(z *zone) sharing {
-	n := newNode(z, policy)
+	n := newNode(z)
 	n.queues = z.shape.daemons
 	n.sched.SetTargets(z.list)
 	return &home{z: z, n: n}
