--- /dev/null
+++ b/standin/capacity/catalogue.go
@@ -0,0 +1,83 @@
+// Package capacity measures what control costs a daemon at several sizes of a
+// deployment.
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/request"
+)
+
+// Size is the size of a deployment.
+type Size struct {
+	Workers int
+	Pools   int
+	Teams   int
+	Zones   int
+	// Daemons is how many entry hosts there are, spread over the zones.
+	Daemons int
+}
+
+// Full is the size to design for.
+var Full = Size{Workers: 1000, Pools: 57, Teams: 250, Zones: 7, Daemons: 14}
+
+// scaled returns Full with its workers, pools and teams cut to a share.
+func scaled(workers int) Size {
+	s := Full
+	s.Workers = workers
+	s.Pools = max(2, Full.Pools*workers/Full.Workers)
+	s.Teams = max(2, Full.Teams*workers/Full.Workers)
+	return s
+}
+
+const (
+	slotsPerHost       = 8
+	connectionsPerHost = 64
+	hostsPerRack       = 4
+	entriesPerTeam     = 2
+)
+
+// ZoneName returns the name of zone i.
+func ZoneName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
+
+// Document returns a catalogue of the size whose hosts have the addresses
+// given.
+func Document(s Size, addresses []string) catalogue.Document {
+	var d catalogue.Document
+	for i := range s.Teams {
+		d.Teams = append(d.Teams, catalogue.Team{Name: teamName(i), Rate: 100, Burst: 200, Weight: 1})
+	}
+	for i := range s.Pools {
+		d.Pools = append(d.Pools, catalogue.Pool{
+			Name: poolName(i), Owner: teamName(i % s.Teams), Spare: i == 0, MinHosts: 1, MaxUnavailable: 2,
+			SlotsPerHost: slotsPerHost, ConnectionsPerHost: connectionsPerHost, LongShare: 0.5,
+		})
+	}
+	for i := range s.Workers {
+		zone := i % s.Zones
+		d.Hosts = append(d.Hosts, catalogue.Host{
+			Name: fmt.Sprintf("w-%04d", i), Address: addresses[i], Zone: ZoneName(zone),
+			Rack: fmt.Sprintf("%s-r%d", ZoneName(zone), i/s.Zones/hostsPerRack),
+			Pool: poolName(i / s.Zones % s.Pools), Cores: 32, MemoryGB: 64,
+		})
+	}
+	for i := range s.Teams * entriesPerTeam {
+		d.Entries = append(d.Entries, entry(s, i))
+	}
+	return d
+}
+
+func entry(s Size, i int) catalogue.Entry {
+	return catalogue.Entry{
+		Name: fmt.Sprintf("entry-%04d", i), Owner: teamName(i % s.Teams), Pool: poolName(i % s.Pools),
+		Class: request.ClassShort, Idempotent: true,
+		Limits:    catalogue.Limits{Queue: 100, Deadline: 2 * time.Second, BodyBytes: 64 << 10},
+		Objective: catalogue.Objective{Availability: 0.999, Latency: 500 * time.Millisecond},
+	}
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+func poolName(i int) string { return fmt.Sprintf("pool-%02d", i) }
--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -101,3 +101,6 @@
 	}
 	return string(data[max(0, len(data)-most):])
 }
+
+// PID returns the process ID of the daemon's current process.
+func (d *Daemon) PID() int { return d.process.cmd.Process.Pid }
