--- a/standin/cmd/demo/demo.go
+++ b/standin/cmd/demo/demo.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/goccy/go-yaml"
+
 	"greengagedeck/internal/catalogue"
 	"greengagedeck/internal/request"
 	"greengagedeck/standin/deployment"
@@ -74,6 +76,9 @@
 	if d.doc, err = catalogue.Load(d.file, data); err != nil {
 		return nil, err
 	}
+	if err := d.moveHosts(); err != nil {
+		return nil, err
+	}
 	ports, err := fleet.FreePorts(1)
 	if err != nil {
 		return nil, err
@@ -88,6 +93,32 @@
 	return d, err
 }
 
+// moveHosts gives the workers other addresses when something listens on theirs,
+// so that two demonstrations can run side by side.
+func (d *demo) moveHosts() error {
+	free := true
+	for _, h := range d.doc.Hosts {
+		free = free && fleet.Free(h.Address)
+	}
+	if free {
+		return nil
+	}
+	ports, err := fleet.FreePorts(len(d.doc.Hosts))
+	if err != nil {
+		return err
+	}
+	for i := range d.doc.Hosts {
+		d.doc.Hosts[i].Address = ports[i]
+	}
+	data, err := yaml.Marshal(d.doc)
+	if err != nil {
+		return err
+	}
+	d.file = filepath.Join(d.settings.logs, d.settings.deployment+".yaml")
+	fmt.Println("workers' addresses are in use; taking others, as in", d.file)
+	return os.WriteFile(d.file, data, 0o600)
+}
+
 // sites names the entry hosts of the deployment.
 func (d *demo) sites() []fleet.Site {
 	var zones []string
--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -81,23 +79,11 @@
 
 // ended returns an error when the process has ended by itself.
 func (d *Daemon) ended() error {
-	select {
-	case <-d.process.done:
-		return &EndedError{Host: d.Host, Err: d.process.err, Log: d.Tail()}
-	default:
-		return nil
-	}
+	return d.process.ended(d.Host)
 }
 
 // Ready reports whether the daemon says that it is ready.
 func (d *Daemon) Ready() bool { return getOK("http://" + d.Admin + "/readyz") }
 
 // Tail returns the end of the daemon's log.
-func (d *Daemon) Tail() string {
-	const most = 4096
-	data, err := os.ReadFile(d.LogFile())
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err.Error()
-	}
-	return string(data[max(0, len(data)-most):])
-}
+func (d *Daemon) Tail() string { return tail(d.LogFile()) }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -64,6 +64,7 @@
 		return nil, err
 	}
 	for i, s := range opts.Sites {
+		_ = os.Remove(filepath.Join(opts.Dir, s.Host+".log"))
 		f.Daemons = append(f.Daemons, &Daemon{
 			Host:   s.Host,
 			Zone:   s.Zone,
@@ -100,6 +101,15 @@
 	return nil, errors.New("no free ports")
 }
 
+// Free reports whether nothing listens on an address.
+func Free(address string) bool {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return ln.Close() == nil
+}
+
 func (f *Fleet) peers() []string {
 	var out []string
 	for _, d := range f.Daemons {
@@ -218,18 +228,6 @@
 	return e, json.Unmarshal(out, &e)
 }
 
-// EndedError means that a daemon's process has ended by itself.
-type EndedError struct {
-	Host string
-	Err  error
-	Log  string
-}
-
-// Error implements error.
-func (e *EndedError) Error() string {
-	return fmt.Sprintf("%s ended: %v\n%s", e.Host, e.Err, e.Log)
-}
-
 // Poll calls check until it returns nil, a process has ended, or the timeout
 // has passed.
 func Poll(timeout time.Duration, check func() error) error {
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -41,6 +41,38 @@
 	return p, nil
 }
 
+// ended returns an error when the process has ended by itself.
+func (p *process) ended(name string) error {
+	select {
+	case <-p.done:
+		return &EndedError{Name: name, Err: p.err, Log: tail(p.log.Name())}
+	default:
+		return nil
+	}
+}
+
+// EndedError means that a process has ended by itself.
+type EndedError struct {
+	Name string
+	Err  error
+	Log  string
+}
+
+// Error implements error.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("%s ended: %v\n%s", e.Name, e.Err, e.Log)
+}
+
+// tail returns the end of a file.
+func tail(path string) string {
+	const most = 4096
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-most):])
+}
+
 func (p *process) signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
 // stop asks the process to end and waits. It kills it after the timeout,
--- a/standin/fleet/standin.go
+++ b/standin/fleet/standin.go
@@ -26,7 +26,12 @@
 		return nil, err
 	}
 	s := &Standin{URL: "http://" + address, process: p}
-	err = Poll(StopTimeout, func() error { return GetJSON(s.URL+"/admin/log", nil) })
+	err = Poll(StopTimeout, func() error {
+		if err := p.ended("standin"); err != nil {
+			return err
+		}
+		return GetJSON(s.URL+"/admin/log", nil)
+	})
 	return s, err
 }
 
