peer: close accepted connections at Close

The server's library holds back the close of a connection that it has handed over until the handler returns, and the handler returned only when the other side closed: a daemon that stopped while others stayed connected hung in Close. TestCloseEndsWhileOthersStayConnected timed out after 10 s before the server was told to leave such connections to us; it passes now. Earlier tests closed both sides and did not see it.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -333,3 +333,18 @@
 	g.Expect(value("bytes_out", "control")).To(BeNumerically("<", 100))
 	g.Expect(value("frames_in", "control")).To(Equal(int64(1)))
 }
+
+// TestCloseEndsWhileOthersStayConnected closes the accepting side only.
+func TestCloseEndsWhileOthersStayConnected(t *testing.T) {
+	g := NewWithT(t)
+	dir := &directory{}
+	b := start(t, dir, peer.Options{Self: "b"}, func(n *peer.Node) { n.Handle("echo", echo) })
+	a := start(t, dir, peer.Options{Self: "a"}, nil)
+	g.Expect(a.Call(context.Background(), "b", "echo", "x", nil)).To(Succeed())
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		b.Close()
+	}()
+	g.Eventually(closed, 10*time.Second).Should(BeClosed())
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,9 +34,12 @@
 		Name:                  "greengaged",
 		Handler:               n.upgrade,
 		NoDefaultServerHeader: true,
-		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout,
-		Logger:                discardLogger{},
+		// Otherwise the close of an accepted connection does nothing until its
+		// reader has returned, which waits for the other side.
+		KeepHijackedConns: true,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		Logger:            discardLogger{},
 	}
 	return eris.Wrap(srv.Serve(ln), "serve peers")
 }
