membership: let the next mate read the list soon after its reader falls silent

A leaving host was known in the zone 5 s after the death of the daemon that reads the list, at the edge of the bound: it waited for the failure timeout of 3 s and up to a second each for the read and the fetch. The next mate now reads after 1.5 s of silence, which at worst reads twice, and mates look every 500 ms. TestListReachesTheZoneWhenItsReaderDies failed before and passes.

--- a/internal/dedupe/bench_test.go
+++ b/internal/dedupe/bench_test.go
@@ -70,14 +70,31 @@
 	return v.(string), true
 }
 
-// dataBytes returns the bytes of data that all daemons sent.
-func (l *loopback) dataBytes() (n int64) {
+// bytesOut returns the bytes of a class that all daemons sent.
+func (l *loopback) bytesOut(class string) (n int64) {
 	for _, s := range l.scopes {
-		n += s.Snapshot().Counters()["peer.bytes_out+class=data"].Value()
+		n += s.Snapshot().Counters()["peer.bytes_out+class="+class].Value()
 	}
 	return n
 }
 
+// BenchmarkControlBytesOverLoopback measures the heartbeats of idle daemons, in
+// and out, without TCP and IP.
+func BenchmarkControlBytesOverLoopback(b *testing.B) {
+	const seconds = 10
+	for _, size := range []struct{ daemons, zones int }{{7, 3}, {9, 4}, {21, 7}, {42, 7}} {
+		b.Run(fmt.Sprintf("daemons=%d/zones=%d", size.daemons, size.zones), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l := newLoopback(b, ctx, size.daemons, size.zones)
+			before := l.bytesOut("control")
+			time.Sleep(seconds * time.Second)
+			sent := l.bytesOut("control") - before
+			b.ReportMetric(2*float64(sent)/seconds/float64(size.daemons), "bytes/s/daemon")
+		})
+	}
+}
+
 // BenchmarkGuardOverLoopback measures what the guard adds to a request: time,
 // and bytes between nine daemons in four zones.
 func BenchmarkGuardOverLoopback(b *testing.B) {
@@ -92,7 +109,7 @@
 			var mu sync.Mutex
 			hist := hdrhistogram.New(1, int64(time.Minute), 3)
 			refused := 0
-			before := l.dataBytes()
+			before := l.bytesOut("data")
 			var wg sync.WaitGroup
 			b.ResetTimer()
 			for w := range parallel {
@@ -117,7 +134,7 @@
 			n := float64(hist.TotalCount())
 			b.ReportMetric(float64(hist.ValueAtQuantile(50))/1e3, "p50-µs")
 			b.ReportMetric(float64(hist.ValueAtQuantile(99))/1e3, "p99-µs")
-			b.ReportMetric(float64(l.dataBytes()-before)/n, "wire-bytes/op")
+			b.ReportMetric(float64(l.bytesOut("data")-before)/n, "wire-bytes/op")
 			b.ReportMetric(float64(refused)/n, "refused/op")
 		})
 	}
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -230,3 +230,62 @@
 	g.Expect(Seeds([]string{"10.0.0.4:7000", "10.0.0.1:7000"}, s, r, self)).To(Equal(
 		[]string{"10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"}))
 }
+
+// hostsOf is a platform's list that a test changes.
+type hostsOf struct {
+	mu    sync.Mutex
+	list  platform.HostList
+	reads int
+}
+
+func (h *hostsOf) List(context.Context) (platform.HostList, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reads++
+	return h.list, nil
+}
+
+func (h *hostsOf) set(version uint64, hosts ...platform.HostStatus) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = platform.HostList{Version: version, Hosts: hosts}
+}
+
+// TestListReachesTheZoneWhenItsReaderDies has one daemon of the zone read the
+// list, and another one once it is gone.
+func TestListReachesTheZoneWhenItsReaderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer stop(cancel)
+		n, s, hosts := newNetwork(), spread(3, 1), &hostsOf{}
+		hosts.set(1, platform.HostStatus{ID: "w1"})
+		var readers []*ListReader
+		for _, m := range s.sorted() {
+			p := n.port(m.ID)
+			d := NewDetector(DetectorOptions{Self: m, Caller: p})
+			r := NewListReader(ListReaderOptions{Hosts: hosts, Detector: d, Caller: p})
+			d.Register(p)
+			r.Register(p)
+			d.SetState(s, s.Epoch)
+			go func() { _ = d.Run(ctx) }()
+			go func() { _ = r.Run(ctx) }()
+			readers = append(readers, r)
+		}
+		time.Sleep(10 * time.Second)
+		for _, r := range readers {
+			listed, version := r.Listed("w1")
+			g.Expect(listed && version == 1).To(BeTrue())
+		}
+		before := hosts.reads
+		time.Sleep(10 * time.Second)
+		g.Expect(hosts.reads-before).To(BeNumerically("~", 10, 2), "one daemon reads, once a second")
+		n.mu.Lock()
+		n.cut[s.sorted()[0].ID] = true
+		n.mu.Unlock()
+		hosts.set(2, platform.HostStatus{ID: "w1", Leaving: true})
+		time.Sleep(5 * time.Second)
+		leaving, version := readers[2].Leaving("w1")
+		g.Expect(leaving && version == 2).To(BeTrue(), "within 5 s of the loss")
+	})
+}
--- a/internal/membership/listreader.go
+++ b/internal/membership/listreader.go
@@ -16,9 +16,14 @@
 )
 
 const (
-	// listInterval is the time between reads of the list by the zone's
-	// leader, and between looks at the mates' versions.
-	listInterval = time.Second
+	// listInterval is the time between reads of the list by the daemon that
+	// reads it, fetchInterval between looks at the mates' versions.
+	listInterval  = time.Second
+	fetchInterval = listInterval / 2
+	// readerSilence is how long the mate that reads may be unheard before
+	// the next one reads too. It is shorter than the time to fail, because
+	// a second reader does no harm.
+	readerSilence = 1500 * time.Millisecond
 	// listTimeout bounds one read of the list.
 	listTimeout = 5 * time.Second
 	// topicList carries the version of the list in heartbeats.
@@ -79,10 +84,12 @@
 
 // Run follows the list until ctx ends.
 func (r *ListReader) Run(ctx context.Context) error {
-	t := time.NewTicker(listInterval)
+	t := time.NewTicker(fetchInterval)
 	defer t.Stop()
+	var last time.Time
 	for {
-		if r.opt.Detector.LeadsZone() {
+		if time.Since(last) >= listInterval && r.opt.Detector.leadsZoneOf(readerSilence) {
+			last = time.Now()
 			r.read(ctx)
 		}
 		r.fetch(ctx)
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -1,5 +1,7 @@
 package membership
 
+import "time"
+
 // Self returns this daemon's member ID.
 func (d *Detector) Self() string { return d.opt.Self.ID }
 
@@ -48,3 +50,17 @@
 	}
 	return out
 }
+
+// leadsZoneOf reports whether no mate with a lower ID has been heard within d.
+func (d *Detector) leadsZoneOf(within time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, id := range d.view.zoneIDs[d.opt.Self.Zone] {
+		o, ok := d.view.seen[id]
+		if id < d.opt.Self.ID && ok && now.Sub(o.heard) <= within {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -348,3 +348,34 @@
 	}()
 	g.Eventually(closed, 10*time.Second).Should(BeClosed())
 }
+
+// BenchmarkCall measures calls between two daemons over one connection.
+func BenchmarkCall(b *testing.B) {
+	for _, callers := range []int{1, 64} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			dir := &directory{}
+			serve := peer.NewNode(peer.Options{Self: "b", Resolve: dir.resolve})
+			serve.HandleData("echo", echo)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			dir.Store("b", ln.Addr().String())
+			go func() { _ = serve.Serve(ln) }()
+			a := peer.NewNode(peer.Options{Self: "a", Resolve: dir.resolve})
+			defer serve.Close()
+			defer a.Close()
+			var wg sync.WaitGroup
+			for range callers {
+				wg.Go(func() {
+					for range (b.N + callers - 1) / callers {
+						if err := a.Call(context.Background(), "b", "echo", "x", nil); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
