--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -14,13 +14,16 @@
 
 	"greengagedeck/internal/attempt"
 	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dedupe"
 	"greengagedeck/internal/dispatch"
 	"greengagedeck/internal/gateway"
+	"greengagedeck/internal/maintenance"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/platform"
 	"greengagedeck/internal/platform/httpplatform"
 	"greengagedeck/internal/pool"
+	"greengagedeck/internal/record"
 	"greengagedeck/internal/replica"
 )
 
@@ -30,7 +33,7 @@
 // serve builds the daemon and runs it until ctx ends.
 func serve(ctx context.Context, s Settings, logger zerolog.Logger) error {
 	c := dig.New()
-	self := membership.Member{ID: ulid.Make().String(), Host: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress}
+	self := membership.NewMember(s.Host, s.Zone, s.PeerAddress)
 	constructors := []any{
 		func() Settings { return s },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID).Logger() },
@@ -43,9 +46,21 @@
 		newNode,
 		newAppender,
 		newPeerSource,
+		newAhead,
 		newFollower,
+		newDetector,
+		newListReader,
+		newJoiner,
+		newSnapshotter,
 		newGate,
+		newNotebook,
+		newEjector,
 		newAttempts,
+		newClaims,
+		newZoneDemand,
+		newLending,
+		newPoolController,
+		newMaintenanceController,
 		newDispatcher,
 		decision.NewTraces,
 		newRecorder,
@@ -102,48 +117,166 @@
 	return src
 }
 
-func newFollower(s Settings, log platform.Log, r *replica.Replica, src *replica.PeerSource, f *inForce, l zerolog.Logger, m metrics) *replica.Follower {
+// ahead breaks the ring between follower and detector: each reads the other,
+// but only once both run.
+type ahead struct{ detector *membership.Detector }
+
+// Ahead implements replica.Ahead.
+func (a *ahead) Ahead(offset uint64) []string { return a.detector.Ahead(offset) }
+
+func newAhead() *ahead { return &ahead{} }
+
+func newFollower(s Settings, self membership.Member, log platform.Log, r *replica.Replica, src *replica.PeerSource, a *ahead, l zerolog.Logger, m metrics) *replica.Follower {
 	return replica.NewFollower(replica.FollowerOptions{
 		Replica: r,
 		Log:     log,
 		Source:  src,
-		Ahead:   f,
-		Seeds:   s.Peers,
+		Ahead:   a,
+		Seeds:   func() []string { return membership.Seeds(s.Peers, &r.State().Members, nil, self) },
 		Logger:  l,
 		Scope:   m.scope,
 	})
 }
 
-func newGate(self membership.Member, r *replica.Replica) *pool.Gate {
-	g := pool.NewGate(self.ID, self.Zone)
-	r.Observe(func(s *replica.State) {
-		_, member := s.Members.Members[self.ID]
-		g.Update(&s.Pools, member)
+func newDetector(s Settings, self membership.Member, n *peer.Node, r *replica.Replica, f *replica.Follower, a *ahead, g *pool.Gate, st *stage, l zerolog.Logger, m metrics) *membership.Detector {
+	d := membership.NewDetector(membership.DetectorOptions{
+		Self:           self,
+		Caller:         n,
+		LogConfirmed:   f.LogConfirmed,
+		OnPause:        func(time.Duration) { g.Close() },
+		OnResume:       func() { st.whileServing(g.Open) },
+		PauseThreshold: s.PauseThreshold,
+		Logger:         l,
+		Scope:          m.scope,
+	})
+	d.Register(n)
+	a.detector = d
+	return d
+}
+
+func newListReader(h platform.Hosts, d *membership.Detector, n *peer.Node, l zerolog.Logger, m metrics) *membership.ListReader {
+	r := membership.NewListReader(membership.ListReaderOptions{Hosts: h, Detector: d, Caller: n, Logger: l, Scope: m.scope})
+	r.Register(n)
+	return r
+}
+
+func newJoiner(s Settings, self membership.Member, a *replica.Appender, r *replica.Replica, d *membership.Detector, lr *membership.ListReader, f *replica.Follower, l zerolog.Logger, m metrics) *membership.Joiner {
+	return membership.NewJoiner(membership.JoinerOptions{
+		Self: self,
+		Append: func(ctx context.Context, rec record.Record) error {
+			_, err := a.Append(ctx, rec)
+			return err
+		},
+		State:        func() *membership.State { return &r.State().Members },
+		Detector:     d,
+		List:         lr,
+		LogConfirmed: f.LogConfirmed,
+		ListLag:      s.HostListLag,
+		Logger:       l,
+		Scope:        m.scope,
+	})
+}
+
+func newSnapshotter(s Settings, log platform.Log, r *replica.Replica, d *membership.Detector, l zerolog.Logger, m metrics) *replica.Snapshotter {
+	return &replica.Snapshotter{Replica: r, Log: log, Leader: d, MaxAge: s.SnapshotAge, Logger: l, Scope: m.scope}
+}
+
+func newGate(self membership.Member) *pool.Gate { return pool.NewGate(self.ID, self.Zone) }
+
+func newNotebook(self membership.Member, a *replica.Appender, l zerolog.Logger, m metrics) *decision.Notebook {
+	return decision.NewNotebook(self.ID, a, l, m.scope)
+}
+
+func newEjector(n *decision.Notebook, f *inForce, l zerolog.Logger, m metrics) *attempt.Ejector {
+	return attempt.NewEjector(attempt.EjectorOptions{
+		OnChange: func(c attempt.Change) { noteEjection(n, f, l, c) },
+		Metrics:  m.scope,
+	})
+}
+
+func newAttempts(self membership.Member, e *attempt.Ejector, m metrics) *attempt.Client {
+	return attempt.New(attempt.Options{Daemon: self.ID, Health: e, Metrics: m.scope})
+}
+
+func newClaims(self membership.Member, n *peer.Node, d *membership.Detector, fo *replica.Follower, src *replica.PeerSource, l zerolog.Logger, m metrics) *dedupe.Service {
+	s := dedupe.NewService(dedupe.ServiceOptions{
+		Options:      dedupe.Options{Self: self.ID},
+		Caller:       n,
+		Members:      d,
+		LogConfirmed: fo.LogConfirmed,
+		CatchUp:      src.Fetch,
+		Logger:       l,
+		Scope:        m.scope,
+	})
+	s.Register(n)
+	return s
+}
+
+// submitter lets controllers append without waiting for the fold.
+type submitter struct{ *replica.Appender }
+
+// Append implements intent.Appender.
+func (s submitter) Append(ctx context.Context, r record.Record) error { return s.Submit(ctx, r) }
+
+// suspects returns the members of this daemon's zone that do not answer
+// heartbeats.
+func suspects(self membership.Member, r *replica.Replica, d *membership.Detector) func() []string {
+	return func() []string {
+		return slices.DeleteFunc(r.State().Members.InZone(self.Zone), d.Live)
+	}
+}
+
+func newLending(self membership.Member, zd *zoneDemand, m metrics) *pool.Lending {
+	return pool.NewLending(pool.LendingOptions{Zone: self.Zone, Demand: zd.demand, Metrics: m.scope})
+}
+
+func newPoolController(self membership.Member, g *pool.Gate, le *pool.Lending, lr *membership.ListReader, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *pool.Controller {
+	return pool.NewController(pool.ControllerOptions{
+		Gate:      g,
+		Appender:  submitter{a},
+		Usage:     t,
+		Failed:    failedHosts{self.Zone, r, lr}.failed,
+		Proposals: le.Proposals,
+		Suspects:  suspects(self, r, d),
+		Metrics:   m.scope,
+		Logger:    l,
 	})
-	return g
 }
 
-func newAttempts(self membership.Member, m metrics) *attempt.Client {
-	return attempt.New(attempt.Options{Daemon: self.ID, Metrics: m.scope})
+func newMaintenanceController(self membership.Member, a *replica.Appender, r *replica.Replica, d *membership.Detector, t platform.Tasks, l zerolog.Logger, m metrics) *maintenance.Controller {
+	return maintenance.NewController(maintenance.ControllerOptions{
+		Self:     self.ID,
+		Zone:     self.Zone,
+		Appender: submitter{a},
+		Tasks:    t,
+		Suspects: suspects(self, r, d),
+		Metrics:  m.scope,
+		Logger:   l,
+	})
 }
 
-func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
+func newDispatcher(f *inForce, n *peer.Node, g *pool.Gate, a *attempt.Client, e *attempt.Ejector, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
-		Targets: targets{f, g},
-		Gate:    g,
+		Targets: targets{f, g, lr},
+		Gate:    awakeGate{g, d},
 		Doer:    doer{a},
 		Policy:  f,
-		Zone:    f,
+		Zone:    d,
+		Health:  e,
+		Budget:  attempt.NewBudget(attempt.BudgetOptions{}),
+		Caller:  n,
+		Mux:     n,
 		Logger:  l,
 		Scope:   m.scope,
 	})
 }
 
-func newCallers(f *inForce, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
+func newCallers(f *inForce, c *dedupe.Service, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
 	return gateway.NewCallers(gateway.CallerOptions{
 		Entries:  f,
-		Server:   d,
+		Server:   dedupe.NewGuard(c, d),
 		Ready:    st.serving,
+		Closing:  func() bool { return !st.ready() },
 		Recorder: rec,
 		Scope:    m.scope,
 	})
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -36,17 +36,9 @@
 	Job     *Job
 	Target  Target
 	Refusal *verdict.Error
-}
-
-// Load is how busy a scheduler is.
-type Load struct {
-	// Slots is how many slots there are and Free how many are idle.
-	Slots int
-	Free  int
-	// Wait is the expected wait of a new job of short class.
-	Wait time.Duration
-	// Queued is how many jobs wait.
-	Queued int
+	// HandTo names the daemon that should have the job instead. The
+	// scheduler never sets it.
+	HandTo string
 }
 
 // Scheduler decides which job of a pool starts next, and where. It does no
@@ -134,7 +126,7 @@
 func (s *Scheduler) Offer(now time.Time, j *Job) *verdict.Error {
 	c := s.effectiveClass(j)
 	q := s.queues[c]
-	j.cost = s.sizes.of(j.Entry).expected(c == request.ClassLong)
+	j.cost = s.expectedSize(c, j)
 	wait := s.expectedWait(c, j)
 	if j.Limits.Queue > 0 && q.waiting(j.Entry) >= j.Limits.Queue {
 		e := verdict.Refuse(verdict.ReasonQueueFull, "%d requests of %s wait", j.Limits.Queue, j.Entry)
@@ -230,14 +222,70 @@
 	}
 }
 
-// Load returns how busy the scheduler is.
-func (s *Scheduler) Load() Load {
-	l := Load{Slots: s.slots, Free: s.free()}
-	for _, q := range s.queues {
-		l.Queued += q.jobs
+// Long reports whether a job would queue as long.
+func (s *Scheduler) Long(j *Job) bool { return s.effectiveClass(j) == request.ClassLong }
+
+// Fits reports whether any host is large enough for a job.
+func (s *Scheduler) Fits(j *Job) bool {
+	for _, h := range s.hosts {
+		if h.target.fits(j) {
+			return true
+		}
+	}
+	return false
+}
+
+// Waiting returns the jobs that wait, in the order in which they would start
+// if slots were all that they wait for.
+func (s *Scheduler) Waiting() []*Job {
+	var out []*Job
+	for _, c := range request.Classes {
+		for _, f := range s.queues[c].active {
+			out = append(out, f.jobs.jobs...)
+		}
+	}
+	return out
+}
+
+// Full reports whether a new job would have to wait.
+func (s *Scheduler) Full(j *Job) bool {
+	c := s.effectiveClass(j)
+	for _, more := range request.Classes {
+		if s.queues[more].jobs > 0 {
+			return true
+		}
+		if more == c {
+			break
+		}
+	}
+	return !s.mayStart(c, j)
+}
+
+// Surrender takes out the waiting job that would start next, for a daemon that
+// has a slot for it. Jobs that came from another daemon stay.
+func (s *Scheduler) Surrender(long bool) (*Job, bool) {
+	for _, c := range request.Classes {
+		if long != (c == request.ClassLong) {
+			continue
+		}
+		q := s.queues[c]
+		j := q.first(func(j *Job) bool { return !j.Foreign })
+		if j == nil {
+			continue
+		}
+		q.charge(j)
+		s.drop(q, j)
+		return j, true
 	}
-	l.Wait = s.wait(request.ClassShort, s.queues[request.ClassShort].work)
-	return l
+	return nil, false
+}
+
+// Used returns how many slots of a host are in use.
+func (s *Scheduler) Used(host string) int {
+	if h, ok := s.byName[host]; ok {
+		return h.used
+	}
+	return 0
 }
 
 // order is the order in which classes get a slot: the most pressing first, but
@@ -280,33 +328,24 @@
 	if j.Limits.Slots > 0 && s.held[j.Entry] >= j.Limits.Slots {
 		return false
 	}
-	if s.needsLongShare(c, j) && s.long >= s.longSlots() {
+	z := s.sizes.of(j.Entry)
+	if c != request.ClassLong && !z.proven() && s.held[j.Entry] >= provenRuns {
+		return false
+	}
+	if (c == request.ClassLong || z.suspect()) && s.long >= s.longSlots() {
 		return false
 	}
 	return s.choose(c, j) != nil
 }
 
-// needsLongShare reports whether a job may only start while the long share has
-// room: long work, and work that may turn out long.
-func (s *Scheduler) needsLongShare(c request.Class, j *Job) bool {
-	return c == request.ClassLong || s.sizes.of(j.Entry).suspect()
-}
-
-// countsLong reports whether a job counts as long from its start: long work,
-// and work of entries about which nothing is known.
-func (s *Scheduler) countsLong(c request.Class, j *Job) bool {
-	return c == request.ClassLong || !s.sizes.of(j.Entry).proven()
-}
-
 // choose returns the host with the most free slots that may take the job.
 func (s *Scheduler) choose(c request.Class, j *Job) *hostSlots {
-	counts := s.countsLong(c, j)
 	var best *hostSlots
 	for _, h := range s.hosts {
 		if h.used >= h.target.Slots || !h.target.fits(j) {
 			continue
 		}
-		if counts && h.long >= s.longPart(h.target.Slots) {
+		if c == request.ClassLong && h.long >= s.longPart(h.target.Slots) {
 			continue
 		}
 		if best == nil || better(h, best, j.Avoid) {
@@ -330,7 +369,7 @@
 	h.used++
 	s.used++
 	s.held[j.Entry]++
-	if s.countsLong(c, j) {
+	if c == request.ClassLong {
 		s.countLong(j)
 	}
 	if j.Class != request.ClassLong {
@@ -366,34 +405,6 @@
 	return max(1, int(math.Floor(s.cfg.LongShare*float64(slots))))
 }
 
-// expectedWait is how long a new job would wait for a slot.
-func (s *Scheduler) expectedWait(c request.Class, j *Job) time.Duration {
-	return s.wait(c, s.queues[c].backlog(j.Team, j.Limits.Weight))
-}
-
-// wait is how long the slots of a class take to work off the queues of more
-// pressing classes and the given work of its own.
-func (s *Scheduler) wait(c request.Class, own time.Duration) time.Duration {
-	if s.slots == 0 {
-		return 0
-	}
-	work := own
-	for _, more := range request.Classes {
-		if more == c {
-			break
-		}
-		work += s.queues[more].work
-	}
-	if work == 0 && s.free() > 0 {
-		return 0
-	}
-	slots := s.slots - s.long
-	if c == request.ClassLong {
-		slots = s.longSlots()
-	}
-	return work / time.Duration(max(1, slots))
-}
-
 func retryAfter(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,11 +34,11 @@
 		Name:                  "greengaged",
 		Handler:               n.upgrade,
 		NoDefaultServerHeader: true,
-		// Otherwise the close of an accepted connection does nothing until its
-		// reader has returned, which waits for the other side.
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		// Without it, closing an accepted connection would have no effect
+		// until its reader returns.
 		KeepHijackedConns: true,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
 		Logger:            discardLogger{},
 	}
 	return eris.Wrap(srv.Serve(ln), "serve peers")
