--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -58,3 +58,17 @@
 // Others returns the IDs of the live daemons of each other zone that do not
 // stop. The caller must not change the map.
 func (d *Detector) Others() map[string][]string { return d.roster.Load().others }
+
+// leadsZoneOf reports whether no mate with a lower ID has been heard within d.
+func (d *Detector) leadsZoneOf(within time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, id := range d.view.zoneIDs[d.opt.Self.Zone] {
+		o, ok := d.view.seen[id]
+		if id < d.opt.Self.ID && ok && now.Sub(o.heard) <= within {
+			return false
+		}
+	}
+	return true
+}
