dispatch: a last try that did not run no longer hides one that may have

An idempotent request whose first try lost its answer, and whose retry could not connect, was reported as not-run although it had run once. Seen with real daemons and failing targets (not-run/connect but ran 1 times). The verdict of a request is now the worst of its tries. Both new tests failed before: 3 of 8 reported as may-have-run, and a refusal by deadline reported as not-run.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -208,9 +208,9 @@
 			return resp, nil
 		}
 		if !again {
-			t.count(err)
-			return nil, err
+			return nil, t.settle(err)
 		}
+		t.unsure = t.unsure || verdict.Of(err) != verdict.NotRun
 	}
 }
 
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -308,3 +308,40 @@
 		g.Expect(refused).To(Equal(39), "one runs, ten wait")
 	})
 }
+
+func TestTryThatDidNotRunDoesNotHideAnEarlierOneThatMayHave(t *testing.T) {
+	f := newFleet()
+	f.zone("z1", 2, 8, "d1")
+	bubble(t, f, 100, func(g *WithT) {
+		f.mu.Lock()
+		f.fail["z1-w00"] = verdict.Unsure(verdict.ReasonConnectionLost, "reset")
+		f.fail["z1-w01"] = verdict.Refuse(verdict.ReasonConnect, "refused")
+		f.mu.Unlock()
+		unsure := 0
+		for _, r := range f.load("d1", "r", 8, true)() {
+			g.Expect(r.err).To(HaveOccurred())
+			if verdict.Of(r.err) == verdict.MayHaveRun {
+				unsure++
+			}
+		}
+		g.Expect(unsure).To(Equal(8), "each was tried on both hosts")
+	})
+}
+
+func TestDeadlineAfterALostAnswerDoesNotHideIt(t *testing.T) {
+	f := newFleet()
+	f.zone("z1", 2, 8, "d1", "d2")
+	bubble(t, f, 100, func(g *WithT) {
+		f.net.set(f.net.mute, "d2")
+		f.service = 1500 * time.Millisecond
+		unsure := 0
+		for _, r := range f.load("d1", "r", 16, true)() {
+			if r.err != nil {
+				g.Expect(f.executions(r.id)).To(BeNumerically(">", 0))
+				g.Expect(verdict.Of(r.err)).To(Equal(verdict.MayHaveRun), r.err.Error())
+				unsure++
+			}
+		}
+		g.Expect(unsure).To(BeNumerically(">", 0))
+	})
+}
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -32,6 +32,7 @@
 
 	avoid    string
 	attempts int
+	unsure   bool // an earlier try may have run
 	waited   bool // for the load of other zones
 	misses   int
 }
@@ -157,10 +158,18 @@
 	p.answered(zone, l, time.Since(asked))
 }
 
-// count counts the reason of a request that was not answered.
-func (t *try) count(err error) {
+// settle returns the error of the whole request and counts it. A last try that
+// did not run does not undo an earlier one that may have.
+func (t *try) settle(err error) error {
 	var e *verdict.Error
-	if errors.As(err, &e) {
-		t.p.metrics.refused(e.Reason)
+	if !errors.As(err, &e) {
+		return err
 	}
+	t.p.metrics.refused(e.Reason)
+	if e.Verdict != verdict.NotRun || !t.unsure {
+		return err
+	}
+	raised := *e
+	raised.Verdict = verdict.MayHaveRun
+	return &raised
 }
