--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -231,7 +231,12 @@
 	_ = wait(context.Background(), d.Settings.StopGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- d.Dispatcher.Drain(ctx) }()
 	err := s.callers.ShutdownWithContext(ctx)
+	if e := <-drained; err == nil {
+		err = e
+	}
 	d.Stage.set(stageStopped)
 	d.Gate.Close()
 	stopJoining()
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -247,7 +247,7 @@
 	})
 }
 
-func newDispatcher(f *inForce, g *pool.Gate, a *attempt.Client, e *attempt.Ejector, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
+func newDispatcher(n *peer.Node, f *inForce, g *pool.Gate, a *attempt.Client, e *attempt.Ejector, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Targets: targets{f, g, lr},
 		Gate:    awakeGate{g, d},
@@ -256,6 +256,8 @@
 		Zone:    d,
 		Health:  e,
 		Budget:  attempt.NewBudget(attempt.BudgetOptions{}),
+		Caller:  n,
+		Mux:     n,
 		Logger:  l,
 		Scope:   m.scope,
 	})
