--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -231,12 +231,10 @@
 	_ = wait(context.Background(), d.Settings.StopGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
-	drained := make(chan error, 1)
-	go func() { drained <- d.Dispatcher.Drain(ctx) }()
-	err := s.callers.ShutdownWithContext(ctx)
-	if e := <-drained; err == nil {
-		err = e
+	if err := d.Dispatcher.Drain(ctx); err != nil {
+		d.Logger.Warn().Err(err).Msg("dispatcher not drained")
 	}
+	err := s.callers.ShutdownWithContext(ctx)
 	d.Stage.set(stageStopped)
 	d.Gate.Close()
 	stopJoining()
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -23,6 +23,8 @@
 	DefaultInterval     = 200 * time.Millisecond
 	DefaultUsageTimeout = 2 * time.Second
 	DefaultMoveTimeout  = time.Minute
+	// DefaultLendingTimeout is about what a move is worth to the spare policy.
+	DefaultLendingTimeout = 10 * time.Minute
 	// DefaultClockError bounds how far two hosts' clocks differ.
 	DefaultClockError = time.Second
 )
@@ -46,15 +48,18 @@
 	Interval     time.Duration
 	UsageTimeout time.Duration
 	MoveTimeout  time.Duration
-	ClockError   time.Duration
-	Metrics      tally.Scope
-	Logger       zerolog.Logger
+	// LendingTimeout is how long a move of the spare policy may wait.
+	LendingTimeout time.Duration
+	ClockError     time.Duration
+	Metrics        tally.Scope
+	Logger         zerolog.Logger
 }
 
 func (o ControllerOptions) withDefaults() ControllerOptions {
 	setDefault(&o.Interval, DefaultInterval)
 	setDefault(&o.UsageTimeout, DefaultUsageTimeout)
 	setDefault(&o.MoveTimeout, DefaultMoveTimeout)
+	setDefault(&o.LendingTimeout, DefaultLendingTimeout)
 	setDefault(&o.ClockError, DefaultClockError)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
@@ -88,8 +93,11 @@
 	mu  sync.Mutex
 	pub Published
 
-	// outbox and idle are used by Step alone.
+	// outbox, idle, seen and wants are used by Step alone. wants are those of
+	// the state seen last.
 	outbox *intent.Outbox
+	seen   *State
+	wants  []Want
 	idle   idleWatch
 }
 
@@ -150,19 +158,25 @@
 	if p.Pools == nil || !member {
 		return
 	}
-	c.metrics.observe(p, c.opts.Gate.Zone())
+	if p.Pools != c.seen {
+		c.metrics.observe(p, c.opts.Gate.Zone())
+		c.wants = p.Pools.Wants(p.Catalogue)
+		c.seen = p.Pools
+	}
 	intents := Plan(p, now, c.inputs(ctx, p, now))
 	c.outbox.Send(ctx, intents, rank, now)
 }
 
 func (c *Controller) inputs(ctx context.Context, p Published, now time.Time) Inputs {
 	return Inputs{
-		Self:        c.opts.Gate.Self(),
-		Zone:        c.opts.Gate.Zone(),
-		Drained:     c.drained(ctx, p.Pools, now),
-		Suspects:    c.opts.Suspects(),
-		Failed:      c.opts.Failed(),
-		Moves:       c.opts.Proposals(p, now),
-		MoveTimeout: c.opts.MoveTimeout,
+		Self:           c.opts.Gate.Self(),
+		Zone:           c.opts.Gate.Zone(),
+		Drained:        c.drained(ctx, p.Pools, now),
+		Suspects:       c.opts.Suspects(),
+		Failed:         c.opts.Failed(),
+		Wants:          c.wants,
+		Moves:          c.opts.Proposals(p, now),
+		MoveTimeout:    c.opts.MoveTimeout,
+		LendingTimeout: c.opts.LendingTimeout,
 	}
 }
