Count refused work as demand of the spare policy

Cause: the policy saw the work that ran and waited. Change: Refusals counts what refused work would have filled; work that waits counts once it runs or is refused. A pool's demand is bounded at twice its hosts, so that a flood of seconds moves nothing. Seen when removed: without the bound TestQueuedBurstMovesNoHost fails.

--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -137,18 +139,38 @@
 	l.Warn().Str("target", c.Host).Str("pool", c.Pool).Str("reason", reason).Msg("target health changed")
 }
 
-// recorder traces finished requests.
+// recorder traces finished requests and counts those refused for want of slots.
 type recorder struct {
-	self   membership.Member
-	traces *decision.Traces
+	self     membership.Member
+	traces   *decision.Traces
+	refusals *pool.Refusals
 }
 
-func newRecorder(self membership.Member, t *decision.Traces) *recorder {
-	return &recorder{self, t}
+func newRecorder(self membership.Member, t *decision.Traces, rf *pool.Refusals) *recorder {
+	return &recorder{self, t, rf}
+}
+
+func newRefusals() *pool.Refusals { return pool.NewRefusals(0) }
+
+// measure tells the spare policy what a request filled or would have filled.
+func (r *recorder) measure(res gateway.Result) {
+	if res.Err == nil && res.Response != nil {
+		r.refusals.Ran(res.Request.Pool, res.Took-res.Response.Queued)
+		return
+	}
+	var refusal *verdict.Error
+	if !errors.As(res.Err, &refusal) {
+		return
+	}
+	switch refusal.Reason {
+	case verdict.ReasonQueueFull, verdict.ReasonDeadline, verdict.ReasonNoTarget:
+		r.refusals.Refused(res.Request.Pool, time.Now())
+	}
 }
 
 // Record implements gateway.Recorder.
 func (r *recorder) Record(res gateway.Result) {
+	r.measure(res)
 	v := verdict.Of(res.Err)
 	if v == verdict.Ran && !decision.Sampled(res.Request.ID) {
 		return
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -58,6 +58,7 @@
 		newAttempts,
 		newClaims,
 		newZoneDemand,
+		newRefusals,
 		newLending,
 		newPoolController,
 		newMaintenanceController,
--- a/cmd/greengaged/zone.go
+++ b/cmd/greengaged/zone.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"math"
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"greengagedeck/internal/dispatch"
 	"greengagedeck/internal/membership"
+	"greengagedeck/internal/pool"
 	"greengagedeck/internal/record"
 	"greengagedeck/internal/replica"
 )
@@ -12,17 +16,18 @@
 // topicDemand is the heartbeat topic that carries a daemon's demand.
 const topicDemand = "l"
 
-// zoneDemand adds up, over the daemons of a zone, the slots of work that run
-// or wait.
+// zoneDemand adds up, over the daemons of a zone, the slots that run work and
+// those that refused work would have filled.
 type zoneDemand struct {
 	self       membership.Member
 	dispatcher *dispatch.Dispatcher
+	refusals   *pool.Refusals
 	detector   *membership.Detector
 	logger     zerolog.Logger
 }
 
-func newZoneDemand(self membership.Member, d *dispatch.Dispatcher, det *membership.Detector, l zerolog.Logger) *zoneDemand {
-	z := &zoneDemand{self: self, dispatcher: d, detector: det, logger: l}
+func newZoneDemand(self membership.Member, d *dispatch.Dispatcher, rf *pool.Refusals, det *membership.Detector, l zerolog.Logger) *zoneDemand {
+	z := &zoneDemand{self: self, dispatcher: d, refusals: rf, detector: det, logger: l}
 	det.Publish(topicDemand, z.digest)
 	return z
 }
@@ -30,8 +35,9 @@
 // own returns this daemon's demand by pool, in slots, without idle pools.
 func (z *zoneDemand) own() map[string]int {
 	demand := map[string]int{}
+	refused := z.refusals.Slots(time.Now())
 	for name, l := range z.dispatcher.Loads() {
-		if n := l.Slots - l.Free + l.Queued; n > 0 {
+		if n := l.Slots - l.Free + int(math.Round(refused[name])); n > 0 {
 			demand[name] = n
 		}
 	}
--- a/internal/pool/lending.go
+++ b/internal/pool/lending.go
@@ -24,9 +24,9 @@
 // LendingOptions configures a Lending. Zone and Demand are required.
 type LendingOptions struct {
 	Zone string
-	// Demand returns, by pool, how many slots the work offered to the zone
-	// would have filled on average since the last call: arrivals a second
-	// times seconds of service, refused work included.
+	// Demand returns, by pool, how many slots of the zone run work, and how
+	// many the work that was refused would have filled (Refusals). Work that
+	// waits counts once it runs or is refused.
 	Demand func() map[string]float64
 	// Policy defaults to DefaultPredictive.
 	Policy       SparePolicy
@@ -139,6 +139,10 @@
 	}
 }
 
+// maxDemand bounds a pool's demand in multiples of its hosts: a flood of seconds
+// is gone before a host could move, however much of it was refused.
+const maxDemand = 2.0
+
 // spareInput reads a zone's hosts and demand.
 func spareInput(p Published, zone string, demand map[string]float64) SpareInput {
 	loads := map[string]*Load{}
@@ -157,7 +161,9 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(loads)) {
-		in.Loads = append(in.Loads, *loads[name])
+		l := *loads[name]
+		l.Demand = min(l.Demand, maxDemand*float64(max(l.Hosts, 1)))
+		in.Loads = append(in.Loads, l)
 	}
 	return in
 }
--- a/internal/pool/spare.go
+++ b/internal/pool/spare.go
@@ -12,7 +12,7 @@
 	// Hosts counts the pool's usable hosts in the zone and those that are
 	// being moved in; Lent counts those of them that come from a spare pool.
 	Hosts, Lent int
-	// Demand is the work offered, in hosts that it would fill.
+	// Demand is the work that runs or was refused, in hosts that it would fill.
 	Demand float64
 }
 
--- a/internal/pool/spare_test.go
+++ b/internal/pool/spare_test.go
@@ -161,3 +161,36 @@
 	g.Expect(moves[0]).To(HaveField("Host", "s2"))
 	g.Expect(moves[0]).To(HaveField("To", "s"), "a lent host goes back to its own pool")
 }
+
+// A burst that fills every queue for seconds must not look like lasting demand.
+func TestQueuedBurstMovesNoHost(t *testing.T) {
+	g := NewWithT(t)
+	f := lendingFleet()
+	demand := map[string]float64{}
+	l := NewLending(LendingOptions{Zone: "a", Demand: func() map[string]float64 { return demand }})
+	p := Published{Pools: &f.pools, Catalogue: &f.catalogue}
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	for i := range 720 {
+		now = now.Add(DefaultDecideInterval)
+		demand["p"] = 0.4
+		if i%6 == 0 {
+			demand["p"] = 8 + 400
+		}
+		g.Expect(l.Proposals(p, now)).To(BeEmpty())
+	}
+}
+
+func TestRefusalsCountTheSlotsTheyWouldHaveFilled(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	r := NewRefusals(10 * time.Second)
+	r.Ran("p", 100*time.Millisecond)
+	for range 1000 {
+		r.Refused("p", now)
+	}
+	g.Expect(r.Slots(now)).To(BeEmpty(), "the window has not ended")
+	g.Expect(r.Slots(now.Add(10 * time.Second))).To(HaveKeyWithValue("p", 10.0))
+	g.Expect(r.Slots(now.Add(20 * time.Second))).To(BeEmpty())
+	r.Refused("p", now.Add(25*time.Second))
+	g.Expect(r.Slots(now.Add(60*time.Second))).To(BeEmpty(), "what is long ago counts no more")
+}
--- a/standin/sparebench/run.go
+++ b/standin/sparebench/run.go
@@ -91,10 +91,11 @@
 // queue is a pool's waiting work in one zone, as a fluid.
 type queue struct {
 	hosts, lent int
-	waiting     float64 // host-seconds
-	sum         float64 // offered since the last decision, in host-seconds
-	seconds     float64
-	mean        float64
+	// running and waiting are in hosts and in host-seconds of work; refused
+	// adds up over the seconds since the last decision.
+	running, waiting float64
+	refused, seconds float64
+	mean             float64
 }
 
 type moving struct {
@@ -183,13 +184,14 @@
 // ZoneMembers implements pool.View: one daemon a zone, named like the zone.
 func (b *bench) ZoneMembers(zone string) []string { return []string{zone} }
 
-// slots returns the mean work offered to a zone since the last call, in slots.
+// slots returns the work that runs in a zone now and the work refused since the
+// last decision, in slots.
 func (b *bench) slots(z *zone) map[string]float64 {
 	slots := map[string]float64{}
 	for name, q := range z.queues {
 		perHost := float64(b.fleet.Pools[name].Value.SlotsPerHost)
-		slots[name] = q.sum / max(q.seconds, 1) * perHost
-		q.sum, q.seconds = 0, 0
+		slots[name] = (q.running + q.refused/max(q.seconds, 1)) * perHost
+		q.refused, q.seconds = 0, 0
 	}
 	return slots
 }
@@ -217,13 +219,14 @@
 
 // serve lets a second of work arrive, run, wait, or be refused.
 func (b *bench) serve(q *queue, offered, mean float64) {
-	q.sum += offered
-	q.seconds++
 	q.mean = mean
 	q.waiting += offered
-	q.waiting -= min(q.waiting, float64(q.hosts))
+	q.running = min(q.waiting, float64(q.hosts))
+	q.waiting -= q.running
 	refused := max(0, q.waiting-patience.Seconds()*float64(q.hosts))
 	q.waiting -= refused
+	q.refused += refused
+	q.seconds++
 	if b.measured {
 		b.offered += offered
 		b.unmet += refused
