--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -121,12 +121,20 @@
 	return g.Gate.Enter(host, pool)
 }
 
-// doer adapts an attempt.Client to dispatch.Doer.
-type doer struct{ client *attempt.Client }
+// doer adapts an attempt.Client to dispatch.Doer. The request has entered the
+// gate, so the gate's address of the host is that of the incarnation it entered;
+// the one in the target may be older.
+type doer struct {
+	client *attempt.Client
+	gate   *pool.Gate
+}
 
 // Do implements dispatch.Doer.
 func (d doer) Do(ctx context.Context, t dispatch.Target, r *request.Request) (*request.Response, error) {
 	at := attempt.Target{Host: t.Host, Address: t.Address, Connections: t.Connections}
+	if address, ok := d.gate.Address(t.Host); ok {
+		at.Address = address
+	}
 	return d.client.Do(ctx, at, r)
 }
 
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -260,7 +260,7 @@
 	return dispatch.New(dispatch.Options{
 		Targets: targets{f, g, lr},
 		Gate:    awakeGate{g, d},
-		Doer:    doer{a},
+		Doer:    doer{a, g},
 		Policy:  f,
 		Zone:    d,
 		Health:  e,
--- a/standin/sparebench/table.go
+++ b/standin/sparebench/table.go
@@ -33,10 +33,19 @@
 		{"threshold 1m", pool.DefaultThreshold},
 		{"threshold 5m", pool.Threshold{High: 0.6, Low: 0.3, Smoothing: 5 * time.Minute}},
 		{"break-even", pool.BreakEven{SpareRates: pool.DefaultSpareRates}},
+		{"predictive, all held", allHeld{pool.DefaultPredictive}},
 		{"predictive", pool.DefaultPredictive},
 	}
 }
 
+// allHeld is a predictive policy that gives no spare host up.
+type allHeld struct{ pool.Predictive }
+
+// Hold implements pool.SparePolicy.
+func (allHeld) Hold(m pool.SpareMemory, in pool.SpareInput) int {
+	return pool.NoLending{}.Hold(m, in)
+}
+
 // Options configures the comparison.
 type Options struct {
 	// Examples is the directory of the deployments' catalogue files.
