--- a/standin/e2e/harness_test.go
+++ b/standin/e2e/harness_test.go
@@ -68,9 +68,15 @@
 	{Host: "gw-b1", Zone: "b"}, {Host: "gw-b2", Zone: "b"},
 }
 
+// atOnce bounds how many clusters run at once.
+var atOnce = make(chan struct{}, 3)
+
 // start runs a cluster with its catalogue in force on every daemon.
 func start(t *testing.T, daemonArgs ...string) *cluster {
 	t.Helper()
+	t.Parallel()
+	atOnce <- struct{}{}
+	t.Cleanup(func() { <-atOnce })
 	c := &cluster{WithT: NewWithT(t), t: t, dir: t.TempDir()}
 	doc := testCatalogue(c.WithT)
 	c.hosts = doc.Hosts
