--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -87,3 +87,6 @@
 
 // Tail returns the end of the daemon's log.
 func (d *Daemon) Tail() string { return tail(d.LogFile()) }
+
+// PID returns the process ID of the daemon's current process.
+func (d *Daemon) PID() int { return d.process.cmd.Process.Pid }
