Keep one connection pool for each address

Cause: sweeping removed a pool without connections that a try was about to use; the next try made a second pool with a limit of its own, and the first one's connection was never swept. A pool made after Close kept connections. Ruled out: counting users of a pool; pools are small and addresses few. TestSweptPoolKeepsItsLimit and TestClosedClientKeepsNoConnection failed before the change and pass after it. The lookup takes a read lock now; no effect on throughput was measured.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -93,7 +93,7 @@
 	dialer  net.Dialer
 	metrics *metrics
 
-	mu     sync.Mutex
+	mu     sync.RWMutex
 	pools  map[string]*connPool
 	closed bool
 }
@@ -184,17 +184,28 @@
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.mu.RLock()
 	p := c.pools[t.Address]
+	c.mu.RUnlock()
 	if p == nil {
-		p = newConnPool(c, t.Address)
-		c.pools[t.Address] = p
+		p = c.addPool(t.Address)
 	}
 	p.setLimit(limit)
 	return p
 }
 
+func (c *Client) addPool(address string) *connPool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = newConnPool(c, address)
+		p.closed = c.closed
+		c.pools[address] = p
+	}
+	return p
+}
+
 // Run closes connections that stay unused, until ctx is done; then it closes
 // all that are idle.
 func (c *Client) Run(ctx context.Context) {
@@ -222,13 +233,13 @@
 	}
 }
 
+// sweep keeps pools without connections: a try may be about to use one, and a
+// second pool of its address would have a limit of its own.
 func (c *Client) sweep(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, p := range c.pools {
-		if p.sweep(now.Add(-c.opts.IdleTimeout)) {
-			delete(c.pools, address)
-		}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.pools {
+		p.sweep(now.Add(-c.opts.IdleTimeout))
 	}
 }
 
--- a/internal/attempt/conn_internal_test.go
+++ b/internal/attempt/conn_internal_test.go
@@ -157,3 +157,26 @@
 	g.Expect(string(resp.Body)).To(Equal("a"))
 	g.Expect(cn.reusable).To(BeFalse())
 }
+
+// Idle connections are swept between a try's choice of a pool and its use.
+func TestSweptPoolKeepsItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{})
+	target := Target{Address: "127.0.0.1:1", Connections: 1}
+	p := c.pool(target)
+	c.sweep(time.Now())
+	g.Expect(c.pool(target)).To(BeIdenticalTo(p), "a second pool has a limit of its own")
+}
+
+func TestClosedClientKeepsNoConnection(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{})
+	c.Close()
+	p := c.pool(Target{Address: "127.0.0.1:1"})
+	cn, _ := pipe(t)
+	cn.reusable = true
+	p.open = 1
+	p.release(cn)
+	g.Expect(p.open).To(BeZero())
+	g.Expect(p.idle).To(BeEmpty())
+}
--- a/internal/attempt/pool.go
+++ b/internal/attempt/pool.go
@@ -167,9 +167,8 @@
 	p.dropIdle(len(p.idle))
 }
 
-// sweep closes what has been idle since before limit and reports whether the
-// pool is empty.
-func (p *connPool) sweep(limit time.Time) bool {
+// sweep closes what has been idle since before limit.
+func (p *connPool) sweep(limit time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
@@ -177,7 +176,6 @@
 		n++
 	}
 	p.dropIdle(n)
-	return p.open == 0 && len(p.waiters) == 0
 }
 
 // dropIdle closes the n oldest idle connections; mu must be held.
