Count retries; bound how long a report waits for the log

Cause: the retry budget had no counters, and a slow log held a report up for 30 s. A report now waits 5 s, shows what has been read and says so.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // The defaults of BudgetOptions.
@@ -20,6 +22,8 @@
 	Ratio float64
 	// Burst is the most retries that can be saved up in a pool.
 	Burst int
+	// Metrics receives the counters, or nil.
+	Metrics tally.Scope
 }
 
 // Budget limits the retries of each pool to a share of its requests, so that
@@ -30,15 +34,23 @@
 	deposit int64
 	limit   int64
 	pools   sync.Map // of string to *atomic.Int64
+	allowed tally.Counter
+	denied  tally.Counter
 }
 
 // NewBudget returns a budget without savings.
 func NewBudget(opts BudgetOptions) *Budget {
 	setDefault(&opts.Ratio, defaultRetryRatio)
 	setDefault(&opts.Burst, defaultRetryBurst)
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	s := opts.Metrics.SubScope("attempt")
 	return &Budget{
 		deposit: int64(opts.Ratio * tokenUnit),
 		limit:   int64(opts.Burst) * tokenUnit,
+		allowed: s.Counter("retries_allowed"),
+		denied:  s.Counter("retries_denied"),
 	}
 }
 
@@ -59,9 +71,11 @@
 	for {
 		old := t.Load()
 		if old < tokenUnit {
+			b.denied.Inc(1)
 			return false
 		}
 		if t.CompareAndSwap(old, old-tokenUnit) {
+			b.allowed.Inc(1)
 			return true
 		}
 	}
--- a/internal/burn/measures.go
+++ b/internal/burn/measures.go
@@ -90,10 +90,7 @@
 
 // MeasuresReport returns the measures of the last day.
 func (r *Reporter) MeasuresReport(ctx context.Context, now time.Time) Measures {
-	m := Measures{GeneratedAt: now.UTC()}
-	if err := r.opts.Refresher.Refresh(ctx); err != nil {
-		m.Stale = err.Error()
-	}
+	m := Measures{GeneratedAt: now.UTC(), Stale: r.refresh(ctx)}
 	since := now.Add(-measuresWindow)
 	buffer := r.opts.Buffer.Buffer()
 	hosts := max(1, buffer.TotalHosts)
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -16,6 +16,8 @@
 	// monthDays is the length of the budget window.
 	monthDays = 30
 	day       = 24 * time.Hour
+	// reportRefresh bounds how long a report waits for the log.
+	reportRefresh = 5 * time.Second
 	// maxDecisions bounds the decisions beside one service or entry.
 	maxDecisions = 20
 )
@@ -150,10 +152,7 @@
 // Report returns the burn report as of now. When the log cannot be read it
 // reports what has been read before and says so.
 func (r *Reporter) Report(ctx context.Context, now time.Time) Report {
-	rep := Report{GeneratedAt: now.UTC()}
-	if err := r.opts.Refresher.Refresh(ctx); err != nil {
-		rep.Stale = err.Error()
-	}
+	rep := Report{GeneratedAt: now.UTC(), Stale: r.refresh(ctx)}
 	m := r.measure(now)
 	for _, e := range m.entries {
 		s := m.subject(e.Name, []catalogue.Entry{e})
@@ -169,6 +168,16 @@
 	return rep
 }
 
+// refresh reads the newest counts and returns why it could not, or "".
+func (r *Reporter) refresh(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, reportRefresh)
+	defer cancel()
+	if err := r.opts.Refresher.Refresh(ctx); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
 func (r *Reporter) decisions(subject string) []decision.Decision {
 	all := r.opts.Decisions.Decisions(subject)
 	return all[max(0, len(all)-maxDecisions):]
