Set the fake log's faults under its lock

Cause: the race detector found TestLostAppendAnswersCountOnce changing the fault while an append read it. The fault was in the test; burn's other tests ran without a report under -race, in 75 s on a busy machine.

--- a/internal/burn/fakelog_test.go
+++ b/internal/burn/fakelog_test.go
@@ -100,6 +100,12 @@
 	l.down = down
 }
 
+func (l *fakeLog) setLoseAnswers(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = share
+}
+
 // daemon is one daemon's burn service.
 type daemon struct {
 	counter *Counter
--- a/internal/burn/faults_test.go
+++ b/internal/burn/faults_test.go
@@ -78,7 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		log := newFakeLog(0)
-		log.loseAnswers = 0.3
+		log.setLoseAnswers(0.3)
 		start := time.Now()
 		d := startDaemon(log, "d-1", true, 0)
 		recorded := uint64(0)
@@ -87,7 +87,7 @@
 			recorded++
 			time.Sleep(time.Minute)
 		}
-		log.loseAnswers = 0
+		log.setLoseAnswers(0)
 		d.stop()
 		g.Expect(d.reader.Refresh(context.Background())).To(Succeed())
 		g.Expect(len(log.records)).To(BeNumerically(">", 330), "no append was repeated")
