Refuse header fields that would be read as several

Cause: a request that another daemon hands on may hold any bytes; a line break in a field would end it early at the target. Ruled out: relying on the codec, which rewrites such fields and sends the request changed. Seen failing before: rows 'request ID', 'field name' and 'field value cannot be sent' of TestVerdicts, which ran. The method and path were checked already.

--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
@@ -137,6 +138,18 @@
 		return verdict.Refuse(verdict.ReasonBadRequest, "path %q", r.Path)
 	case len(r.Body) > 0 && (r.Method == fasthttp.MethodGet || r.Method == fasthttp.MethodHead):
 		return verdict.Refuse(verdict.ReasonBadRequest, "%s with a body", r.Method)
+	case !httpguts.ValidHeaderFieldValue(r.ID), !httpguts.ValidHeaderFieldValue(r.Pool):
+		return verdict.Refuse(verdict.ReasonBadRequest, "request ID %q, pool %q", r.ID, r.Pool)
+	}
+	return checkFields(r.Header)
+}
+
+// checkFields keeps a field from being read as several or as a body.
+func checkFields(fields []request.Field) *verdict.Error {
+	for _, f := range fields {
+		if !httpguts.ValidHeaderFieldName(f.Name) || !httpguts.ValidHeaderFieldValue(f.Value) {
+			return verdict.Refuse(verdict.ReasonBadRequest, "header field %q", f.Name)
+		}
 	}
 	return nil
 }
--- a/internal/attempt/verdict_test.go
+++ b/internal/attempt/verdict_test.go
@@ -47,6 +47,10 @@
 	{name: "target refuses with proof", script: refuse, verdict: verdict.NotRun, reason: verdict.ReasonTargetRefused, reused: true},
 	{name: "deadline passed before sending", script: honest, change: func(r *request.Request) { r.Deadline = time.Now().Add(-time.Second) }, verdict: verdict.NotRun, reason: verdict.ReasonDeadline},
 	{name: "request line cannot be sent", script: honest, change: func(r *request.Request) { r.Path = "/a HTTP/1.1\r\nX: 1" }, verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
+	{name: "method cannot be sent", script: honest, change: func(r *request.Request) { r.Method = "GET / HTTP/1.1\r\nX: 1\r\n\r\nPOST" }, verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
+	{name: "field name cannot be sent", script: honest, change: addField("X: 1\r\nY", "1"), verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
+	{name: "field value cannot be sent", script: honest, change: addField("X", "1\r\nContent-Length: 0\r\n\r\nGET / HTTP/1.1"), verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
+	{name: "request ID cannot be sent", script: honest, change: func(r *request.Request) { r.ID = "a\r\nX: 1" }, verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
 
 	{name: "reset during write", script: func(s *session) { s.readSome(); s.reset() }, change: func(r *request.Request) { r.Body = []byte(bigBody) }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost},
 	{name: "timeout during write", script: func(s *session) { s.readSome(); <-s.target.done }, change: func(r *request.Request) {
@@ -80,6 +84,10 @@
 	{name: "answer to another attempt", script: once("HTTP/1.1 200 OK\r\nRequest-Attempt: 01OTHER\r\nContent-Length: 1\r\n\r\na"), verdict: verdict.MayHaveRun, reason: verdict.ReasonMalformed, executed: 1},
 }
 
+func addField(name, value string) func(*request.Request) {
+	return func(r *request.Request) { r.Header = append(r.Header, request.Field{Name: name, Value: value}) }
+}
+
 func refuse(s *session) {
 	for s.read() != nil {
 		s.send("HTTP/1.1 503 Busy\r\nRequest-Verdict: not-run\r\nContent-Length: 4\r\n\r\nbusy")
