Wire burn, measures and traces that outlive their daemon

Cause: reports had no sources, and a trace was gone with its daemon. Ruled out: traces in the control stream, whose order they do not need. Change: burn counters, publisher, reader and reporter; roll-out time measured from heartbeats; traces of requests appended in batches to a stream of their own and found here, at other daemons or in the log; the daemon's start-up code split by duty.

--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"net"
-	"slices"
-	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/attempt"
+	"greengagedeck/internal/burn"
 	"greengagedeck/internal/decision"
 	"greengagedeck/internal/dedupe"
 	"greengagedeck/internal/dispatch"
@@ -35,38 +30,6 @@
 	leaveTimeout = 5 * time.Second
 )
 
-// HTTP limits of the daemon's listeners.
-const (
-	readTimeout = 30 * time.Second
-	idleTimeout = 2 * time.Minute
-)
-
-// stage is where this daemon stands in its life.
-type stage struct{ v atomic.Int32 }
-
-// The stages, in order.
-const (
-	stageStarting int32 = iota
-	stageServing
-	// stageDraining daemons are not ready, but still serve what reaches
-	// them until the balancer has noticed.
-	stageDraining
-	stageStopped
-)
-
-func newStage() *stage { return &stage{} }
-
-func (s *stage) set(v int32) { s.v.Store(v) }
-
-// ready reports whether the balancer should send requests.
-func (s *stage) ready() bool { return s.v.Load() == stageServing }
-
-// serving reports whether requests that arrive are served.
-func (s *stage) serving() bool {
-	v := s.v.Load()
-	return v == stageServing || v == stageDraining
-}
-
 // parts are what a daemon is made of.
 type parts struct {
 	dig.In
@@ -87,6 +50,10 @@
 	Ejector    *attempt.Ejector
 	Notebook   *decision.Notebook
 	Claims     *dedupe.Service
+	Traces     *decision.TraceLog
+	Rollouts   *membership.Rollouts
+	Burn       *burn.Publisher
+	BurnReader *burn.Reader
 	Moves      *pool.Controller
 	Waves      *maintenance.Controller
 	Dispatcher *dispatch.Dispatcher
@@ -94,15 +61,16 @@
 	Admin      *gateway.Admin
 }
 
-// whileServing runs f if the daemon serves.
-func (s *stage) whileServing(f func()) {
-	if s.serving() {
-		f()
-	}
-}
-
 // daemon runs its parts in order.
-type daemon struct{ parts }
+type daemon struct {
+	parts
+
+	// reports are the loops that flush once more when stopReports is called.
+	reports     sync.WaitGroup
+	stopReports func()
+	// version is the newest catalogue version that published was shown.
+	version uint64
+}
 
 // run serves until ctx ends and then stops without cutting a request.
 func (d *daemon) run(ctx context.Context) error {
@@ -114,6 +82,7 @@
 		return err
 	}
 	d.start(work)
+	d.startReports(work)
 	joinCtx, stopJoining := context.WithCancel(work)
 	defer stopJoining()
 	if err := d.join(ctx, joinCtx); err != nil {
@@ -136,54 +105,18 @@
 	d.Moves.Update(pool.Published{Pools: &s.Pools, Catalogue: &s.Catalogue, Members: mates})
 	d.Waves.Update(maintenance.Published{Waves: &s.Waves, Pools: &s.Pools, Catalogue: &s.Catalogue, Members: mates})
 	d.Detector.SetState(&s.Members, s.Offset)
+	d.measureRollout(s)
 }
 
-// servers are the daemon's HTTP listeners.
-type servers struct{ callers, admin *fasthttp.Server }
-
-func (d *daemon) listen() (servers, error) {
-	s := servers{
-		callers: newServer(d.Callers.Handler()),
-		admin:   newServer(d.Admin.Handler()),
+// measureRollout begins to measure an edit that has come in force here.
+func (d *daemon) measureRollout(s *replica.State) {
+	if s.Catalogue.Version <= d.version {
+		return
 	}
-	peers, err := net.Listen("tcp", d.Settings.PeerAddress)
-	if err != nil {
-		return s, eris.Wrap(err, "peer-address")
+	if edit, ok := s.Decisions.AtOffset(s.Catalogue.Version); ok && d.version > 0 {
+		d.Rollouts.Begin(s.Catalogue.Version, edit.At)
 	}
-	go func() { _ = d.Node.Serve(peers) }()
-	if err := serveHTTP(s.callers, d.Settings.CallerAddress); err != nil {
-		return s, eris.Wrap(err, "caller-address")
-	}
-	return s, eris.Wrap(serveHTTP(s.admin, d.Settings.AdminAddress), "admin-address")
-}
-
-func newServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               h,
-		Name:                  "greengaged",
-		MaxRequestBodySize:    gateway.MaxBodyBytes,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                quietLogger{},
-	}
-}
-
-// quietLogger drops the HTTP library's own lines: counters tell of bad
-// connections.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
-func serveHTTP(s *fasthttp.Server, addr string) error {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return eris.Wrap(err, addr)
-	}
-	go func() { _ = s.Serve(ln) }()
-	return nil
+	d.version = s.Catalogue.Version
 }
 
 // start runs the background loops until ctx ends.
@@ -194,12 +127,21 @@
 	go func() { _ = d.Snapshots.Run(ctx) }()
 	go func() { _ = d.Notebook.Run(ctx) }()
 	go func() { _ = d.Claims.Run(ctx) }()
+	go func() { _ = d.Rollouts.Run(ctx) }()
+	go d.BurnReader.Run(ctx)
 	go func() { _ = d.Moves.Run(ctx) }()
 	go func() { _ = d.Waves.Run(ctx) }()
 	go func() { _ = d.Dispatcher.Run(ctx) }()
 	go d.Attempts.Run(ctx)
 }
 
+// startReports runs the loops that keep what requests left behind.
+func (d *daemon) startReports(ctx context.Context) {
+	ctx, d.stopReports = context.WithCancel(ctx)
+	d.reports.Go(func() { d.Burn.Run(ctx) })
+	d.reports.Go(func() { d.Traces.Run(ctx) })
+}
+
 // join waits for a current state and for the admission of this incarnation.
 // Only a member may start requests, so nothing is served before.
 func (d *daemon) join(ctx, work context.Context) error {
@@ -237,6 +179,8 @@
 	err := s.callers.ShutdownWithContext(ctx)
 	d.Stage.set(stageStopped)
 	d.Gate.Close()
+	d.stopReports()
+	d.reports.Wait()
 	stopJoining()
 	d.leave()
 	d.Attempts.Close()
@@ -266,55 +210,3 @@
 		return nil
 	}
 }
-
-func newAdmin(s Settings, self membership.Member, f *inForce, fo *replica.Follower, a *replica.Appender, d *membership.Detector, st *stage, rec *recorder, l zerolog.Logger, m metrics) *gateway.Admin {
-	page := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-	return gateway.NewAdmin(gateway.AdminOptions{
-		Self:     self.ID,
-		Tokens:   s.Tokens,
-		State:    f.replica.State,
-		Appender: a,
-		Status:   func() gateway.Status { return statusOf(f, fo, d, st) },
-		Ready:    st.ready,
-		Reports:  noReports{},
-		Traces:   rec,
-		Metrics:  fasthttpadaptor.NewFastHTTPHandler(page),
-		Logger:   l,
-	})
-}
-
-func statusOf(f *inForce, fo *replica.Follower, d *membership.Detector, st *stage) gateway.Status {
-	s := f.replica.State()
-	out := gateway.Status{
-		Daemon:           f.self.ID,
-		Host:             f.self.Host,
-		Zone:             f.self.Zone,
-		Release:          release.String(),
-		Ready:            st.ready(),
-		Draining:         st.v.Load() == stageDraining,
-		LogDown:          fo.LogDown(),
-		Offset:           s.Offset,
-		CatalogueVersion: s.Catalogue.Version,
-	}
-	for id, m := range s.Members.Members {
-		out.Members = append(out.Members, gateway.MemberStatus{
-			ID:       id,
-			Host:     m.Host,
-			Zone:     m.Zone,
-			Live:     d.Live(id),
-			Draining: d.Draining(id),
-			Offset:   d.OffsetOf(id),
-		})
-	}
-	slices.SortFunc(out.Members, func(a, b gateway.MemberStatus) int { return strings.Compare(a.Host, b.Host) })
-	return out
-}
-
-// noReports stands until reports are wired.
-type noReports struct{}
-
-// Burn implements gateway.Reports.
-func (noReports) Burn(string) (string, []byte, error) { return "", nil, eris.New("not available") }
-
-// Measures implements gateway.Reports.
-func (noReports) Measures(string) (string, []byte, error) { return "", nil, eris.New("not available") }
--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -12,13 +10,11 @@
 	"greengagedeck/internal/catalogue"
 	"greengagedeck/internal/decision"
 	"greengagedeck/internal/dispatch"
-	"greengagedeck/internal/gateway"
 	"greengagedeck/internal/membership"
 	"greengagedeck/internal/pool"
 	"greengagedeck/internal/record"
 	"greengagedeck/internal/replica"
 	"greengagedeck/internal/request"
-	"greengagedeck/internal/verdict"
 )
 
 // inForce reads the folded state for the request path.
@@ -146,75 +142,3 @@
 	n.Write(c.At, cause, "host/"+c.Host, "pool/"+c.Pool)
 	l.Warn().Str("target", c.Host).Str("pool", c.Pool).Str("reason", reason).Msg("target health changed")
 }
-
-// recorder traces finished requests and counts those refused for want of slots.
-type recorder struct {
-	self     membership.Member
-	traces   *decision.Traces
-	refusals *pool.Refusals
-}
-
-func newRecorder(self membership.Member, t *decision.Traces, rf *pool.Refusals) *recorder {
-	return &recorder{self, t, rf}
-}
-
-func newRefusals() *pool.Refusals { return pool.NewRefusals(0) }
-
-// measure tells the spare policy what a request filled or would have filled.
-func (r *recorder) measure(res gateway.Result) {
-	if res.Err == nil && res.Response != nil {
-		r.refusals.Ran(res.Request.Pool, res.Took-res.Response.Queued)
-		return
-	}
-	var refusal *verdict.Error
-	if !errors.As(res.Err, &refusal) {
-		return
-	}
-	switch refusal.Reason {
-	case verdict.ReasonQueueFull, verdict.ReasonDeadline, verdict.ReasonNoTarget:
-		r.refusals.Refused(res.Request.Pool, time.Now())
-	}
-}
-
-// Record implements gateway.Recorder.
-func (r *recorder) Record(res gateway.Result) {
-	r.measure(res)
-	v := verdict.Of(res.Err)
-	if v == verdict.Ran && !decision.Sampled(res.Request.ID) {
-		return
-	}
-	r.traces.Add(traceOf(r.self.ID, v, res))
-}
-
-func traceOf(daemon string, v verdict.Verdict, res gateway.Result) decision.Trace {
-	req := res.Request
-	t := decision.Trace{
-		ID:      req.ID,
-		Entry:   req.Entry,
-		Owner:   req.Owner,
-		Pool:    req.Pool,
-		Class:   string(req.Class),
-		Daemon:  daemon,
-		Verdict: v,
-		Arrived: req.Arrived,
-		Took:    res.Took,
-	}
-	if res.Err != nil {
-		t.Reason = res.Err.Error()
-	}
-	if res.Response != nil {
-		t.Host = res.Response.Host
-		t.Attempts = res.Response.Attempts
-		t.Queued = res.Response.Queued
-	}
-	return t
-}
-
-// Trace returns what this daemon knows of a request.
-func (r *recorder) Trace(_ context.Context, id string) []decision.Trace {
-	t, ok := r.traces.Get(id)
-	if !ok {
-		return nil
-	}
-	return []decision.Trace{t}
-}
--- /dev/null
+++ b/cmd/greengaged/reports.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"greengagedeck/internal/burn"
+	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/decision"
+	"greengagedeck/internal/dispatch"
+	"greengagedeck/internal/pool"
+	"greengagedeck/internal/replica"
+)
+
+// conditions tells what went on in a pool while a request was served.
+type conditions struct {
+	replica    *replica.Replica
+	dispatcher *dispatch.Dispatcher
+}
+
+// Maintenance implements burn.Conditions.
+func (c conditions) Maintenance(name string) bool {
+	s := &c.replica.State().Pools
+	for _, d := range s.Drains {
+		if d.Purpose == pool.PurposeMaintenance && d.From == name {
+			return true
+		}
+	}
+	return false
+}
+
+// LongHeld implements burn.Conditions.
+func (c conditions) LongHeld(name string) bool { return c.dispatcher.LongHeld(name) }
+
+// reportSources reads what reports need from the folded state.
+type reportSources struct{ replica *replica.Replica }
+
+// Entries implements burn.Entries.
+func (r reportSources) Entries() []catalogue.Entry {
+	return r.replica.State().Catalogue.Document().Entries
+}
+
+// Decisions implements burn.Decisions.
+func (r reportSources) Decisions(subject string) []decision.Decision {
+	s := r.replica.State()
+	return s.Decisions.About(subject)
+}
+
+// Buffer implements burn.BufferSource.
+func (r reportSources) Buffer() burn.Buffer {
+	s := r.replica.State()
+	b := burn.Buffer{TotalHosts: len(s.Pools.Hosts)}
+	for _, h := range s.Pools.Hosts {
+		if s.Catalogue.Pools[h.Pool].Value.Spare {
+			b.SpareHosts++
+		}
+	}
+	return b
+}
+
+// Moves implements burn.MoveSource.
+func (r reportSources) Moves(since time.Time) int {
+	s := r.replica.State()
+	n := 0
+	for _, d := range s.Decisions.OfKind(pool.KindDrain) {
+		if d.Accepted && d.At.After(since) && pools(d) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// pools counts the pools that a decision is about: a move names two.
+func pools(d decision.Decision) int {
+	n := 0
+	for _, s := range d.Subjects {
+		if strings.HasPrefix(s, "pool/") {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -13,6 +13,7 @@
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/attempt"
+	"greengagedeck/internal/burn"
 	"greengagedeck/internal/decision"
 	"greengagedeck/internal/dedupe"
 	"greengagedeck/internal/dispatch"
@@ -64,6 +65,13 @@
 		newMaintenanceController,
 		newDispatcher,
 		decision.NewTraces,
+		newRollouts,
+		newBurnCounter,
+		burn.NewStore,
+		newBurnPublisher,
+		newBurnReader,
+		newReporter,
+		newTraceLog,
 		newRecorder,
 		newCallers,
 		newAdmin,
@@ -73,7 +81,7 @@
 			return eris.Wrap(err, "wire")
 		}
 	}
-	return dig.RootCause(c.Invoke(func(p parts) error { return (&daemon{p}).run(ctx) }))
+	return dig.RootCause(c.Invoke(func(p parts) error { return (&daemon{parts: p}).run(ctx) }))
 }
 
 // metrics is the root of all counters and the registry that shows them.
@@ -272,6 +280,39 @@
 	})
 }
 
+func newTraceLog(t *decision.Traces, log platform.Log, n *peer.Node, d *membership.Detector, m metrics) *decision.TraceLog {
+	l := decision.NewTraceLog(t, log, n, d, m.scope)
+	l.Register(n)
+	return l
+}
+
+func newRollouts(d *membership.Detector) *membership.Rollouts { return membership.NewRollouts(d) }
+
+func newBurnCounter(r *replica.Replica, d *dispatch.Dispatcher) *burn.Counter {
+	return burn.NewCounter(conditions{r, d})
+}
+
+func newBurnPublisher(self membership.Member, c *burn.Counter, log platform.Log, l zerolog.Logger, m metrics) *burn.Publisher {
+	return burn.NewPublisher(burn.PublisherOptions{Daemon: self.ID, Counter: c, Log: log, Metrics: m.scope, Logger: l})
+}
+
+func newBurnReader(s *burn.Store, log platform.Log, d *membership.Detector, m metrics) *burn.Reader {
+	return burn.NewReader(burn.ReaderOptions{Store: s, Log: log, Lowest: d.Leads, Metrics: m.scope})
+}
+
+func newReporter(s *burn.Store, rd *burn.Reader, r *replica.Replica, ro *membership.Rollouts) *burn.Reporter {
+	src := reportSources{r}
+	return burn.NewReporter(burn.ReporterOptions{
+		Store:     s,
+		Refresher: rd,
+		Entries:   src,
+		Decisions: src,
+		Buffer:    src,
+		Rollouts:  ro,
+		Moves:     src,
+	})
+}
+
 func newCallers(f *inForce, c *dedupe.Service, d *dispatch.Dispatcher, st *stage, rec *recorder, m metrics) *gateway.Callers {
 	return gateway.NewCallers(gateway.CallerOptions{
 		Entries:  f,
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -3,6 +3,7 @@
 package decision
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -111,6 +112,17 @@
 	return out
 }
 
+// AtOffset returns the decision on the record at an offset.
+func (s *State) AtOffset(offset uint64) (Decision, bool) {
+	i, found := slices.BinarySearchFunc(s.Recent, offset, func(d Decision, o uint64) int {
+		return cmp.Compare(d.Offset, o)
+	})
+	if !found {
+		return Decision{}, false
+	}
+	return s.Recent[i], true
+}
+
 // ByID returns the decision on the record with an ID.
 func (s *State) ByID(id ulid.ULID) (Decision, bool) {
 	for _, d := range s.Recent {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -86,3 +86,11 @@
 	}
 	return work / time.Duration(max(1, slots))
 }
+
+// LongHeld reports whether long work holds slots of the pool.
+func (d *Dispatcher) LongHeld(pool string) bool {
+	p := d.pool(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.long > 0
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,8 @@
 	StreamSnapshot Stream = "snapshot"
 	// StreamBurn carries summaries of served requests.
 	StreamBurn Stream = "burn"
+	// StreamTrace carries traces of single requests.
+	StreamTrace Stream = "trace"
 )
 
 // ErrUncertain means that an append may or may not have taken effect.
