membership: give a new member the time to be heard before it is suspended

A join that is folded before the first heartbeat arrived made the zone's lowest daemon suspend the newcomer at once. Found by reading; with the count from the first question taken out TestNewMemberGetsTheTimeToBeHeard fails.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -266,6 +266,14 @@
 	return d.view.Live(id, time.Now())
 }
 
+// Unheard reports whether a member has been asked about, and not been live, for
+// as long as it takes to fail.
+func (d *Detector) Unheard(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Unheard(id, time.Now())
+}
+
 // LiveMembers returns the live members of all zones.
 func (d *Detector) LiveMembers() []Member {
 	d.mu.Lock()
--- a/internal/membership/joiner.go
+++ b/internal/membership/joiner.go
@@ -130,6 +130,7 @@
 		Self:       j.opt.Self,
 		State:      s,
 		Live:       j.opt.Detector.Live,
+		Unheard:    j.opt.Detector.Unheard,
 		DroppedFor: j.opt.List.DroppedFor,
 		ListLag:    j.opt.ListLag,
 		Paused:     j.opt.Detector.Paused(),
--- a/internal/membership/reaper.go
+++ b/internal/membership/reaper.go
@@ -8,6 +8,8 @@
 	// State is the folded membership and Live says who was heard lately.
 	State *State
 	Live  func(id string) bool
+	// Unheard says who has not been live for a while.
+	Unheard func(id string) bool
 	// DroppedFor is how long ago the platform's list first was without a
 	// host that it once named.
 	DroppedFor func(host string) (time.Duration, bool)
@@ -58,7 +60,7 @@
 		if in.Live(m.ID) {
 			heard++
 			zones[m.Zone] = true
-		} else if in.removes(m.Zone) {
+		} else if in.Unheard(m.ID) && in.removes(m.Zone) {
 			out = append(out, m)
 		}
 	}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -44,6 +44,9 @@
 func (s State) Clone() State {
 	s.Members = maps.Clone(s.Members)
 	s.Suspended = maps.Clone(s.Suspended)
+	if s.Suspended == nil {
+		s.Suspended = map[string]uint64{}
+	}
 	s.Changes = s.Changes[:len(s.Changes):len(s.Changes)]
 	return s
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -25,12 +25,14 @@
 // View is the pure core of failure detection: it turns what was heard, and
 // when, into who is live. It is not safe for concurrent use.
 type View struct {
-	opt     ViewOptions
-	state   *State
-	byKey   map[uint64]string
-	seen    map[string]*observation
-	tried   map[string]time.Time
-	linked  map[string]time.Time
+	opt    ViewOptions
+	state  *State
+	byKey  map[uint64]string
+	seen   map[string]*observation
+	tried  map[string]time.Time
+	linked map[string]time.Time
+	// missed holds since when a member was first asked about and not live.
+	missed  map[string]time.Time
 	rounds  map[string]int
 	zoneIDs map[string][]string
 }
@@ -55,6 +57,7 @@
 		opt:    opt,
 		seen:   map[string]*observation{},
 		tried:  map[string]time.Time{},
+		missed: map[string]time.Time{},
 		linked: map[string]time.Time{},
 		rounds: map[string]int{},
 	}
@@ -74,6 +77,7 @@
 	}
 	gone := func(id string, _ time.Time) bool { _, ok := s.Members[id]; return !ok }
 	maps.DeleteFunc(v.tried, gone)
+	maps.DeleteFunc(v.missed, gone)
 	maps.DeleteFunc(v.seen, func(id string, _ *observation) bool { return gone(id, time.Time{}) })
 }
 
@@ -175,6 +179,22 @@
 	return ok && now.Sub(o.heard) <= v.opt.FailAfter
 }
 
+// Unheard reports whether a member has not been live for as long as it takes to
+// fail, counted from the first question about it: one that has just joined gets
+// the time to be heard.
+func (v *View) Unheard(id string, now time.Time) bool {
+	if v.Live(id, now) {
+		delete(v.missed, id)
+		return false
+	}
+	since, ok := v.missed[id]
+	if !ok {
+		v.missed[id] = now
+		return false
+	}
+	return now.Sub(since) >= v.opt.FailAfter
+}
+
 // LiveMembers returns the live members, in the order of their IDs.
 func (v *View) LiveMembers(now time.Time) []Member {
 	var out []Member
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -34,6 +34,19 @@
 	g.Expect(v.Live("unknown", t0)).To(BeFalse())
 }
 
+// TestNewMemberGetsTheTimeToBeHeard keeps a daemon that has just joined from
+// being suspended before its first heartbeat.
+func TestNewMemberGetsTheTimeToBeHeard(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView(member("1", "a"), stateOf(member("1", "a"), member("2", "a")))
+	g.Expect(v.Unheard("2", at(time.Hour))).To(BeFalse())
+	g.Expect(v.Unheard("2", at(time.Hour+2*time.Second))).To(BeFalse())
+	g.Expect(v.Unheard("2", at(time.Hour+3*time.Second))).To(BeTrue())
+	v.Heard("2", Heartbeat{}, at(time.Hour+4*time.Second))
+	g.Expect(v.Unheard("2", at(time.Hour+4*time.Second))).To(BeFalse())
+	g.Expect(v.Unheard("2", at(2*time.Hour))).To(BeFalse(), "the count starts again")
+}
+
 func TestRelayedSightingKeepsItsAge(t *testing.T) {
 	g := NewWithT(t)
 	s := stateOf(member("1", "a"), member("2", "b"), member("3", "b"))
@@ -173,7 +186,8 @@
 		for _, id := range live {
 			heard[id] = true
 		}
-		return reapInput{Self: s.Members[self], State: s, LogCurrent: true, Live: func(id string) bool { return heard[id] }}
+		return reapInput{Self: s.Members[self], State: s, LogCurrent: true,
+			Live: func(id string) bool { return heard[id] }, Unheard: func(id string) bool { return !heard[id] }}
 	}
 	g := NewWithT(t)
 	g.Expect(suspend(in("1", "2", "3", "4"))).To(HaveLen(1), "zone c unheard")
