membership: suspend an unheard daemon within 5 s

The wait counted from the first question about a member and so came on top of the failure timeout. It now does so only for one that was never heard. TestUnheardDaemonIsSuspendedAndComesBack runs detectors and joiners over one log; without the suspension, or with every daemon appending it, it fails.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -266,8 +266,8 @@
 	return d.view.Live(id, time.Now())
 }
 
-// Unheard reports whether a member has been asked about, and not been live, for
-// as long as it takes to fail.
+// Unheard reports whether a member has not been heard for as long as it takes to
+// fail, counted from the first question for one that was never heard.
 func (d *Detector) Unheard(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -289,3 +289,71 @@
 		g.Expect(leaving && version == 2).To(BeTrue(), "within 5 s of the loss")
 	})
 }
+
+// sharedLog is a log that several daemons append to and fold.
+type sharedLog struct {
+	mu sync.Mutex
+	logOf
+}
+
+func (l *sharedLog) folded() *State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state.Clone()
+	return &s
+}
+
+func (l *sharedLog) add(ctx context.Context, r record.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = l.state.Clone()
+	return l.append(ctx, r)
+}
+
+func (l *sharedLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// TestUnheardDaemonIsSuspendedAndComesBack runs detectors and joiners over one
+// log. A daemon is cut off and returns.
+func TestUnheardDaemonIsSuspendedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer stop(cancel)
+		n, s := newNetwork(), spread(9, 4)
+		l := &sharedLog{logOf: logOf{state: s.Clone(), offset: 9, seen: map[string]bool{}}}
+		victim := s.sorted()[4].ID
+		ds := group(ctx, n, s)
+		list := NewListReader(ListReaderOptions{Detector: NewDetector(DetectorOptions{})})
+		joiner := func(id string) *Joiner {
+			return NewJoiner(JoinerOptions{
+				Self: s.Members[id], Detector: ds[id], List: list,
+				LogConfirmed: time.Now, State: l.folded, Append: l.add,
+			})
+		}
+		for id := range ds {
+			if id != victim {
+				go func() { _ = joiner(id).Run(ctx) }()
+			}
+		}
+		cut := func(is bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.cut[victim] = is
+		}
+		time.Sleep(20 * time.Second)
+		g.Expect(l.count()).To(BeZero())
+		cut(true)
+		time.Sleep(5 * time.Second)
+		g.Expect(l.folded().Suspended).To(HaveKey(victim), "within 5 s")
+		g.Expect(l.count()).To(Equal(1), "by one daemon")
+		cut(false)
+		j := joiner(victim)
+		time.Sleep(settleAfter + 5*time.Second)
+		j.step(ctx)
+		g.Expect(l.folded().Suspended).To(BeEmpty(), "it resumes itself")
+	})
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -31,7 +31,7 @@
 	seen   map[string]*observation
 	tried  map[string]time.Time
 	linked map[string]time.Time
-	// missed holds since when a member was first asked about and not live.
+	// missed holds when a member that was never heard was first asked about.
 	missed  map[string]time.Time
 	rounds  map[string]int
 	zoneIDs map[string][]string
@@ -179,14 +179,16 @@
 	return ok && now.Sub(o.heard) <= v.opt.FailAfter
 }
 
-// Unheard reports whether a member has not been live for as long as it takes to
-// fail, counted from the first question about it: one that has just joined gets
-// the time to be heard.
+// Unheard reports whether a member has not been heard for as long as it takes to
+// fail. For one that was never heard this counts from the first question about
+// it: one that has just joined gets the time to be heard.
 func (v *View) Unheard(id string, now time.Time) bool {
 	if v.Live(id, now) {
-		delete(v.missed, id)
 		return false
 	}
+	if o, ok := v.seen[id]; ok && !o.heard.IsZero() {
+		return true
+	}
 	since, ok := v.missed[id]
 	if !ok {
 		v.missed[id] = now
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -44,7 +44,7 @@
 	g.Expect(v.Unheard("2", at(time.Hour+3*time.Second))).To(BeTrue())
 	v.Heard("2", Heartbeat{}, at(time.Hour+4*time.Second))
 	g.Expect(v.Unheard("2", at(time.Hour+4*time.Second))).To(BeFalse())
-	g.Expect(v.Unheard("2", at(2*time.Hour))).To(BeFalse(), "the count starts again")
+	g.Expect(v.Unheard("2", at(time.Hour+8*time.Second))).To(BeTrue())
 }
 
 func TestRelayedSightingKeepsItsAge(t *testing.T) {
