--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -245,6 +245,12 @@
 	return h.list, nil
 }
 
+func (h *hostsOf) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reads
+}
+
 func (h *hostsOf) set(version uint64, hosts ...platform.HostStatus) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -277,9 +283,9 @@
 			listed, version := r.Listed("w1")
 			g.Expect(listed && version == 1).To(BeTrue())
 		}
-		before := hosts.reads
+		before := hosts.count()
 		time.Sleep(10 * time.Second)
-		g.Expect(hosts.reads-before).To(BeNumerically("~", 10, 2), "one daemon reads, once a second")
+		g.Expect(hosts.count()-before).To(BeNumerically("~", 10, 2), "one daemon reads, once a second")
 		n.mu.Lock()
 		n.cut[s.sorted()[0].ID] = true
 		n.mu.Unlock()
