--- a/internal/dedupe/fault_test.go
+++ b/internal/dedupe/fault_test.go
@@ -275,3 +275,34 @@
 		g.Expect(verdict.Of(err)).To(Equal(verdict.MayHaveRun), "past the window")
 	})
 }
+
+// TestReadyMeansThatNewIDsAreGranted starts a fleet from nothing and then lets
+// a daemon join it.
+func TestReadyMeansThatNewIDsAreGranted(t *testing.T) {
+	inRig(t, 6, 3, func(r *rig) {
+		g := NewWithT(t)
+		r.logUp = true
+		fresh := newRig(t, r.ctx, 0, 3)
+		fresh.logUp = true
+		for range 6 {
+			fresh.start("z" + string(rune('0'+len(fresh.order)%3)))
+		}
+		fresh.foldAll()
+		n := fresh.nodes["n00"]
+		g.Expect(n.service.Ready()).To(BeFalse())
+		for !n.service.Ready() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second) // the others of a pair find it a heartbeat later at most
+		for range 100 {
+			_, err := n.send(ulid.Make())
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		late := r.start("z0")
+		r.foldAll()
+		time.Sleep(2 * time.Second)
+		g.Expect(late.service.Ready()).To(BeTrue())
+		_, err := late.send(ulid.Make())
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
--- a/internal/dedupe/fence.go
+++ b/internal/dedupe/fence.go
@@ -39,9 +39,9 @@
 	state      *membership.State
 	bases      []base
 	placements map[uint64]*Placement
-	// ready holds since when the condition for a candidate has been met, for
+	// met holds since when the condition for a candidate has been met, for
 	// conditions that take effect only after a wait.
-	ready map[uint64]time.Time
+	met map[uint64]time.Time
 }
 
 func newFence(opt Options) *Fence {
@@ -53,7 +53,7 @@
 		clockError: opt.ClockError,
 		state:      &s,
 		placements: map[uint64]*Placement{},
-		ready:      map[uint64]time.Time{},
+		met:        map[uint64]time.Time{},
 	}
 }
 
@@ -101,9 +101,9 @@
 	if len(f.bases) > maxBases {
 		f.bases = f.bases[1:]
 	}
-	for e := range f.ready {
+	for e := range f.met {
 		if e <= b.Epoch {
-			delete(f.ready, e)
+			delete(f.met, e)
 		}
 	}
 }
@@ -127,10 +127,10 @@
 		if !ok {
 			continue
 		}
-		since, met := f.ready[candidate]
-		if !met {
+		since, ok := f.met[candidate]
+		if !ok {
 			since = now
-			f.ready[candidate] = now
+			f.met[candidate] = now
 		}
 		if now.Sub(since) >= wait+wait/leaseDrift {
 			f.learn(base{Epoch: candidate, Since: wall})
@@ -213,6 +213,12 @@
 	return true
 }
 
+// ready reports whether a base covers IDs made at wall.
+func (f *Fence) ready(wall time.Time) bool {
+	_, ok := f.baseFor(wall)
+	return ok
+}
+
 // baseFor returns the newest base that was in force before any daemon could
 // grant a claim for an ID of time t. A daemon grants up to one clock error
 // before t by its own clock; its clock and that which set the base may each be
--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// Ready reports whether claims of new IDs can be vouched for. It becomes true
+// some seconds after the first daemons of all have started, and for one that
+// joins others with its first heartbeats.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.fence.ready(time.Now())
+}
+
 // Run follows the epochs of the other members until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	t := time.NewTicker(updateInterval)
