--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -266,7 +266,7 @@
 
 func TestZoneIsAskedOnlyWhileItsAnswerComesInTime(t *testing.T) {
 	g := NewWithT(t)
-	z := dispatch.NewZones()
+	z := dispatch.NewZones(rate.NewLimiter(4000, 4000))
 	z.SetZones([]string{"near", "far"})
 	z.Observe(epoch, "near", dispatch.Load{Slots: 24}, 2*time.Millisecond)
 	z.Observe(epoch, "far", dispatch.Load{Slots: 24}, 80*time.Millisecond)
@@ -277,7 +277,7 @@
 
 func TestZoneThatIsNotClearlySoonerIsNotChosen(t *testing.T) {
 	g := NewWithT(t)
-	z := dispatch.NewZones()
+	z := dispatch.NewZones(rate.NewLimiter(4000, 4000))
 	z.SetZones([]string{"z2"})
 	z.Observe(epoch, "z2", dispatch.Load{Slots: 24, Wait: 80 * time.Millisecond}, 2*time.Millisecond)
 	_, ok := z.Choose(epoch, 100*time.Millisecond, 20*time.Millisecond, nil)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -53,7 +53,7 @@
 		changed: changed,
 		sched:   NewScheduler(v.cfg),
 		lending: NewLending(budget),
-		zones:   NewZones(),
+		zones:   NewZones(budget),
 		answer:  make(chan struct{}),
 	}
 	p.apply(v)
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // How other zones are asked for their load.
 const (
@@ -12,6 +16,8 @@
 	// gainShare is the part of the own wait that a zone must stay under. It
 	// keeps zones that are all overloaded from passing requests around.
 	gainShare = 0.5
+	// askBytes are the bytes of a question and its answer.
+	askBytes = 96
 	// assumedDistance is the way to a zone that has not answered yet.
 	assumedDistance = time.Millisecond
 )
@@ -24,8 +30,9 @@
 //
 // It does no I/O, reads no clock and is not safe for concurrent use.
 type Zones struct {
-	known map[string]*zoneLoad
-	order []string
+	known  map[string]*zoneLoad
+	order  []string
+	budget *rate.Limiter
 }
 
 // zoneLoad is what is known of one other zone.
@@ -38,7 +45,9 @@
 }
 
 // NewZones returns a Zones that knows of no zone.
-func NewZones() *Zones { return &Zones{known: map[string]*zoneLoad{}} }
+func NewZones(budget *rate.Limiter) *Zones {
+	return &Zones{known: map[string]*zoneLoad{}, budget: budget}
+}
 
 // SetZones replaces the zones that can be reached, in a fixed order.
 func (z *Zones) SetZones(names []string) {
@@ -54,7 +63,7 @@
 }
 
 // Ask returns the zones to ask now, given the wait in the own zone, and notes
-// that they are asked.
+// that they are asked. It stays within the budget of control bytes.
 func (z *Zones) Ask(now time.Time, wait time.Duration) []string {
 	var out []string
 	for _, n := range z.order {
@@ -62,6 +71,9 @@
 		if 2*k.distance >= wait || now.Sub(k.asked) < DefaultAskInterval {
 			continue
 		}
+		if !z.budget.AllowN(now, askBytes) {
+			break
+		}
 		k.asked = now
 		out = append(out, n)
 	}
--- a/standin/bench/away.go
+++ b/standin/bench/away.go
@@ -77,7 +77,7 @@
 }
 
 func (c *cluster) join(zone int, d *lendDaemon, end time.Duration) {
-	a := &awayDaemon{c: c, zone: zone, d: d, zones: dispatch.NewZones(), last: map[string]dispatch.Load{}}
+	a := &awayDaemon{c: c, zone: zone, d: d, zones: dispatch.NewZones(d.budget), last: map[string]dispatch.Load{}}
 	var others []string
 	for i := range zoneCount {
 		if i != zone {
--- a/standin/bench/lend.go
+++ b/standin/bench/lend.go
@@ -35,6 +35,7 @@
 	id      int
 	n       *node
 	lending *dispatch.Lending
+	budget  *rate.Limiter
 	waiting map[*dispatch.Job]lendWaiting
 	// away, when set, may hand a request that would wait to another zone.
 	away     func(w *work, reply func(outcome)) bool
@@ -60,10 +61,12 @@
 func newLendWithin(z *zone, budget rate.Limit) *lend {
 	l := &lend{z: z}
 	for d := range z.shape.daemons {
+		limiter := rate.NewLimiter(budget, budgetBurst)
 		ld := &lendDaemon{
 			l: l, id: d,
 			n:       newNode(z),
-			lending: dispatch.NewLending(rate.NewLimiter(budget, budgetBurst)),
+			lending: dispatch.NewLending(limiter),
+			budget:  limiter,
 			waiting: map[*dispatch.Job]lendWaiting{},
 		}
 		ld.n.sched.SetTargets(splitTargets(z.list, d, z.shape.daemons))
--- a/standin/bench/sharing.go
+++ b/standin/bench/sharing.go
@@ -33,9 +33,11 @@
 	// lendFifthMethod has the control bytes that are left to one pool when
 	// five are contended at once.
 	lendFifthMethod = method{"split, lend and pull, 0.8 KB/s", func(z *zone) sharing { return newLendWithin(z, controlBudget/5) }}
+	// lendLeastMethod has what is left to one pool of 57.
+	lendLeastMethod = method{"split, lend and pull, 0.07 KB/s", func(z *zone) sharing { return newLendWithin(z, controlBudget/57) }}
 )
 
-var methods = []method{centralMethod, staticMethod, choicesMethod, leaseMethod, homeMethod, lendMethod, lendFifthMethod}
+var methods = []method{centralMethod, staticMethod, choicesMethod, leaseMethod, homeMethod, lendMethod, lendFifthMethod, lendLeastMethod}
 
 // central is one queue that knows everything and costs nothing.
 type central struct {
