--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -154,6 +154,7 @@
 		return e, verdict.Refuse(verdict.ReasonUnknownEntry, "no entry %s in force", r.Entry)
 	}
 	if err := d.runnable(e, r); err != nil {
+		d.pool(e.Pool).metrics.refused(err.Reason)
 		return e, err
 	}
 	return e, nil
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -17,7 +17,8 @@
 	// Avoid names a host that the job should not get again, if there is
 	// another.
 	Avoid string
-	// Foreign is set for a job that another daemon handed over.
+	// Foreign is set for a job that stays here: another daemon handed it
+	// over, or could not take it.
 	Foreign bool
 	// Limits are those of the job's entry.
 	Limits JobLimits
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -32,6 +32,7 @@
 
 	avoid    string
 	attempts int
+	handed   bool // to another daemon, in vain
 	unsure   bool // an earlier try may have run
 	waited   bool // for the load of other zones
 	misses   int
@@ -42,6 +43,7 @@
 func (t *try) next(ctx context.Context) (resp *request.Response, again bool, err error) {
 	j := t.d.job(t.entry, t.req)
 	j.Avoid = t.avoid
+	j.Foreign = j.Foreign || t.handed
 	s, err := t.p.acquire(ctx, j, t.route, func(daemons map[string]string) { t.d.askLoads(t.p, daemons) })
 	if err != nil {
 		return nil, t.homeless(ctx, err), err
@@ -56,6 +58,7 @@
 // waits here and is not handed over again.
 func (t *try) handOver(ctx context.Context, to string) (*request.Response, bool, error) {
 	t.route = route{}
+	t.handed = true
 	resp, err := t.d.handTo(ctx, t.p, to, t.req)
 	if err == nil {
 		resp.Attempts += t.attempts
