--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -58,6 +58,7 @@
 		newAttempts,
 		newClaims,
 		newZoneDemand,
+		newRefusals,
 		newLending,
 		newPoolController,
 		newMaintenanceController,
@@ -259,7 +260,7 @@
 	return dispatch.New(dispatch.Options{
 		Targets: targets{f, g, lr},
 		Gate:    awakeGate{g, d},
-		Doer:    doer{a},
+		Doer:    doer{a, g},
 		Policy:  f,
 		Zone:    d,
 		Health:  e,
