--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,8 +28,9 @@
 
 	state   jobState
 	flow    *flow
-	index   int // position in flow.jobs while queued
-	cost    time.Duration
+	index   int           // position in flow.jobs while queued
+	cost    time.Duration // expected size
+	slack   time.Duration // time to spare at the start
 	host    *hostSlots
 	started time.Time
 	long    bool          // counts against the long share
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -15,6 +15,12 @@
 	// longFloor is the part of the long share that long work gets even
 	// while shorter work waits, so that it is not starved.
 	longFloor = 0.25
+	// slackSizes and slackShare say how much time a job that has to wait
+	// must have to spare, in expected sizes and as a share of its time: a
+	// job that starts too late occupies a slot for nothing, and its caller
+	// does not learn whether it ran.
+	slackSizes = 2
+	slackShare = 0.1
 	// minRetryAfter and maxRetryAfter bound what a refusal advises.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -133,7 +139,10 @@
 		e.RetryAfter = retryAfter(wait)
 		return e
 	}
-	if late := now.Add(wait + j.cost).Sub(j.Deadline); late > 0 {
+	if wait > 0 {
+		j.slack = min(slackSizes*j.cost, time.Duration(slackShare*float64(j.Deadline.Sub(now))))
+	}
+	if late := now.Add(wait + j.cost + j.slack).Sub(j.Deadline); late > 0 {
 		e := verdict.Refuse(verdict.ReasonDeadline, "expected wait is %s", wait.Round(time.Millisecond))
 		e.RetryAfter = retryAfter(late)
 		return e
@@ -151,7 +160,7 @@
 		if j == nil {
 			continue
 		}
-		if now.Add(j.cost).After(j.Deadline) {
+		if now.Add(j.cost + j.slack).After(j.Deadline) {
 			s.drop(q, j)
 			e := verdict.Refuse(verdict.ReasonDeadline, "no slot became free in time")
 			e.RetryAfter = retryAfter(s.expectedWait(c, j))
