--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -238,6 +238,7 @@
 		Usage:     t,
 		Failed:    failedHosts{self.Zone, r, lr}.failed,
 		Proposals: le.Proposals,
+		Demand:    le.Ended,
 		Suspects:  suspects(self, r, d),
 		Metrics:   m.scope,
 		Logger:    l,
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -36,6 +36,9 @@
 	// Proposals returns what the spare policy proposes for the zone now. Nil
 	// proposes nothing.
 	Proposals func(p Published, now time.Time) []Move
+	// Demand returns the last slot of the zone's demand that has ended, for
+	// the record, or nil (Lending.Ended).
+	Demand func() *SlotDemand
 	// Usage reports what runs on a host. Without it a move does not wait for
 	// requests that outlived their daemon.
 	Usage Usage
@@ -67,6 +70,9 @@
 	if o.Proposals == nil {
 		o.Proposals = func(Published, time.Time) []Move { return nil }
 	}
+	if o.Demand == nil {
+		o.Demand = func() *SlotDemand { return nil }
+	}
 	if o.Suspects == nil {
 		o.Suspects = func() []string { return nil }
 	}
@@ -175,6 +181,7 @@
 		Suspects:       c.opts.Suspects(),
 		Failed:         c.opts.Failed(),
 		Wants:          c.wants,
+		Demand:         c.opts.Demand(),
 		Moves:          c.opts.Proposals(p, now),
 		MoveTimeout:    c.opts.MoveTimeout,
 		LendingTimeout: c.opts.LendingTimeout,
--- a/internal/pool/lending.go
+++ b/internal/pool/lending.go
@@ -35,8 +35,8 @@
 	Metrics      tally.Scope
 }
 
-// Lending turns what a spare policy decides for a zone into moves of hosts. Its
-// memory is not shared: a daemon that starts anew learns the day again.
+// Lending turns what a spare policy decides for a zone into moves of hosts. A
+// daemon that starts anew takes the last day's demand from the folded state.
 type Lending struct {
 	opts    LendingOptions
 	hold    tally.Gauge
@@ -47,6 +47,10 @@
 	decided   time.Time
 	proposals []proposal
 	held      int
+	// slot is the index of the current slot of the day and ended the last one
+	// that has ended, with what it was like.
+	slot  int64
+	ended *SlotDemand
 }
 
 type proposal struct {
@@ -69,7 +73,6 @@
 		opts:    opts,
 		hold:    scope.Gauge("spare_hosts_to_hold"),
 		changes: scope.Counter("spare_changes_decided"),
-		memory:  SpareMemory{},
 	}
 }
 
@@ -112,6 +115,10 @@
 		in.Elapsed = now.Sub(l.decided)
 	}
 	l.decided = now
+	if l.memory == nil {
+		l.memory = remembered(p.Pools.Demand[l.opts.Zone])
+	}
+	l.endSlot(now)
 	memory, changes := l.opts.Policy.Decide(l.memory, in)
 	l.memory = memory
 	l.held = l.opts.Policy.Hold(memory, in)
@@ -122,6 +129,25 @@
 	}
 }
 
+// endSlot keeps what the slot that has ended was like, by the mean at its end.
+func (l *Lending) endSlot(now time.Time) {
+	slot := slotIndex(now)
+	if l.slot != 0 && slot != l.slot {
+		l.ended = &SlotDemand{Zone: l.opts.Zone, Index: l.slot, Pools: map[string]float32{}}
+		for pool, pm := range l.memory {
+			l.ended.Pools[pool] = float32(pm.Mean)
+		}
+	}
+	l.slot = slot
+}
+
+// Ended returns the last slot of the day that has ended, or nil.
+func (l *Lending) Ended() *SlotDemand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
 // propose picks the hosts of a change. Several changes may name one host; the
 // plan starts only one drain of it.
 func (l *Lending) propose(p Published, ch Change, now time.Time) {
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -20,6 +20,8 @@
 	KindReturn record.Kind = "pool.return"
 	// KindBlocked says why a drain that the catalogue asks for cannot start.
 	KindBlocked record.Kind = "pool.blocked"
+	// KindDemand keeps a zone's demand of one slot of the day.
+	KindDemand record.Kind = "pool.demand"
 	// KindHealth marks a host as failed or as healthy again.
 	KindHealth record.Kind = "pool.health"
 )
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -33,6 +33,8 @@
 	Failed map[string]bool
 	// Wants holds what the catalogue asks for (State.Wants).
 	Wants []Want
+	// Demand holds the last slot of the zone's demand that has ended, or nil.
+	Demand *SlotDemand
 	// Moves holds what the spare policy proposes.
 	Moves []Move
 	// MoveTimeout is how long a move may wait for a member that does not
@@ -56,7 +58,8 @@
 	intents := planAcks(p.Pools, in)
 	intents = append(intents, planHealth(p, in)...)
 	intents = append(intents, planDrains(p, in)...)
-	return append(intents, planCancels(p, now, in)...)
+	intents = append(intents, planCancels(p, now, in)...)
+	return append(intents, planDemand(p, in)...)
 }
 
 func planAcks(s *State, in Inputs) []intent.Intent {
--- a/internal/pool/spare.go
+++ b/internal/pool/spare.go
@@ -59,7 +59,7 @@
 }
 
 // daySlots is how many slots the history of a day has.
-const daySlots = 288
+const daySlots = 48
 
 const slotLength = 24 * time.Hour / daySlots
 
--- a/internal/pool/spare_test.go
+++ b/internal/pool/spare_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/membership"
 )
 
 // lender drives a policy of one pool with two hosts of its own and four spare
@@ -194,3 +195,36 @@
 	r.Refused("p", now.Add(25*time.Second))
 	g.Expect(r.Slots(now.Add(60*time.Second))).To(BeEmpty(), "what is long ago counts no more")
 }
+
+// A daemon that starts anew knows yesterday's peak from the folded state.
+func TestYesterdayIsKnownAfterEveryDaemonWasReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := lendingFleet()
+	f.members.Members = map[string]membership.Member{"d1": {ID: "d1", Zone: "a"}, "d2": {ID: "d2", Zone: "a"}}
+	demand := map[string]float64{}
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	day := func(l *Lending, author string, hours int) (moves []Move) {
+		for end := now.Add(time.Duration(hours) * time.Hour); now.Before(end); now = now.Add(DefaultDecideInterval) {
+			demand["p"] = 2
+			if now.Hour() == 20 {
+				demand["p"] = 14
+			}
+			p := Published{Pools: &f.pools, Catalogue: &f.catalogue}
+			moves = append(moves, l.Proposals(p, now)...)
+			for _, in := range planDemand(p, Inputs{Demand: l.Ended()}) {
+				next, out := f.apply(newRecord(in.Kind, author, now, in.Body))
+				g.Expect(out.Accepted).To(BeTrue(), out.Reason)
+				f = next
+			}
+		}
+		return moves
+	}
+	fresh := func() *Lending {
+		return NewLending(LendingOptions{Zone: "a", Demand: func() map[string]float64 { return demand }})
+	}
+	day(fresh(), "d1", 24)
+	g.Expect(f.pools.Demand["a"].Pools["p"]).To(HaveLen(daySlots))
+	second := fresh()
+	g.Expect(day(second, "d2", 19)).To(BeEmpty())
+	g.Expect(day(second, "d2", 1)).NotTo(BeEmpty(), "before the second peak")
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -64,6 +64,10 @@
 	// Drains holds the drains in progress and those of hosts that are out,
 	// by ID. A Drain is replaced as a whole and never changed in place.
 	Drains map[string]Drain `cbor:"3,keyasint"`
+	// Demand holds the demand of the last day by zone, so that the spare
+	// policy knows it after every daemon has been replaced. A ZoneDemand is
+	// replaced as a whole.
+	Demand map[string]ZoneDemand `cbor:"4,keyasint"`
 }
 
 // View is what the fold of this slice reads of other slices.
@@ -76,13 +80,14 @@
 
 // NewState returns a state without hosts.
 func NewState() State {
-	return State{Hosts: map[string]Host{}, Drains: map[string]Drain{}}
+	return State{Hosts: map[string]Host{}, Drains: map[string]Drain{}, Demand: map[string]ZoneDemand{}}
 }
 
 // Clone returns a copy that shares no maps with s.
 func (s State) Clone() State {
 	s.Hosts = maps.Clone(s.Hosts)
 	s.Drains = maps.Clone(s.Drains)
+	s.Demand = maps.Clone(s.Demand)
 	return s
 }
 
@@ -122,6 +127,8 @@
 		return s.applyHealth(offset, r, v)
 	case KindBlocked:
 		return s.applyBlocked(r)
+	case KindDemand:
+		return s.applyDemand(r, v)
 	default:
 		return record.Reject("unknown kind " + string(r.Kind))
 	}
