--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
@@ -98,7 +99,7 @@
 	for name, value := range resp.Header.All() {
 		// The library has put names into their canonical form.
 		if !dropped[string(name)] && !slices.Contains(named, string(name)) {
-			fields = append(fields, request.Field{Name: string(name), Value: string(value)})
+			fields = append(fields, request.Field{Name: fieldName(name), Value: string(value)})
 		}
 	}
 	return &request.Response{
@@ -108,6 +109,26 @@
 	}
 }
 
+// commonFields are the names that most answers have, so that they need not be
+// copied out of each.
+var commonFields = func() map[string]string {
+	m := map[string]string{}
+	for _, name := range []string{
+		"Cache-Control", "Content-Encoding", "Content-Type", "Date", "Etag",
+		"Last-Modified", "Server", "Set-Cookie", "Vary",
+	} {
+		m[name] = name
+	}
+	return m
+}()
+
+func fieldName(name []byte) string {
+	if s, ok := commonFields[string(name)]; ok {
+		return s
+	}
+	return string(name)
+}
+
 // checkRequest refuses what cannot be sent as it is.
 func checkRequest(r *request.Request) *verdict.Error {
 	switch {
@@ -117,6 +138,18 @@
 		return verdict.Refuse(verdict.ReasonBadRequest, "path %q", r.Path)
 	case len(r.Body) > 0 && (r.Method == fasthttp.MethodGet || r.Method == fasthttp.MethodHead):
 		return verdict.Refuse(verdict.ReasonBadRequest, "%s with a body", r.Method)
+	case !httpguts.ValidHeaderFieldValue(r.ID), !httpguts.ValidHeaderFieldValue(r.Pool):
+		return verdict.Refuse(verdict.ReasonBadRequest, "request ID %q, pool %q", r.ID, r.Pool)
+	}
+	return checkFields(r.Header)
+}
+
+// checkFields keeps a field from being read as several or as a body.
+func checkFields(fields []request.Field) *verdict.Error {
+	for _, f := range fields {
+		if !httpguts.ValidHeaderFieldName(f.Name) || !httpguts.ValidHeaderFieldValue(f.Value) {
+			return verdict.Refuse(verdict.ReasonBadRequest, "header field %q", f.Name)
+		}
 	}
 	return nil
 }
