--- a/internal/maintenance/bench_test.go
+++ b/internal/maintenance/bench_test.go
@@ -19,7 +19,7 @@
 					s.addHost(h, "p", fmt.Sprintf("z%d", i/150), fmt.Sprintf("r%d", i/4))
 				}
 				s.addDaemon("d1", "z0")
-				s.setWave(wave("w"))
+				s.setWave(newWave("w"))
 				p := s.published("z0")
 				in := Inputs{Self: "d1", Zone: "z0", Timing: DefaultTiming}
 				for b.Loop() {
--- a/internal/maintenance/choose.go
+++ b/internal/maintenance/choose.go
@@ -18,44 +18,47 @@
 // rest makes up for what failures held up.
 const paceShare = 0.9
 
+// wave is a wave with its version.
+type wave = catalogue.Versioned[catalogue.Wave]
+
 // planStarts returns the drains that waves want to start in the zone, and why
 // a wave that is behind can start none.
 func planStarts(p Published, now time.Time, in Inputs) []Step {
 	if len(in.Suspects) > 0 {
 		return nil
 	}
-	var steps []Step
-	var ledger *pool.Ledger
-	for _, w := range activeWaves(p, now) {
-		z := zoneOf(p, w, in.Zone)
-		want := due(w.Value, z.total, now) - z.done - z.out
-		if want <= 0 {
-			continue
-		}
-		if ledger == nil {
-			scratch := p.Pools.Clone()
-			ledger = scratch.Ledger()
-		}
-		started, refusal := z.start(p, ledger, w, want)
-		steps = append(steps, started...)
-		if len(started) == 0 && refusal != "" {
-			steps = append(steps, z.blocked(p, w, want, refusal, now, in)...)
+	c := chooser{Published: p, Inputs: in, now: now}
+	for _, w := range c.activeWaves() {
+		z := c.zoneOf(w)
+		if want := due(w.Value, z.total, now) - z.done - z.out; want > 0 {
+			c.choose(w, z, want)
 		}
 	}
-	return steps
+	return c.steps
+}
+
+// chooser picks the hosts that the waves of a zone take next.
+type chooser struct {
+	Published
+	Inputs
+	now time.Time
+	// ledger counts what is spent of the budgets, chosen hosts included.
+	ledger *pool.Ledger
+	steps  []Step
 }
 
 // activeWaves returns the waves that may take hosts now, the most pressing
 // first.
-func activeWaves(p Published, now time.Time) []catalogue.Versioned[catalogue.Wave] {
-	var waves []catalogue.Versioned[catalogue.Wave]
-	for name, w := range p.Catalogue.Waves {
-		if now.Before(w.Value.Start) || now.After(w.Value.Deadline) || inactive(p, name) != "" {
+func (c *chooser) activeWaves() []wave {
+	var waves []wave
+	for name, w := range c.Catalogue.Waves {
+		early, late := c.now.Before(w.Value.Start), c.now.After(w.Value.Deadline)
+		if early || late || inactive(c.Published, name) != "" {
 			continue
 		}
 		waves = append(waves, w)
 	}
-	slices.SortFunc(waves, func(a, b catalogue.Versioned[catalogue.Wave]) int {
+	slices.SortFunc(waves, func(a, b wave) int {
 		return cmp.Or(a.Value.Deadline.Compare(b.Value.Deadline), strings.Compare(a.Value.Name, b.Value.Name))
 	})
 	return waves
@@ -63,29 +66,29 @@
 
 // zoneWave is a wave's work in one zone.
 type zoneWave struct {
-	zone             string
 	total, done, out int
 	// candidates are the hosts that are left and usable, rack by rack.
 	candidates []string
 }
 
-func zoneOf(p Published, w catalogue.Versioned[catalogue.Wave], zone string) zoneWave {
-	z := zoneWave{zone: zone}
-	progress := p.Waves.Progress(w.Value)
-	for name, h := range p.Pools.Hosts {
-		if h.Zone == zone && pool.Selects(w.Value, h) {
+func (c *chooser) zoneOf(w wave) zoneWave {
+	var z zoneWave
+	progress := c.Waves.Progress(w.Value)
+	for name, h := range c.Pools.Hosts {
+		if h.Zone == c.Zone && pool.Selects(w.Value, h) {
 			_, done := progress.Done[name]
-			z.add(p.Pools, w.Value.Name, name, h, done)
+			z.add(c.Pools, w.Value.Name, name, done)
 		}
 	}
 	slices.SortFunc(z.candidates, func(a, b string) int {
-		racks := strings.Compare(p.Pools.Hosts[a].Rack, p.Pools.Hosts[b].Rack)
+		racks := strings.Compare(c.Pools.Hosts[a].Rack, c.Pools.Hosts[b].Rack)
 		return cmp.Or(racks, strings.Compare(a, b))
 	})
 	return z
 }
 
-func (z *zoneWave) add(s *pool.State, wave, name string, h pool.Host, done bool) {
+func (z *zoneWave) add(s *pool.State, wave, name string, done bool) {
+	h := s.Hosts[name]
 	z.total++
 	switch {
 	case done:
@@ -108,45 +111,64 @@
 	return int(math.Ceil(share * float64(hosts)))
 }
 
-// start takes up to want hosts for which every budget has room, and returns why
-// the last one was not taken.
-func (z *zoneWave) start(p Published, ledger *pool.Ledger, w catalogue.Versioned[catalogue.Wave], want int) (steps []Step, refusal string) {
+// choose takes up to want hosts for which every budget has room. When there is
+// room for none, it says why the last one was not taken.
+func (c *chooser) choose(w wave, z zoneWave, want int) {
+	if c.ledger == nil {
+		scratch := c.Pools.Clone()
+		c.ledger = scratch.Ledger()
+	}
+	taken, refusal := 0, ""
 	for _, name := range z.candidates {
-		if len(steps) == want {
-			break
+		if taken == want {
+			return
 		}
-		h := p.Pools.Hosts[name]
+		h := c.Pools.Hosts[name]
 		body := pool.StartDrain{Host: name, Purpose: pool.PurposeMaintenance, From: h.Pool, Wave: w.Value.Name}
-		if why := ledger.CheckDrain(p.Catalogue, body); why != "" {
+		if why := c.ledger.CheckDrain(c.Catalogue, body); why != "" {
 			refusal = why
 			continue
 		}
-		step := z.drainStep(body, h, ledger.Spent(h.Pool), p, w)
-		ledger.Begin(pool.Drain{
-			ID: step.Intent.Key, Host: name, Purpose: body.Purpose, From: body.From, Wave: body.Wave,
-		})
-		steps = append(steps, step)
+		c.take(w, z, body)
+		taken++
+	}
+	// A wave that only waits for its own hosts to come back is not blocked.
+	if taken == 0 && z.out == 0 && refusal != "" {
+		c.blocked(w, want, refusal)
 	}
-	return steps, refusal
 }
 
-func (z *zoneWave) drainStep(body pool.StartDrain, h pool.Host, spent pool.Spent, p Published, w catalogue.Versioned[catalogue.Wave]) Step {
-	limit := p.Catalogue.Pools[h.Pool].Value.MaxUnavailable
+func (c *chooser) take(w wave, z zoneWave, body pool.StartDrain) {
+	spent := c.ledger.Spent(body.From)
+	limit := c.Catalogue.Pools[body.From].Value.MaxUnavailable
 	reason := fmt.Sprintf("%d of %d hosts of zone %s done, %d out; pool %s has %d unavailable of at most %d; rack %s",
-		z.done, z.total, z.zone, z.out, h.Pool, spent.Unavailable, limit, h.Rack)
-	return Step{
-		Host: body.Host,
-		Intent: intent.Intent{
-			Key:    fmt.Sprintf("drain/%s/%s", body.Wave, body.Host),
-			Shared: true,
-			Kind:   pool.KindDrain,
-			Cause:  waveCause(w, reason),
-			Body:   body,
-		},
+		z.done, z.total, c.Zone, z.out, body.From, spent.Unavailable, limit, c.Pools.Hosts[body.Host].Rack)
+	key := fmt.Sprintf("drain/%s/%s", body.Wave, body.Host)
+	c.ledger.Begin(pool.Drain{
+		ID: key, Host: body.Host, Purpose: body.Purpose, From: body.From, Wave: body.Wave,
+	})
+	c.add(key, pool.KindDrain, waveCause(w, reason), body)
+}
+
+// blocked records why a wave that is behind takes no host, at most once in every
+// BlockedInterval.
+func (c *chooser) blocked(w wave, want int, refusal string) {
+	last := c.Waves.Progress(w.Value).Blocked[c.Zone].At
+	if c.now.Sub(last) < c.Timing.BlockedInterval {
+		return
 	}
+	reason := fmt.Sprintf("%d hosts of zone %s behind: %s", want, c.Zone, refusal)
+	key := fmt.Sprintf("blocked/%s/%s", w.Value.Name, c.Zone)
+	c.add(key, KindBlocked, waveCause(w, reason), WaveBlocked{Wave: w.Value.Name, Zone: c.Zone, Reason: refusal})
+}
+
+func (c *chooser) add(key string, kind record.Kind, cause record.Cause, body any) {
+	c.steps = append(c.steps, Step{
+		Intent: intent.Intent{Key: key, Shared: true, Kind: kind, Cause: cause, Body: body},
+	})
 }
 
-func waveCause(w catalogue.Versioned[catalogue.Wave], reason string) record.Cause {
+func waveCause(w wave, reason string) record.Cause {
 	return record.Cause{
 		Object:  "wave/" + w.Value.Name,
 		Owner:   w.Value.Owner,
@@ -154,22 +176,3 @@
 		Reason:  reason,
 	}
 }
-
-// blocked returns the record that says why a wave that is behind takes no host,
-// at most one in every BlockedInterval. A wave that only waits for its own
-// hosts to come back is not blocked.
-func (z *zoneWave) blocked(p Published, w catalogue.Versioned[catalogue.Wave], want int, refusal string, now time.Time, in Inputs) []Step {
-	last := p.Waves.Progress(w.Value).Blocked[z.zone].At
-	if z.out > 0 || now.Sub(last) < in.Timing.BlockedInterval {
-		return nil
-	}
-	body := WaveBlocked{Wave: w.Value.Name, Zone: z.zone, Reason: refusal}
-	reason := fmt.Sprintf("%d hosts of zone %s behind: %s", want, z.zone, refusal)
-	return []Step{{Intent: intent.Intent{
-		Key:    fmt.Sprintf("blocked/%s/%s", w.Value.Name, z.zone),
-		Shared: true,
-		Kind:   KindBlocked,
-		Cause:  waveCause(w, reason),
-		Body:   body,
-	}}}
-}
--- a/internal/maintenance/faults_test.go
+++ b/internal/maintenance/faults_test.go
@@ -21,7 +21,7 @@
 	}
 	s.addDaemon("d1", "a")
 	s.addDaemon("d2", "a")
-	s.setWave(wave("w"))
+	s.setWave(newWave("w"))
 	return s
 }
 
@@ -46,7 +46,7 @@
 	g := NewWithT(t)
 	s := oneZone()
 	s.addPool("p", 12)
-	w := wave("w")
+	w := newWave("w")
 	w.MaxParallel = 12
 	w.Deadline = simStart.Add(20 * time.Minute)
 	s.setWave(w)
@@ -98,7 +98,7 @@
 	g.Expect(s.accepted[pool.KindDrain]).To(Equal(before), "hosts taken by a halted wave")
 
 	s.hosts["h00"].healthy, s.hosts["h03"].healthy = true, true
-	s.setWave(wave("w"))
+	s.setWave(newWave("w"))
 	g.Expect(s.halted("w")).To(BeEmpty(), "an edit lifts the halt")
 	g.Expect(s.until(600, func() bool { return s.done("w") == 12 })).To(BeTrue())
 	g.Expect(s.state.pools.Hosts["h00"].Failed).To(BeFalse())
@@ -108,7 +108,7 @@
 	g := NewWithT(t)
 	s := oneZone()
 	s.addPool("p", 6)
-	w := wave("w")
+	w := newWave("w")
 	w.MaxFailures = 9
 	s.setWave(w)
 	s.hosts["h00"].breaks = true
@@ -125,7 +125,7 @@
 	s.addHost("h2", "p", "b", "r2")
 	s.addDaemon("d1", "a")
 	s.addDaemon("d2", "b")
-	wa, wb := wave("wa"), wave("wb")
+	wa, wb := newWave("wa"), newWave("wb")
 	wa.Zone, wb.Zone = "a", "b"
 	s.setWave(wa)
 	s.setWave(wb)
@@ -261,7 +261,7 @@
 		h.busy = 1
 	}
 	s.until(60, func() bool { return len(s.taken()) > 0 })
-	w := wave("w")
+	w := newWave("w")
 	w.Paused = true
 	s.setWave(w)
 	g.Expect(s.until(10, func() bool { return len(s.taken()) == 0 })).To(BeTrue())
--- a/internal/maintenance/fold.go
+++ b/internal/maintenance/fold.go
@@ -101,7 +101,7 @@
 	delete(s.Executors, d.ID)
 	v.Pools().SetFailed(offset, d.Host, false)
 	v.Pools().Return(offset, d.ID, v)
-	s.update(d.Wave, v.Catalogue(), func(p *Progress, _ catalogue.Versioned[catalogue.Wave]) {
+	s.update(d.Wave, v.Catalogue(), func(p *Progress, _ wave) {
 		p.Done = maps.Clone(p.Done)
 		if p.Done == nil {
 			p.Done = map[string]uint64{}
@@ -128,7 +128,7 @@
 	s.Reboots[d.ID] = reboot
 	h := v.Pools().Hosts[d.Host]
 	v.Pools().SetFailed(offset, d.Host, true)
-	s.update(d.Wave, v.Catalogue(), func(p *Progress, w catalogue.Versioned[catalogue.Wave]) {
+	s.update(d.Wave, v.Catalogue(), func(p *Progress, w wave) {
 		f := Failure{Host: d.Host, Zone: h.Zone, Rack: h.Rack, Version: w.Version, Offset: offset, Reason: body.Reason}
 		p.Failures = append(slices.Clone(p.Failures), f)
 		if reason := p.correlated(w); reason != "" {
@@ -151,7 +151,7 @@
 // correlated says why the failures since the wave's last edit should halt it,
 // or returns "". Failures of one wave share a cause more often than not: the
 // same image, the same rack, the same switch.
-func (p *Progress) correlated(w catalogue.Versioned[catalogue.Wave]) string {
+func (p *Progress) correlated(w wave) string {
 	var failures int
 	racks := map[string]int{}
 	worst := ""
@@ -198,7 +198,7 @@
 	if _, ok := v.Catalogue().Waves[body.Wave]; !ok {
 		return record.Reject("no such wave", subjects...)
 	}
-	s.update(body.Wave, v.Catalogue(), func(p *Progress, _ catalogue.Versioned[catalogue.Wave]) {
+	s.update(body.Wave, v.Catalogue(), func(p *Progress, _ wave) {
 		p.Blocked = maps.Clone(p.Blocked)
 		if p.Blocked == nil {
 			p.Blocked = map[string]Blocked{}
@@ -209,7 +209,7 @@
 }
 
 // update changes the progress of a wave that the catalogue still names.
-func (s *State) update(wave string, c *catalogue.State, change func(*Progress, catalogue.Versioned[catalogue.Wave])) {
+func (s *State) update(wave string, c *catalogue.State, change func(*Progress, wave)) {
 	w, ok := c.Waves[wave]
 	if !ok {
 		return
--- a/internal/maintenance/sim_test.go
+++ b/internal/maintenance/sim_test.go
@@ -99,7 +99,7 @@
 	s.state.catalogue.Waves[w.Name] = catalogue.Versioned[catalogue.Wave]{Version: s.state.offset, Value: w}
 }
 
-func wave(name string) catalogue.Wave {
+func newWave(name string) catalogue.Wave {
 	return catalogue.Wave{
 		Name: name, Owner: "ops", MaxParallel: 4, MaxFailures: 1, DrainTimeout: 10 * time.Minute,
 		Start: simStart, Deadline: simStart.Add(10 * time.Hour),
--- a/internal/maintenance/sixweeks_test.go
+++ b/internal/maintenance/sixweeks_test.go
@@ -47,7 +47,7 @@
 	for i := range fleetZones {
 		s.addDaemon(fmt.Sprintf("d%d", i), fmt.Sprintf("z%d", i))
 	}
-	w := wave("six-weekly")
+	w := newWave("six-weekly")
 	w.MaxParallel = 14
 	w.Deadline = simStart.Add(sixWeeks)
 	s.setWave(w)
