--- a/standin/e2e/faults_test.go
+++ b/standin/e2e/faults_test.go
@@ -152,7 +152,7 @@
 	c.ranMore(more)
 	// Two hosts of the pool serve the zone: without ejection the one that
 	// answers at once would get half of its work or more.
-	c.Expect(c.stats(bad).Executions-before).To(BeNumerically("<", more/10))
+	c.Expect(c.stats(bad).Executions - before).To(BeNumerically("<", more/10))
 	c.finish(r)
 }
 
