--- a/internal/maintenance/fold.go
+++ b/internal/maintenance/fold.go
@@ -209,12 +209,12 @@
 }
 
 // update changes the progress of a wave that the catalogue still names.
-func (s *State) update(wave string, c *catalogue.State, change func(*Progress, wave)) {
-	w, ok := c.Waves[wave]
+func (s *State) update(name string, c *catalogue.State, change func(*Progress, wave)) {
+	w, ok := c.Waves[name]
 	if !ok {
 		return
 	}
 	p := s.Progress(w.Value)
 	change(&p, w)
-	s.Waves[wave] = p
+	s.Waves[name] = p
 }
--- a/internal/maintenance/state.go
+++ b/internal/maintenance/state.go
@@ -110,7 +110,7 @@
 
 // Halted returns why a wave has halted, or "". Any accepted edit of the wave
 // lifts a halt.
-func (s *State) Halted(w wave) string {
+func (s *State) Halted(w catalogue.Versioned[catalogue.Wave]) string {
 	if h := s.Progress(w.Value).Halt; h.Version == w.Version && h.Version != 0 {
 		return h.Reason
 	}
