greengaged: serve only once claims of new IDs can be proved

In make demo 80, 77 and 81 of 5550 requests were refused as unproven, all as not-vouched in the first 1.6 s after the fleet had started: no daemon had a base older than three clock errors yet. The replacement of a daemon later in the run cost none, which was ruled out by printing the bases at each refusal.

--- a/cmd/greengaged/daemon.go
+++ b/cmd/greengaged/daemon.go
@@ -26,6 +26,8 @@
 const (
 	// startPoll is the time between looks whether the daemon may serve.
 	startPoll = 20 * time.Millisecond
+	// claimsTimeout bounds how long a start waits until claims can be proved.
+	claimsTimeout = 5 * time.Second
 	// leaveTimeout bounds the removal of a stopping member.
 	leaveTimeout = 5 * time.Second
 )
@@ -156,6 +158,18 @@
 			return eris.Wrap(err, "waiting for admission")
 		}
 	}
+	return d.awaitClaims(ctx)
+}
+
+// awaitClaims waits, within a bound, until claims of new IDs can be proved:
+// right after the first daemons of all have started they would be refused.
+func (d *daemon) awaitClaims(ctx context.Context) error {
+	until := time.Now().Add(claimsTimeout)
+	for !d.Claims.Ready() && time.Now().Before(until) {
+		if err := wait(ctx, startPoll); err != nil {
+			return eris.Wrap(err, "waiting for claims")
+		}
+	}
 	return nil
 }
 
