--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -131,3 +131,23 @@
 	g.Expect(refused.Reason).To(Equal(verdict.ReasonDeadline))
 	g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
 }
+
+func TestWorkThatHadToWaitDoesNotStartInItsLastMoment(t *testing.T) {
+	g := NewWithT(t)
+	s := dispatch.NewScheduler(dispatch.SchedulerConfig{LongShare: 0.5})
+	s.SetTargets(hosts(1, 1))
+	const size = 20 * time.Millisecond
+	prove(s, "reserve", "a", request.ClassShort, size)
+	g.Expect(s.Offer(epoch, job("reserve", "a", request.ClassShort, time.Hour))).To(BeNil())
+	running := drain(s, epoch)[0].Job
+	g.Expect(s.Offer(epoch, job("reserve", "a", request.ClassShort, time.Minute))).To(BeNil())
+	g.Expect(s.Offer(epoch, job("reserve", "a", request.ClassShort, 2*time.Minute))).To(BeNil())
+	late := epoch.Add(2*time.Minute - 2*size)
+	s.Finish(late, running, false)
+	starts := drain(s, late)
+	g.Expect(starts).To(HaveLen(2))
+	for _, st := range starts {
+		g.Expect(st.Refusal).NotTo(BeNil())
+		g.Expect(st.Refusal.Verdict).To(Equal(verdict.NotRun))
+	}
+}
