--- /dev/null
+++ b/standin/cmd/throughput/main.go
@@ -0,0 +1,36 @@
+// Command throughput measures the daemon's requests a second beside those of a
+// bare forwarder, with targets that answer at once.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"greengagedeck/standin/throughput"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "throughput:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	opt := throughput.Options{Out: os.Stdout}
+	flag.StringVar(&opt.Bin, "bin", "bin", "folder of the programs")
+	flag.IntVar(&opt.Procs, "procs", 2, "processors of the daemon and of the forwarder")
+	flag.IntVar(&opt.Connections, "connections", 64, "requests under way at once")
+	flag.IntVar(&opt.Rounds, "rounds", 5, "rounds, each measuring both")
+	flag.DurationVar(&opt.Period, "period", 3*time.Second, "length of one measurement")
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "throughput")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	opt.Dir = dir
+	return throughput.Run(opt)
+}
