--- a/internal/dedupe/service.go
+++ b/internal/dedupe/service.go
@@ -28,6 +28,9 @@
 	// catchUpTimeout bounds how long a claim waits for the newer of two
 	// epochs.
 	catchUpTimeout = 500 * time.Millisecond
+	// readyMargin is what a base must be older than it need be, so that the
+	// other daemons have one too.
+	readyMargin = time.Second
 	// topicBase carries the newest base in heartbeats.
 	topicBase = "f"
 )
@@ -115,7 +118,7 @@
 func (s *Service) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keeper.fence.ready(time.Now())
+	return s.keeper.fence.ready(time.Now().Add(-readyMargin))
 }
 
 // Run follows the epochs of the other members until ctx ends.
