--- a/internal/attempt/answers_test.go
+++ b/internal/attempt/answers_test.go
@@ -35,7 +35,7 @@
 func TestLateAnswerReachesNoOtherCaller(t *testing.T) {
 	g := NewWithT(t)
 	second := make(chan struct{})
-	rt := newRawTarget(t, func(s *session) {
+	rt := newRawTarget(t, func(s *targetConn) {
 		req := s.read()
 		if s.number == 1 {
 			select {
@@ -73,7 +73,7 @@
 	for i := range gates {
 		gates[i] = make(chan struct{})
 	}
-	rt := newRawTarget(t, func(s *session) {
+	rt := newRawTarget(t, func(s *targetConn) {
 		req := s.read()
 		if s.number < callers {
 			select {
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			rt := newRawTarget(t, func(s *session) {
+			rt := newRawTarget(t, func(s *targetConn) {
 				first := s.read()
 				s.send(answer(first))
 				if second := s.read(); second != nil {
--- a/internal/attempt/target_test.go
+++ b/internal/attempt/target_test.go
@@ -13,7 +13,7 @@
 )
 
 // script plays a target on one accepted connection.
-type script func(s *session)
+type script func(s *targetConn)
 
 // rawTarget accepts connections and plays a script on each. It counts what it
 // executes, so that a test can hold a verdict against it.
@@ -32,8 +32,8 @@
 	script script
 }
 
-// session is one accepted connection of a rawTarget.
-type session struct {
+// targetConn is one accepted connection of a rawTarget.
+type targetConn struct {
 	*net.TCPConn
 	target *rawTarget
 	number int64
@@ -68,7 +68,7 @@
 		if err != nil {
 			return
 		}
-		s := &session{TCPConn: c.(*net.TCPConn), target: rt, number: rt.accepted.Add(1), br: bufio.NewReader(c)}
+		s := &targetConn{TCPConn: c.(*net.TCPConn), target: rt, number: rt.accepted.Add(1), br: bufio.NewReader(c)}
 		rt.count(rt.open.Add(1))
 		wg.Go(func() {
 			rt.current()(s)
@@ -101,7 +101,7 @@
 }
 
 // read returns the next whole request, or nil when there is none.
-func (s *session) read() *fasthttp.Request {
+func (s *targetConn) read() *fasthttp.Request {
 	var req fasthttp.Request
 	if err := req.Read(s.br); err != nil {
 		return nil
@@ -109,7 +109,7 @@
 	return &req
 }
 
-func (s *session) execute() {
+func (s *targetConn) execute() {
 	s.target.executed.Add(1)
 	select {
 	case s.target.executions <- struct{}{}:
@@ -117,16 +117,16 @@
 	}
 }
 
-func (s *session) send(text string) { _, _ = s.Write([]byte(text)) }
+func (s *targetConn) send(text string) { _, _ = s.Write([]byte(text)) }
 
 // reset closes the connection with a RST.
-func (s *session) reset() {
+func (s *targetConn) reset() {
 	_ = s.SetLinger(0)
 	s.Close()
 }
 
 // waitClosed returns once the client has closed the connection.
-func (s *session) waitClosed() { _, _ = s.br.ReadByte() }
+func (s *targetConn) waitClosed() { _, _ = s.br.ReadByte() }
 
 // answer is a whole answer that repeats the request's ID and attempt.
 func answer(req *fasthttp.Request) string {
@@ -136,7 +136,7 @@
 }
 
 // honest executes and answers every request.
-func honest(s *session) {
+func honest(s *targetConn) {
 	for req := s.read(); req != nil; req = s.read() {
 		s.execute()
 		s.send(answer(req))
@@ -146,7 +146,7 @@
 // once reads one request, executes it and sends text, then waits for the
 // client to close.
 func once(text string) script {
-	return func(s *session) {
+	return func(s *targetConn) {
 		if req := s.read(); req != nil {
 			s.execute()
 			s.send(strings.ReplaceAll(text, "{attempt}", string(req.Header.Peek("Request-Attempt"))))
@@ -157,7 +157,7 @@
 
 // cut is once, but closes after text.
 func cut(text string) script {
-	return func(s *session) {
+	return func(s *targetConn) {
 		if s.read() != nil {
 			s.execute()
 			s.send(text)
--- a/internal/attempt/verdict_test.go
+++ b/internal/attempt/verdict_test.go
@@ -52,13 +52,13 @@
 	{name: "field value cannot be sent", script: honest, change: addField("X", "1\r\nContent-Length: 0\r\n\r\nGET / HTTP/1.1"), verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
 	{name: "request ID cannot be sent", script: honest, change: func(r *request.Request) { r.ID = "a\r\nX: 1" }, verdict: verdict.NotRun, reason: verdict.ReasonBadRequest},
 
-	{name: "reset during write", script: func(s *session) { s.readSome(); s.reset() }, change: func(r *request.Request) { r.Body = []byte(bigBody) }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost},
-	{name: "timeout during write", script: func(s *session) { s.readSome(); <-s.target.done }, change: func(r *request.Request) {
+	{name: "reset during write", script: func(s *targetConn) { s.readSome(); s.reset() }, change: func(r *request.Request) { r.Body = []byte(bigBody) }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost},
+	{name: "timeout during write", script: func(s *targetConn) { s.readSome(); <-s.target.done }, change: func(r *request.Request) {
 		r.Body = []byte(bigBody)
 		r.Deadline = time.Now().Add(200 * time.Millisecond)
 	}, verdict: verdict.MayHaveRun, reason: verdict.ReasonTimeout},
-	{name: "reset after write before execution", script: func(s *session) { s.read(); s.reset() }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost},
-	{name: "reset after execution", script: func(s *session) { s.read(); s.execute(); s.reset() }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost, executed: 1},
+	{name: "reset after write before execution", script: func(s *targetConn) { s.read(); s.reset() }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost},
+	{name: "reset after execution", script: func(s *targetConn) { s.read(); s.execute(); s.reset() }, verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost, executed: 1},
 	{name: "closed after execution", script: cut(""), verdict: verdict.MayHaveRun, reason: verdict.ReasonConnectionLost, executed: 1},
 	{name: "timeout waiting for the answer", script: once(""), change: func(r *request.Request) { r.Deadline = time.Now().Add(100 * time.Millisecond) }, verdict: verdict.MayHaveRun, reason: verdict.ReasonTimeout, executed: 1},
 	{name: "cancelled after the first byte", script: once(""), cancelOn: true, verdict: verdict.MayHaveRun, reason: verdict.ReasonCancelled, executed: 1},
@@ -88,13 +88,13 @@
 	return func(r *request.Request) { r.Header = append(r.Header, request.Field{Name: name, Value: value}) }
 }
 
-func refuse(s *session) {
+func refuse(s *targetConn) {
 	for s.read() != nil {
 		s.send("HTTP/1.1 503 Busy\r\nRequest-Verdict: not-run\r\nContent-Length: 4\r\n\r\nbusy")
 	}
 }
 
-func (s *session) readSome() { _, _ = s.br.Peek(1024) }
+func (s *targetConn) readSome() { _, _ = s.br.Peek(1024) }
 
 func TestVerdicts(t *testing.T) {
 	for _, row := range verdictTable {
