--- a/cmd/greengaged/inforce.go
+++ b/cmd/greengaged/inforce.go
@@ -69,9 +69,15 @@
 
 // targets lists the hosts of this daemon's zone that may take new work.
 type targets struct {
-	inForce *inForce
-	gate    *pool.Gate
-	list    *membership.ListReader
+	inForce  *inForce
+	gate     *pool.Gate
+	list     *membership.ListReader
+	detector *membership.Detector
+}
+
+// share is one daemon's part of a host's connections, at least one.
+func share(connections, daemons int) int {
+	return max(1, connections/max(1, daemons))
 }
 
 // Targets implements dispatch.Targets.
@@ -94,7 +100,7 @@
 			Address:     owned.Address,
 			Zone:        owned.Zone,
 			Slots:       spec.Value.SlotsPerHost,
-			Connections: spec.Value.ConnectionsPerHost,
+			Connections: share(spec.Value.ConnectionsPerHost, len(t.detector.Mates())),
 			Cores:       size.Cores,
 			MemoryGB:    size.MemoryGB,
 		})
--- a/cmd/greengaged/status.go
+++ b/cmd/greengaged/status.go
@@ -22,11 +22,12 @@
 		State:    f.replica.State,
 		Appender: a,
 		Status:   func() gateway.Status { return statusOf(f, fo, d, st) },
-		Ready:    st.ready,
-		Reports:  reports,
-		Traces:   traces,
-		Metrics:  fasthttpadaptor.NewFastHTTPHandler(page),
-		Logger:   l,
+		// A daemon that was paused starts nothing until it has caught up.
+		Ready:   func() bool { return st.ready() && !d.Paused() },
+		Reports: reports,
+		Traces:  traces,
+		Metrics: fasthttpadaptor.NewFastHTTPHandler(page),
+		Logger:  l,
 	})
 }
 
--- a/cmd/greengaged/wire.go
+++ b/cmd/greengaged/wire.go
@@ -267,7 +267,7 @@
 
 func newDispatcher(f *inForce, n *peer.Node, g *pool.Gate, a *attempt.Client, e *attempt.Ejector, d *membership.Detector, lr *membership.ListReader, l zerolog.Logger, m metrics) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
-		Targets: targets{f, g, lr},
+		Targets: targets{f, g, lr, d},
 		Gate:    awakeGate{g, d},
 		Doer:    doer{a, g},
 		Policy:  f,
