--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/request"
 	"greengagedeck/internal/verdict"
 )
@@ -70,23 +71,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, defaultConnectTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.FreshAfter, defaultFreshAfter)
-	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	option.Default(&o.ConnectTimeout, defaultConnectTimeout)
+	option.Default(&o.IdleTimeout, defaultIdleTimeout)
+	option.Default(&o.FreshAfter, defaultFreshAfter)
+	option.Default(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
 	return o
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Client tries requests on targets. It is safe for concurrent use.
 type Client struct {
 	opts    Options
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
+	"greengagedeck/internal/option"
 )
 
 // The defaults of BudgetOptions.
@@ -40,8 +41,8 @@
 
 // NewBudget returns a budget without savings.
 func NewBudget(opts BudgetOptions) *Budget {
-	setDefault(&opts.Ratio, defaultRetryRatio)
-	setDefault(&opts.Burst, defaultRetryBurst)
+	option.Default(&opts.Ratio, defaultRetryRatio)
+	option.Default(&opts.Burst, defaultRetryBurst)
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
--- a/internal/attempt/ejector.go
+++ b/internal/attempt/ejector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"greengagedeck/internal/option"
 )
 
 // The defaults of EjectorOptions.
@@ -58,13 +59,13 @@
 }
 
 func (o EjectorOptions) withDefaults() EjectorOptions {
-	setDefault(&o.MinTries, defaultMinTries)
-	setDefault(&o.FailureRatio, defaultFailureRatio)
-	setDefault(&o.MaxEjected, defaultMaxEjected)
-	setDefault(&o.Backoff, defaultBackoff)
-	setDefault(&o.MaxBackoff, defaultMaxBackoff)
-	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&o.ProbeSuccesses, defaultProbeSuccesses)
+	option.Default(&o.MinTries, defaultMinTries)
+	option.Default(&o.FailureRatio, defaultFailureRatio)
+	option.Default(&o.MaxEjected, defaultMaxEjected)
+	option.Default(&o.Backoff, defaultBackoff)
+	option.Default(&o.MaxBackoff, defaultMaxBackoff)
+	option.Default(&o.ProbeTimeout, defaultProbeTimeout)
+	option.Default(&o.ProbeSuccesses, defaultProbeSuccesses)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
--- a/internal/dedupe/keeper.go
+++ b/internal/dedupe/keeper.go
@@ -6,6 +6,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"greengagedeck/internal/membership"
+	"greengagedeck/internal/option"
 )
 
 // Defaults of Options.
@@ -41,19 +42,12 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Window, defaultWindow)
-	setDefault(&o.ClockError, defaultClockError)
-	setDefault(&o.Lease, defaultLease)
-	setDefault(&o.ForcedTakeover, defaultForcedTakeover)
-	setDefault(&o.MaxEntries, defaultMaxEntries)
-	setDefault(&o.MaxBytes, defaultMaxBytes)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	option.Default(&o.Window, defaultWindow)
+	option.Default(&o.ClockError, defaultClockError)
+	option.Default(&o.Lease, defaultLease)
+	option.Default(&o.ForcedTakeover, defaultForcedTakeover)
+	option.Default(&o.MaxEntries, defaultMaxEntries)
+	option.Default(&o.MaxBytes, defaultMaxBytes)
 }
 
 // Keeper is the pure core of this slice: the claims that this daemon keeps as
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/record"
 )
 
@@ -55,22 +56,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.AppendTimeout, DefaultAppendTimeout)
-	setDefault(&o.Retry, DefaultRetry)
-	setDefault(&o.Handover, DefaultHandover)
-	setDefault(&o.Hold, DefaultHold)
+	option.Default(&o.AppendTimeout, DefaultAppendTimeout)
+	option.Default(&o.Retry, DefaultRetry)
+	option.Default(&o.Handover, DefaultHandover)
+	option.Default(&o.Hold, DefaultHold)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Outbox holds the intents of one controller while they are being carried out.
 // It is not safe for concurrent use.
 type Outbox struct {
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/record"
 )
@@ -45,10 +46,10 @@
 }
 
 func (o *DetectorOptions) setDefaults() {
-	setDefault(&o.Interval, defaultInterval)
-	setDefault(&o.CrossInterval, defaultCrossInterval)
-	setDefault(&o.FailAfter, defaultFailAfter)
-	setDefault(&o.PauseThreshold, defaultPauseThreshold)
+	option.Default(&o.Interval, defaultInterval)
+	option.Default(&o.CrossInterval, defaultCrossInterval)
+	option.Default(&o.FailAfter, defaultFailAfter)
+	option.Default(&o.PauseThreshold, defaultPauseThreshold)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -63,12 +64,6 @@
 	}
 }
 
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
-
 // Detector exchanges heartbeats and tells which daemons are live.
 type Detector struct {
 	opt     DetectorOptions
--- a/internal/membership/joiner.go
+++ b/internal/membership/joiner.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/record"
 )
 
@@ -66,7 +67,7 @@
 
 // NewJoiner returns a joiner that does nothing until Run.
 func NewJoiner(opt JoinerOptions) *Joiner {
-	setDefault(&opt.ListLag, defaultListLag)
+	option.Default(&opt.ListLag, defaultListLag)
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
--- /dev/null
+++ b/internal/option/option.go
@@ -0,0 +1,10 @@
+// Package option fills in settings that were left out.
+package option
+
+// Default sets *v to d if it has its zero value.
+func Default[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"greengagedeck/internal/intent"
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/platform"
 )
 
@@ -59,11 +60,11 @@
 }
 
 func (o ControllerOptions) withDefaults() ControllerOptions {
-	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.UsageTimeout, DefaultUsageTimeout)
-	setDefault(&o.MoveTimeout, DefaultMoveTimeout)
-	setDefault(&o.LendingTimeout, DefaultLendingTimeout)
-	setDefault(&o.ClockError, DefaultClockError)
+	option.Default(&o.Interval, DefaultInterval)
+	option.Default(&o.UsageTimeout, DefaultUsageTimeout)
+	option.Default(&o.MoveTimeout, DefaultMoveTimeout)
+	option.Default(&o.LendingTimeout, DefaultLendingTimeout)
+	option.Default(&o.ClockError, DefaultClockError)
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
@@ -82,12 +83,6 @@
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Controller carries out this daemon's share of moves and drains: it appends
 // what Plan returns. Several controllers may run in a zone; the order of the
 // control stream settles their races.
--- a/internal/pool/lending.go
+++ b/internal/pool/lending.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/option"
 	"greengagedeck/internal/record"
 )
 
@@ -66,8 +67,8 @@
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
-	setDefault(&opts.Interval, DefaultDecideInterval)
-	setDefault(&opts.ProposalLife, DefaultProposalLife)
+	option.Default(&opts.Interval, DefaultDecideInterval)
+	option.Default(&opts.ProposalLife, DefaultProposalLife)
 	scope := opts.Metrics.SubScope("pool")
 	return &Lending{
 		opts:    opts,
--- a/internal/pool/refusals.go
+++ b/internal/pool/refusals.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"greengagedeck/internal/option"
 	"sync"
 	"time"
 )
@@ -30,7 +31,7 @@
 // NewRefusals returns a Refusals that counts in windows of the given length, or
 // of DefaultDecideInterval.
 func NewRefusals(window time.Duration) *Refusals {
-	setDefault(&window, DefaultDecideInterval)
+	option.Default(&window, DefaultDecideInterval)
 	return &Refusals{window: window, pools: map[string]*refused{}}
 }
 
