--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
@@ -56,9 +57,7 @@
 	app *folding
 }
 
-func newFleet(t *testing.T, tokens ...gateway.Token) *fleet {
-	t.Helper()
-	g := NewWithT(t)
+func newFleet(tokens ...gateway.Token) *fleet {
 	r := replica.New()
 	f := &fleet{app: &folding{r: r}}
 	admin := gateway.NewAdmin(gateway.AdminOptions{
@@ -71,10 +70,10 @@
 		Metrics: func(*fasthttp.RequestCtx) {},
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
+	Expect(err).NotTo(HaveOccurred())
 	s := &fasthttp.Server{Handler: admin.Handler()}
 	go func() { _ = s.Serve(ln) }()
-	t.Cleanup(func() { _ = s.Shutdown() })
+	DeferCleanup(s.Shutdown)
 	f.url = "http://" + ln.Addr().String()
 	return f
 }
@@ -93,143 +92,154 @@
 	return code, o.String(), e.String()
 }
 
-func write(t *testing.T, content string) string {
-	t.Helper()
-	p := filepath.Join(t.TempDir(), "c.yaml")
-	NewWithT(t).Expect(os.WriteFile(p, []byte(content), 0o600)).To(Succeed())
+// write returns the path of a catalogue file with the content.
+func write(content string) string {
+	p := filepath.Join(GinkgoT().TempDir(), "c.yaml")
+	Expect(os.WriteFile(p, []byte(content), 0o600)).To(Succeed())
 	return p
 }
 
-const example = "../../examples/kumot.yaml"
-
-func TestApplyGetAndEdit(t *testing.T) {
-	g := NewWithT(t)
-	f := newFleet(t)
-	code, out, errOut := f.run("catalogue", "apply", example)
-	g.Expect(code).To(Equal(ctl.ExitOK), errOut)
-	g.Expect(out).To(ContainSubstring("version 1: changed 69 objects"))
-
-	code, out, _ = f.run("catalogue", "apply", example)
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(out).To(ContainSubstring("nothing to change"))
-
-	code, out, _ = f.run("catalogue", "get")
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(out).To(ContainSubstring("version: 1"))
-	code, _, errOut = f.run("catalogue", "apply", write(t, out))
-	g.Expect(code).To(Equal(ctl.ExitOK), errOut)
-
-	one := write(t, "teams:\n  - {name: stock, rate: 5, burst: 5, weight: 1}\n")
-	code, out, _ = f.run("catalogue", "apply", "-operator", "ana", one)
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(out).To(ContainSubstring("changed 1 objects: team/stock"))
-
-	stale := write(t, "version: 1\nteams:\n  - {name: stock, rate: 6, burst: 5, weight: 1}\n")
-	code, _, errOut = f.run("catalogue", "apply", stale)
-	g.Expect(code).To(Equal(ctl.ExitConflict))
-	g.Expect(errOut).To(ContainSubstring("team/stock was changed by ana at version 2"))
-
-	code, out, _ = f.run("catalogue", "history")
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(out).To(ContainSubstring("refused"))
-	code, out, _ = f.run("explain", "team", "stock")
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(out).To(ContainSubstring("edit by ana"))
-}
+const (
+	example  = "../../examples/kumot.yaml"
+	oneTeam  = "teams:\n  - {name: stock, rate: 5, burst: 5, weight: 1}\n"
+	badOwner = "pools:\n  - {name: p, owner: nobody}\n"
+)
 
-func TestRepeatedEditIsDecidedOnce(t *testing.T) {
-	g := NewWithT(t)
-	f := newFleet(t)
-	id := "01M904GS00RPVNAV3ZEEHW8BY5"
-	_, first, _ := f.run("catalogue", "apply", "-id", id, example)
-	one := write(t, "teams:\n  - {name: stock, rate: 5, burst: 5, weight: 1}\n")
-	code, again, _ := f.run("catalogue", "apply", "-id", id, one)
-	g.Expect(code).To(Equal(ctl.ExitOK))
-	g.Expect(again).To(Equal(first))
-	g.Expect(f.app.r.State().Offset).To(BeEquivalentTo(1))
+func TestCommandLine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "greengagectl")
 }
 
-func TestExitCodes(t *testing.T) {
-	bad := write(t, "pools:\n  - {name: p, owner: nobody}\n")
-	f := newFleet(t)
-	tests := []struct {
-		name string
-		args []string
-		code int
-		says string
-	}{
-		{"version", []string{"-version"}, ctl.ExitOK, "r1"},
-		{"help", []string{"-help"}, ctl.ExitOK, "catalogue"},
-		{"unknown command", []string{"nothing"}, ctl.ExitUsage, `unknown command "nothing"`},
-		{"unknown flag", []string{"status", "-colour"}, ctl.ExitUsage, "colour"},
-		{"no file", []string{"catalogue", "apply"}, ctl.ExitUsage, "exactly one FILE"},
-		{"missing file", []string{"catalogue", "validate", "none.yaml"}, ctl.ExitFailure, "none.yaml"},
-		{"invalid file", []string{"catalogue", "validate", bad}, ctl.ExitFailure, `c.yaml:2: pool/p: unknown team "nobody"`},
-		{"invalid file at the daemon", []string{"catalogue", "apply", bad}, ctl.ExitFailure, `c.yaml:2: pool/p: unknown team "nobody"`},
-		{"nothing known", []string{"explain", "host", "none"}, ctl.ExitNotFound, "nothing is known about host/none"},
-		{"report", []string{"report", "burn"}, ctl.ExitOK, "burn"},
-		{"status", []string{"status"}, ctl.ExitOK, "catalogue version 0"},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			g := NewWithT(t)
-			code, out, errOut := f.run(tt.args...)
-			g.Expect(code).To(Equal(tt.code), out+errOut)
-			g.Expect(out + errOut).To(ContainSubstring(tt.says))
-		})
-	}
-	g := NewWithT(t)
-	g.Expect(f.app.r.State().Offset).To(BeZero(), "nothing changed")
-}
+var _ = Describe("catalogue", func() {
+	var f *fleet
 
-func TestEditWhileTheLogIsDown(t *testing.T) {
-	g := NewWithT(t)
-	f := newFleet(t)
-	f.app.down = true
-	code, _, errOut := f.run("catalogue", "apply", example)
-	g.Expect(code).To(Equal(ctl.ExitUnavailable))
-	g.Expect(errOut).To(ContainSubstring("send it again with this id"))
-}
+	BeforeEach(func() { f = newFleet() })
 
-func TestTeamEditsItsOwnEntriesOnly(t *testing.T) {
-	f := newFleet(t, gateway.Token{Team: "admin", Secret: "a"}, gateway.Token{Team: "stock", Secret: "s"})
-	NewWithT(t).Expect(first(f.run("catalogue", "apply", "-token", "a", example))).To(Equal(ctl.ExitOK))
-	entry := func(name, owner string) string {
-		return "entries:\n  - {name: " + name + ", owner: " + owner + ", pool: imbak-stock, class: short, limits: {deadline: 1s}}\n"
-	}
-	tests := []struct {
-		name, token, file string
-		code              int
-	}{
-		{"no token", "", entry("restock", "stock"), ctl.ExitFailure},
-		{"wrong token", "x", entry("restock", "stock"), ctl.ExitFailure},
-		{"own entry", "s", entry("restock", "stock"), ctl.ExitOK},
-		{"another team's entry", "s", entry("reserve", "stock"), ctl.ExitFailure},
-		{"giving an entry away", "s", entry("restock", "laundry"), ctl.ExitFailure},
-		{"a pool", "s", "pools:\n  - {name: imbak-stock, owner: stock, slots_per_host: 8, connections_per_host: 64}\n", ctl.ExitFailure},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			code, out, errOut := f.run("catalogue", "apply", "-token", tt.token, write(t, tt.file))
-			NewWithT(t).Expect(code).To(Equal(tt.code), out+errOut)
-		})
-	}
-	g := NewWithT(t)
-	_, out, _ := f.run("catalogue", "get", "-token", "s")
-	g.Expect(out).To(ContainSubstring("name: restock"))
-	g.Expect(out).NotTo(ContainSubstring("name: reserve\n"))
-}
+	It("puts a file in force, and says so when nothing changes", func() {
+		code, out, errOut := f.run("catalogue", "apply", example)
+		Expect(code).To(Equal(ctl.ExitOK), errOut)
+		Expect(out).To(ContainSubstring("version 1: changed 69 objects"))
+		code, out, _ = f.run("catalogue", "apply", example)
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("nothing to change"))
+	})
 
-func first(code int, _, _ string) int { return code }
+	It("prints a file that can be applied again", func() {
+		f.run("catalogue", "apply", example)
+		code, out, _ := f.run("catalogue", "get")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("version: 1"))
+		code, _, errOut := f.run("catalogue", "apply", write(out))
+		Expect(code).To(Equal(ctl.ExitOK), errOut)
+	})
 
-func TestNextServerAnswersWhenTheFirstIsGone(t *testing.T) {
-	g := NewWithT(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	gone := "http://" + ln.Addr().String()
-	g.Expect(ln.Close()).To(Succeed())
-	f := newFleet(t)
-	var out, errOut bytes.Buffer
-	code := ctl.Run(context.Background(), []string{"status", "-server", gone + "," + f.url}, ctl.Options{Out: &out, ErrOut: &errOut})
-	g.Expect(code).To(Equal(ctl.ExitOK), errOut.String())
+	It("changes only what a partial file holds, and explains it", func() {
+		f.run("catalogue", "apply", example)
+		code, out, _ := f.run("catalogue", "apply", "-operator", "ana", write(oneTeam))
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("changed 1 objects: team/stock"))
+		code, out, _ = f.run("explain", "team", "stock")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("edit by ana"))
+	})
+
+	It("names the winner to the loser of a race", func() {
+		f.run("catalogue", "apply", example)
+		f.run("catalogue", "apply", "-operator", "ana", write(oneTeam))
+		stale := write("version: 1\nteams:\n  - {name: stock, rate: 6, burst: 5, weight: 1}\n")
+		code, _, errOut := f.run("catalogue", "apply", stale)
+		Expect(code).To(Equal(ctl.ExitConflict))
+		Expect(errOut).To(ContainSubstring("team/stock was changed by ana at version 2"))
+		code, out, _ := f.run("catalogue", "history")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("refused"))
+	})
+
+	It("decides an edit that is sent again once", func() {
+		id := "01M904GS00RPVNAV3ZEEHW8BY5"
+		_, first, _ := f.run("catalogue", "apply", "-id", id, example)
+		code, again, _ := f.run("catalogue", "apply", "-id", id, write(oneTeam))
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(again).To(Equal(first))
+		Expect(f.app.r.State().Offset).To(BeEquivalentTo(1))
+	})
+
+	It("says how to go on while the log is down", func() {
+		f.app.down = true
+		code, _, errOut := f.run("catalogue", "apply", example)
+		Expect(code).To(Equal(ctl.ExitUnavailable))
+		Expect(errOut).To(ContainSubstring("send it again with this id"))
+	})
+})
+
+var _ = DescribeTable("exit codes",
+	func(code int, says string, args ...string) {
+		f := newFleet()
+		for i, a := range args {
+			if a == "BAD" {
+				args[i] = write(badOwner)
+			}
+		}
+		got, out, errOut := f.run(args...)
+		Expect(got).To(Equal(code), out+errOut)
+		Expect(out + errOut).To(ContainSubstring(says))
+		Expect(f.app.r.State().Offset).To(BeZero(), "nothing changed")
+	},
+	Entry("version", ctl.ExitOK, "r1", "-version"),
+	Entry("help", ctl.ExitOK, "catalogue", "-help"),
+	Entry("unknown command", ctl.ExitUsage, `unknown command "nothing"`, "nothing"),
+	Entry("unknown flag", ctl.ExitUsage, "colour", "status", "-colour"),
+	Entry("no file", ctl.ExitUsage, "exactly one FILE", "catalogue", "apply"),
+	Entry("missing file", ctl.ExitFailure, "none.yaml", "catalogue", "validate", "none.yaml"),
+	Entry("invalid file", ctl.ExitFailure, `c.yaml:2: pool/p: unknown team "nobody"`, "catalogue", "validate", "BAD"),
+	Entry("invalid file at the daemon", ctl.ExitFailure, `c.yaml:2: pool/p: unknown team "nobody"`, "catalogue", "apply", "BAD"),
+	Entry("nothing known", ctl.ExitNotFound, "nothing is known about host/none", "explain", "host", "none"),
+	Entry("report", ctl.ExitOK, "burn", "report", "burn"),
+	Entry("status", ctl.ExitOK, "catalogue version 0", "status"),
+)
+
+func entryFile(name, owner string) string {
+	return "entries:\n  - {name: " + name + ", owner: " + owner + ", pool: imbak-stock, class: short, limits: {deadline: 1s}}\n"
 }
+
+var _ = Describe("a team's token", func() {
+	var f *fleet
+
+	BeforeEach(func() {
+		f = newFleet(gateway.Token{Team: "admin", Secret: "a"}, gateway.Token{Team: "stock", Secret: "s"})
+		code, _, errOut := f.run("catalogue", "apply", "-token", "a", example)
+		Expect(code).To(Equal(ctl.ExitOK), errOut)
+	})
+
+	DescribeTable("edits its own entries only",
+		func(code int, token, file string) {
+			got, out, errOut := f.run("catalogue", "apply", "-token", token, write(file))
+			Expect(got).To(Equal(code), out+errOut)
+		},
+		Entry("no token", ctl.ExitFailure, "", entryFile("restock", "stock")),
+		Entry("wrong token", ctl.ExitFailure, "x", entryFile("restock", "stock")),
+		Entry("own entry", ctl.ExitOK, "s", entryFile("restock", "stock")),
+		Entry("another team's entry", ctl.ExitFailure, "s", entryFile("reserve", "stock")),
+		Entry("giving an entry away", ctl.ExitFailure, "s", entryFile("restock", "laundry")),
+		Entry("a pool", ctl.ExitFailure, "s", "pools:\n  - {name: imbak-stock, owner: stock, slots_per_host: 8, connections_per_host: 64}\n"),
+	)
+
+	It("reads its own entries only", func() {
+		_, out, _ := f.run("catalogue", "get", "-token", "s")
+		Expect(out).To(ContainSubstring("name: restock"))
+		Expect(out).NotTo(ContainSubstring("name: reserve\n"))
+	})
+})
+
+var _ = Describe("servers", func() {
+	It("are tried in order", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		gone := "http://" + ln.Addr().String()
+		Expect(ln.Close()).To(Succeed())
+		f := newFleet()
+		var out, errOut bytes.Buffer
+		code := ctl.Run(context.Background(), []string{"status", "-server", gone + "," + f.url}, ctl.Options{Out: &out, ErrOut: &errOut})
+		Expect(code).To(Equal(ctl.ExitOK), errOut.String())
+	})
+})
