Make request IDs without a shared lock

Cause: the profile of a daemon under load shows 3% of its time in the library's default entropy, which all requests share. Ruled out: fewer random bits. Change: IDs from the runtime's generator. Conclusion: kept for the lock; the gain is small.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
@@ -167,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := exchange(ctx, cn, deadline, r, ulid.Make().String(), c.opts.MaxAnswerBytes)
+	resp, err := exchange(ctx, cn, deadline, r, request.NewID(time.Now()).String(), c.opts.MaxAnswerBytes)
 	p.release(cn)
 	return resp, err
 }
--- a/internal/dedupe/guard.go
+++ b/internal/dedupe/guard.go
@@ -39,7 +39,7 @@
 	}
 	if r.ID == "" {
 		r.Minted = true
-		r.ID = ulid.Make().String()
+		r.ID = request.NewID(time.Now()).String()
 	}
 	id, err := ulid.ParseStrict(r.ID)
 	if err != nil {
@@ -66,7 +66,7 @@
 	id = g.service.mintLive(id)
 	out := g.service.claim(ctx, id, fp)
 	for i := 0; i < maxMints && out.result == resultRefused && out.unreachable && ctx.Err() == nil; i++ {
-		id = g.service.mintLive(ulid.Make())
+		id = g.service.mintLive(request.NewID(time.Now()))
 		out = g.service.claim(ctx, id, fp)
 	}
 	r.ID = id.String()
@@ -82,7 +82,7 @@
 			return id
 		}
 		s.metrics.reminted.Inc(1)
-		id = ulid.Make()
+		id = request.NewID(time.Now())
 	}
 	return id
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -195,7 +195,7 @@
 func (p *headerParser) id(now time.Time) string {
 	v := string(p.h.Peek(HeaderRequestID))
 	if v == "" {
-		return ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()).String()
+		return request.NewID(now).String()
 	}
 	id, err := ulid.ParseStrict(v)
 	if err != nil {
