Tick pools without work seldom

Cause: the capacity command never sent a request, so that no daemon had a pool in use. Ruled out: longer ticks for all pools, since running work is reclassified by them. Change: a pool without work is read twice a second and, when that is more than 100 ms ago, before its next request; the capacity command uses every pool; roll-outs are followed only while there are any. Seen to fail: TestHostLeavesWhileThePoolIsIdle without the reading before the next request, in its third round.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,6 +22,9 @@
 // read again.
 const tickInterval = 50 * time.Millisecond
 
+// idleInterval is how often that happens for a pool without work.
+const idleInterval = 500 * time.Millisecond
+
 // Options holds what a Dispatcher needs.
 type Options struct {
 	Targets Targets
@@ -103,7 +106,9 @@
 		case now := <-tick.C:
 			d.countDaemons()
 			for _, p := range d.allPools() {
-				p.tick(now, d.view(p.name, now))
+				if p.due(now) {
+					p.tick(now, d.view(p.name, now))
+				}
 			}
 		}
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"greengagedeck/internal/catalogue"
+	"greengagedeck/internal/dispatch"
 	"greengagedeck/internal/verdict"
 )
 
@@ -345,3 +347,24 @@
 		g.Expect(unsure).To(BeNumerically(">", 0))
 	})
 }
+
+// TestHostLeavesWhileThePoolIsIdle takes hosts from the list again and again
+// while nothing runs. The gate stays open: only the list tells.
+func TestHostLeavesWhileThePoolIsIdle(t *testing.T) {
+	f := newFleet()
+	f.zone("z1", 2, 8, "d1")
+	both := hostsOf("z1", 2, 8)
+	bubble(t, f, 0, func(g *WithT) {
+		for round := range 8 {
+			time.Sleep(130 * time.Millisecond)
+			stays := both[round%2]
+			f.mu.Lock()
+			f.targets["z1"] = []dispatch.Target{stays}
+			f.mu.Unlock()
+			time.Sleep(130 * time.Millisecond)
+			r := f.load("d1", fmt.Sprintf("r%d-", round), 1, false)()[0]
+			g.Expect(r.err).NotTo(HaveOccurred())
+			g.Expect(r.resp.Host).To(Equal(stays.Host), "round %d", round)
+		}
+	})
+}
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -41,6 +41,9 @@
 // next makes one step. After an error, again tells whether another step may
 // follow.
 func (t *try) next(ctx context.Context) (resp *request.Response, again bool, err error) {
+	if now := time.Now(); t.p.stale(now) {
+		t.p.tick(now, t.d.view(t.p.name, now))
+	}
 	j := t.d.job(t.entry, t.req)
 	j.Avoid = t.avoid
 	j.Foreign = j.Foreign || t.handed
--- a/internal/membership/rollout.go
+++ b/internal/membership/rollout.go
@@ -39,6 +39,8 @@
 // is too high by up to one heartbeat.
 type Rollouts struct {
 	progress Progress
+	// wake has a value after Begin.
+	wake chan struct{}
 
 	mu       sync.Mutex
 	open     []openRollout
@@ -46,7 +48,9 @@
 }
 
 // NewRollouts returns a measurement without figures.
-func NewRollouts(p Progress) *Rollouts { return &Rollouts{progress: p} }
+func NewRollouts(p Progress) *Rollouts {
+	return &Rollouts{progress: p, wake: make(chan struct{}, 1)}
+}
 
 // Begin notes that a version was made at began.
 func (r *Rollouts) Begin(version uint64, began time.Time) {
@@ -55,29 +59,45 @@
 	if len(r.open) < maxOpenRollouts {
 		r.open = append(r.open, openRollout{version: version, began: began})
 	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
 }
 
-// Run follows the open roll-outs until ctx ends.
+// Run follows roll-outs, while there are any, until ctx ends.
 func (r *Rollouts) Run(ctx context.Context) error {
-	t := time.NewTicker(rolloutPoll)
-	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-r.wake:
+			r.follow(ctx)
+		}
+	}
+}
+
+// follow returns when no roll-out is open or ctx ends.
+func (r *Rollouts) follow(ctx context.Context) {
+	t := time.NewTicker(rolloutPoll)
+	defer t.Stop()
+	for r.underWay() {
+		select {
+		case <-ctx.Done():
+			return
 		case now := <-t.C:
 			r.step(now)
 		}
 	}
 }
 
-func (r *Rollouts) step(now time.Time) {
+func (r *Rollouts) underWay() bool {
 	r.mu.Lock()
-	idle := len(r.open) == 0
-	r.mu.Unlock()
-	if idle {
-		return
-	}
+	defer r.mu.Unlock()
+	return len(r.open) > 0
+}
+
+func (r *Rollouts) step(now time.Time) {
 	reached := r.reached()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -87,6 +88,9 @@
 	if err := start(f, file); err != nil {
 		return row, err
 	}
+	if err := touch(f, doc); err != nil {
+		return row, err
+	}
 	time.Sleep(opt.Settle)
 	if err := row.idle(f, opt.Period); err != nil {
 		return row, err
@@ -108,6 +112,28 @@
 	return f.WaitVersion(e.Version, time.Minute)
 }
 
+// touch sends one request to each pool through each daemon, so that every
+// daemon has every pool in use.
+func touch(f *fleet.Fleet, doc catalogue.Document) error {
+	for _, d := range f.Daemons {
+		touched := map[string]bool{}
+		for _, e := range doc.Entries {
+			if touched[e.Pool] {
+				continue
+			}
+			touched[e.Pool] = true
+			resp, err := http.Get("http://" + d.Caller + "/v1/entries/" + e.Name + "/x")
+			if err != nil {
+				return err
+			}
+			if err := resp.Body.Close(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func sites(s Size) []fleet.Site {
 	var out []fleet.Site
 	for i := range s.Daemons {
