--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,13 +18,6 @@
 	"greengagedeck/internal/verdict"
 )
 
-// tickInterval is how often running work is reclassified and the hosts are
-// read again.
-const tickInterval = 50 * time.Millisecond
-
-// idleInterval is how often that happens for a pool without work.
-const idleInterval = 500 * time.Millisecond
-
 // Options holds what a Dispatcher needs.
 type Options struct {
 	Targets Targets
