Take out figures of the capacity command that nothing printed

Cause: two were read and never shown. Ruled out: printing them: an idle phase of seconds holds no summary of a minute. Change: deleted.

--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -34,10 +34,9 @@
 	Size Size
 	// Idle and Edited are shares of one core without and with edits.
 	Idle, Edited float64
-	// IdleBytes and EditedBytes are control bytes a second.
-	IdleBytes, EditedBytes float64
-	// MaxBytes is IdleBytes of the busiest daemon, Leading its share.
-	MaxBytes float64
+	// IdleBytes are control bytes a second without edits, MaxBytes those of
+	// the busiest daemon.
+	IdleBytes, MaxBytes float64
 	RSSMB    float64
 	// InForce is the longest time from edit to in force on all daemons.
 	InForce time.Duration
@@ -215,7 +214,6 @@
 		return nil
 	})
 	r.Edited = mean.cpu.Seconds() / seconds
-	r.EditedBytes = mean.control
 	r.RSSMB = max(r.RSSMB, float64(mean.rssKB)/1024)
 	return err
 }
--- a/standin/capacity/proc.go
+++ b/standin/capacity/proc.go
@@ -20,7 +20,6 @@
 	cpu     time.Duration
 	rssKB   int
 	control float64 // bytes to and from other daemons and the platform
-	appends float64
 }
 
 // read takes a daemon's usage from /proc and from its metrics page.
@@ -82,9 +81,6 @@
 		if err != nil {
 			continue
 		}
-		if name == "greengaged_replica_appends" {
-			u.appends = v
-		}
 		for _, s := range controlSeries {
 			if name == s {
 				u.control += v
