--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -37,7 +37,7 @@
 	// IdleBytes are control bytes a second without edits, MaxBytes those of
 	// the busiest daemon.
 	IdleBytes, MaxBytes float64
-	RSSMB    float64
+	RSSMB               float64
 	// InForce is the longest time from edit to in force on all daemons.
 	InForce time.Duration
 	Edits   int
