Refuse an edit whose base version has not been reached

Cause: found in reading the change: a file with a version above every offset, by a slip or from another deployment, hid all conflicts and overwrote other operators' edits. Ruled out: a check in the gateway alone, since the fold is what decides. Change: the fold turns down a base at or above the edit's own offset. Seen to fail: TestBaseThatIsNotReachedIsRefused, accepted at base 3 of 3. Figures: three bases refused; tests of catalogue, replica, command line pass.

--- a/internal/catalogue/edit.go
+++ b/internal/catalogue/edit.go
@@ -36,7 +36,7 @@
 	for _, ch := range e.Changes {
 		subjects = append(subjects, ch.Key.String())
 	}
-	if reason := s.conflict(e); reason != "" {
+	if reason := s.conflict(offset, e); reason != "" {
 		return record.Reject(reason, subjects...)
 	}
 	next := s.Clone()
@@ -56,7 +56,12 @@
 }
 
 // conflict names the winner when an object has changed since the edit's base.
-func (s *State) conflict(e Edit) string {
+// A base at or above the edit's own offset is no version that anybody can have
+// worked from, and would hide every conflict.
+func (s *State) conflict(offset uint64, e Edit) string {
+	if e.Base >= offset {
+		return fmt.Sprintf("base version %d has not been reached: the edit is at offset %d", e.Base, offset)
+	}
 	for _, ch := range e.Changes {
 		v, by := s.versionOf(ch.Key)
 		if v > e.Base {
--- a/internal/catalogue/edit_test.go
+++ b/internal/catalogue/edit_test.go
@@ -120,3 +120,17 @@
 		g.Expect(s.Entries["e"].Value.Limits.Slots).To(Equal(2*round + 1))
 	}
 }
+
+// TestBaseThatIsNotReachedIsRefused gives an edit a base above every version,
+// against which no change of another operator would count as later.
+func TestBaseThatIsNotReachedIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	s, doc := loaded(t)
+	g.Expect(s.Apply(2, edit(t, 1, "ana", withSlots(t, doc, 3))).Accepted).To(BeTrue())
+	for _, base := range []uint64{3, 4, 1 << 60} {
+		out := s.Apply(3, edit(t, base, "ben", withSlots(t, doc, 4)))
+		g.Expect(out.Accepted).To(BeFalse(), "base %d", base)
+		g.Expect(out.Reason).To(ContainSubstring("has not been reached"))
+	}
+	g.Expect(s.Entries["e"].Value.Limits.Slots).To(Equal(3))
+}
