--- a/internal/catalogue/diff.go
+++ b/internal/catalogue/diff.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"errors"
 	"maps"
 	"slices"
 
@@ -57,10 +59,7 @@
 }
 
 func compareKeys(a, b Key) int {
-	if c := bytes.Compare([]byte(a.Kind), []byte(b.Kind)); c != 0 {
-		return c
-	}
-	return bytes.Compare([]byte(a.Name), []byte(b.Name))
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
 // specs returns the CBOR form of every object of a document.
@@ -90,14 +89,5 @@
 	for _, w := range d.Waves {
 		errs = append(errs, add(KindWave, w.Name, w))
 	}
-	return out, eris.Wrap(firstError(errs), "encode catalogue")
-}
-
-func firstError(errs []error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return out, eris.Wrap(errors.Join(errs...), "encode catalogue")
 }
