--- /dev/null
+++ b/standin/loadgen/run.go
@@ -0,0 +1,280 @@
+// Package loadgen sends open-loop load to daemons and checks every answer.
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"greengagedeck/standin/targetsim"
+)
+
+// The header fields of the daemons' caller protocol.
+const (
+	headerRequestID  = "Request-Id"
+	headerIdempotent = "Idempotent"
+	headerDeadline   = "Request-Deadline-Ms"
+	headerClass      = "Request-Class"
+	headerVerdict    = "Request-Verdict"
+	headerReason     = "Request-Reason"
+	headerHost       = "Request-Host"
+)
+
+// The verdicts, as the header gives them. VerdictLost stands for a request
+// whose connection broke before a whole answer came, VerdictUnsent for one
+// that no daemon accepted a connection for.
+const (
+	VerdictRan        = "ran"
+	VerdictMayHaveRun = "may-have-run"
+	VerdictNotRun     = "not-run"
+	VerdictLost       = "lost"
+	VerdictUnsent     = "unsent"
+)
+
+const (
+	maxConns        = 8192
+	dialTimeout     = time.Second
+	answerGrace     = 3 * time.Second
+	resendPause     = 50 * time.Millisecond
+	maxDials        = 20
+	checkTimeout    = 30 * time.Second
+	defaultDeadline = 2 * time.Second
+)
+
+// Options configures a run.
+type Options struct {
+	Seed     uint64        `json:"seed"`
+	Duration time.Duration `json:"duration"`
+	Daemons  []Daemon      `json:"daemons"`
+	Entries  []Entry       `json:"entries"`
+	// Resends is how often a request that was not run is sent again, under
+	// its ID, to another daemon.
+	Resends int `json:"resends"`
+	// CheckURL is the stand-in's base URL. With it the run ends with a
+	// check of how often each request ran.
+	CheckURL string `json:"check_url"`
+}
+
+type runner struct {
+	opts     Options
+	client   *fasthttp.Client
+	balancer *balancer
+	tally    *tally
+}
+
+// dialError marks a failure before a connection stood.
+type dialError struct{ error }
+
+func newClient() *fasthttp.Client {
+	return &fasthttp.Client{
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := net.DialTimeout("tcp", addr, dialTimeout)
+			if err != nil {
+				return nil, dialError{err}
+			}
+			return c, nil
+		},
+		MaxConnsPerHost:           maxConns,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
+// Run sends the load and returns what came of it. It stops early, without
+// sending the rest, when ctx ends.
+func Run(ctx context.Context, opts Options) (Summary, error) {
+	if len(opts.Daemons) == 0 {
+		return Summary{}, errors.New("no daemons")
+	}
+	client := newClient()
+	r := &runner{opts: opts, client: client, balancer: newBalancer(opts.Daemons, client), tally: newTally()}
+	stop := make(chan struct{})
+	var probes sync.WaitGroup
+	probes.Go(func() { r.balancer.probe(stop) })
+	r.send(ctx)
+	close(stop)
+	probes.Wait()
+	client.CloseIdleConnections()
+	if opts.CheckURL != "" {
+		if err := r.check(); err != nil {
+			return Summary{}, err
+		}
+	}
+	return r.tally.summary(), nil
+}
+
+// send starts every arrival at its time, whatever became of those before.
+func (r *runner) send(ctx context.Context) {
+	start := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, a := range plan(r.opts.Seed, r.opts.Entries, r.opts.Duration, start) {
+		if !sleepUntil(ctx, start.Add(a.at)) {
+			return
+		}
+		wg.Go(func() { r.tally.add(r.request(a, start.Add(a.at))) })
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// outcome is what became of one request.
+type outcome struct {
+	id         string
+	entry      *Entry
+	verdict    string
+	reason     string
+	status     int
+	wrong      string
+	latency    time.Duration
+	resends    int
+	idempotent bool
+}
+
+// request sends one arrival until it has an answer to keep.
+func (r *runner) request(a arrival, intended time.Time) outcome {
+	deadline := a.entry.Deadline
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	giveUp := intended.Add(deadline)
+	last := -1
+	for resends := 0; ; resends++ {
+		o, d := r.dialAndSend(a, deadline, last)
+		o.resends = resends
+		o.latency = time.Since(intended)
+		if o.verdict != VerdictNotRun || resends >= r.opts.Resends || time.Now().Add(resendPause).After(giveUp) {
+			return o
+		}
+		last = d
+		time.Sleep(resendPause)
+	}
+}
+
+// dialAndSend sends a request to the first daemon that accepts a connection,
+// as the platform's balancer does.
+func (r *runner) dialAndSend(a arrival, deadline time.Duration, not int) (outcome, int) {
+	o := outcome{id: a.id, entry: a.entry, idempotent: a.entry.Idempotent}
+	for range maxDials {
+		d := r.balancer.pick(not)
+		err := r.exchange(a, deadline, r.opts.Daemons[d].URL, &o)
+		var dial dialError
+		if errors.As(err, &dial) {
+			r.balancer.set(d, false)
+			continue
+		}
+		if err != nil {
+			o.verdict, o.reason = VerdictLost, err.Error()
+		}
+		return o, d
+	}
+	o.verdict = VerdictUnsent
+	return o, -1
+}
+
+func (r *runner) exchange(a arrival, deadline time.Duration, url string, o *outcome) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url + requestPath(a))
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(headerRequestID, a.id)
+	req.Header.Set(headerIdempotent, strconv.FormatBool(a.entry.Idempotent))
+	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	if a.entry.Class != "" {
+		req.Header.Set(headerClass, a.entry.Class)
+	}
+	ms := float64(a.service) / float64(time.Millisecond)
+	req.Header.Set(targetsim.HeaderServiceMs, strconv.FormatFloat(ms, 'f', 3, 64))
+	req.SetBody(a.body)
+	if err := r.client.DoTimeout(req, resp, deadline+answerGrace); err != nil {
+		return err
+	}
+	o.read(a, resp)
+	return nil
+}
+
+func requestPath(a arrival) string { return "/v1/entries/" + a.entry.Name + "/work/" + a.id }
+
+func (o *outcome) read(a arrival, resp *fasthttp.Response) {
+	o.status = resp.StatusCode()
+	o.verdict = string(resp.Header.Peek(headerVerdict))
+	o.reason = string(resp.Header.Peek(headerReason))
+	o.wrong = wrong(a, o.verdict, resp)
+}
+
+// wrong says what shows that an answer does not belong to its request, or is
+// empty.
+func wrong(a arrival, verdict string, resp *fasthttp.Response) string {
+	if id := string(resp.Header.Peek(headerRequestID)); id != a.id {
+		return fmt.Sprintf("answer names request %q, want %q", id, a.id)
+	}
+	switch verdict {
+	case VerdictNotRun, VerdictMayHaveRun:
+		return ""
+	case VerdictRan:
+	default:
+		return fmt.Sprintf("verdict %q, status %d", verdict, resp.StatusCode())
+	}
+	var got targetsim.Answer
+	if err := json.Unmarshal(resp.Body(), &got); err != nil {
+		return fmt.Sprintf("body: %v", err)
+	}
+	switch {
+	case got.ID != a.id:
+		return fmt.Sprintf("body of request %q, want %q", got.ID, a.id)
+	case got.Sum != targetsim.Checksum(a.body):
+		return "checksum of another body"
+	case !strings.HasSuffix(got.Path, "/work/"+a.id):
+		return fmt.Sprintf("target saw path %q", got.Path)
+	case got.Host != string(resp.Header.Peek(headerHost)):
+		return fmt.Sprintf("answer of host %q under the name of %q", got.Host, resp.Header.Peek(headerHost))
+	}
+	return ""
+}
+
+// check asks the targets how often each request ran.
+func (r *runner) check() error {
+	body, err := json.Marshal(r.tally.ids())
+	if err != nil {
+		return err
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(r.opts.CheckURL + "/admin/executions")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBody(body)
+	if err := r.client.DoTimeout(req, resp, checkTimeout); err != nil {
+		return fmt.Errorf("read executions: %w", err)
+	}
+	var counts map[string]int
+	if err := json.Unmarshal(resp.Body(), &counts); err != nil {
+		return fmt.Errorf("read executions: %w", err)
+	}
+	r.tally.check(counts)
+	return nil
+}
--- a/standin/targetsim/serve.go
+++ b/standin/targetsim/serve.go
@@ -76,8 +76,8 @@
 	t.mu.Lock()
 	t.stats.Refused++
 	t.mu.Unlock()
-	ctx.Response.Header.Set(HeaderVerdict, "not-run")
 	ctx.Error("no free slot", fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(HeaderVerdict, "not-run")
 }
 
 // begin counts a task as started and returns the channel that interrupts it.
