--- /dev/null
+++ b/cmd/greengaged/fleetwire.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"greengagedeck/internal/clock"
+	"greengagedeck/internal/duty"
+	"greengagedeck/internal/intake"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/peer"
+	"greengagedeck/internal/policy"
+	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/worker"
+	"greengagedeck/platform"
+)
+
+// Ports for traffic between daemons, counted from the first that is free.
+const (
+	peerPort = iota
+	adminPort
+)
+
+// serveFleet builds the fleet daemon and runs it until ctx ends.
+func serveFleet(ctx context.Context, place platform.Settings, logger zerolog.Logger) error {
+	m := newMetrics()
+	store := platform.NewStore(place.Store, platform.Metrics{Scope: m.scope})
+	self, err := newFleetMember(ctx, place, store, logger)
+	if err != nil {
+		return err
+	}
+	c := dig.New()
+	constructors := []any{
+		func() context.Context { return ctx },
+		func() platform.Settings { return place },
+		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
+		func() metrics { return m },
+		func() duty.Member { return self },
+		func() logstore.Log { return store },
+		func() clock.Clock { return clock.Boot{} },
+		func() *policy.InForce { return &policy.InForce{} },
+		newStage,
+		newWorkers,
+		newRegistry,
+		newDuties,
+		newFleetNode,
+		newCommitter,
+		newIntake,
+		newPolicyFollower,
+		newFront,
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return eris.Wrap(err, "wire")
+		}
+	}
+	return dig.RootCause(c.Invoke(func(p fleetParts) error { return (&fleetDaemon{fleetParts: p}).run(ctx) }))
+}
+
+// startRetry is the wait before a daemon that starts asks the log again.
+const startRetry = 200 * time.Millisecond
+
+// newFleetMember returns this life of the daemon.
+func newFleetMember(ctx context.Context, place platform.Settings, l logstore.Log, logger zerolog.Logger) (duty.Member, error) {
+	for {
+		n, err := duty.NextIncarnation(ctx, l, place.Host, time.Now())
+		if err == nil {
+			return duty.Member{
+				Host:        place.Host,
+				Incarnation: n,
+				Address:     internalAddress(place, peerPort),
+				Zone:        place.Zone,
+				Weight:      place.CPUShare,
+			}, nil
+		}
+		logger.Warn().Err(err).Msg("waiting for the log")
+		if err := wait(ctx, startRetry); err != nil {
+			return duty.Member{}, eris.Wrap(err, "stopped before the log answered")
+		}
+	}
+}
+
+func internalAddress(place platform.Settings, port uint16) string {
+	return netip.AddrPortFrom(place.IP, place.FirstPort+port).String()
+}
+
+func newWorkers(m metrics) worker.Control {
+	return platform.NewWorkers(platform.Metrics{Scope: m.scope})
+}
+
+func newRegistry(log logstore.Log, l zerolog.Logger, m metrics) *worker.Registry {
+	return worker.NewRegistry(worker.RegistryOptions{
+		Log:       log,
+		Partition: platform.WorkerPartition,
+		Decode:    platform.DecodeWorker,
+		Logger:    l,
+		Scope:     m.scope,
+	})
+}
+
+// duties are the keeper and what runs for the duties that it holds.
+type duties struct {
+	keeper *duty.Keeper
+	pools  *scheduler.Manager
+}
+
+// Gained implements duty.Observer.
+func (d *duties) Gained(n duty.Name, t duty.Token) { d.pools.Gained(n, t) }
+
+// Lost implements duty.Observer.
+func (d *duties) Lost(n duty.Name, t duty.Token) { d.pools.Lost(n, t) }
+
+// taskLease is the length of the leases that tasks get.
+const taskLease = 5 * time.Second
+
+func newDuties(ctx context.Context, place platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.InForce, w worker.Control, r *worker.Registry, l zerolog.Logger, m metrics) *duties {
+	d := &duties{}
+	d.keeper = duty.NewKeeper(duty.Options{
+		Self:     self,
+		Log:      log,
+		Clock:    cl,
+		Wanted:   func() []duty.Name { return wantedDuties(p) },
+		Observer: d,
+		Logger:   l,
+		Scope:    m.scope,
+	})
+	d.pools = scheduler.NewManager(ctx, scheduler.ManagerOptions{
+		Lease:  d.keeper,
+		Logger: l,
+		New: func(pool string, t duty.Token, dt scheduler.Duty) *scheduler.Runner {
+			return scheduler.NewRunner(scheduler.RunnerOptions{
+				Options: scheduler.Options{
+					Pool:       pool,
+					Token:      int64(t),
+					Lease:      taskLease,
+					MaxLease:   place.MaxLease,
+					StopTime:   place.StopTime,
+					DutyLease:  duty.DefaultLease,
+					StatusTime: place.StatusTime,
+				},
+				Log:      log,
+				Clock:    cl,
+				Control:  w,
+				Registry: r,
+				Duty:     dt,
+				Logger:   l.With().Str("pool", pool).Logger(),
+				Scope:    m.scope,
+			})
+		},
+	})
+	return d
+}
+
+// wantedDuties returns the duties that the policy in force calls for.
+func wantedDuties(p *policy.InForce) []duty.Name {
+	cur := p.Get()
+	if cur == nil {
+		return nil
+	}
+	var out []duty.Name
+	for _, pool := range cur.Working() {
+		out = append(out, duty.OfPool(pool))
+	}
+	return out
+}
+
+func newFleetNode(self duty.Member, d *duties, l zerolog.Logger, m metrics) *peer.Node {
+	return peer.NewNode(peer.Options{Self: self.ID(), Resolve: d.keeper.Address, Logger: l, Scope: m.scope})
+}
+
+func newCommitter(log logstore.Log, m metrics) *joblog.Committer {
+	return joblog.NewCommitter(log, m.scope)
+}
+
+func newIntake(self duty.Member, p *policy.InForce, c *joblog.Committer, log logstore.Log, d *duties, n *peer.Node, cl clock.Clock, l zerolog.Logger, m metrics) *intake.Service {
+	s := intake.NewService(intake.Options{
+		Self:      self,
+		Policy:    p,
+		Committer: c,
+		Log:       log,
+		Holders:   d.keeper,
+		Local:     d.pools,
+		Caller:    n,
+		Clock:     cl,
+		Logger:    l,
+		Scope:     m.scope,
+	})
+	s.Register(n)
+	return s
+}
+
+func newPolicyFollower(log logstore.Log, p *policy.InForce, l zerolog.Logger) *policy.Follower {
+	return &policy.Follower{
+		Log:       log,
+		Partition: platform.OperatorPartition,
+		Logger:    l,
+		Apply: func(r logstore.Record) error {
+			next, err := platform.DecodePolicy(r)
+			if err != nil || next == nil {
+				return err
+			}
+			if p.Set(next) {
+				l.Info().Int64("version", next.Version).Int("entries", len(next.Entries)).Int("pools", len(next.Pools)).Msg("configuration in force")
+			}
+			return nil
+		},
+	}
+}
+
+func newFront(p *policy.InForce, s *intake.Service, l zerolog.Logger) *platform.Front {
+	return platform.NewFront(p, s, l)
+}
+
+// listenError names the address that could not be listened on.
+func listenError(what, addr string, err error) error {
+	return eris.Wrap(err, fmt.Sprintf("%s on %s", what, addr))
+}
--- a/cmd/greengaged/main.go
+++ b/cmd/greengaged/main.go
@@ -35,6 +35,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == fleetCommand {
+		return runFleet(args[1:])
+	}
 	s, err := parseSettings(args, os.Stderr)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
--- /dev/null
+++ b/internal/duty/keeper.go
@@ -0,0 +1,444 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/clock"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/option"
+	"greengagedeck/internal/record"
+	"greengagedeck/internal/verdict"
+)
+
+// The partitions of the product's topic for duties.
+var (
+	claimPartition     = logstore.Partition{Topic: "duty", Part: 0}
+	heartbeatPartition = logstore.Partition{Topic: "duty", Part: 1}
+)
+
+const (
+	// DefaultLease is how long a holder may act after its last renewal.
+	DefaultLease = 2500 * time.Millisecond
+	// DefaultHeartbeat is the time between renewals.
+	DefaultHeartbeat = 700 * time.Millisecond
+	// leaseSlack is how much longer than the lease others wait: clocks may run
+	// at slightly different rates.
+	leaseSlack = 200 * time.Millisecond
+	// settleTime is how long a new daemon waits for the heartbeats of others
+	// before it claims what nobody holds.
+	settleTime = 600 * time.Millisecond
+	// rankDelay is how much later each further candidate claims.
+	rankDelay = 300 * time.Millisecond
+	// peerAge is the age of the last heartbeat up to which a daemon counts as
+	// live.
+	peerAge = 4 * time.Second
+	// retryPause is the wait after a call of the log that failed.
+	retryPause = 150 * time.Millisecond
+)
+
+// Observer is told when this daemon gains and loses duties, in order. It must
+// not block.
+type Observer interface {
+	Gained(n Name, t Token)
+	Lost(n Name, t Token)
+}
+
+// Options configure a Keeper.
+type Options struct {
+	Self  Member
+	Log   logstore.Log
+	Clock clock.Clock
+	// Wanted returns the duties that somebody should hold.
+	Wanted   func() []Name
+	Observer Observer
+	Lease    time.Duration
+	// Heartbeat is the time between renewals, 0 for DefaultHeartbeat.
+	Heartbeat time.Duration
+	Logger    zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Keeper claims duties, renews the lease of those that it holds and knows who
+// holds the others.
+type Keeper struct {
+	opt     Options
+	started time.Duration
+
+	mu      sync.Mutex
+	table   *table
+	leaving bool
+	held    map[Name]Token
+	// renewed is when the last heartbeat that arrived was sent, and confirmed
+	// a moment up to which no claim is unknown here.
+	renewed   time.Duration
+	confirmed time.Duration
+	// peersRead is when the last complete read of the heartbeats began.
+	peersRead time.Duration
+	// claimable is since when a duty could be claimed, as seen here.
+	claimable map[Name]time.Duration
+	claimEnd  int64
+	logDown   bool
+
+	claims, claimsLost, heartbeatErrors tally.Counter
+	heldGauge                           tally.Gauge
+}
+
+// NewKeeper returns a keeper that does nothing until Run.
+func NewKeeper(o Options) *Keeper {
+	option.Default(&o.Lease, DefaultLease)
+	option.Default(&o.Heartbeat, DefaultHeartbeat)
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	scope := o.Scope.SubScope("duty")
+	return &Keeper{
+		opt:             o,
+		started:         o.Clock.Now(),
+		table:           newTable(),
+		held:            map[Name]Token{},
+		claimable:       map[Name]time.Duration{},
+		claims:          scope.Counter("claims"),
+		claimsLost:      scope.Counter("claims_lost"),
+		heartbeatErrors: scope.Counter("heartbeat_errors"),
+		heldGauge:       scope.Gauge("held"),
+	}
+}
+
+// NextIncarnation returns a number for a new life of the daemon on a host that
+// is above those of all earlier lives, whatever the time of day did meanwhile.
+func NextIncarnation(ctx context.Context, l logstore.Log, host string, wall time.Time) (int64, error) {
+	recs, _, err := logstore.All(ctx, l, heartbeatPartition)
+	if err != nil {
+		return 0, err
+	}
+	t := newTable()
+	for _, r := range recs {
+		if r.Key == host {
+			// One that cannot be read is none of ours.
+			_ = t.foldHeartbeat(r, 0)
+		}
+	}
+	return max(wall.UnixMilli(), t.peers[host].Incarnation+1), nil
+}
+
+// Valid reports whether this daemon may act under a token now. A lease that
+// ran out may become valid again, if nobody claimed the duty meanwhile.
+func (k *Keeper) Valid(n Name, t Token) bool { return k.Remaining(n, t) > 0 }
+
+// Remaining returns how long this daemon may still act under a token without a
+// further renewal.
+func (k *Keeper) Remaining(n Name, t Token) time.Duration {
+	now := k.opt.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if held, ok := k.held[n]; !ok || held != t {
+		return 0
+	}
+	return max(0, min(k.renewed, k.confirmed)+k.opt.Lease-now)
+}
+
+// Holder returns the last claim of a duty.
+func (k *Keeper) Holder(n Name) (Claim, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c, ok := k.table.claims[n]
+	return c, ok && !c.Released
+}
+
+// Peers returns the daemons whose heartbeats arrive, this one among them.
+func (k *Keeper) Peers() []Peer {
+	now := k.opt.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.live(now, peerAge)
+}
+
+// Address returns where a life of a daemon is dialled, by its ID.
+func (k *Keeper) Address(id string) (string, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range k.table.peers {
+		if p.ID() == id {
+			return p.Address, true
+		}
+	}
+	for _, c := range k.table.claims {
+		if c.Holder.ID() == id {
+			return c.Holder.Address, true
+		}
+	}
+	return "", false
+}
+
+// LogConfirmed returns the last moment at which the log is known to have
+// answered, by this daemon's clock.
+func (k *Keeper) LogConfirmed() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(k.renewed, k.confirmed)
+}
+
+// Run keeps duties until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { k.followClaims(ctx) })
+	loops.Go(func() { k.heartbeats(ctx) })
+	loops.Wait()
+}
+
+// followClaims reads claims as they are made.
+func (k *Keeper) followClaims(ctx context.Context) {
+	tail := logstore.NewTail(k.opt.Log, claimPartition)
+	wait := k.opt.Heartbeat
+	for ctx.Err() == nil {
+		start := k.opt.Clock.Now()
+		recs, _, err := tail.Next(ctx, wait)
+		if err != nil {
+			k.failed("read claims", err)
+			sleep(ctx, retryPause)
+			continue
+		}
+		now := k.opt.Clock.Now()
+		confirmed := start
+		if len(recs) == 0 && now-start >= wait {
+			// Nothing was claimed while the answer waited.
+			confirmed = start + wait
+		}
+		k.mu.Lock()
+		k.foldClaims(recs, now)
+		k.claimEnd = max(k.claimEnd, tail.Position())
+		k.confirmed = max(k.confirmed, confirmed)
+		k.mu.Unlock()
+		k.claimAbandoned(ctx)
+	}
+}
+
+// foldClaims notes claims and what they mean for this daemon's duties.
+func (k *Keeper) foldClaims(recs []logstore.Record, now time.Duration) {
+	for _, r := range recs {
+		if err := k.table.foldClaim(r, now); err != nil {
+			k.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("claim ignored: it cannot be read")
+		}
+		k.claimEnd = max(k.claimEnd, r.Offset+1)
+		k.settle(Name(r.Key))
+	}
+}
+
+// settle compares a duty's last claim with what this daemon holds.
+func (k *Keeper) settle(n Name) {
+	c := k.table.claims[n]
+	token, held := k.held[n]
+	own := c.Holder == k.opt.Self && !c.Released
+	if held && (!own || c.Token != token) {
+		delete(k.held, n)
+		k.claimsLost.Inc(1)
+		k.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(token)).Int64("newer_token", int64(c.Token)).Str("holder", c.Holder.ID()).Msg("duty lost")
+		k.opt.Observer.Lost(n, token)
+	}
+	if own && k.held[n] != c.Token {
+		k.held[n] = c.Token
+		k.claims.Inc(1)
+		k.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(c.Token)).Msg("duty gained")
+		k.opt.Observer.Gained(n, c.Token)
+	}
+	delete(k.claimable, n)
+	k.heldGauge.Update(float64(len(k.held)))
+}
+
+// heartbeats renews this daemon's lease and reads who else is there.
+func (k *Keeper) heartbeats(ctx context.Context) {
+	tail := logstore.NewTail(k.opt.Log, heartbeatPartition)
+	for ctx.Err() == nil {
+		next := k.opt.Clock.Now() + k.opt.Heartbeat
+		k.renew(ctx)
+		k.readPeers(ctx, tail)
+		k.claimAbandoned(ctx)
+		sleep(ctx, next-k.opt.Clock.Now())
+	}
+}
+
+func (k *Keeper) renew(ctx context.Context) {
+	k.mu.Lock()
+	h := heartbeat{Member: k.opt.Self, Leaving: k.leaving}
+	k.mu.Unlock()
+	value, err := record.Encode(h)
+	if err != nil {
+		k.failed("encode heartbeat", err)
+		return
+	}
+	start := k.opt.Clock.Now()
+	if _, err := k.opt.Log.Append(ctx, heartbeatPartition, []logstore.Entry{{Key: h.Member.Host, Value: value}}, logstore.Condition{}); err != nil {
+		k.heartbeatErrors.Inc(1)
+		k.failed("renew", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.renewed = start
+	if k.logDown {
+		k.logDown = false
+		k.opt.Logger.Info().Msg("log reachable")
+	}
+}
+
+func (k *Keeper) readPeers(ctx context.Context, tail *logstore.Tail) {
+	start := k.opt.Clock.Now()
+	recs, _, err := tail.Next(ctx, 0)
+	if err != nil {
+		k.failed("read heartbeats", err)
+		return
+	}
+	now := k.opt.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range recs {
+		if err := k.table.foldHeartbeat(r, now); err != nil {
+			k.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("heartbeat ignored: it cannot be read")
+		}
+	}
+	k.peersRead = start
+}
+
+// failed notes that the log did not answer; only changes are logged.
+func (k *Keeper) failed(what string, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.logDown {
+		k.logDown = true
+		k.opt.Logger.Warn().Err(err).Str("call", what).Msg("log unreachable")
+	}
+}
+
+// claimAbandoned claims the duties that nobody holds and that are this
+// daemon's turn.
+func (k *Keeper) claimAbandoned(ctx context.Context) {
+	for _, n := range k.turns() {
+		k.claim(ctx, n)
+	}
+}
+
+// turns returns the duties that this daemon should claim now.
+func (k *Keeper) turns() []Name {
+	now := k.opt.Clock.Now()
+	wanted := k.opt.Wanted()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving || k.confirmed == 0 || k.peersRead == 0 {
+		return nil
+	}
+	live := k.table.live(now, peerAge)
+	var out []Name
+	for _, n := range wanted {
+		if _, held := k.held[n]; held || !k.table.abandoned(n, k.peersRead, k.opt.Lease+leaseSlack) {
+			delete(k.claimable, n)
+			continue
+		}
+		if _, ok := k.claimable[n]; !ok {
+			k.claimable[n] = now
+		}
+		if k.ownBefore(n) {
+			out = append(out, n)
+			continue
+		}
+		since := max(k.claimable[n], k.started+settleTime)
+		if now >= since+time.Duration(k.table.rank(n, k.opt.Self, live))*rankDelay {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ownBefore reports whether the process that ran here before held the duty.
+func (k *Keeper) ownBefore(n Name) bool {
+	c := k.table.claims[n]
+	return !c.Released && c.Holder.Host == k.opt.Self.Host
+}
+
+// claim appends a claim where the last known one ends. Of several daemons that
+// do so only one succeeds; the outcome is read from the log.
+func (k *Keeper) claim(ctx context.Context, n Name) {
+	k.append(ctx, n, claim{Holder: k.opt.Self})
+}
+
+func (k *Keeper) append(ctx context.Context, n Name, c claim) bool {
+	value, err := record.Encode(c)
+	if err != nil {
+		k.failed("encode claim", err)
+		return false
+	}
+	k.mu.Lock()
+	at := k.claimEnd
+	k.mu.Unlock()
+	got, err := k.opt.Log.Append(ctx, claimPartition, []logstore.Entry{{Key: string(n), Value: value}}, logstore.Condition{At: &at})
+	var conflict *logstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		// Somebody else claimed something first; the tail tells what.
+		return false
+	case err != nil:
+		k.failed("claim", err)
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.foldClaims([]logstore.Record{{Offset: got.Offset, Key: string(n), Value: value}}, k.opt.Clock.Now())
+	return true
+}
+
+// Release gives up every duty, so that others can claim it at once. It
+// returns an error when the log did not take a release; the others then wait
+// for the lease to end.
+func (k *Keeper) Release(ctx context.Context) error {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	for {
+		n, ok := k.anyHeld()
+		if !ok {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return eris.Wrapf(verdict.Refuse(verdict.ReasonDeadline, "%v", err), "release %s", n)
+		}
+		if !k.append(ctx, n, claim{Holder: k.opt.Self, Released: true}) {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// Leave says that this daemon stops: it claims nothing further.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+func (k *Keeper) anyHeld() (Name, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for n := range k.held {
+		return n, true
+	}
+	return "", false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/intake/metrics.go
@@ -0,0 +1,46 @@
+package intake
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/verdict"
+)
+
+// metrics counts what callers asked for and what became of it.
+type metrics struct {
+	accepted, refused, unsure tally.Counter
+	cancels, cancelsFailed    tally.Counter
+	unanswered, logLookups    tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("intake")
+	return metrics{
+		accepted:      scope.Counter("jobs_accepted"),
+		refused:       scope.Counter("jobs_refused"),
+		unsure:        scope.Counter("jobs_unsure"),
+		cancels:       scope.Counter("cancels"),
+		cancelsFailed: scope.Counter("cancels_failed"),
+		unanswered:    scope.Counter("states_unanswered"),
+		logLookups:    scope.Counter("states_from_log"),
+	}
+}
+
+func (m metrics) submitted(err error) {
+	switch {
+	case err == nil:
+		m.accepted.Inc(1)
+	case verdict.Of(err) == verdict.NotRun:
+		m.refused.Inc(1)
+	default:
+		m.unsure.Inc(1)
+	}
+}
+
+func (m metrics) cancelled(err error) {
+	if err == nil {
+		m.cancels.Inc(1)
+		return
+	}
+	m.cancelsFailed.Inc(1)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,147 @@
+// Package placement chooses workers for tasks. It is pure: the same pool and
+// the same request give the same choice.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"greengagedeck/internal/job"
+)
+
+// Node is a worker that may take tasks.
+type Node struct {
+	ID string
+	// Free is the room that is left.
+	Free   job.Resources
+	Rack   string
+	Labels []string
+	// Avoid is set for workers to use only when no other fits.
+	Avoid bool
+}
+
+// Request asks for room for one task.
+type Request struct {
+	Room     job.Resources
+	Label    string
+	DataRack string
+	// Taken is how many tasks of the step a worker has, and Most how many it
+	// may have, 0 for any number.
+	Taken func(node string) int
+	Most  int
+	// Shun names a worker to use only when no other fits, or is empty.
+	Shun string
+}
+
+// allows reports whether a node may take the task at all.
+func (r Request) allows(n *Node) bool {
+	if !r.Room.Fits(n.Free) {
+		return false
+	}
+	if r.Label != "" && !slices.Contains(n.Labels, r.Label) {
+		return false
+	}
+	return r.Most == 0 || r.Taken(n.ID) < r.Most
+}
+
+// Choose returns the node for a task, or nil when none fits: one on the rack of
+// its data if there is one, and of those the one with the least processor time
+// left, so that whole workers stay free for large tasks.
+func Choose(nodes []*Node, r Request) *Node {
+	var best *Node
+	for _, n := range nodes {
+		if !r.allows(n) {
+			continue
+		}
+		if best == nil || r.compare(n, best) < 0 {
+			best = n
+		}
+	}
+	return best
+}
+
+// compare orders two nodes that both fit, better ones first.
+func (r Request) compare(a, b *Node) int {
+	return cmp.Or(
+		cmp.Compare(r.penalty(a), r.penalty(b)),
+		cmp.Compare(a.Free.CPU, b.Free.CPU),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// penalty counts what speaks against a node, the worst first.
+func (r Request) penalty(n *Node) int {
+	p := 0
+	if n.Avoid {
+		p += 4
+	}
+	if r.Shun == n.ID {
+		p += 2
+	}
+	if r.DataRack != "" && r.DataRack != n.Rack {
+		p++
+	}
+	return p
+}
+
+// ChooseGang returns nodes for all of count equal tasks, or nil when they do
+// not all fit. With sameRack set it takes one rack if one has room for all.
+func ChooseGang(nodes []*Node, r Request, count int, sameRack bool) []*Node {
+	if sameRack {
+		for _, rack := range racks(nodes, r.DataRack) {
+			on := slices.DeleteFunc(slices.Clone(nodes), func(n *Node) bool { return n.Rack != rack })
+			if got := chooseAll(on, r, count); got != nil {
+				return got
+			}
+		}
+	}
+	return chooseAll(nodes, r, count)
+}
+
+// racks returns the racks of the nodes, the preferred one first.
+func racks(nodes []*Node, first string) []string {
+	var out []string
+	for _, n := range nodes {
+		if !slices.Contains(out, n.Rack) {
+			out = append(out, n.Rack)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rankOf(a, first), rankOf(b, first)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+func rankOf(rack, first string) int {
+	if rack == first {
+		return 0
+	}
+	return 1
+}
+
+// chooseAll takes nodes one after the other from copies, so that a gang that
+// does not fit leaves no trace.
+func chooseAll(nodes []*Node, r Request, count int) []*Node {
+	copies := make([]Node, len(nodes))
+	scratch := make([]*Node, len(nodes))
+	byID := make(map[string]*Node, len(nodes))
+	for i, n := range nodes {
+		copies[i] = *n
+		scratch[i] = &copies[i]
+		byID[n.ID] = n
+	}
+	placed := map[string]int{}
+	taken := r.Taken
+	r.Taken = func(id string) int { return taken(id) + placed[id] }
+	out := make([]*Node, 0, count)
+	for range count {
+		n := Choose(scratch, r)
+		if n == nil {
+			return nil
+		}
+		n.Free = n.Free.Sub(r.Room)
+		placed[n.ID]++
+		out = append(out, byID[n.ID])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,236 @@
+// Package scheduler runs the jobs of one pool while this daemon holds the
+// pool's duty. Core is the state and every decision; it does no I/O and reads no
+// clock. Runner carries out what it decides.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/worker"
+)
+
+// Options configure a Core.
+type Options struct {
+	Pool string
+	// Token is the fencing token under which the pool is held.
+	Token int64
+	// Lease is the length of the leases that tasks get, and MaxLease the
+	// longest that a worker grants.
+	Lease    time.Duration
+	MaxLease time.Duration
+	// StopTime bounds a stop at a worker.
+	StopTime time.Duration
+	// DutyLease is how long an earlier holder may have acted after this one
+	// claimed the pool.
+	DutyLease time.Duration
+	// StatusTime is how long the state of an ended job is kept.
+	StatusTime time.Duration
+	Logger     zerolog.Logger
+}
+
+// Times are the two clocks at one moment.
+type Times struct {
+	// Now is the holder's clock for leases.
+	Now time.Duration
+	// Wall is the time of day in milliseconds since 1970.
+	Wall int64
+}
+
+// Core is the state of one pool. It is not safe for concurrent use.
+type Core struct {
+	opt Options
+	// blind is when the last lease that an earlier holder may have granted is
+	// over.
+	blind time.Duration
+
+	jobs map[job.ID]*item
+	// open are the jobs that are not settled, in the order in which they
+	// became known.
+	open []*item
+	// cancels are those of jobs that are not known yet.
+	cancels map[job.ID]bool
+	// ended are settled jobs whose state is still asked for.
+	ended map[job.ID]job.Progress
+	// restored is logged progress of jobs whose submission was not read yet.
+	restored map[job.ID]*job.Progress
+
+	workers map[string]*worker.Book
+
+	dirty map[*item]bool
+	// forget are ended jobs whose submission is to be removed.
+	forget []job.ID
+	// changed is set when a plan could differ from the last one.
+	changed bool
+	// fenced is set once a worker has seen a newer holder's token.
+	fenced bool
+}
+
+// item is a job with what only its holder needs.
+type item struct {
+	*job.Job
+	// arrived is when the job was accepted, by the holder's clock.
+	arrived time.Duration
+	// logged is the phase that the log holds.
+	logged job.Phase
+	// shun names, by task, the worker on which it failed last.
+	shun map[job.TaskID]string
+}
+
+// blindFactor covers the drift of a worker's clock, with some slack.
+const blindFactor = 1.05
+
+// NewCore returns a pool without jobs and workers.
+func NewCore(opt Options, now time.Duration) *Core {
+	return &Core{
+		opt:      opt,
+		blind:    now + opt.DutyLease + time.Duration(float64(opt.MaxLease)*blindFactor),
+		jobs:     map[job.ID]*item{},
+		cancels:  map[job.ID]bool{},
+		ended:    map[job.ID]job.Progress{},
+		restored: map[job.ID]*job.Progress{},
+		workers:  map[string]*worker.Book{},
+		dirty:    map[*item]bool{},
+	}
+}
+
+// Restore takes in what earlier holders logged. It must come before the first
+// Fold.
+func (c *Core) Restore(kept []joblog.Kept) {
+	for _, k := range kept {
+		switch {
+		case k.Progress == nil:
+		case k.Progress.Phase.Final() && len(k.Progress.Occurrences) == 0:
+			c.ended[k.ID] = *k.Progress
+		default:
+			c.restored[k.ID] = k.Progress
+		}
+	}
+}
+
+// Fold takes in records of the intake.
+func (c *Core) Fold(handed []joblog.Handed, t Times) {
+	for _, h := range handed {
+		if h.Cancelled {
+			c.cancel(h.ID, t)
+		} else {
+			c.submit(h.Submission, t)
+		}
+	}
+	c.changed = true
+}
+
+// submit adds a job. The first submission of an ID counts: a caller that got no
+// answer sends it again.
+func (c *Core) submit(s *joblog.Submission, t Times) {
+	id := s.Spec.ID
+	if c.jobs[id] != nil {
+		return
+	}
+	if _, over := c.ended[id]; over {
+		c.forget = append(c.forget, id)
+		return
+	}
+	it := &item{arrived: t.Now - age(s.Accepted, t.Wall)}
+	if p := c.restored[id]; p != nil {
+		it.Job = job.Restore(s.Spec, s.Terms, *p)
+		it.logged = p.Phase
+		delete(c.restored, id)
+	} else {
+		it.Job = job.New(s.Spec, s.Terms)
+	}
+	c.opt.Logger.Debug().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", it.Phase).Msg("job taken in")
+	c.jobs[id] = it
+	c.open = append(c.open, it)
+	c.adopt(it, t.Now)
+	if c.cancels[id] {
+		delete(c.cancels, id)
+		c.cancel(id, t)
+	}
+}
+
+// maxAge bounds the time that a job is taken to have waited before its holder
+// learnt of it: the clocks of two hosts may differ.
+const maxAge = 30 * time.Second
+
+func age(accepted, wall int64) time.Duration {
+	return min(maxAge, max(0, time.Duration(wall-accepted)*time.Millisecond))
+}
+
+// adopt notes the runs that an earlier holder logged for a job: each may be at
+// its worker until that was looked at.
+func (c *Core) adopt(it *item, now time.Duration) {
+	it.EachActive(func(r job.RunID, w job.Incarnation) {
+		b := c.workers[w.ID]
+		if b == nil {
+			b = worker.NewBook(worker.Listing{Incarnation: w}, now, c.blind)
+			b.Listed = false
+			c.workers[w.ID] = b
+		}
+		b.Add(&worker.Run{
+			ID:    r,
+			Room:  it.Step(r.Task).Room(),
+			Key:   worker.StepOf(r.Task),
+			State: worker.Ordered,
+			Since: now,
+		})
+	})
+}
+
+func (c *Core) cancel(id job.ID, t Times) {
+	it := c.jobs[id]
+	if it == nil {
+		if _, over := c.ended[id]; !over {
+			c.cancels[id] = true
+		}
+		return
+	}
+	if it.Cancel(t.Wall) {
+		c.opt.Logger.Info().Str("job", string(id)).Msg("job cancelled")
+		c.touch(it)
+		c.stopNeedless(it)
+	}
+}
+
+// touch notes that a job's progress has to be logged.
+func (c *Core) touch(it *item) {
+	c.dirty[it] = true
+	c.changed = true
+}
+
+// Changed reports whether there is something to plan or to log.
+func (c *Core) Changed() bool { return c.changed }
+
+// Lookup returns the phase of a job. An end is told only once it is logged:
+// what is not could be forgotten by the next holder.
+func (c *Core) Lookup(id job.ID) (job.Phase, bool) {
+	if p, ok := c.ended[id]; ok {
+		return p.Phase, true
+	}
+	it := c.jobs[id]
+	if it == nil {
+		p, ok := c.restored[id]
+		if !ok {
+			return 0, false
+		}
+		return p.Phase, true
+	}
+	if it.Phase.Final() && it.Phase != job.Cancelled && it.logged != it.Phase {
+		return job.Running, true
+	}
+	return it.Phase, true
+}
+
+// Waiting returns how many jobs of an entry have started no task.
+func (c *Core) Waiting(entry string) int {
+	n := 0
+	for _, it := range c.open {
+		if it.Phase == job.Queued && it.Terms.Entry == entry {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/scheduler/orders.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"errors"
+	"time"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/verdict"
+	"greengagedeck/internal/worker"
+)
+
+// Start is a start to order.
+type Start struct {
+	Worker string
+	Target worker.Target
+	Order  worker.Order
+	born   int64
+}
+
+// StartOrder returns the order for a run, or false when it must not be sent
+// (any more). remaining is how long this daemon may still act for the pool.
+func (c *Core) StartOrder(r job.RunID, workerID string, now, remaining time.Duration) (Start, bool) {
+	b := c.workers[workerID]
+	it := c.jobs[r.Task.Job]
+	if b == nil || it == nil || remaining <= 0 || c.fenced {
+		return Start{}, false
+	}
+	run := b.Runs[r]
+	if run == nil || run.State != worker.Ordered || run.Stopping {
+		return Start{}, false
+	}
+	run.SentAt = now
+	return Start{
+		Worker: workerID,
+		Target: b.Target(),
+		born:   b.Incarnation.Born,
+		Order: worker.Order{
+			Run:        r,
+			Text:       it.Spec.Text,
+			Until:      b.Lease(now, c.lease(remaining)),
+			Token:      c.opt.Token,
+			Checkpoint: it.Checkpoint(r.Task),
+		},
+	}, true
+}
+
+// Started takes in the answer to a start. It returns true when the order should
+// be sent again.
+func (c *Core) Started(s Start, clock int64, err error, t Times) (again bool) {
+	b := c.workers[s.Worker]
+	if b == nil || b.Incarnation.Born != s.born {
+		return false
+	}
+	r := b.Runs[s.Order.Run]
+	if r == nil {
+		return false
+	}
+	var refusal *worker.Refusal
+	switch {
+	case err == nil:
+		b.Heard(clock, t.Now)
+		if r.State != worker.Confirmed {
+			r.State = worker.Confirmed
+			r.Since = t.Now
+		}
+		return false
+	case errors.Is(err, worker.ErrGone):
+		c.gone(b, t)
+		return false
+	case errors.As(err, &refusal):
+		b.Heard(refusal.Clock, t.Now)
+		c.refused(b, r, refusal, t)
+		return false
+	case verdict.Of(err) == verdict.NotRun && !r.Unanswered:
+		b.Missed()
+		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start not sent")
+		c.over(b, r, job.EndLost, "", t)
+		return false
+	default:
+		if !r.Unanswered {
+			c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start unanswered")
+		}
+		r.Unanswered = true
+		return !r.Stopping
+	}
+}
+
+// refused handles a start that a worker turned down. Unless an earlier order
+// for the run is unaccounted for, it is certain that the run is not there.
+func (c *Core) refused(b *worker.Book, r *worker.Run, refusal *worker.Refusal, t Times) {
+	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).Str("reason", string(refusal.Reason)).Bool("earlier_unanswered", r.Unanswered).Msg("start refused")
+	if c.noteFence(refusal) {
+		return
+	}
+	if r.Unanswered {
+		c.stop(b, r, "start refused after an unanswered one")
+		return
+	}
+	c.over(b, r, job.EndLost, "", t)
+}
+
+// noteFence reports whether a refusal shows that another daemon holds the pool.
+// Nothing is decided any more from then on.
+func (c *Core) noteFence(refusal *worker.Refusal) bool {
+	if refusal.Reason != worker.ReasonFenced {
+		return false
+	}
+	if !c.fenced {
+		c.fenced = true
+		c.opt.Logger.Warn().Str("pool", c.opt.Pool).Int64("token", c.opt.Token).Msg("a worker has seen a newer holder")
+	}
+	return true
+}
+
+// Stop is a stop to order.
+type Stop struct {
+	Worker string
+	Target worker.Target
+	Run    job.RunID
+	Token  int64
+	born   int64
+}
+
+// Stops returns the stops to order now.
+func (c *Core) Stops() []Stop {
+	if c.fenced {
+		return nil
+	}
+	var out []Stop
+	for id, b := range c.workers {
+		if b.Address == "" || b.Misses > 0 {
+			continue
+		}
+		for _, r := range b.Runs {
+			if !r.Stopping || r.StopSent || r.StopDone > 0 || r.State == worker.Planned {
+				continue
+			}
+			r.StopSent = true
+			out = append(out, Stop{Worker: id, Target: b.Target(), Run: r.ID, Token: c.opt.Token, born: b.Incarnation.Born})
+		}
+	}
+	return out
+}
+
+// Stopped takes in the answer to a stop. One that was not carried out is
+// ordered again by the next call of Stops.
+func (c *Core) Stopped(s Stop, clock int64, err error, t Times) {
+	b := c.workers[s.Worker]
+	if b == nil || b.Incarnation.Born != s.born {
+		return
+	}
+	if errors.Is(err, worker.ErrGone) {
+		c.gone(b, t)
+		return
+	}
+	if err == nil {
+		b.Heard(clock, t.Now)
+	}
+	r := b.Runs[s.Run]
+	if r == nil {
+		return
+	}
+	r.StopSent = false
+	c.changed = true
+	if err == nil {
+		r.StopDone = t.Now
+		return
+	}
+	var refusal *worker.Refusal
+	if errors.As(err, &refusal) {
+		c.noteFence(refusal)
+	}
+	c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("stop not carried out")
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,324 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/placement"
+	"greengagedeck/internal/worker"
+)
+
+// Batch is what one plan has to log before its starts may be ordered.
+type Batch struct {
+	// Progress goes to the progress partition.
+	Progress []logstore.Entry
+	// Forget goes to the intake partition. It may fail.
+	Forget []logstore.Entry
+
+	starts []start
+	phases map[*item]job.Phase
+	ends   map[string]loggedEnds
+}
+
+// start is a planned run.
+type start struct {
+	run    job.RunID
+	worker job.Incarnation
+}
+
+// loggedEnds is up to which end of an incarnation a batch logs.
+type loggedEnds struct {
+	born, number int64
+}
+
+// Empty reports whether a batch has nothing to log.
+func (b *Batch) Empty() bool { return len(b.Progress) == 0 && len(b.Forget) == 0 }
+
+// Plan decides what to start, and returns what to log. Every batch must be
+// handed back by Committed before the next plan is made.
+func (c *Core) Plan(t Times) (*Batch, error) {
+	c.changed = false
+	c.expire(t)
+	c.release(t)
+	b := &Batch{phases: map[*item]job.Phase{}, ends: map[string]loggedEnds{}}
+	c.place(b, t)
+	if err := c.encode(b, t); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// release lets the occurrences begin that are due.
+func (c *Core) release(t Times) {
+	for _, it := range c.open {
+		if it.Release(t.Wall) {
+			c.touch(it)
+		}
+	}
+}
+
+// Due returns how long it is until an occurrence of some job is due, or false.
+func (c *Core) Due(wall int64) (time.Duration, bool) {
+	first := int64(0)
+	found := false
+	for _, it := range c.open {
+		if due, ok := it.Due(); ok && (!found || due < first) {
+			first, found = due, true
+		}
+	}
+	return max(0, time.Duration(first-wall)*time.Millisecond), found
+}
+
+// waiting is a group of tasks to start.
+type waiting struct {
+	it    *item
+	group job.Group
+	// slack is how long the job can still wait and be done in time.
+	slack time.Duration
+}
+
+// place gives waiting tasks to workers as far as there is room.
+func (c *Core) place(b *Batch, t Times) {
+	if c.fenced {
+		return
+	}
+	queue := c.queue(t.Now)
+	if len(queue) == 0 {
+		return
+	}
+	nodes := c.nodes()
+	for _, w := range queue {
+		if w.it.Spec.Steps[w.group.Step].Gang {
+			c.placeGang(b, w, nodes, t.Now)
+			continue
+		}
+		c.placeTasks(b, w, nodes, t.Now)
+	}
+}
+
+// queue returns the groups that wait, the most urgent first.
+func (c *Core) queue(now time.Duration) []waiting {
+	var out []waiting
+	for _, it := range c.open {
+		for _, g := range it.Waiting() {
+			out = append(out, waiting{it: it, group: g, slack: it.slack(now)})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b waiting) int {
+		return cmp.Or(
+			cmp.Compare(a.it.Terms.Priority, b.it.Terms.Priority),
+			cmp.Compare(a.class(), b.class()),
+			cmp.Compare(a.slack, b.slack),
+		)
+	})
+	return out
+}
+
+// Classes of waiting tasks within a priority, the first first.
+const (
+	classLong = iota
+	classInTime
+	classLate
+)
+
+// class puts tasks that last first, since every moment without them counts, and
+// jobs that cannot be done in time any more last.
+func (w waiting) class() int {
+	switch {
+	case w.it.Spec.Steps[w.group.Step].LongRunning:
+		return classLong
+	case w.slack >= 0:
+		return classInTime
+	default:
+		return classLate
+	}
+}
+
+// slack returns how long the job can still wait and be done in time, as far as
+// estimates tell.
+func (it *item) slack(now time.Duration) time.Duration {
+	left := it.Chain()
+	objective := it.Terms.Slack + time.Duration(it.Terms.Stretch*float64(it.whole()))
+	return it.arrived + objective - left - now
+}
+
+// whole returns the longest chain of estimated work of the whole job.
+func (it *item) whole() time.Duration {
+	longest := make([]time.Duration, len(it.Spec.Steps))
+	var whole time.Duration
+	for i, s := range it.Spec.Steps {
+		for _, a := range s.After {
+			longest[i] = max(longest[i], longest[a])
+		}
+		longest[i] += s.Estimate
+		whole = max(whole, longest[i])
+	}
+	return whole
+}
+
+// nodes returns the workers that take new tasks, in the order of their IDs.
+func (c *Core) nodes() []*placement.Node {
+	var out []*placement.Node
+	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
+		b := c.workers[id]
+		if !b.Listed || b.Draining || b.Closed != "" || !reachable(b) {
+			continue
+		}
+		out = append(out, &placement.Node{ID: id, Free: b.Free(), Rack: b.Rack, Labels: b.Labels})
+	}
+	return out
+}
+
+func (c *Core) request(it *item, g job.Group) placement.Request {
+	s := it.Spec.Steps[g.Step]
+	key := worker.StepKey{Job: it.Spec.ID, Occurrence: g.Occurrence, Step: g.Step}
+	return placement.Request{
+		Room:     s.Room(),
+		Label:    s.Label,
+		DataRack: s.DataRack,
+		Taken:    func(id string) int { return c.workers[id].Count(key) },
+		Most:     s.MaxPerWorker,
+	}
+}
+
+func (c *Core) placeTasks(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
+	req := c.request(w.it, w.group)
+	for _, k := range w.group.Waiting {
+		t := job.TaskID{Job: w.it.Spec.ID, Occurrence: w.group.Occurrence, Step: w.group.Step, Index: k}
+		req.Shun = w.it.shun[t]
+		n := placement.Choose(nodes, req)
+		if n == nil {
+			return
+		}
+		n.Free = n.Free.Sub(req.Room)
+		book := c.workers[n.ID]
+		c.planned(b, w.it, w.it.Place(t, book.Incarnation), book, req.Room, now)
+	}
+}
+
+func (c *Core) placeGang(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
+	req := c.request(w.it, w.group)
+	s := w.it.Spec.Steps[w.group.Step]
+	chosen := placement.ChooseGang(nodes, req, s.Count, s.SameRack)
+	if chosen == nil {
+		return
+	}
+	workers := make([]job.Incarnation, 0, len(chosen))
+	for _, n := range chosen {
+		n.Free = n.Free.Sub(req.Room)
+		workers = append(workers, c.workers[n.ID].Incarnation)
+	}
+	for i, r := range w.it.PlaceGang(w.group.Occurrence, w.group.Step, workers) {
+		c.planned(b, w.it, r, c.workers[workers[i].ID], req.Room, now)
+	}
+}
+
+// planned notes a run that is to be logged and then ordered.
+func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, room job.Resources, now time.Duration) {
+	book.Add(&worker.Run{ID: r, Room: room, Key: worker.StepOf(r.Task), State: worker.Planned, Since: now})
+	b.starts = append(b.starts, start{run: r, worker: book.Incarnation})
+	c.dirty[it] = true
+}
+
+// encode writes down the progress of every job that changed, and which ends of
+// the workers that covers.
+func (c *Core) encode(b *Batch, t Times) error {
+	for _, it := range c.open {
+		if !c.dirty[it] {
+			continue
+		}
+		it.Settle()
+		e, err := joblog.ProgressEntry(it.Spec.ID, &it.Progress)
+		if err != nil {
+			return err
+		}
+		b.Progress = append(b.Progress, e)
+		b.phases[it] = it.Phase
+	}
+	clear(c.dirty)
+	for id, book := range c.workers {
+		if book.Seen > book.Logged {
+			b.ends[id] = loggedEnds{book.Incarnation.Born, book.Seen}
+		}
+	}
+	c.expireEnded(b, t.Wall)
+	for _, id := range c.forget {
+		b.Forget = append(b.Forget, joblog.Forget(id)...)
+	}
+	c.forget = nil
+	return nil
+}
+
+// expireEnded removes the progress of jobs whose state needs not be known any
+// longer.
+func (c *Core) expireEnded(b *Batch, wall int64) {
+	for id, p := range c.ended {
+		if wall-p.Ended > c.opt.StatusTime.Milliseconds() {
+			delete(c.ended, id)
+			b.Progress = append(b.Progress, joblog.ForgetProgress(id))
+		}
+	}
+}
+
+// Committed takes in that a batch is logged. It returns the starts to order.
+func (c *Core) Committed(b *Batch, t Times) []job.RunID {
+	for it, phase := range b.phases {
+		it.logged = phase
+	}
+	for id, e := range b.ends {
+		if book := c.workers[id]; book != nil && book.Incarnation.Born == e.born {
+			book.Logged = max(book.Logged, e.number)
+		}
+	}
+	c.settle()
+	var out []job.RunID
+	for _, s := range b.starts {
+		if c.commitStart(s, t) {
+			out = append(out, s.run)
+		}
+	}
+	return out
+}
+
+// commitStart reports whether a logged run should be ordered now. One that is
+// no longer wanted was never ordered, so it is simply dropped.
+func (c *Core) commitStart(s start, t Times) bool {
+	book := c.workers[s.worker.ID]
+	if book == nil || book.Incarnation != s.worker {
+		return false
+	}
+	r := book.Runs[s.run]
+	if r == nil {
+		return false
+	}
+	it := c.jobs[s.run.Task.Job]
+	if it == nil || r.Stopping || it.Needless(s.run) {
+		c.over(book, r, job.EndLost, "", t)
+		return false
+	}
+	r.State = worker.Ordered
+	r.Since = t.Now
+	return true
+}
+
+// settle moves jobs of which nothing is left to the ended ones.
+func (c *Core) settle() {
+	c.open = slices.DeleteFunc(c.open, func(it *item) bool {
+		if c.dirty[it] || it.logged != it.Phase || !it.Settle() {
+			return false
+		}
+		id := it.Spec.ID
+		delete(c.jobs, id)
+		c.ended[id] = job.Progress{Phase: it.Phase, Ended: it.Ended}
+		c.forget = append(c.forget, id)
+		return true
+	})
+	if len(c.forget) > 0 {
+		c.changed = true
+	}
+}
--- /dev/null
+++ b/internal/scheduler/runner.go
@@ -0,0 +1,477 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/clock"
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/worker"
+)
+
+const (
+	// planDelay is how long a plan waits for further changes, so that one
+	// append covers them all.
+	planDelay = 4 * time.Millisecond
+	// planInterval is the longest time between two plans.
+	planInterval = 250 * time.Millisecond
+	// intakeWait is how long a read of the intake waits for a job.
+	intakeWait = 2 * time.Second
+	// intakeGap is the least time between two reads of the intake.
+	intakeGap = 5 * time.Millisecond
+	// readRetry is the wait after a read of the log that failed.
+	readRetry = 100 * time.Millisecond
+	// forgetInterval is the time between removals of ended jobs' submissions.
+	forgetInterval = 2 * time.Second
+	// startRetry is the wait before a start that was not answered is ordered
+	// again.
+	startRetry = 50 * time.Millisecond
+	// ordersAtOnce bounds the orders under way to one worker.
+	ordersAtOnce = 3
+)
+
+// Duty tells how long this daemon may act for the pool.
+type Duty interface {
+	// Remaining returns how long without a further renewal, 0 for not at all.
+	Remaining() time.Duration
+}
+
+// RunnerOptions configure a Runner.
+type RunnerOptions struct {
+	Options
+	Log      logstore.Log
+	Clock    clock.Clock
+	Control  worker.Control
+	Registry *worker.Registry
+	Duty     Duty
+	Logger   zerolog.Logger
+	Scope    tally.Scope
+}
+
+// Runner carries out what a Core decides: it follows the intake and the list of
+// workers, logs plans, orders starts and stops and looks at workers.
+type Runner struct {
+	opt     RunnerOptions
+	metrics metrics
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	core   *Core
+	agents map[string]*agent
+	// confirmed is a moment up to which no submission is unknown here.
+	confirmed time.Duration
+	// ready is set once what earlier holders logged has been taken in.
+	ready  bool
+	forget []logstore.Entry
+}
+
+// agent is what the runner keeps for one worker.
+type agent struct {
+	id    string
+	wake  chan struct{}
+	slots chan struct{}
+	// last is when the last look ended.
+	last time.Duration
+}
+
+// NewRunner returns a runner that does nothing until Run.
+func NewRunner(o RunnerOptions) *Runner {
+	o.Options.Logger = o.Logger
+	return &Runner{
+		opt:     o,
+		metrics: newMetrics(o.Scope),
+		wake:    make(chan struct{}, 1),
+		core:    NewCore(o.Options, o.Clock.Now()),
+		agents:  map[string]*agent{},
+	}
+}
+
+func (r *Runner) times() Times {
+	return Times{Now: r.opt.Clock.Now(), Wall: r.opt.Clock.Wall().UnixMilli()}
+}
+
+// Run schedules the pool until ctx ends or another holder has taken it.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	journal, err := joblog.OpenJournal(ctx, r.opt.Log, r.opt.Pool, r.opt.Token)
+	if err != nil {
+		return err
+	}
+	if err := r.restore(ctx); err != nil {
+		return err
+	}
+	intake := logstore.NewTail(r.opt.Log, joblog.Intake(r.opt.Pool))
+	if err := r.firstIntake(ctx, intake); err != nil {
+		return err
+	}
+	defer r.opt.Registry.Watch(func(c worker.Change) { r.list(ctx, c) })()
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { r.followIntake(ctx, intake) })
+	loops.Go(func() { r.forgetLoop(ctx) })
+	defer cancel()
+	return r.planLoop(ctx, journal)
+}
+
+// restore reads what earlier holders logged. The journal is open, so nothing
+// is added meanwhile.
+func (r *Runner) restore(ctx context.Context) error {
+	for {
+		recs, _, err := logstore.All(ctx, r.opt.Log, joblog.Progress(r.opt.Pool))
+		if err == nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.core.Restore(r.decodeProgress(recs))
+			return nil
+		}
+		if !sleep(ctx, readRetry) {
+			return err
+		}
+	}
+}
+
+func (r *Runner) decodeProgress(recs []logstore.Record) []joblog.Kept {
+	out := make([]joblog.Kept, 0, len(recs))
+	for _, rec := range recs {
+		k, ok, err := joblog.DecodeProgress(rec)
+		if err != nil {
+			r.opt.Logger.Error().Err(err).Int64("offset", rec.Offset).Msg("progress record ignored")
+		}
+		if ok {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (r *Runner) firstIntake(ctx context.Context, tail *logstore.Tail) error {
+	for {
+		start := r.opt.Clock.Now()
+		recs, _, err := tail.Next(ctx, 0)
+		if err == nil {
+			r.fold(recs, start)
+			r.mu.Lock()
+			r.ready = true
+			jobs := len(r.core.open)
+			r.mu.Unlock()
+			r.opt.Logger.Info().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
+			return nil
+		}
+		if !sleep(ctx, readRetry) {
+			return err
+		}
+	}
+}
+
+func (r *Runner) followIntake(ctx context.Context, tail *logstore.Tail) {
+	for ctx.Err() == nil {
+		start := r.opt.Clock.Now()
+		recs, _, err := tail.Next(ctx, intakeWait)
+		if err != nil {
+			sleep(ctx, readRetry)
+			continue
+		}
+		if now := r.opt.Clock.Now(); len(recs) == 0 && now-start >= intakeWait {
+			// Nothing was handed in while the answer waited.
+			start += intakeWait
+		}
+		r.fold(recs, start)
+		sleep(ctx, intakeGap)
+	}
+}
+
+// fold takes in records of the intake that were read from start on.
+func (r *Runner) fold(recs []logstore.Record, start time.Duration) {
+	handed := make([]joblog.Handed, 0, len(recs))
+	for _, rec := range recs {
+		h, ok, err := joblog.DecodeIntake(rec)
+		if err != nil {
+			r.opt.Logger.Error().Err(err).Int64("offset", rec.Offset).Msg("intake record ignored")
+		}
+		if ok {
+			handed = append(handed, h)
+		}
+	}
+	r.update(func(t Times) {
+		r.confirmed = max(r.confirmed, start)
+		if len(handed) > 0 {
+			r.core.Fold(handed, t)
+		}
+	})
+}
+
+// update changes the core and carries out what follows from that at once.
+func (r *Runner) update(change func(Times)) {
+	r.mu.Lock()
+	change(r.times())
+	stops := r.core.Stops()
+	changed := r.core.Changed()
+	r.mu.Unlock()
+	for _, s := range stops {
+		go r.stop(s)
+	}
+	if changed {
+		wake(r.wake)
+	}
+}
+
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// list takes in a change of the list of workers.
+func (r *Runner) list(ctx context.Context, c worker.Change) {
+	r.update(func(t Times) {
+		if c.Whole {
+			r.core.Replace(c.Listed, t)
+		} else {
+			r.core.List(c.Listed, c.Removed, t)
+		}
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.core.workers {
+		r.agent(ctx, id)
+	}
+}
+
+// agent returns the agent of a worker and starts it if there is none. It must
+// be called with mu held.
+func (r *Runner) agent(ctx context.Context, id string) *agent {
+	a := r.agents[id]
+	if a == nil {
+		a = &agent{id: id, wake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
+		r.agents[id] = a
+		go r.lookLoop(ctx, a)
+	}
+	return a
+}
+
+// planLoop plans, logs and orders, one batch after the other.
+func (r *Runner) planLoop(ctx context.Context, j *joblog.Journal) error {
+	for {
+		r.awaitChange(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.mu.Lock()
+		batch, err := r.core.Plan(r.times())
+		r.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if err := r.log(ctx, j, batch); err != nil {
+			return err
+		}
+		r.commit(ctx, batch)
+	}
+}
+
+// awaitChange waits until there is something to plan.
+func (r *Runner) awaitChange(ctx context.Context) {
+	r.mu.Lock()
+	wait := planInterval
+	if due, ok := r.core.Due(r.times().Wall); ok {
+		wait = min(wait, due)
+	}
+	r.mu.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.wake:
+		sleep(ctx, planDelay)
+	}
+}
+
+func (r *Runner) log(ctx context.Context, j *joblog.Journal, b *Batch) error {
+	if len(b.Progress) == 0 {
+		return nil
+	}
+	start := time.Now()
+	err := j.Append(ctx, b.Progress)
+	r.metrics.appended(len(b.Progress), time.Since(start))
+	if errors.Is(err, logstore.ErrFenced) {
+		r.opt.Logger.Warn().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Msg("another holder has taken the pool's log")
+	}
+	return err
+}
+
+// commit orders what a logged batch starts.
+func (r *Runner) commit(ctx context.Context, b *Batch) {
+	var runs []job.RunID
+	r.update(func(t Times) {
+		runs = r.core.Committed(b, t)
+		r.forget = append(r.forget, b.Forget...)
+	})
+	where := make(map[job.RunID]string, len(b.starts))
+	for _, s := range b.starts {
+		where[s.run] = s.worker.ID
+	}
+	r.mu.Lock()
+	for id := range b.ends {
+		wake(r.agent(ctx, id).wake)
+	}
+	agents := make([]*agent, len(runs))
+	for i, run := range runs {
+		agents[i] = r.agent(ctx, where[run])
+	}
+	r.mu.Unlock()
+	for i, run := range runs {
+		go r.start(ctx, agents[i], run)
+	}
+}
+
+// start orders a run until the order is answered.
+func (r *Runner) start(ctx context.Context, a *agent, run job.RunID) {
+	for ctx.Err() == nil {
+		again := r.startOnce(ctx, a, run)
+		if !again || !sleep(ctx, startRetry) {
+			return
+		}
+	}
+}
+
+func (r *Runner) startOnce(ctx context.Context, a *agent, run job.RunID) (again bool) {
+	a.slots <- struct{}{}
+	defer func() { <-a.slots }()
+	r.mu.Lock()
+	s, ok := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
+	r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
+	r.metrics.started(err)
+	r.update(func(t Times) { again = r.core.Started(s, clock, err, t) })
+	wake(a.wake)
+	return again
+}
+
+func (r *Runner) stop(s Stop) {
+	clock, err := r.opt.Control.Stop(context.Background(), s.Target, s.Run, s.Token)
+	r.metrics.stopped(err)
+	r.update(func(t Times) { r.core.Stopped(s, clock, err, t) })
+}
+
+// lookLoop looks at one worker as long as there is a reason to.
+func (r *Runner) lookLoop(ctx context.Context, a *agent) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		at, ok := r.core.NextLook(a.id, a.last)
+		if r.core.workers[a.id] == nil {
+			delete(r.agents, a.id)
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-a.wake:
+			}
+			continue
+		}
+		if wait := at - r.opt.Clock.Now(); wait > 0 {
+			t := time.NewTimer(wait)
+			select {
+			case <-ctx.Done():
+			case <-a.wake:
+			case <-t.C:
+			}
+			t.Stop()
+			continue
+		}
+		r.look(ctx, a)
+	}
+}
+
+func (r *Runner) look(ctx context.Context, a *agent) {
+	r.mu.Lock()
+	if r.core.workers[a.id] == nil {
+		r.mu.Unlock()
+		return
+	}
+	l := r.core.Look(a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
+	r.mu.Unlock()
+	rep, err := r.opt.Control.Look(ctx, l.Target, l.Request)
+	r.metrics.looked(err)
+	r.update(func(t Times) {
+		if err != nil {
+			r.core.LookFailed(l, err, t)
+		} else {
+			r.core.Looked(l, rep, t)
+		}
+		a.last = t.Now
+	})
+}
+
+// forgetLoop removes the submissions of ended jobs. A removal that fails is
+// dropped: the next holder finds the job ended and removes it.
+func (r *Runner) forgetLoop(ctx context.Context) {
+	for sleep(ctx, forgetInterval) {
+		r.mu.Lock()
+		entries := r.forget
+		r.forget = nil
+		r.mu.Unlock()
+		if len(entries) == 0 {
+			continue
+		}
+		if _, err := r.opt.Log.Append(ctx, joblog.Intake(r.opt.Pool), entries, logstore.Condition{}); err != nil {
+			r.opt.Logger.Debug().Err(err).Int("entries", len(entries)).Msg("submissions not removed")
+		}
+	}
+}
+
+// Answer is what the holder says of a job.
+type Answer struct {
+	Phase job.Phase
+	Known bool
+	// Current is a moment up to which the holder knows every submission, by
+	// its clock, and Now the present.
+	Current, Now time.Duration
+}
+
+// Lookup returns what is known of a job, or false before the pool is taken over.
+func (r *Runner) Lookup(id job.ID) (Answer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ready {
+		return Answer{}, false
+	}
+	a := Answer{Current: r.confirmed, Now: r.opt.Clock.Now()}
+	a.Phase, a.Known = r.core.Lookup(id)
+	return a, true
+}
+
+// Waiting returns how many jobs of an entry have started no task, or false
+// before the pool is taken over.
+func (r *Runner) Waiting(entry string) (int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Waiting(entry), r.ready
+}
+
+// sleep reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/worker/book.go
@@ -0,0 +1,207 @@
+package worker
+
+import (
+	"time"
+
+	"greengagedeck/internal/job"
+)
+
+const (
+	// clockDrift is how much slower than ours a worker's clock may run.
+	clockDrift = 0.02
+	// expiryMargin is added to the end of a lease before it counts as over.
+	expiryMargin = 50 * time.Millisecond
+	// lateOrders is how long after it was sent an order that was not answered
+	// may still be carried out by another incarnation of the worker.
+	lateOrders = 15 * time.Second
+)
+
+// RunState is how far the start of a run has come.
+type RunState uint8
+
+// The states of a run at a worker.
+const (
+	// Planned runs are not logged yet; no order has left.
+	Planned RunState = iota
+	// Ordered runs may be there: an order may have left and none was answered.
+	Ordered
+	// Confirmed runs were there.
+	Confirmed
+)
+
+// Run is one run that a worker has or may have.
+type Run struct {
+	ID   job.RunID
+	Room job.Resources
+	// Key groups the runs of one step, for limits on how many a worker takes.
+	Key   StepKey
+	State RunState
+	// Unanswered is set once an order to start it was not answered: that
+	// order may still be carried out.
+	Unanswered bool
+	// Since is when the run reached its state.
+	Since time.Duration
+	// SentAt is when the last order to start it left.
+	SentAt time.Duration
+	// Stopping is set once the run is to be stopped.
+	Stopping bool
+	// StopReason says why, for people.
+	StopReason string
+	// StopSent is set while a stop is under way, and StopDone is when one was
+	// answered.
+	StopSent bool
+	StopDone time.Duration
+	// Checkpoint, Percent and Figure are as last reported.
+	Checkpoint string
+	Percent    int
+	Figure     int
+}
+
+// StepKey names a step of one occurrence of a job.
+type StepKey struct {
+	Job        job.ID
+	Occurrence int
+	Step       int
+}
+
+// StepOf returns the key of a task's step.
+func StepOf(t job.TaskID) StepKey {
+	return StepKey{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step}
+}
+
+// Book is what a pool's holder knows of one worker. Times are by the holder's
+// clock unless they are said to be the worker's.
+type Book struct {
+	Listing
+	// Listed is whether the platform's list names the worker now.
+	Listed bool
+	// Fenced is set once this incarnation has seen the holder's token: orders
+	// of earlier holders have no effect from then on, and what runs there is
+	// known.
+	Fenced bool
+	Runs   map[job.RunID]*Run
+	// Used is the room that the runs take.
+	Used job.Resources
+	// Closed, if set, says why the worker takes no new tasks.
+	Closed string
+
+	// clock was the worker's clock, in milliseconds, at most at clockAt.
+	clock   int64
+	clockAt time.Duration
+	// until is the latest end of a lease that an order of ours named, in
+	// milliseconds of the worker's clock.
+	until int64
+	// blind is the end of leases that an earlier holder may have granted.
+	blind time.Duration
+
+	// Seen is the last end that was taken in, Logged the last that is in the
+	// log, and Acknowledged the last that the worker was told of.
+	Seen, Logged, Acknowledged int64
+
+	// Misses counts the calls in a row that were not answered.
+	Misses int
+	// Answered is when a call was last answered.
+	Answered time.Duration
+}
+
+// NewBook returns the book of a worker that was not looked at yet. blind is
+// when the last lease that an earlier holder may have granted is over.
+func NewBook(l Listing, now, blind time.Duration) *Book {
+	return &Book{
+		Listing: l,
+		Listed:  true,
+		Runs:    map[job.RunID]*Run{},
+		clock:   l.Clock,
+		clockAt: now,
+		blind:   blind,
+	}
+}
+
+// Target returns where orders to the worker go.
+func (b *Book) Target() Target { return Target{ID: b.Incarnation.ID, Address: b.Address} }
+
+// Free returns the room that is left.
+func (b *Book) Free() job.Resources { return b.Capacity.Sub(b.Used) }
+
+// Add notes a run that takes room.
+func (b *Book) Add(r *Run) {
+	b.Runs[r.ID] = r
+	b.Used = b.Used.Add(r.Room)
+}
+
+// Remove forgets a run and frees its room.
+func (b *Book) Remove(id job.RunID) {
+	if r, ok := b.Runs[id]; ok {
+		delete(b.Runs, id)
+		b.Used = b.Used.Sub(r.Room)
+	}
+}
+
+// Count returns how many runs of a step the worker has or may have.
+func (b *Book) Count(k StepKey) int {
+	n := 0
+	for _, r := range b.Runs {
+		if r.Key == k {
+			n++
+		}
+	}
+	return n
+}
+
+// Heard notes an answered call and the worker's clock in it, if any.
+func (b *Book) Heard(clock int64, now time.Duration) {
+	b.Misses = 0
+	b.Answered = now
+	if clock > 0 {
+		b.clock = clock
+		b.clockAt = now
+	}
+}
+
+// Missed notes a call that was not answered.
+func (b *Book) Missed() { b.Misses++ }
+
+// Lease returns the end of a lease that begins now, in milliseconds of the
+// worker's clock, and notes that an order names it. A lease never shortens.
+func (b *Book) Lease(now, length time.Duration) int64 {
+	end := b.clock + (now - b.clockAt + length).Milliseconds()
+	b.until = max(b.until, end)
+	return b.until
+}
+
+// Left returns how much of the lease is left at least, as the worker counts.
+func (b *Book) Left(now time.Duration) time.Duration {
+	return time.Duration(b.until-b.clock)*time.Millisecond - (now - b.clockAt)
+}
+
+// Expired reports whether every lease that this incarnation may hold is over,
+// so that nothing runs there that was ordered before.
+func (b *Book) Expired(now time.Duration) bool {
+	if now < b.blind {
+		return false
+	}
+	passed := time.Duration(float64(now-b.clockAt) * (1 - clockDrift))
+	return time.Duration(b.clock)*time.Millisecond+passed > time.Duration(b.until)*time.Millisecond+expiryMargin
+}
+
+// Reborn notes that another incarnation answers to the worker's ID. It returns
+// the runs that ended with the old one. Those with an order that was not
+// answered stay: the new incarnation may still carry it out, so they have to be
+// stopped there first.
+func (b *Book) Reborn(l Listing, now time.Duration) (ended []*Run) {
+	runs := b.Runs
+	*b = *NewBook(l, now, 0)
+	for _, r := range runs {
+		if r.Unanswered && now < r.SentAt+lateOrders {
+			r.State = Ordered
+			r.Stopping = true
+			r.StopReason = "worker restarted with an order unanswered"
+			r.StopSent = false
+			r.StopDone = 0
+			b.Add(r)
+			continue
+		}
+		ended = append(ended, r)
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/worker/registry.go
@@ -0,0 +1,195 @@
+package worker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/logstore"
+)
+
+const (
+	// registryInterval is the time between reads of the list. Workers write
+	// often, so that waiting for the next entry would read each by itself.
+	registryInterval = 400 * time.Millisecond
+	// registryRetry is the wait after a read that failed.
+	registryRetry = 200 * time.Millisecond
+)
+
+// Change is what a read of the list brought.
+type Change struct {
+	// Whole is set when Listed is the whole list.
+	Whole   bool
+	Listed  []Listing
+	Removed []string
+}
+
+// RegistryOptions configure a Registry.
+type RegistryOptions struct {
+	Log       logstore.Log
+	Partition logstore.Partition
+	// Decode reads an entry of the list.
+	Decode func(logstore.Record) (Listing, error)
+	Logger zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Registry follows the platform's list of workers while somebody watches it.
+type Registry struct {
+	opt RegistryOptions
+
+	entries, unreadable tally.Counter
+
+	mu       sync.Mutex
+	current  map[string]Listing
+	watchers map[int]func(Change)
+	nextID   int
+	// loaded is set once the list has been read whole.
+	loaded bool
+	wake   chan struct{}
+}
+
+// NewRegistry returns a registry that reads nothing until Run.
+func NewRegistry(o RegistryOptions) *Registry {
+	scope := o.Scope.SubScope("registry")
+	return &Registry{
+		opt:        o,
+		entries:    scope.Counter("entries"),
+		unreadable: scope.Counter("unreadable_entries"),
+		current:    map[string]Listing{},
+		watchers:   map[int]func(Change){},
+		wake:       make(chan struct{}, 1),
+	}
+}
+
+// Watch has fn called with the whole list and then with every change, in
+// order, until the returned function is called. fn must not block.
+func (r *Registry) Watch(fn func(Change)) (stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := r.nextID
+	r.nextID++
+	r.watchers[id] = fn
+	if r.loaded {
+		fn(r.whole())
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.watchers, id)
+	}
+}
+
+func (r *Registry) whole() Change {
+	c := Change{Whole: true}
+	for _, l := range r.current {
+		c.Listed = append(c.Listed, l)
+	}
+	return c
+}
+
+// Run follows the list until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	var tail *logstore.Tail
+	for ctx.Err() == nil {
+		if !r.watched() {
+			// What changes while nobody watches is read whole later.
+			tail = nil
+			select {
+			case <-ctx.Done():
+			case <-r.wake:
+			}
+			continue
+		}
+		if tail == nil {
+			tail = logstore.NewTail(r.opt.Log, r.opt.Partition)
+		}
+		recs, reset, err := tail.Next(ctx, 0)
+		if err != nil {
+			pause(ctx, registryRetry)
+			continue
+		}
+		r.apply(recs, reset)
+		pause(ctx, registryInterval)
+	}
+}
+
+func (r *Registry) watched() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.watchers) == 0 {
+		r.loaded = false
+		return false
+	}
+	return true
+}
+
+func (r *Registry) apply(recs []logstore.Record, reset bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reset {
+		clear(r.current)
+	}
+	listed, removed := map[string]Listing{}, map[string]bool{}
+	for _, rec := range recs {
+		delete(listed, rec.Key)
+		delete(removed, rec.Key)
+		if l, ok := r.decode(rec); ok {
+			r.current[rec.Key] = l
+			listed[rec.Key] = l
+		} else {
+			delete(r.current, rec.Key)
+			removed[rec.Key] = true
+		}
+	}
+	r.entries.Inc(int64(len(recs)))
+	c := Change{}
+	if reset {
+		r.loaded = true
+		c = r.whole()
+	} else {
+		for _, l := range listed {
+			c.Listed = append(c.Listed, l)
+		}
+		for id := range removed {
+			c.Removed = append(c.Removed, id)
+		}
+	}
+	if !c.Whole && len(c.Listed)+len(c.Removed) == 0 {
+		return
+	}
+	for _, fn := range r.watchers {
+		fn(c)
+	}
+}
+
+// decode reads an entry. One that cannot be read names no worker: other
+// programs write to the list too.
+func (r *Registry) decode(rec logstore.Record) (Listing, bool) {
+	if len(rec.Value) == 0 {
+		return Listing{}, false
+	}
+	l, err := r.opt.Decode(rec)
+	if err != nil {
+		r.unreadable.Inc(1)
+		r.opt.Logger.Debug().Err(err).Int64("offset", rec.Offset).Msg("entry of the worker list ignored")
+		return Listing{}, false
+	}
+	return l, true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
