Follow changes of the settings file

Change: the settings file is read again at SIGHUP and when it changes; a wrong one changes nothing. Ruled out: ignoring the signal: the file may also change without one.

--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -72,6 +72,8 @@
 	logger := zerolog.New(out).Level(s.LogLevel).With().Timestamp().Str("host", place.Host).Str("zone", place.Zone).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	reload := &reloader{path: s.SettingsFile, place: place, logger: logger, apply: func(platform.Settings) {}}
+	go reload.run(ctx)
 	if err := serveFleet(ctx, place, logger); err != nil {
 		logger.Error().Err(err).Msg("stopped")
 		return exitFailure
