--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -48,6 +48,7 @@
 	Follower *policy.Follower
 	Registry *worker.Registry
 	Duties   *duties
+	Fleet    *fleetDuty
 	Node     *peer.Node
 	Front    *platform.Front
 }
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,7 @@
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/duty"
+	"greengagedeck/internal/fleet"
 	"greengagedeck/internal/intake"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
@@ -50,7 +52,9 @@
 		newWorkers,
 		newRegistry,
 		newDuties,
+		fleet.NewWaves,
 		newFleetNode,
+		newFleetDuty,
 		newCommitter,
 		newIntake,
 		newPolicyFollower,
@@ -109,13 +113,88 @@
 type duties struct {
 	keeper *duty.Keeper
 	pools  *scheduler.Manager
+	// fleet moves and maintains hosts. It is set before the keeper runs.
+	fleet *fleetDuty
 }
 
 // Gained implements duty.Observer.
-func (d *duties) Gained(n duty.Name, t duty.Token) { d.pools.Gained(n, t) }
+func (d *duties) Gained(g duty.Gain) {
+	d.pools.Gained(g)
+	d.fleet.gained(g)
+}
 
 // Lost implements duty.Observer.
-func (d *duties) Lost(n duty.Name, t duty.Token) { d.pools.Lost(n, t) }
+func (d *duties) Lost(n duty.Name, t duty.Token) {
+	d.pools.Lost(n, t)
+	d.fleet.lost(n)
+}
+
+// fleetDuty runs the fleet's controller while the duty for it is held here.
+type fleetDuty struct {
+	ctx        context.Context
+	keeper     *duty.Keeper
+	controller *fleet.Controller
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// fleetLease is the lease of the fleet duty under one token.
+type fleetLease struct {
+	keeper *duty.Keeper
+	token  duty.Token
+}
+
+// Remaining implements fleet.Lease.
+func (l fleetLease) Remaining() time.Duration { return l.keeper.Remaining(duty.Fleet, l.token) }
+
+func (f *fleetDuty) gained(g duty.Gain) {
+	if g.Duty != duty.Fleet {
+		return
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.cancel = cancel
+	go f.controller.Run(ctx, int64(g.Token), fleetLease{f.keeper, g.Token}, g.Succeeds)
+}
+
+func (f *fleetDuty) lost(n duty.Name) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n == duty.Fleet && f.cancel != nil {
+		f.cancel()
+		f.cancel = nil
+	}
+}
+
+func newFleetDuty(ctx context.Context, place platform.Settings, self duty.Member, d *duties, n *peer.Node, w *fleet.Waves, p *policy.InForce, log logstore.Log, cl clock.Clock, l zerolog.Logger, m metrics) *fleetDuty {
+	agent := fleet.NewAgent(d.pools)
+	agent.Register(n)
+	d.fleet = &fleetDuty{
+		ctx:    ctx,
+		keeper: d.keeper,
+		controller: fleet.NewController(fleet.ControllerOptions{
+			Holder:      self.Host,
+			Cloud:       platform.NewCloud(place.Cloud, platform.Metrics{Scope: m.scope}),
+			Pools:       &fleet.Pools{Self: self, Holders: d.keeper, Agent: agent, Caller: n},
+			Waves:       w,
+			Policy:      p,
+			Log:         log,
+			Clock:       cl,
+			Rates:       fleet.DefaultRates,
+			Lead:        place.Move,
+			HolderLease: place.HolderLease,
+			Status:      platform.WaveStatus,
+			Logger:      l,
+			Scope:       m.scope,
+		}),
+	}
+	return d.fleet
+}
 
 // taskLease is the length of the leases that tasks get.
 const taskLease = 5 * time.Second
@@ -164,7 +243,7 @@
 	if cur == nil {
 		return nil
 	}
-	var out []duty.Name
+	out := []duty.Name{duty.Fleet}
 	for _, pool := range cur.Working() {
 		out = append(out, duty.OfPool(pool))
 	}
@@ -196,12 +275,19 @@
 	return s
 }
 
-func newPolicyFollower(log logstore.Log, p *policy.InForce, l zerolog.Logger) *policy.Follower {
+func newPolicyFollower(log logstore.Log, p *policy.InForce, w *fleet.Waves, cl clock.Clock, l zerolog.Logger) *policy.Follower {
 	return &policy.Follower{
 		Log:       log,
 		Partition: platform.OperatorPartition,
 		Logger:    l,
 		Apply: func(r logstore.Record) error {
+			wave, ok, err := platform.DecodeWave(r)
+			if ok {
+				w.Add(wave, cl.Now())
+			}
+			if ok || err != nil {
+				return err
+			}
 			next, err := platform.DecodePolicy(r)
 			if err != nil || next == nil {
 				return err
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -44,10 +44,18 @@
 	retryPause = 150 * time.Millisecond
 )
 
+// Gain is a duty that this daemon has come to hold.
+type Gain struct {
+	Duty  Name
+	Token Token
+	// Succeeds is set when another host held the duty before.
+	Succeeds bool
+}
+
 // Observer is told when this daemon gains and loses duties, in order. It must
 // not block.
 type Observer interface {
-	Gained(n Name, t Token)
+	Gained(g Gain)
 	Lost(n Name, t Token)
 }
 
@@ -224,16 +232,18 @@
 // foldClaims notes claims and what they mean for this daemon's duties.
 func (k *Keeper) foldClaims(recs []logstore.Record, now time.Duration) {
 	for _, r := range recs {
+		before := k.table.claims[Name(r.Key)]
 		if err := k.table.foldClaim(r, now); err != nil {
 			k.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("claim ignored: it cannot be read")
 		}
 		k.claimEnd = max(k.claimEnd, r.Offset+1)
-		k.settle(Name(r.Key))
+		k.settle(Name(r.Key), before.Token > 0 && before.Holder.Host != k.opt.Self.Host)
 	}
 }
 
-// settle compares a duty's last claim with what this daemon holds.
-func (k *Keeper) settle(n Name) {
+// settle compares a duty's last claim with what this daemon holds. succeeds is
+// set when another host made the claim before.
+func (k *Keeper) settle(n Name, succeeds bool) {
 	c := k.table.claims[n]
 	token, held := k.held[n]
 	own := c.Holder == k.opt.Self && !c.Released
@@ -247,7 +257,7 @@
 		k.held[n] = c.Token
 		k.claims.Inc(1)
 		k.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(c.Token)).Msg("duty gained")
-		k.opt.Observer.Gained(n, c.Token)
+		k.opt.Observer.Gained(Gain{Duty: n, Token: c.Token, Succeeds: succeeds})
 	}
 	delete(k.claimable, n)
 	k.heldGauge.Update(float64(len(k.held)))
--- /dev/null
+++ b/internal/fleet/controller.go
@@ -0,0 +1,449 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/clock"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/policy"
+	"greengagedeck/internal/verdict"
+)
+
+const (
+	// tick is the time between two decisions, and quickTick after workers were
+	// closed: idle ones are empty at once.
+	tick      = 200 * time.Millisecond
+	quickTick = 50 * time.Millisecond
+	// listAge is how old the list of hosts may be.
+	listAge = 600 * time.Millisecond
+	// orderMargin is what must be left of the duty's lease for an order to
+	// leave: its call has ended by then.
+	orderMargin = time.Second
+	// refusedPause is how long a host is left alone after an order was refused.
+	refusedPause = time.Second
+	// ordersAtOnce bounds the orders under way.
+	ordersAtOnce = 8
+	// succeedSlack is added to the wait of a new holder for the orders of the
+	// one before.
+	succeedSlack = 200 * time.Millisecond
+	// statusRetry is the wait after the state of a wave could not be written.
+	loadRetry = 200 * time.Millisecond
+)
+
+// Lease tells how long the duty may still be acted on.
+type Lease interface {
+	// Remaining returns how long without a further renewal, 0 for not at all.
+	Remaining() time.Duration
+}
+
+// ControllerOptions configure a Controller.
+type ControllerOptions struct {
+	Holder string
+	Cloud  Cloud
+	Pools  *Pools
+	Waves  *Waves
+	Policy *policy.InForce
+	Log    logstore.Log
+	Clock  clock.Clock
+	Rates  Rates
+	// Lead is the time that a moved host takes to work.
+	Lead time.Duration
+	// HolderLease is how long the orders of two holders must be apart.
+	HolderLease time.Duration
+	// Status returns the entry that tells operators the state of a wave, and
+	// the partition it belongs to.
+	Status func(wave int, completed bool) (logstore.Partition, logstore.Entry)
+	Logger zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Controller carries out decisions while this daemon holds the fleet duty.
+type Controller struct {
+	opt     ControllerOptions
+	metrics metrics
+}
+
+// NewController returns a controller.
+func NewController(o ControllerOptions) *Controller {
+	return &Controller{opt: o, metrics: newMetrics(o.Scope)}
+}
+
+// session is what one holder knows while it holds the duty.
+type session struct {
+	*Controller
+	order Order
+	lease Lease
+
+	mu       sync.Mutex
+	machines []Machine
+	// listed is when the last list of hosts was asked for.
+	listed time.Duration
+	// pending are the orders whose outcome is not known.
+	pending map[string]Action
+	// underway names the hosts with a call on the way.
+	underway map[string]bool
+	// paused are hosts with a refused order, and until when.
+	paused map[string]time.Duration
+	states map[int]*waveState
+	// surplusSince is since when a pool has had more hosts than it needs.
+	surplusSince map[string]time.Duration
+	slots        chan struct{}
+}
+
+// Run decides and orders until ctx ends. succeeds is set when another daemon
+// held the duty before.
+func (c *Controller) Run(ctx context.Context, token int64, lease Lease, succeeds bool) {
+	s := &session{
+		Controller:   c,
+		order:        Order{Holder: c.opt.Holder, Token: token},
+		lease:        lease,
+		pending:      map[string]Action{},
+		underway:     map[string]bool{},
+		paused:       map[string]time.Duration{},
+		surplusSince: map[string]time.Duration{},
+		slots:        make(chan struct{}, ordersAtOnce),
+	}
+	if succeeds {
+		// Hosts check no tokens: the last order of the holder before has to
+		// be long over.
+		sleep(ctx, c.opt.HolderLease+succeedSlack)
+	}
+	for ctx.Err() == nil {
+		states, err := loadProgress(ctx, c.opt.Log)
+		if err == nil {
+			s.states = states
+			break
+		}
+		sleep(ctx, loadRetry)
+	}
+	for ctx.Err() == nil {
+		wait := tick
+		if s.step(ctx) {
+			wait = quickTick
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// step makes one decision and carries it out. It reports whether the next one
+// should follow soon.
+func (s *session) step(ctx context.Context) (soon bool) {
+	if s.lease.Remaining() < orderMargin || s.opt.Policy.Get() == nil {
+		return false
+	}
+	if !s.refresh(ctx) {
+		return false
+	}
+	v := s.view(ctx)
+	s.report(ctx, v)
+	s.retry(ctx)
+	for _, a := range Decide(v, s.opt.Rates) {
+		if s.carryOut(ctx, a) {
+			soon = true
+		}
+	}
+	return soon
+}
+
+// refresh reads the list of hosts when it is too old.
+func (s *session) refresh(ctx context.Context) bool {
+	now := s.opt.Clock.Now()
+	s.mu.Lock()
+	fresh := s.machines != nil && now-s.listed < listAge
+	s.mu.Unlock()
+	if fresh {
+		return true
+	}
+	list, err := s.opt.Cloud.Machines(ctx)
+	s.metrics.list(err)
+	if err != nil {
+		s.opt.Logger.Debug().Err(err).Msg("hosts cannot be listed")
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machines = list
+	s.listed = now
+	return true
+}
+
+// view gathers what a decision rests on.
+func (s *session) view(ctx context.Context) View {
+	pools := s.poolViews(ctx)
+	now := s.opt.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := View{
+		Machines: slices.Clone(s.machines),
+		Pools:    pools,
+		Pending:  map[string]bool{},
+		Surplus:  map[string]time.Duration{},
+	}
+	for m := range s.pending {
+		v.Pending[m] = true
+	}
+	for m := range s.underway {
+		v.Pending[m] = true
+	}
+	for m, until := range s.paused {
+		if now < until {
+			v.Pending[m] = true
+		} else {
+			delete(s.paused, m)
+		}
+	}
+	for _, w := range s.opt.Waves.all() {
+		v.Waves = append(v.Waves, s.waveView(w, now))
+	}
+	s.noteSurplus(&v, now)
+	return v
+}
+
+// poolViews asks the holders of all pools.
+func (s *session) poolViews(ctx context.Context) []PoolView {
+	p := s.opt.Policy.Get()
+	var out []PoolView
+	for name, pool := range p.Pools {
+		out = append(out, PoolView{Name: name, Standby: pool.Standby})
+	}
+	slices.SortFunc(out, func(a, b PoolView) int { return compareNames(a.Name, b.Name) })
+	var wg sync.WaitGroup
+	for i := range out {
+		if out[i].Standby {
+			continue
+		}
+		wg.Go(func() {
+			rep, err := s.opt.Pools.Report(ctx, out[i].Name, s.opt.Lead)
+			out[i].Known, out[i].Report = err == nil, rep
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func compareNames(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (s *session) waveView(w wanted, now time.Duration) WaveView {
+	st := s.states[w.Number]
+	if st == nil {
+		st = newWaveState()
+		s.states[w.Number] = st
+		s.opt.Logger.Info().Int("wave", w.Number).Int("hosts", len(w.Machines)).Int("at_once", w.MaxDown).Dur("duration", w.Duration).Msg("wave begins")
+	}
+	begun := make(map[string]bool, len(st.begun))
+	for m := range st.begun {
+		begun[m] = true
+	}
+	return WaveView{Wave: w.Wave, Left: w.seen + w.Duration - now, Begun: begun, Completed: st.completed}
+}
+
+// noteSurplus keeps since when pools have had more hosts than they need.
+func (s *session) noteSurplus(v *View, now time.Duration) {
+	over := surplus(*v, s.opt.Rates)
+	for pool := range s.surplusSince {
+		if !over[pool] {
+			delete(s.surplusSince, pool)
+		}
+	}
+	for pool := range over {
+		since, ok := s.surplusSince[pool]
+		if !ok {
+			since = now
+			s.surplusSince[pool] = now
+		}
+		v.Surplus[pool] = now - since
+	}
+}
+
+// report tells the log and the operators how far the waves have come.
+func (s *session) report(ctx context.Context, v View) {
+	for _, w := range v.Waves {
+		s.mu.Lock()
+		st := s.states[w.Number]
+		if !st.completed && over(w, v.Machines) {
+			st.completed = true
+			s.opt.Logger.Info().Int("wave", w.Number).Dur("left", w.Left).Msg("wave completed")
+		}
+		p := progress{Number: w.Number, Completed: st.completed}
+		for m := range st.begun {
+			p.Begun = append(p.Begun, m)
+		}
+		state := "running"
+		if st.completed {
+			state = "completed"
+		}
+		changed := len(p.Begun) != st.logged || state != st.reported
+		reported := st.reported
+		s.mu.Unlock()
+		if changed && s.write(ctx, p, state != reported) {
+			s.mu.Lock()
+			st.logged, st.reported = len(p.Begun), state
+			s.mu.Unlock()
+		}
+	}
+}
+
+// over reports whether every host of a wave that is still there has begun.
+func over(w WaveView, machines []Machine) bool {
+	for _, m := range machines {
+		if slices.Contains(w.Machines, m.Name) && !w.Begun[m.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// write logs a wave's progress, and then tells operators its state.
+func (s *session) write(ctx context.Context, p progress, tell bool) bool {
+	e, err := progressEntry(p)
+	if err == nil {
+		_, err = s.opt.Log.Append(ctx, wavePartition, []logstore.Entry{e}, logstore.Condition{})
+	}
+	if err == nil && tell {
+		part, status := s.opt.Status(p.Number, p.Completed)
+		_, err = s.opt.Log.Append(ctx, part, []logstore.Entry{status}, logstore.Condition{})
+	}
+	if err != nil {
+		s.opt.Logger.Debug().Err(err).Int("wave", p.Number).Msg("progress of the wave not written")
+	}
+	return err == nil
+}
+
+// retry repeats the orders whose outcome is unknown: what was carried out
+// before is not done again.
+func (s *session) retry(ctx context.Context) {
+	s.mu.Lock()
+	var again []Action
+	for m, a := range s.pending {
+		if !s.underway[m] {
+			again = append(again, a)
+		}
+	}
+	s.mu.Unlock()
+	for _, a := range again {
+		s.send(ctx, a)
+	}
+}
+
+// carryOut does what was decided. It reports whether a worker was closed.
+func (s *session) carryOut(ctx context.Context, a Action) bool {
+	switch a.Kind {
+	case Close, Open:
+		o := CloseOrder{Pool: a.Pool, Token: s.order.Token, Worker: a.Worker, Open: a.Kind == Open, Reason: a.Reason, Evacuate: a.Evacuate}
+		err := s.opt.Pools.Close(ctx, o)
+		s.metrics.closed(a.Kind, err)
+		if err != nil {
+			s.opt.Logger.Debug().Err(err).Str("worker", a.Worker).Msg("worker not closed")
+		}
+		return err == nil && a.Kind == Close
+	default:
+		s.send(ctx, a)
+		return false
+	}
+}
+
+// send orders a move or a maintenance in the background.
+func (s *session) send(ctx context.Context, a Action) {
+	s.mu.Lock()
+	if s.underway[a.Machine] {
+		s.mu.Unlock()
+		return
+	}
+	s.underway[a.Machine] = true
+	s.mu.Unlock()
+	go func() {
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
+		err := s.call(ctx, a)
+		s.answered(a, err)
+	}()
+}
+
+// errLeaseShort means that too little is left of the duty's lease.
+var errLeaseShort = verdict.Refuse(verdict.ReasonNotReady, "too little is left of the duty's lease")
+
+func (s *session) call(ctx context.Context, a Action) error {
+	if ctx.Err() != nil || s.lease.Remaining() < orderMargin {
+		return errLeaseShort
+	}
+	if a.Kind == Maintain {
+		return s.opt.Cloud.Upkeep(ctx, s.order, a.Machine, a.Wave)
+	}
+	return s.opt.Cloud.Move(ctx, s.order, a.Machine, a.To)
+}
+
+// answered notes what became of an order.
+func (s *session) answered(a Action, err error) {
+	s.metrics.ordered(a.Kind, err)
+	now := s.opt.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.underway, a.Machine)
+	line := s.opt.Logger.Info()
+	if err != nil {
+		line = s.opt.Logger.Warn().Err(err)
+	}
+	line.Str("machine", a.Machine).Str("worker", a.Worker).Str("pool", a.Pool).Str("to", a.To).Int("wave", a.Wave).Str("reason", a.Reason).Msg(orderNames[a.Kind])
+	var refusal *Refusal
+	switch {
+	case err == nil:
+		delete(s.pending, a.Machine)
+		s.done(a)
+	case errors.As(err, &refusal) || verdict.Of(err) == verdict.NotRun:
+		if _, doubt := s.pending[a.Machine]; !doubt || errors.As(err, &refusal) {
+			delete(s.pending, a.Machine)
+			s.paused[a.Machine] = now + refusedPause
+		}
+	default:
+		s.pending[a.Machine] = a
+	}
+	s.listed = 0
+}
+
+var orderNames = map[Kind]string{Move: "host moved", Maintain: "host maintained"}
+
+// done notes an order that was carried out, ahead of the next list.
+func (s *session) done(a Action) {
+	for i := range s.machines {
+		m := &s.machines[i]
+		if m.Name != a.Machine {
+			continue
+		}
+		m.Worker = ""
+		if a.Kind == Maintain {
+			m.State = Upkeep
+			if st := s.states[a.Wave]; st != nil {
+				st.begun[a.Machine] = true
+			}
+			return
+		}
+		m.State = Moving
+		m.Pool = a.To
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -45,6 +45,11 @@
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
 }
 
+// Times returns n times the amount.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * n, MemoryMB: r.MemoryMB * n, GPU: r.GPU * n}
+}
+
 // Fits reports whether r is at most o in every kind.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -103,6 +103,8 @@
 	Worker job.Incarnation `cbor:"1,keyasint"`
 	// Reason is for people.
 	Reason string `cbor:"2,keyasint"`
+	// Evacuate is set when its long-running tasks are moved elsewhere.
+	Evacuate bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ClosedEntry returns the record of a closed worker.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -59,6 +59,9 @@
 	restored map[job.ID]*job.Progress
 
 	workers map[string]*worker.Book
+	// closed are the workers that take no new tasks, by ID.
+	closed map[string]*closure
+	demand demand
 
 	dirty map[*item]bool
 	// forget are ended jobs whose submission is to be removed.
@@ -93,6 +96,7 @@
 		ended:    map[job.ID]job.Progress{},
 		restored: map[job.ID]*job.Progress{},
 		workers:  map[string]*worker.Book{},
+		closed:   map[string]*closure{},
 		dirty:    map[*item]bool{},
 	}
 }
@@ -102,7 +106,8 @@
 func (c *Core) Restore(kept []joblog.Kept) {
 	for _, k := range kept {
 		switch {
-		case k.Progress == nil:
+		case k.Closed != nil:
+			c.restoreClosed(*k.Closed)
 		case k.Progress.Phase.Final() && len(k.Progress.Occurrences) == 0:
 			c.ended[k.ID] = *k.Progress
 		default:
@@ -141,6 +146,7 @@
 		delete(c.restored, id)
 	} else {
 		it.Job = job.New(s.Spec, s.Terms)
+		c.demand.add(t.Now, workOf(&s.Spec))
 	}
 	c.opt.Logger.Debug().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", it.Phase).Msg("job taken in")
 	c.jobs[id] = it
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -51,6 +51,8 @@
 		return last + unloggedGap, true
 	case c.ordered(b):
 		return last + lookGap, true
+	case b.Logged > b.Acknowledged && b.Closed != "":
+		return last + lookGap, true
 	case b.Logged > b.Acknowledged:
 		return last + ackDelay, true
 	default:
@@ -127,6 +129,7 @@
 		c.over(b, r, job.EndLost, "", t)
 	}
 	delete(c.workers, b.Incarnation.ID)
+	c.Open(b.Incarnation.ID)
 }
 
 // Looked takes in the answer to a look.
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -57,7 +57,8 @@
 func (h held) Remaining() time.Duration { return h.lease.Remaining(h.name, h.token) }
 
 // Gained starts to schedule a pool.
-func (m *Manager) Gained(n duty.Name, t duty.Token) {
+func (m *Manager) Gained(g duty.Gain) {
+	n, t := g.Duty, g.Token
 	pool, ok := n.Pool()
 	if !ok {
 		return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -23,6 +23,7 @@
 	starts []start
 	phases map[*item]job.Phase
 	ends   map[string]loggedEnds
+	closed []*closure
 }
 
 // start is a planned run.
@@ -45,6 +46,7 @@
 	c.changed = false
 	c.expire(t)
 	c.release(t)
+	c.evacuate(t)
 	b := &Batch{phases: map[*item]job.Phase{}, ends: map[string]loggedEnds{}}
 	c.place(b, t)
 	if err := c.encode(b, t); err != nil {
@@ -166,7 +168,7 @@
 	var out []*placement.Node
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		b := c.workers[id]
-		if !b.Listed || b.Draining || b.Closed != "" || !reachable(b) {
+		if !c.takes(b) {
 			continue
 		}
 		out = append(out, &placement.Node{ID: id, Free: b.Free(), Rack: b.Rack, Labels: b.Labels})
@@ -174,6 +176,11 @@
 	return out
 }
 
+// takes reports whether a worker takes new tasks.
+func (c *Core) takes(b *worker.Book) bool {
+	return b.Listed && !b.Draining && b.Closed == "" && reachable(b)
+}
+
 func (c *Core) request(it *item, g job.Group) placement.Request {
 	s := it.Spec.Steps[g.Step]
 	key := worker.StepKey{Job: it.Spec.ID, Occurrence: g.Occurrence, Step: g.Step}
@@ -241,6 +248,9 @@
 		b.phases[it] = it.Phase
 	}
 	clear(c.dirty)
+	if err := c.encodeClosed(b); err != nil {
+		return err
+	}
 	for id, book := range c.workers {
 		if book.Seen > book.Logged {
 			b.ends[id] = loggedEnds{book.Incarnation.Born, book.Seen}
@@ -275,6 +285,9 @@
 			book.Logged = max(book.Logged, e.number)
 		}
 	}
+	for _, cl := range b.closed {
+		cl.logged = true
+	}
 	c.settle()
 	var out []job.RunID
 	for _, s := range b.starts {
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -464,6 +464,34 @@
 	return r.core.Waiting(entry), r.ready
 }
 
+// Report describes the pool, or returns false before it is taken over.
+func (r *Runner) Report(lead time.Duration) (Report, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ready {
+		return Report{}, false
+	}
+	return r.core.Report(r.opt.Clock.Now(), lead), true
+}
+
+// Close has workers take no new tasks.
+func (r *Runner) Close(ids []string, reason string, evacuate bool) {
+	r.update(func(Times) {
+		for _, id := range ids {
+			r.core.Close(id, reason, evacuate)
+		}
+	})
+}
+
+// Open has closed workers take tasks again.
+func (r *Runner) Open(ids []string) {
+	r.update(func(Times) {
+		for _, id := range ids {
+			r.core.Open(id)
+		}
+	})
+}
+
 // sleep reports whether the time passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -47,7 +47,9 @@
 	b := c.workers[l.Incarnation.ID]
 	switch {
 	case b == nil:
-		c.workers[l.Incarnation.ID] = worker.NewBook(l, t.Now, c.blind)
+		b = worker.NewBook(l, t.Now, c.blind)
+		c.workers[l.Incarnation.ID] = b
+		c.applyClosed(b)
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
 		return
 	case l.Incarnation.Born < b.Incarnation.Born:
@@ -60,8 +62,12 @@
 	if l.Draining && !b.Draining {
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Dur("remaining", l.Remaining).Int("runs", len(b.Runs)).Msg("worker drains")
 	}
+	known := b.Address != ""
 	b.Listing = l
 	b.Listed = true
+	if !known {
+		c.applyClosed(b)
+	}
 }
 
 // reborn notes that a worker has started anew: what ran there has ended.
@@ -70,12 +76,14 @@
 	for _, r := range b.Reborn(l, t.Now) {
 		c.over(b, r, job.EndLost, "", t)
 	}
+	c.applyClosed(b)
 }
 
 // dropIdle forgets a worker that no list names and that has no runs.
 func (c *Core) dropIdle(id string) {
 	if b := c.workers[id]; b != nil && !b.Listed && len(b.Runs) == 0 {
 		delete(c.workers, id)
+		c.Open(id)
 	}
 }
 
