Bound every call of the log by what it asks for

Ruled out: keep-alive probes: their shortest interval, a second, finds a silent connection no sooner.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -79,6 +79,8 @@
 type Keeper struct {
 	opt     Options
 	started time.Duration
+	// patience bounds the heartbeats.
+	patience logstore.Patience
 
 	mu      sync.Mutex
 	table   *table
@@ -285,7 +287,7 @@
 		return
 	}
 	start := k.opt.Clock.Now()
-	if _, err := k.opt.Log.Append(ctx, heartbeatPartition, []logstore.Entry{{Key: h.Member.Host, Value: value}}, logstore.Condition{}); err != nil {
+	if err := k.appendHeartbeat(ctx, logstore.Entry{Key: h.Member.Host, Value: value}); err != nil {
 		k.heartbeatErrors.Inc(1)
 		k.failed("renew", err)
 		return
@@ -299,6 +301,14 @@
 	}
 }
 
+func (k *Keeper) appendHeartbeat(ctx context.Context, e logstore.Entry) error {
+	ctx, cancel := k.patience.Context(ctx, 0)
+	defer cancel()
+	_, err := k.opt.Log.Append(ctx, heartbeatPartition, []logstore.Entry{e}, logstore.Condition{})
+	k.patience.Note(err)
+	return err
+}
+
 func (k *Keeper) readPeers(ctx context.Context, tail *logstore.Tail) {
 	start := k.opt.Clock.Now()
 	recs, _, err := tail.Next(ctx, 0)
--- a/internal/joblog/committer.go
+++ b/internal/joblog/committer.go
@@ -34,8 +34,9 @@
 
 // commitQueue holds what waits for one partition.
 type commitQueue struct {
-	waiting []*commit
-	running bool
+	waiting  []*commit
+	running  bool
+	patience logstore.Patience
 }
 
 // commit is one request's entry.
@@ -98,7 +99,7 @@
 			return
 		}
 		c.mu.Unlock()
-		batch = c.commit(p, batch)
+		batch = c.commit(p, q, batch)
 	}
 }
 
@@ -124,7 +125,7 @@
 }
 
 // commit appends a batch once. It returns the entries to append again.
-func (c *Committer) commit(p logstore.Partition, batch []*commit) []*commit {
+func (c *Committer) commit(p logstore.Partition, q *commitQueue, batch []*commit) []*commit {
 	n, entries := 0, []logstore.Entry(nil)
 	for _, w := range batch {
 		entries = append(entries, w.entry)
@@ -132,7 +133,10 @@
 	n = fitting(entries)
 	c.appends.Inc(1)
 	c.entries.Inc(int64(n))
-	_, err := c.log.Append(context.Background(), p, entries[:n], logstore.Condition{})
+	ctx, cancel := q.patience.Context(context.Background(), 0)
+	defer cancel()
+	_, err := c.log.Append(ctx, p, entries[:n], logstore.Condition{})
+	q.patience.Note(err)
 	if err == nil {
 		for _, w := range batch[:n] {
 			w.done <- nil
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -30,6 +30,7 @@
 	partition logstore.Partition
 	token     int64
 	sequence  int64
+	patience  logstore.Patience
 }
 
 // OpenJournal takes the progress partition of a pool. Once it returns, appends
@@ -69,7 +70,7 @@
 	pause := newBackoff()
 	for {
 		fence := &logstore.Fence{Producer: holderProducer, Epoch: j.token, Sequence: j.sequence}
-		_, err := j.log.Append(ctx, j.partition, entries, logstore.Condition{Fence: fence})
+		err := j.once(ctx, entries, fence)
 		var seq *logstore.SequenceError
 		switch {
 		case err == nil:
@@ -86,6 +87,14 @@
 	}
 }
 
+func (j *Journal) once(ctx context.Context, entries []logstore.Entry, f *logstore.Fence) error {
+	ctx, cancel := j.patience.Context(ctx, 0)
+	defer cancel()
+	_, err := j.log.Append(ctx, j.partition, entries, logstore.Condition{Fence: f})
+	j.patience.Note(err)
+	return err
+}
+
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = appendRetryInitial
--- a/internal/logstore/tail.go
+++ b/internal/logstore/tail.go
@@ -13,6 +13,7 @@
 	partition Partition
 	from      int64
 	started   bool
+	patience  Patience
 }
 
 // NewTail returns a tail that has read nothing yet.
@@ -26,7 +27,7 @@
 	if !t.started {
 		return t.restart(ctx)
 	}
-	b, err := t.log.Read(ctx, t.partition, t.from, wait)
+	b, err := t.read(ctx, wait)
 	var gap *TruncatedError
 	if errors.As(err, &gap) {
 		return t.restart(ctx)
@@ -40,6 +41,14 @@
 	return b.Records, false, nil
 }
 
+func (t *Tail) read(ctx context.Context, wait time.Duration) (Batch, error) {
+	ctx, cancel := t.patience.Context(ctx, wait)
+	defer cancel()
+	b, err := t.log.Read(ctx, t.partition, t.from, wait)
+	t.patience.Note(err)
+	return b, err
+}
+
 // Position returns the offset of the next record to read.
 func (t *Tail) Position() int64 { return t.from }
 
--- a/internal/policy/follower.go
+++ b/internal/policy/follower.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// followWait is how long a read waits for the operator's next record.
-	followWait = 10 * time.Second
+	// followWait is how long a read waits for the operator's next record. A
+	// connection that has fallen silent is noticed a little later: a
+	// configuration has to be in force within two seconds.
+	followWait = 700 * time.Millisecond
 	// followRetry is the wait after a read that failed.
-	followRetry = 150 * time.Millisecond
+	followRetry = 50 * time.Millisecond
 )
 
 // Follower reads what the operator publishes.
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -11,7 +11,7 @@
 const (
 	// lookWait is how long a look at a busy worker waits for an end. It is a
 	// fraction of the lease, which each look extends.
-	lookWait = 1500 * time.Millisecond
+	lookWait = time.Second
 	// lookGap is the least time between two looks at a worker, so that ends
 	// that come close together are brought by one answer.
 	lookGap = 40 * time.Millisecond
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -23,7 +23,7 @@
 	// planInterval is the longest time between two plans.
 	planInterval = 250 * time.Millisecond
 	// intakeWait is how long a read of the intake waits for a job.
-	intakeWait = 2 * time.Second
+	intakeWait = time.Second
 	// intakeGap is the least time between two reads of the intake.
 	intakeGap = 5 * time.Millisecond
 	// readRetry is the wait after a read of the log that failed.
