Check a pool against random schedules of faults

Cause: the promises of the scheduler were argued, not tested. Change: model_test.go, sim_test.go: virtual time, workers, log, killed and paused holders; after a restart every run is looked for in the new incarnation, nothing is acknowledged at a worker that did not answer, clocks that jump show another incarnation, and the log holds the address of each run.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -149,31 +149,31 @@
 }
 
 // Place gives out the next run of a task and notes where it is ordered.
-func (j *Job) Place(t TaskID, w Incarnation) RunID {
+func (j *Job) Place(t TaskID, at Location) RunID {
 	task := j.Task(t)
-	return j.place(t, task.LastRun+1, w)
+	return j.place(t, task.LastRun+1, at)
 }
 
 // PlaceGang gives out one run number to all members of a gang.
-func (j *Job) PlaceGang(occurrence, step int, workers []Incarnation) []RunID {
+func (j *Job) PlaceGang(occurrence, step int, at []Location) []RunID {
 	p := &j.occurrence(occurrence).Steps[step]
 	number := 0
 	for k := range p.Tasks {
 		number = max(number, p.Tasks[k].LastRun)
 	}
 	number++
-	runs := make([]RunID, 0, len(workers))
-	for k, w := range workers {
+	runs := make([]RunID, 0, len(at))
+	for k, l := range at {
 		t := TaskID{Job: j.Spec.ID, Occurrence: occurrence, Step: step, Index: k}
-		runs = append(runs, j.place(t, number, w))
+		runs = append(runs, j.place(t, number, l))
 	}
 	return runs
 }
 
-func (j *Job) place(t TaskID, number int, w Incarnation) RunID {
+func (j *Job) place(t TaskID, number int, at Location) RunID {
 	task := j.Task(t)
 	task.LastRun = number
-	task.Runs = append(task.Runs, Run{Number: number, Worker: w})
+	task.Runs = append(task.Runs, Run{Number: number, At: at})
 	j.Phase = Running
 	return RunID{Task: t, Number: number}
 }
@@ -322,18 +322,18 @@
 // Active returns the runs that may be at work.
 func (j *Job) Active() []RunID {
 	var out []RunID
-	j.EachActive(func(r RunID, _ Incarnation) { out = append(out, r) })
+	j.EachActive(func(r RunID, _ Location) { out = append(out, r) })
 	return out
 }
 
 // EachActive calls f for every run that may be at work.
-func (j *Job) EachActive(f func(RunID, Incarnation)) {
+func (j *Job) EachActive(f func(RunID, Location)) {
 	for _, o := range j.Occurrences {
 		for s := range o.Steps {
 			for k := range o.Steps[s].Tasks {
 				id := TaskID{Job: j.Spec.ID, Occurrence: o.Number, Step: s, Index: k}
 				for _, r := range o.Steps[s].Tasks[k].Runs {
-					f(RunID{Task: id, Number: r.Number}, r.Worker)
+					f(RunID{Task: id, Number: r.Number}, r.At)
 				}
 			}
 		}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -40,11 +40,19 @@
 	Born int64
 }
 
+// Location is where a run was ordered. The address lets the next holder reach a
+// worker that the platform's list does not name at the moment.
+type Location struct {
+	_       struct{} `cbor:",toarray"`
+	Worker  Incarnation
+	Address string
+}
+
 // Run is a start of a task that was ordered and whose end is not known.
 type Run struct {
 	_      struct{} `cbor:",toarray"`
 	Number int
-	Worker Incarnation
+	At     Location
 }
 
 // Task is what is known of one task.
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -136,7 +136,7 @@
 // atWork reports whether a task has a run that works at full speed.
 func (c *Core) atWork(task *job.Task, id job.TaskID) bool {
 	for _, r := range task.Runs {
-		b := c.workers[r.Worker.ID]
+		b := c.workers[r.At.Worker.ID]
 		if b == nil || !reachable(b) {
 			continue
 		}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -88,9 +88,8 @@
 
 // NewCore returns a pool without jobs and workers.
 func NewCore(opt Options, now time.Duration) *Core {
-	return &Core{
+	c := &Core{
 		opt:      opt,
-		blind:    now + opt.DutyLease + time.Duration(float64(opt.MaxLease)*blindFactor),
 		jobs:     map[job.ID]*item{},
 		cancels:  map[job.ID]bool{},
 		ended:    map[job.ID]job.Progress{},
@@ -99,6 +98,14 @@
 		closed:   map[string]*closure{},
 		dirty:    map[*item]bool{},
 	}
+	c.blind = now + opt.DutyLease + c.longestLease()
+	return c
+}
+
+// longestLease returns how long the longest lease that a worker grants can last
+// by this daemon's clock.
+func (c *Core) longestLease() time.Duration {
+	return time.Duration(float64(c.opt.MaxLease) * blindFactor)
 }
 
 // Restore takes in what earlier holders logged. It must come before the first
@@ -152,6 +159,7 @@
 	c.jobs[id] = it
 	c.open = append(c.open, it)
 	c.adopt(it, t.Now)
+	c.stopNeedless(it)
 	if c.cancels[id] {
 		delete(c.cancels, id)
 		c.cancel(id, t)
@@ -169,12 +177,12 @@
 // adopt notes the runs that an earlier holder logged for a job: each may be at
 // its worker until that was looked at.
 func (c *Core) adopt(it *item, now time.Duration) {
-	it.EachActive(func(r job.RunID, w job.Incarnation) {
-		b := c.workers[w.ID]
+	it.EachActive(func(r job.RunID, at job.Location) {
+		b := c.workers[at.Worker.ID]
 		if b == nil {
-			b = worker.NewBook(worker.Listing{Incarnation: w}, now, c.blind)
+			b = worker.NewBook(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.blind)
 			b.Listed = false
-			c.workers[w.ID] = b
+			c.workers[at.Worker.ID] = b
 		}
 		b.Add(&worker.Run{
 			ID:    r,
--- /dev/null
+++ b/internal/scheduler/export_test.go
@@ -0,0 +1,18 @@
+package scheduler
+
+import "greengagedeck/internal/job"
+
+// PlannedStart is a start of a batch, for tests.
+type PlannedStart struct {
+	Run    job.RunID
+	Worker string
+}
+
+// BatchStarts returns the starts that a batch holds.
+func BatchStarts(b *Batch) []PlannedStart {
+	out := make([]PlannedStart, 0, len(b.starts))
+	for _, s := range b.starts {
+		out = append(out, PlannedStart{s.run, s.worker.ID})
+	}
+	return out
+}
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -75,12 +75,14 @@
 func (c *Core) Look(id string, now, remaining time.Duration) Look {
 	b := c.workers[id]
 	l := Look{Worker: id, Target: b.Target(), Sent: now, born: b.Incarnation.Born}
-	l.Request = worker.LookRequest{Token: c.opt.Token, Acknowledged: b.Logged}
+	l.Request = worker.LookRequest{Token: c.opt.Token}
 	if !b.Fenced || b.Misses > 0 {
 		// A lease is extended only at workers that answer: what runs at one
-		// that does not has to end by itself.
+		// that does not has to end by itself. Nor is anything acknowledged:
+		// another incarnation may answer, whose ends have other numbers.
 		return l
 	}
+	l.Request.Acknowledged = b.Logged
 	if c.ordered(b) && remaining > 0 {
 		l.Request.Until = b.Lease(now, c.lease(remaining))
 		if b.Seen == b.Logged {
@@ -224,9 +226,9 @@
 			continue
 		}
 		switch {
-		case first:
-			// The answer fenced off every earlier holder, so what is not
-			// there was never started and never will be.
+		case first && r.SentAt == 0:
+			// The answer fenced off every earlier holder, so a run of theirs
+			// that is not there was never started and never will be.
 			c.over(b, r, job.EndLost, "", t)
 		case r.State == worker.Confirmed && r.Since < l.Sent:
 			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", l.Worker).Msg("run vanished")
--- /dev/null
+++ b/internal/scheduler/model_test.go
@@ -0,0 +1,204 @@
+package scheduler_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/job"
+)
+
+var (
+	schedules    = flag.Int("schedules", 300, "random schedules of a pool to check")
+	trace        = flag.Bool("trace-holders", false, "print what the holders of a schedule decide")
+	scheduleSeed = flag.Uint64("schedule-seed", 1, "seed of the first schedule")
+)
+
+// TestPromisesUnderRandomSchedules runs a pool through random faults: orders
+// that are lost, answered late or carried out seconds later, workers that crash,
+// start again under their ID or are cut off, holders that are killed or paused
+// and go on without knowing that they were replaced. No promise may break, and
+// once the faults end every job has to end.
+func TestPromisesUnderRandomSchedules(t *testing.T) {
+	for i := range *schedules {
+		seed := *scheduleSeed + uint64(i)
+		w := newSimWorld(t, seed, 2+int(seed%4))
+		runSchedule(w)
+		if len(w.violations) > 0 {
+			t.Fatalf("schedule %d broke %d promises, first:\n%s", seed, len(w.violations), w.violations[0])
+		}
+		if left := w.unfinished(); len(left) > 0 {
+			t.Fatalf("schedule %d: jobs without an end: %v", seed, left)
+		}
+	}
+}
+
+// runSchedule hands in jobs under faults for a while, then lets everything
+// settle.
+func runSchedule(w *simWorld) {
+	w.takeOver()
+	for range 40 {
+		w.run(time.Duration(100+w.rng.IntN(900)) * time.Millisecond)
+		w.random()
+	}
+	w.heal()
+	w.run(60 * time.Second)
+}
+
+// random hands in work or causes a fault.
+func (w *simWorld) random() {
+	s := w.workers[w.rng.IntN(len(w.workers))]
+	switch w.rng.IntN(16) {
+	case 0, 1, 2, 3, 4:
+		w.submit(w.randomSpec(), 2+w.rng.IntN(2))
+	case 5:
+		if len(w.ids) > 0 {
+			w.cancel(w.ids[w.rng.IntN(len(w.ids))])
+		}
+	case 6:
+		w.lost, w.late, w.unanswered = 0.1*w.rng.Float64(), 0.1*w.rng.Float64(), 0.1*w.rng.Float64()
+	case 7:
+		w.lost, w.late, w.unanswered = 0, 0, 0
+	case 8:
+		s.crash()
+		w.after(time.Duration(500+w.rng.IntN(5000))*time.Millisecond, func() { w.reboot(s) })
+	case 9:
+		s.cut = true
+		w.after(time.Duration(500+w.rng.IntN(8000))*time.Millisecond, func() { s.cut = false })
+	case 10:
+		s.failing = !s.failing
+	case 11:
+		w.kill()
+	case 12:
+		w.pause()
+	case 13:
+		w.takeOver()
+	case 14:
+		s.draining = !s.draining
+		w.relist()
+	case 15:
+		s.listed = !s.listed
+		w.relist()
+	}
+}
+
+func (w *simWorld) reboot(s *simWorker) {
+	if !s.up {
+		s.boot()
+		w.relist()
+	}
+}
+
+func (w *simWorld) relist() {
+	for _, h := range append(w.zombies, w.holder) {
+		if h != nil {
+			w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, h.list)
+		}
+	}
+}
+
+// kill ends the holder's process; another takes the pool once its lease is over.
+func (w *simWorld) kill() {
+	if w.holder == nil || w.holder.dead {
+		return
+	}
+	dead := w.holder
+	dead.dead = true
+	w.after(simDutyLease, func() {
+		if w.holder == dead {
+			w.takeOver()
+		}
+	})
+}
+
+// pause suspends the holder; another takes the pool when its lease is over, and
+// the suspended one goes on later.
+func (w *simWorld) pause() {
+	h := w.holder
+	if h == nil || h.dead || h.paused {
+		return
+	}
+	h.paused = true
+	length := time.Duration(500+w.rng.IntN(6000)) * time.Millisecond
+	if length > simDutyLease {
+		w.after(simDutyLease, func() {
+			if w.holder == h {
+				w.takeOver()
+			}
+		})
+	}
+	w.after(length, func() { h.paused = false })
+}
+
+// heal ends all faults.
+func (w *simWorld) heal() {
+	w.lost, w.late, w.unanswered = 0, 0, 0
+	for _, s := range w.workers {
+		s.cut, s.failing, s.draining, s.listed = false, false, false, true
+		w.reboot(s)
+	}
+	if w.holder.dead {
+		w.takeOver()
+	}
+	w.relist()
+}
+
+func (w *simWorld) randomSpec() job.Spec {
+	id := job.ID(fmt.Sprintf("%016x", w.rng.Uint64()))
+	spec := job.Spec{ID: id, Text: "text of " + string(id)}
+	if w.rng.IntN(8) == 0 {
+		spec.Steps = []job.Step{{
+			Count: 1 + w.rng.IntN(4), Need: w.randomNeed(), LongRunning: true, MayMiss: 1, MaxPerWorker: w.rng.IntN(3),
+		}}
+		w.after(time.Duration(3000+w.rng.IntN(20000))*time.Millisecond, func() { w.cancel(id) })
+		return spec
+	}
+	for i := range 1 + w.rng.IntN(3) {
+		st := job.Step{
+			Count:       1 + w.rng.IntN(4),
+			Need:        w.randomNeed(),
+			Estimate:    time.Duration(100+w.rng.IntN(1000)) * time.Millisecond,
+			Checkpoints: w.rng.IntN(2) == 0,
+		}
+		if i > 0 {
+			st.After = []int{w.rng.IntN(i)}
+		}
+		spec.Steps = append(spec.Steps, st)
+	}
+	return spec
+}
+
+func (w *simWorld) randomNeed() job.Resources {
+	return job.Resources{CPU: 500 + w.rng.IntN(3000), MemoryMB: 200 + w.rng.IntN(4000)}
+}
+
+// unfinished returns the jobs that should have ended and have not.
+func (w *simWorld) unfinished() []string {
+	var out []string
+	for id, spec := range w.specs {
+		if spec.Steps[0].LongRunning {
+			continue
+		}
+		phase, known := w.holder.core.Lookup(id)
+		if !known || !phase.Final() {
+			out = append(out, fmt.Sprintf("%s known %t %s", id, known, phase))
+		}
+	}
+	return out
+}
+
+func TestQuietPoolFinishesEverything(t *testing.T) {
+	g := NewWithT(t)
+	w := newSimWorld(t, 1, 3)
+	w.takeOver()
+	for range 20 {
+		w.submit(w.randomSpec(), 3)
+		w.run(200 * time.Millisecond)
+	}
+	w.run(40 * time.Second)
+	g.Expect(w.violations).To(BeEmpty())
+	g.Expect(w.unfinished()).To(BeEmpty())
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -58,7 +58,7 @@
 	var refusal *worker.Refusal
 	switch {
 	case err == nil:
-		b.Heard(clock, t.Now)
+		b.HeardOrder(clock, t.Now)
 		if r.State != worker.Confirmed {
 			r.State = worker.Confirmed
 			r.Since = t.Now
@@ -68,7 +68,7 @@
 		c.gone(b, t)
 		return false
 	case errors.As(err, &refusal):
-		b.Heard(refusal.Clock, t.Now)
+		b.HeardOrder(refusal.Clock, t.Now)
 		c.refused(b, r, refusal, t)
 		return false
 	case verdict.Of(err) == verdict.NotRun && !r.Unanswered:
@@ -154,7 +154,7 @@
 		return
 	}
 	if err == nil {
-		b.Heard(clock, t.Now)
+		b.HeardOrder(clock, t.Now)
 	}
 	r := b.Runs[s.Run]
 	if r == nil {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -204,7 +204,7 @@
 		}
 		n.Free = n.Free.Sub(req.Room)
 		book := c.workers[n.ID]
-		c.planned(b, w.it, w.it.Place(t, book.Incarnation), book, req.Room, now)
+		c.planned(b, w.it, w.it.Place(t, locate(book)), book, req.Room, now)
 	}
 }
 
@@ -215,16 +215,20 @@
 	if chosen == nil {
 		return
 	}
-	workers := make([]job.Incarnation, 0, len(chosen))
+	at := make([]job.Location, 0, len(chosen))
 	for _, n := range chosen {
 		n.Free = n.Free.Sub(req.Room)
-		workers = append(workers, c.workers[n.ID].Incarnation)
+		at = append(at, locate(c.workers[n.ID]))
 	}
-	for i, r := range w.it.PlaceGang(w.group.Occurrence, w.group.Step, workers) {
-		c.planned(b, w.it, r, c.workers[workers[i].ID], req.Room, now)
+	for i, r := range w.it.PlaceGang(w.group.Occurrence, w.group.Step, at) {
+		c.planned(b, w.it, r, c.workers[at[i].Worker.ID], req.Room, now)
 	}
 }
 
+func locate(b *worker.Book) job.Location {
+	return job.Location{Worker: b.Incarnation, Address: b.Address}
+}
+
 // planned notes a run that is to be logged and then ordered.
 func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, room job.Resources, now time.Duration) {
 	book.Add(&worker.Run{ID: r, Room: room, Key: worker.StepOf(r.Task), State: worker.Planned, Since: now})
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -55,28 +55,25 @@
 	case l.Incarnation.Born < b.Incarnation.Born:
 		// The list lags behind what the worker said itself.
 		return
-	case l.Incarnation.Born > b.Incarnation.Born && b.Address != "":
+	case l.Incarnation.Born > b.Incarnation.Born:
 		c.reborn(b, l, t)
 		return
 	}
 	if l.Draining && !b.Draining {
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Dur("remaining", l.Remaining).Int("runs", len(b.Runs)).Msg("worker drains")
 	}
-	known := b.Address != ""
 	b.Listing = l
 	b.Listed = true
-	if !known {
-		c.applyClosed(b)
-	}
+	c.applyClosed(b)
 }
 
-// reborn notes that a worker has started anew: what ran there has ended.
+// reborn notes that a worker has started anew. What ran there has ended, which
+// the first look at the new incarnation confirms.
 func (c *Core) reborn(b *worker.Book, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.Born).Int("runs", len(b.Runs)).Msg("worker restarted")
-	for _, r := range b.Reborn(l, t.Now) {
-		c.over(b, r, job.EndLost, "", t)
-	}
+	b.Reborn(l, t.Now, c.longestLease())
 	c.applyClosed(b)
+	c.changed = true
 }
 
 // dropIdle forgets a worker that no list names and that has no runs.
@@ -130,11 +127,11 @@
 
 // stopNeedless marks the runs of a job that serve no purpose any more.
 func (c *Core) stopNeedless(it *item) {
-	it.EachActive(func(r job.RunID, w job.Incarnation) {
+	it.EachActive(func(r job.RunID, at job.Location) {
 		if !it.Needless(r) {
 			return
 		}
-		if b := c.workers[w.ID]; b != nil {
+		if b := c.workers[at.Worker.ID]; b != nil {
 			c.stop(b, b.Runs[r], "no longer needed")
 		}
 	})
--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -9,6 +9,9 @@
 const (
 	// clockDrift is how much slower than ours a worker's clock may run.
 	clockDrift = 0.02
+	// clockJump is how far a worker's clock may seem off because calls take
+	// time. One that is off further belongs to another incarnation.
+	clockJump = 1500 * time.Millisecond
 	// expiryMargin is added to the end of a lease before it counts as over.
 	expiryMargin = 50 * time.Millisecond
 	// lateOrders is how long after it was sent an order that was not answered
@@ -148,16 +151,37 @@
 	return n
 }
 
-// Heard notes an answered call and the worker's clock in it, if any.
+// Heard notes an answer of this incarnation and the worker's clock in it.
 func (b *Book) Heard(clock int64, now time.Duration) {
 	b.Misses = 0
 	b.Answered = now
-	if clock > 0 {
-		b.clock = clock
-		b.clockAt = now
+	b.clock = clock
+	b.clockAt = now
+}
+
+// HeardOrder notes an answer to an order, which does not say which incarnation
+// gave it. Where the clock in it has jumped it was another one, and the worker
+// has to be looked at anew.
+func (b *Book) HeardOrder(clock int64, now time.Duration) {
+	switch {
+	case clock == 0:
+		b.Misses = 0
+		b.Answered = now
+	case b.jumped(clock, now):
+		b.Fenced = false
+	default:
+		b.Heard(clock, now)
 	}
 }
 
+// jumped reports whether a clock is not the one that was heard before.
+func (b *Book) jumped(clock int64, now time.Duration) bool {
+	passed := now - b.clockAt
+	off := time.Duration(clock-b.clock)*time.Millisecond - passed
+	slow := time.Duration(2 * clockDrift * float64(passed))
+	return off > clockJump || off < -clockJump-slow
+}
+
 // Missed notes a call that was not answered.
 func (b *Book) Missed() { b.Misses++ }
 
@@ -184,24 +208,26 @@
 	return time.Duration(b.clock)*time.Millisecond+passed > time.Duration(b.until)*time.Millisecond+expiryMargin
 }
 
-// Reborn notes that another incarnation answers to the worker's ID. It returns
-// the runs that ended with the old one. Those with an order that was not
-// answered stay: the new incarnation may still carry it out, so they have to be
-// stopped there first.
-func (b *Book) Reborn(l Listing, now time.Duration) (ended []*Run) {
-	runs := b.Runs
-	*b = *NewBook(l, now, 0)
+// Reborn notes that another incarnation answers to the worker's ID. Its runs
+// most likely ended with the old one, but an order may have reached the new one
+// before that was known, so each has to be looked for there. One with an order
+// that was not answered, which may still arrive, has to be stopped there first.
+// longest is the longest lease that a worker grants.
+func (b *Book) Reborn(l Listing, now, longest time.Duration) {
+	runs, listed := b.Runs, b.Listed
+	blind := max(b.blind, now+longest)
+	*b = *NewBook(l, now, blind)
+	b.Listed = listed
 	for _, r := range runs {
-		if r.Unanswered && now < r.SentAt+lateOrders {
+		inFlight := r.State == Ordered && r.SentAt > 0 || r.Unanswered
+		if inFlight && now < r.SentAt+lateOrders {
 			r.State = Ordered
 			r.Stopping = true
 			r.StopReason = "worker restarted with an order unanswered"
-			r.StopSent = false
-			r.StopDone = 0
-			b.Add(r)
-			continue
+			b.blind = max(b.blind, r.SentAt+lateOrders+longest)
 		}
-		ended = append(ended, r)
+		r.StopSent = false
+		r.StopDone = 0
+		b.Add(r)
 	}
-	return ended
 }
