Expect demand by the number of jobs, and keep room for the unexpected

Change: jobs are counted and multiplied by their mean work, the trend counts as far as chance does not explain it; two hosts of room are kept; tasks that fit nowhere ask for a host; workers that are being emptied are opened again first; who releases a duty is not asked to claim it.

--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -177,8 +177,9 @@
 		hash uint64
 	}
 	var list []candidate
+	last := t.claims[n]
 	for _, p := range live {
-		if p.Leaving {
+		if p.Leaving || last.Released && p.Host == last.Holder.Host {
 			continue
 		}
 		load := held[p.Host] / max(p.Weight, minWeight)
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -15,6 +15,9 @@
 type Rates struct {
 	// Headroom multiplies the expected need.
 	Headroom float64
+	// Reserve is the room, in hosts, that a pool keeps free for what comes
+	// unexpected.
+	Reserve float64
 	// LateShare is the part of the room that late jobs wait for which counts.
 	LateShare float64
 	// IdleAfter is how long a pool has more hosts than it needs before one is
@@ -29,9 +32,10 @@
 
 // DefaultRates are those of the daemon.
 var DefaultRates = Rates{
-	Headroom:    1.25,
+	Headroom:    1.15,
+	Reserve:     2,
 	LateShare:   0.3,
-	IdleAfter:   time.Second,
+	IdleAfter:   400 * time.Millisecond,
 	MinHosts:    1,
 	WaveReserve: 0.75,
 }
@@ -58,6 +62,8 @@
 	have int
 	// want is how many it needs.
 	want int
+	// arriving counts those of them that do not work yet.
+	arriving int
 	// closing counts the hosts that are being emptied.
 	closing int
 	unit    job.Resources
@@ -104,6 +110,9 @@
 			p.closing++
 		default:
 			p.have++
+			if !d.loads[m.Worker].Open {
+				p.arriving++
+			}
 		}
 	}
 	for _, p := range d.pools {
@@ -118,10 +127,15 @@
 		return p.have
 	}
 	r := p.view.Report
+	reserve := scale(p.unit, d.rates.Reserve)
 	late := scale(r.Late, 1-d.rates.LateShare)
-	now := r.Used.Add(r.Waiting).Sub(late)
-	soon := scale(r.Expected, d.rates.Headroom).Add(r.Long)
-	need := max(hostsFor(now, p.unit), hostsFor(soon, p.unit))
+	now := scale(r.Used.Add(r.Waiting).Sub(late).Sub(r.Long), d.rates.Headroom)
+	soon := scale(r.Expected, d.rates.Headroom)
+	need := max(hostsFor(now.Add(r.Long).Add(reserve), p.unit), hostsFor(soon.Add(r.Long).Add(reserve), p.unit))
+	if r.Stuck > 0 {
+		// Room that is spread over many hosts holds no large task.
+		need = max(need, p.have+r.Stuck-p.arriving)
+	}
 	return max(need, d.rates.MinHosts)
 }
 
@@ -256,6 +270,7 @@
 func (d *decider) grow() {
 	short := d.short()
 	for _, p := range short {
+		d.reopen(p)
 		for p.have < p.want {
 			m, ok := d.source()
 			if !ok {
@@ -270,6 +285,24 @@
 	}
 }
 
+// reopen has workers take tasks again that were being emptied for want of work.
+func (d *decider) reopen(p *poolState) {
+	for _, m := range d.Machines {
+		if p.have >= p.want {
+			return
+		}
+		if m.Pool != p.view.Name || !d.free(m) || !d.loads[m.Worker].Closed || d.due(m.Name) {
+			continue
+		}
+		p.have++
+		p.closing--
+		d.act(Action{
+			Kind: Open, Machine: m.Name, Worker: m.Worker, Pool: m.Pool,
+			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.want, p.have-1),
+		})
+	}
+}
+
 // short returns the pools that need more hosts, the neediest first.
 func (d *decider) short() []*poolState {
 	var out []*poolState
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -184,11 +184,15 @@
 	Rate     job.Resources `cbor:"5,keyasint"`
 	Expected job.Resources `cbor:"6,keyasint"`
 	Workers  []WorkerLoad  `cbor:"7,keyasint"`
+	// Stuck is how many hosts the long-running tasks would fill that wait
+	// because no worker has room for them.
+	Stuck int `cbor:"8,keyasint,omitempty"`
 }
 
 // Report describes the pool. lead is how far ahead to look.
 func (c *Core) Report(now, lead time.Duration) Report {
 	var rep Report
+	var stuck []job.Resources
 	rep.Rate, rep.Expected = c.demand.rate(now, lead)
 	for _, w := range c.queue(now) {
 		s := w.it.Spec.Steps[w.group.Step]
@@ -197,6 +201,7 @@
 		switch w.class() {
 		case classLong:
 			rep.Long = rep.Long.Add(room)
+			stuck = append(stuck, repeat(s.Room(), len(w.group.Waiting))...)
 		case classLate:
 			rep.Late = rep.Late.Add(room)
 		}
@@ -204,9 +209,45 @@
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		rep.Workers = append(rep.Workers, c.load(id, &rep))
 	}
+	rep.Stuck = pack(stuck, c.largest())
 	return rep
 }
 
+func repeat(r job.Resources, n int) []job.Resources {
+	out := make([]job.Resources, n)
+	for i := range out {
+		out[i] = r
+	}
+	return out
+}
+
+// largest returns the room of the largest worker.
+func (c *Core) largest() job.Resources {
+	var most job.Resources
+	for _, b := range c.workers {
+		if most.Fits(b.Capacity) {
+			most = b.Capacity
+		}
+	}
+	return most
+}
+
+// pack returns how many empty hosts are filled by tasks, first fit. Tasks that
+// fit no host count for nothing.
+func pack(tasks []job.Resources, host job.Resources) int {
+	var free []job.Resources
+	for _, t := range tasks {
+		at := slices.IndexFunc(free, t.Fits)
+		switch {
+		case at >= 0:
+			free[at] = free[at].Sub(t)
+		case t.Fits(host):
+			free = append(free, host.Sub(t))
+		}
+	}
+	return len(free)
+}
+
 func (c *Core) load(id string, rep *Report) WorkerLoad {
 	b := c.workers[id]
 	l := WorkerLoad{
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -184,6 +184,8 @@
 			b.Listed = false
 			c.workers[at.Worker.ID] = b
 		}
+		// Whether the run is there has to be seen by a look that begins now.
+		b.Fenced = false
 		b.Add(&worker.Run{
 			ID:    r,
 			Room:  it.Step(r.Task).Room(),
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -1,79 +1,113 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"greengagedeck/internal/job"
 )
 
 const (
-	// demandBucket is the resolution at which handed in work is counted.
+	// demandBucket is the resolution at which jobs are counted.
 	demandBucket = 250 * time.Millisecond
-	// demandBuckets is how many of them are kept.
-	demandBuckets = 8
-	// trendSpan is the number of buckets in each of the two spans that are
-	// compared for the trend.
-	trendSpan = 3
+	// trendBuckets is the length of each of the two spans that are compared for
+	// the trend.
+	trendBuckets = 4
+	// demandBuckets is how many buckets are kept: both spans and the current.
+	demandBuckets = 2*trendBuckets + 1
+	// meanJobs is over how many jobs the mean work of one is averaged.
+	meanJobs = 30
+	// ratioTasks is over how many tasks the ratio of the time they take to the
+	// estimate is averaged.
+	ratioTasks = 100
+	// maxRatio bounds that ratio: a few stragglers say little.
+	maxRatio = 3
 )
 
-// demand counts the work that callers hand in, to tell how much room the pool
-// will need.
+// demand tells how much room a pool will need, from the jobs that callers hand
+// in. Jobs are counted and multiplied by the mean work of one, since the work of
+// a few jobs varies far more than their number.
 type demand struct {
 	// current is the number of the newest bucket, counted from the clock's
 	// start.
 	current int64
-	work    [demandBuckets]work
+	jobs    [demandBuckets]int
+	// mean is the mean work of a job, and seen how many it is from.
+	mean work
+	seen int
+	// ratio is the mean of actual to estimated time at work.
+	ratio float64
+	tasks int
 }
 
 // work is an amount of room over time, in units of a second.
 type work struct{ cpu, memory float64 }
 
-// add notes a job that was handed in now.
+// add notes a job that was handed in now. One without estimates says nothing.
 func (d *demand) add(now time.Duration, w work) {
+	if w.cpu == 0 && w.memory == 0 {
+		return
+	}
 	d.advance(now)
-	b := &d.work[d.current%demandBuckets]
-	b.cpu += w.cpu
-	b.memory += w.memory
+	d.jobs[d.current%demandBuckets]++
+	d.seen = min(d.seen+1, meanJobs)
+	share := 1 / float64(d.seen)
+	d.mean.cpu += (w.cpu - d.mean.cpu) * share
+	d.mean.memory += (w.memory - d.mean.memory) * share
+}
+
+// took notes how long a task was at work.
+func (d *demand) took(actual, estimate time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	d.tasks = min(d.tasks+1, ratioTasks)
+	ratio := min(maxRatio, actual.Seconds()/estimate.Seconds())
+	d.ratio += (ratio - d.ratio) / float64(d.tasks)
 }
 
 func (d *demand) advance(now time.Duration) {
 	bucket := int64(now / demandBucket)
+	if bucket-d.current > demandBuckets {
+		d.current = bucket - demandBuckets
+	}
 	for d.current < bucket {
 		d.current++
-		if bucket-d.current < demandBuckets {
-			d.work[d.current%demandBuckets] = work{}
-		}
+		d.jobs[d.current%demandBuckets] = 0
 	}
 }
 
-// span returns the rate of handed in work over trendSpan whole buckets that
-// end skip buckets before the current one.
-func (d *demand) span(skip int64) work {
-	var sum work
-	for i := int64(1); i <= trendSpan; i++ {
-		b := d.work[(d.current-skip-i+demandBuckets)%demandBuckets]
-		sum.cpu += b.cpu
-		sum.memory += b.memory
+// span returns the jobs of one of the two spans before the current bucket.
+func (d *demand) span(back int64) float64 {
+	n := 0
+	for i := int64(1); i <= trendBuckets; i++ {
+		n += d.jobs[(d.current-back*trendBuckets-i+2*demandBuckets)%demandBuckets]
 	}
-	seconds := (trendSpan * demandBucket).Seconds()
-	return work{sum.cpu / seconds, sum.memory / seconds}
+	return float64(n)
 }
 
 // rate returns the room that work handed in now needs, and the room that it
-// will need after lead if the trend goes on.
+// will need after lead if the trend goes on. The trend counts as far as chance
+// does not explain it.
 func (d *demand) rate(now, lead time.Duration) (current, expected job.Resources) {
 	d.advance(now)
-	last, before := d.span(0), d.span(trendSpan)
+	last, before := d.span(0), d.span(1)
+	length := (trendBuckets * demandBucket).Seconds()
 	// The middle of the last span lies half its length back.
-	ahead := (lead + trendSpan*demandBucket/2).Seconds() / (trendSpan * demandBucket).Seconds()
-	return last.room(), work{
-		cpu:    max(0, last.cpu+(last.cpu-before.cpu)*ahead),
-		memory: max(0, last.memory+(last.memory-before.memory)*ahead),
-	}.room()
+	ahead := lead.Seconds()/length + 0.5
+	trend := last - before
+	chance := math.Sqrt(last + before)
+	trend = math.Copysign(max(0, math.Abs(trend)-chance), trend)
+	return d.room(last / length), d.room(max(0, last+trend*ahead) / length)
 }
 
-func (w work) room() job.Resources {
-	return job.Resources{CPU: int(w.cpu), MemoryMB: int(w.memory)}
+// room returns the room that a number of jobs a second needs.
+func (d *demand) room(perSecond float64) job.Resources {
+	ratio := d.ratio
+	if d.tasks == 0 {
+		ratio = 1
+	}
+	return job.Resources{CPU: int(perSecond * d.mean.cpu * ratio), MemoryMB: int(perSecond * d.mean.memory * ratio)}
 }
 
 // workOf returns the work of a job, as far as estimates tell.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -306,7 +306,7 @@
 // no longer wanted was never ordered, so it is simply dropped.
 func (c *Core) commitStart(s start, t Times) bool {
 	book := c.workers[s.worker.ID]
-	if book == nil || book.Incarnation != s.worker {
+	if book == nil {
 		return false
 	}
 	r := book.Runs[s.run]
@@ -314,7 +314,7 @@
 		return false
 	}
 	it := c.jobs[s.run.Task.Job]
-	if it == nil || r.Stopping || it.Needless(s.run) {
+	if book.Incarnation != s.worker || it == nil || r.Stopping || it.Needless(s.run) {
 		c.over(book, r, job.EndLost, "", t)
 		return false
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -100,6 +100,9 @@
 		return
 	}
 	c.logEnd(b, r, how)
+	if how == job.EndDone && r.State == worker.Confirmed {
+		c.demand.took(t.Now-r.Since, it.Step(r.ID.Task).Estimate)
+	}
 	if how == job.EndFailed {
 		it.avoid(r.ID.Task, b.Incarnation.ID)
 	}
