--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -349,7 +349,6 @@
 	dead     bool
 	folded   int
 	planning bool
-	changed  bool
 	planned  time.Duration
 	listed   time.Duration
 	looking  map[string]bool
