Repeat a start that had to wait for the duty to be renewed

Change: StartOrder says whether an order is to be sent now, later or never. Ruled out: the task not fitting any host: run 2 was missing between runs 1 and 3, so it had been planned.

--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -51,7 +51,7 @@
 // random hands in work or causes a fault.
 func (w *simWorld) random() {
 	s := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(16) {
+	switch w.rng.IntN(17) {
 	case 0, 1, 2, 3, 4:
 		w.submit(w.randomSpec(), 2+w.rng.IntN(2))
 	case 5:
@@ -82,6 +82,9 @@
 	case 15:
 		s.listed = !s.listed
 		w.relist()
+	case 16:
+		w.logDown = true
+		w.after(time.Duration(500+w.rng.IntN(6000))*time.Millisecond, func() { w.logDown = false })
 	}
 }
 
@@ -135,7 +138,7 @@
 
 // heal ends all faults.
 func (w *simWorld) heal() {
-	w.lost, w.late, w.unanswered = 0, 0, 0
+	w.lost, w.late, w.unanswered, w.logDown = 0, 0, 0, false
 	for _, s := range w.workers {
 		s.cut, s.failing, s.draining, s.listed = false, false, false, true
 		w.reboot(s)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -17,17 +17,33 @@
 	born   int64
 }
 
-// StartOrder returns the order for a run, or false when it must not be sent
-// (any more). remaining is how long this daemon may still act for the pool.
-func (c *Core) StartOrder(r job.RunID, workerID string, now, remaining time.Duration) (Start, bool) {
+// Send says what to do with an order.
+type Send uint8
+
+// What to do with an order.
+const (
+	// SendNever orders are not wanted any more.
+	SendNever Send = iota
+	// SendLater orders have to wait until this daemon may act again.
+	SendLater
+	// SendNow orders may leave.
+	SendNow
+)
+
+// StartOrder returns the order for a run and whether to send it. remaining is
+// how long this daemon may still act for the pool.
+func (c *Core) StartOrder(r job.RunID, workerID string, now, remaining time.Duration) (Start, Send) {
 	b := c.workers[workerID]
 	it := c.jobs[r.Task.Job]
-	if b == nil || it == nil || remaining <= 0 || c.fenced {
-		return Start{}, false
+	if b == nil || it == nil || c.fenced {
+		return Start{}, SendNever
 	}
 	run := b.Runs[r]
 	if run == nil || run.State != worker.Ordered || run.Stopping {
-		return Start{}, false
+		return Start{}, SendNever
+	}
+	if remaining <= 0 {
+		return Start{}, SendLater
 	}
 	run.SentAt = now
 	return Start{
@@ -41,7 +57,7 @@
 			Token:      c.opt.Token,
 			Checkpoint: it.Checkpoint(r.Task),
 		},
-	}, true
+	}, SendNow
 }
 
 // Started takes in the answer to a start. It returns true when the order should
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -348,10 +348,10 @@
 	a.slots <- struct{}{}
 	defer func() { <-a.slots }()
 	r.mu.Lock()
-	s, ok := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
+	s, send := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
 	r.mu.Unlock()
-	if !ok {
-		return false
+	if send != SendNow {
+		return send == SendLater
 	}
 	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
 	r.metrics.started(err)
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -67,6 +67,8 @@
 
 	// faults of the network, as probabilities of a call.
 	lost, late, unanswered float64
+	// logDown is set while the log answers nobody.
+	logDown bool
 	// trouble is when a fault was under way last.
 	trouble    time.Duration
 	violations []string
@@ -329,7 +331,7 @@
 
 // troubled reports whether a fault is under way.
 func (w *simWorld) troubled() bool {
-	if w.lost+w.late+w.unanswered > 0 || !w.holder.active() {
+	if w.lost+w.late+w.unanswered > 0 || w.logDown || !w.holder.active() {
 		return true
 	}
 	return slices.ContainsFunc(w.workers, func(s *simWorker) bool { return s.cut || !s.up })
@@ -359,6 +361,10 @@
 // takeOver makes a new daemon the holder, as when the duty of the one before
 // has been claimed. The one before stays as a zombie unless it is dead.
 func (w *simWorld) takeOver() {
+	if w.logDown {
+		w.after(100*time.Millisecond, w.takeOver)
+		return
+	}
 	if w.holder != nil && !w.holder.dead {
 		w.zombies = append(w.zombies, w.holder)
 	}
@@ -422,7 +428,7 @@
 func (h *simHolder) active() bool { return !h.paused && !h.dead }
 
 func (h *simHolder) remaining() time.Duration {
-	if h.w.holder == h && h.active() {
+	if h.w.holder == h && h.active() && !h.w.logDown {
 		h.renewed = h.w.now
 	}
 	return max(0, h.renewed+simDutyLease-h.w.now)
@@ -488,7 +494,7 @@
 	if h.dead {
 		return
 	}
-	if h.paused {
+	if h.paused || h.w.logDown {
 		h.w.after(50*time.Millisecond, func() { h.append(b) })
 		return
 	}
@@ -589,13 +595,17 @@
 
 func (h *simHolder) start(run job.RunID) {
 	s := h.worker(h.where[run])
-	o, ok := h.core.StartOrder(run, s.id, h.w.now, h.remaining())
-	if !ok {
+	again := func() { h.w.after(50*time.Millisecond, func() { h.whenActive(func() { h.start(run) }) }) }
+	o, send := h.core.StartOrder(run, s.id, h.w.now, h.remaining())
+	if send == scheduler.SendLater {
+		again()
+	}
+	if send != scheduler.SendNow {
 		return
 	}
 	h.call(s, func() error { return s.start(o.Order) }, func(err error) {
 		if h.core.Started(o, s.clock(), err, h.w.times()) {
-			h.w.after(50*time.Millisecond, func() { h.whenActive(func() { h.start(run) }) })
+			again()
 		}
 	})
 }
