Ask the advice service for workers, and log the needs of pools

Cause: a queue may need approved workers, which no start carried; why a pool asked for hosts could not be read from the logs. Change: scheduler/advice.go, platform/advice.go; what is expected is bounded by twice what runs and waits; a debug line when the need of a pool changes. No advice service was met yet: no site has a queue with advice. Ruled out: nothing.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -50,6 +50,7 @@
 		func() *policy.InForce { return &policy.InForce{} },
 		newStage,
 		newWorkers,
+		newAdvisor,
 		newRegistry,
 		newDuties,
 		fleet.NewWaves,
@@ -199,7 +200,11 @@
 // taskLease is the length of the leases that tasks get.
 const taskLease = 5 * time.Second
 
-func newDuties(ctx context.Context, place platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.InForce, w worker.Control, r *worker.Registry, l zerolog.Logger, m metrics) *duties {
+func newAdvisor(place platform.Settings, m metrics) scheduler.Advisor {
+	return platform.NewAdvice(place.Advice, platform.Metrics{Scope: m.scope})
+}
+
+func newDuties(ctx context.Context, place platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.InForce, w worker.Control, a scheduler.Advisor, r *worker.Registry, l zerolog.Logger, m metrics) *duties {
 	d := &duties{}
 	d.keeper = duty.NewKeeper(duty.Options{
 		Self:     self,
@@ -227,6 +232,7 @@
 				Log:      log,
 				Clock:    cl,
 				Control:  w,
+				Advisor:  a,
 				Registry: r,
 				Duty:     dt,
 				Logger:   l.With().Str("pool", pool).Logger(),
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -13,6 +13,7 @@
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/policy"
+	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/verdict"
 )
 
@@ -94,7 +95,9 @@
 	states map[int]*waveState
 	// surplusSince is since when a pool has had more hosts than it needs.
 	surplusSince map[string]time.Duration
-	slots        chan struct{}
+	// needs are those that were logged last.
+	needs map[string]Need
+	slots chan struct{}
 }
 
 // Run decides and orders until ctx ends. succeeds is set when another daemon
@@ -108,6 +111,7 @@
 		underway:     map[string]bool{},
 		paused:       map[string]time.Duration{},
 		surplusSince: map[string]time.Duration{},
+		needs:        map[string]Need{},
 		slots:        make(chan struct{}, ordersAtOnce),
 	}
 	if succeeds {
@@ -144,7 +148,9 @@
 	v := s.view(ctx)
 	s.report(ctx, v)
 	s.retry(ctx)
-	for _, a := range Decide(v, s.opt.Rates) {
+	actions, needs := Decide(v, s.opt.Rates)
+	s.logNeeds(v, needs)
+	for _, a := range actions {
 		if s.carryOut(ctx, a) {
 			soon = true
 		}
@@ -152,6 +158,26 @@
 	return soon
 }
 
+// logNeeds writes down what the needs of pools rest on when they change.
+func (s *session) logNeeds(v View, needs []Need) {
+	reports := map[string]scheduler.Report{}
+	for _, p := range v.Pools {
+		reports[p.Name] = p.Report
+	}
+	for _, n := range needs {
+		if s.needs[n.Pool] == n {
+			continue
+		}
+		s.needs[n.Pool] = n
+		r := reports[n.Pool]
+		s.opt.Logger.Debug().Str("pool", n.Pool).Int("hosts", n.Have).Int("closing", n.Closing).Int("wanted", n.Want).
+			Int("used_cpu", r.Used.CPU).Int("waiting_cpu", r.Waiting.CPU).Int("late_cpu", r.Late.CPU).Int("long_cpu", r.Long.CPU).
+			Int("rate_cpu", r.Rate.CPU).Int("expected_cpu", r.Expected.CPU).
+			Int("used_mb", r.Used.MemoryMB).Int("waiting_mb", r.Waiting.MemoryMB).Int("expected_mb", r.Expected.MemoryMB).
+			Int("stuck", r.Stuck).Msg("need of a pool changed")
+	}
+}
+
 // refresh reads the list of hosts when it is too old.
 func (s *session) refresh(ctx context.Context) bool {
 	now := s.opt.Clock.Now()
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -15,6 +15,9 @@
 type Rates struct {
 	// Headroom multiplies the expected need.
 	Headroom float64
+	// MaxGrowth bounds what is expected, as a multiple of what runs and waits: an
+	// expectation from a few jobs can be far off.
+	MaxGrowth float64
 	// Reserve is the room, in hosts, that a pool keeps free for what comes
 	// unexpected.
 	Reserve float64
@@ -33,6 +36,7 @@
 // DefaultRates are those of the daemon.
 var DefaultRates = Rates{
 	Headroom:    1.15,
+	MaxGrowth:   2,
 	Reserve:     2,
 	LateShare:   0.3,
 	IdleAfter:   400 * time.Millisecond,
@@ -69,8 +73,27 @@
 	unit    job.Resources
 }
 
-// Decide returns what to do now. It changes nothing in v.
-func Decide(v View, r Rates) []Action {
+// Need is how many hosts a pool has and needs.
+type Need struct {
+	Pool string
+	// Have counts the hosts that work or are on their way, and Closing those
+	// that are being emptied.
+	Have, Closing int
+	Want          int
+}
+
+// Decide returns what to do now, and the needs that it rests on. It changes
+// nothing in v.
+func Decide(v View, r Rates) ([]Action, []Need) {
+	d := newDecider(v, r)
+	needs := d.needs()
+	d.waves()
+	d.grow()
+	d.shrink()
+	return d.actions, needs
+}
+
+func newDecider(v View, r Rates) *decider {
 	d := &decider{
 		View:   v,
 		rates:  r,
@@ -80,10 +103,18 @@
 		taken:  map[string]bool{},
 	}
 	d.index()
-	d.waves()
-	d.grow()
-	d.shrink()
-	return d.actions
+	return d
+}
+
+// needs returns the needs of the pools whose holder answered.
+func (d *decider) needs() []Need {
+	var out []Need
+	for _, v := range d.Pools {
+		if p := d.pools[v.Name]; v.Known && !v.Standby {
+			out = append(out, Need{Pool: v.Name, Have: p.have, Closing: p.closing, Want: p.want})
+		}
+	}
+	return out
 }
 
 func (d *decider) index() {
@@ -129,8 +160,9 @@
 	r := p.view.Report
 	reserve := scale(p.unit, d.rates.Reserve)
 	late := scale(r.Late, 1-d.rates.LateShare)
-	now := scale(r.Used.Add(r.Waiting).Sub(late).Sub(r.Long), d.rates.Headroom)
-	soon := scale(r.Expected, d.rates.Headroom)
+	seen := r.Used.Add(r.Waiting).Sub(late).Sub(r.Long)
+	now := scale(seen, d.rates.Headroom)
+	soon := scale(atMost(r.Expected, scale(seen, d.rates.MaxGrowth).Add(reserve)), d.rates.Headroom)
 	need := max(hostsFor(now.Add(r.Long).Add(reserve), p.unit), hostsFor(soon.Add(r.Long).Add(reserve), p.unit))
 	if r.Stuck > 0 {
 		// Room that is spread over many hosts holds no large task.
@@ -139,6 +171,11 @@
 	return max(need, d.rates.MinHosts)
 }
 
+// atMost returns the smaller amount of each kind.
+func atMost(a, b job.Resources) job.Resources {
+	return job.Resources{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPU: min(a.GPU, b.GPU)}
+}
+
 func scale(r job.Resources, f float64) job.Resources {
 	return job.Resources{CPU: int(float64(r.CPU) * f), MemoryMB: int(float64(r.MemoryMB) * f), GPU: r.GPU}
 }
@@ -398,14 +435,7 @@
 
 // surplus returns the pools that have more hosts than they need.
 func surplus(v View, r Rates) map[string]bool {
-	d := &decider{
-		View: v, rates: r,
-		byName: map[string]Machine{},
-		loads:  map[string]scheduler.WorkerLoad{},
-		pools:  map[string]*poolState{},
-		taken:  map[string]bool{},
-	}
-	d.index()
+	d := newDecider(v, r)
 	out := map[string]bool{}
 	for name, p := range d.pools {
 		if p.view.Known && !p.view.Standby && p.have > p.want {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -62,6 +62,9 @@
 	// closed are the workers that take no new tasks, by ID.
 	closed map[string]*closure
 	demand demand
+	// approved are, for steps that need it, the workers that may run them.
+	approved  map[worker.StepKey]*approvals
+	questions []Question
 
 	dirty map[*item]bool
 	// forget are ended jobs whose submission is to be removed.
@@ -96,6 +99,7 @@
 		restored: map[job.ID]*job.Progress{},
 		workers:  map[string]*worker.Book{},
 		closed:   map[string]*closure{},
+		approved: map[worker.StepKey]*approvals{},
 		dirty:    map[*item]bool{},
 	}
 	c.blind = now + opt.DutyLease + c.longestLease()
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -14,6 +14,7 @@
 	starts, startsRefused, startsUnanswered tally.Counter
 	stops, stopsFailed                      tally.Counter
 	looks, looksFailed                      tally.Counter
+	questions, questionsFailed              tally.Counter
 	appends, records                        tally.Counter
 	appendTime                              tally.Histogram
 }
@@ -34,6 +35,8 @@
 		stopsFailed:      scope.Counter("stops_failed"),
 		looks:            scope.Counter("looks"),
 		looksFailed:      scope.Counter("looks_failed"),
+		questions:        scope.Counter("questions"),
+		questionsFailed:  scope.Counter("questions_failed"),
 		appends:          scope.Counter("appends"),
 		records:          scope.Counter("records"),
 		appendTime:       scope.Histogram("append_seconds", appendBuckets),
@@ -66,6 +69,13 @@
 	}
 }
 
+func (m metrics) advised(err error) {
+	m.questions.Inc(1)
+	if err != nil {
+		m.questionsFailed.Inc(1)
+	}
+}
+
 func (m metrics) appended(records int, took time.Duration) {
 	m.appends.Inc(1)
 	m.records.Inc(int64(records))
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,6 +56,7 @@
 			Until:      b.Lease(now, c.lease(remaining)),
 			Token:      c.opt.Token,
 			Checkpoint: it.Checkpoint(r.Task),
+			Ticket:     c.ticketFor(it, r.Task, b.Incarnation),
 		},
 	}, SendNow
 }
@@ -108,6 +109,9 @@
 	if c.noteFence(refusal) {
 		return
 	}
+	if refusal.Reason == worker.ReasonTicket {
+		c.dropTicket(r.ID.Task, b.Incarnation)
+	}
 	if r.Unanswered {
 		c.stop(b, r, "start refused after an unanswered one")
 		return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -95,6 +95,10 @@
 	}
 	nodes := c.nodes()
 	for _, w := range queue {
+		nodes := nodes
+		if w.it.Terms.Advice != nil {
+			nodes = c.approvedNodes(w, nodes, t.Now)
+		}
 		if w.it.Spec.Steps[w.group.Step].Gang {
 			c.placeGang(b, w, nodes, t.Now)
 			continue
@@ -331,6 +335,7 @@
 		}
 		id := it.Spec.ID
 		delete(c.jobs, id)
+		c.dropApprovals(id)
 		c.ended[id] = job.Progress{Phase: it.Phase, Ended: it.Ended}
 		c.forget = append(c.forget, id)
 		return true
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -46,9 +46,11 @@
 // RunnerOptions configure a Runner.
 type RunnerOptions struct {
 	Options
-	Log      logstore.Log
-	Clock    clock.Clock
-	Control  worker.Control
+	Log     logstore.Log
+	Clock   clock.Clock
+	Control worker.Control
+	// Advisor is asked where an entry needs approval. It may be nil.
+	Advisor  Advisor
 	Registry *worker.Registry
 	Duty     Duty
 	Logger   zerolog.Logger
@@ -61,6 +63,8 @@
 	opt     RunnerOptions
 	metrics metrics
 	wake    chan struct{}
+	// asking admits one question to the advisor at a time.
+	asking chan struct{}
 
 	mu     sync.Mutex
 	core   *Core
@@ -88,6 +92,7 @@
 		opt:     o,
 		metrics: newMetrics(o.Scope),
 		wake:    make(chan struct{}, 1),
+		asking:  make(chan struct{}, 1),
 		core:    NewCore(o.Options, o.Clock.Now()),
 		agents:  map[string]*agent{},
 	}
@@ -275,6 +280,24 @@
 			return err
 		}
 		r.commit(ctx, batch)
+		r.ask(ctx)
+	}
+}
+
+// ask puts the questions of a plan to the advisor, one after the other: it
+// answers each caller in turn.
+func (r *Runner) ask(ctx context.Context) {
+	r.mu.Lock()
+	questions := r.core.Questions()
+	r.mu.Unlock()
+	for _, q := range questions {
+		go func() {
+			r.asking <- struct{}{}
+			defer func() { <-r.asking }()
+			tickets, validity, err := r.opt.Advisor.Advise(ctx, q.Step(), q.IDs(), q.Expected)
+			r.metrics.advised(err)
+			r.update(func(t Times) { r.core.Advised(q, tickets, validity, err, t) })
+		}()
 	}
 }
 
