Hand jobs to the holder of their pool, and to the log only around it

Change: a daemon hands a job or cancel to the holder, which logs it in the same append as its first starts; the intake log is the way around a holder that does not answer. A holder whose append stalls refuses at once, and withdraws what no batch holds. Ruled out: several intake partitions a pool: each holder would read them all.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -119,6 +119,7 @@
 
 // Register serves other daemons' questions.
 func (s *Service) Register(m peer.Mux) {
+	s.registerOrders(m)
 	m.Handle(MethodState, func(_ context.Context, _ string, body cbor.RawMessage) (any, error) {
 		var q StateQuery
 		if err := record.Decode(body, &q); err != nil {
@@ -156,28 +157,6 @@
 	return WaitingAnswer{Held: ok, Count: n}
 }
 
-// Submit accepts a job for an entry. Once it returns nil the job is stored and
-// will run. The error's verdict tells whether it may run nevertheless.
-func (s *Service) Submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
-	sub := joblog.Submission{Spec: spec, Terms: e.Terms(version), Accepted: s.opt.Clock.Wall().UnixMilli()}
-	entry, err := joblog.SubmissionEntry(sub)
-	if err != nil {
-		return verdict.Refuse(verdict.ReasonBadRequest, "%v", err)
-	}
-	err = s.opt.Committer.Append(ctx, joblog.Intake(e.Pool), entry)
-	s.metrics.submitted(err)
-	s.log("job accepted", "job not accepted", spec.ID, e, err)
-	return err
-}
-
-// Cancel cancels a job. Once it returns nil the cancel is stored.
-func (s *Service) Cancel(ctx context.Context, e policy.Entry, id job.ID) error {
-	err := s.opt.Committer.Append(ctx, joblog.Intake(e.Pool), joblog.CancelEntry(id))
-	s.metrics.cancelled(err)
-	s.log("cancel accepted", "cancel not accepted", id, e, err)
-	return err
-}
-
 func (s *Service) log(done, failed string, id job.ID, e policy.Entry, err error) {
 	if err == nil {
 		s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", e.Pool).Msg(done)
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -10,6 +10,7 @@
 type metrics struct {
 	accepted, refused, unsure tally.Counter
 	cancels, cancelsFailed    tally.Counter
+	around                    tally.Counter
 	unanswered, logLookups    tally.Counter
 }
 
@@ -21,6 +22,7 @@
 		unsure:        scope.Counter("jobs_unsure"),
 		cancels:       scope.Counter("cancels"),
 		cancelsFailed: scope.Counter("cancels_failed"),
+		around:        scope.Counter("orders_around_holder"),
 		unanswered:    scope.Counter("states_unanswered"),
 		logLookups:    scope.Counter("states_from_log"),
 	}
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -31,9 +31,13 @@
 
 // Kinds of records, by the first byte of the key. The rest is the ID.
 const (
+	// kindJob is a job in the intake, and its progress in the progress
+	// partition.
 	kindJob    = "j"
 	kindCancel = "c"
-	kindClosed = "w"
+	// kindSubmitted is a job that reached the holder before the log.
+	kindSubmitted = "s"
+	kindClosed    = "w"
 )
 
 // Submission is an accepted job.
@@ -51,6 +55,17 @@
 	return logstore.Entry{Key: kindJob + string(s.Spec.ID), Value: value}, err
 }
 
+// SubmittedEntry returns the record of a job in the progress partition.
+func SubmittedEntry(s *Submission) (logstore.Entry, error) {
+	value, err := record.Encode(s)
+	return logstore.Entry{Key: kindSubmitted + string(s.Spec.ID), Value: value}, err
+}
+
+// ForgetSubmitted returns the entry that removes it.
+func ForgetSubmitted(id job.ID) logstore.Entry {
+	return logstore.Entry{Key: kindSubmitted + string(id)}
+}
+
 // CancelEntry returns the record of a cancelled job.
 func CancelEntry(id job.ID) logstore.Entry {
 	return logstore.Entry{Key: kindCancel + string(id), Value: []byte{1}}
@@ -116,12 +131,13 @@
 // OpenEntry returns the entry that removes the record of a closed worker.
 func OpenEntry(worker string) logstore.Entry { return logstore.Entry{Key: kindClosed + worker} }
 
-// Kept is a record of the progress partition. One of Progress and Closed is
-// set.
+// Kept is a record of the progress partition. One of Progress, Submission and
+// Closed is set.
 type Kept struct {
-	ID       job.ID
-	Progress *job.Progress
-	Closed   *Closed
+	ID         job.ID
+	Progress   *job.Progress
+	Submission *Submission
+	Closed     *Closed
 }
 
 // DecodeProgress reads a record of the progress partition. It returns ok false
@@ -135,6 +151,12 @@
 		err := record.Decode(r.Value, k.Closed)
 		return k, err == nil, err
 	}
+	if id, is := strings.CutPrefix(r.Key, kindSubmitted); is {
+		k.ID = job.ID(id)
+		k.Submission = &Submission{}
+		err := record.Decode(r.Value, k.Submission)
+		return k, err == nil, eris.Wrapf(err, "job %s", id)
+	}
 	id, is := strings.CutPrefix(r.Key, kindJob)
 	if !is {
 		return Kept{}, false, eris.Errorf("progress key %.40q is of no known kind", r.Key)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -67,8 +68,9 @@
 	questions []Question
 
 	dirty map[*item]bool
-	// forget are ended jobs whose submission is to be removed.
-	forget []job.ID
+	// forgetIntake and forgetJournal are ended jobs whose submission is to be
+	// removed.
+	forgetIntake, forgetJournal []job.ID
 	// changed is set when a plan could differ from the last one.
 	changed bool
 	// fenced is set once a worker has seen a newer holder's token.
@@ -78,8 +80,15 @@
 // item is a job with what only its holder needs.
 type item struct {
 	*job.Job
+	// submission is what was handed in, until the log holds it.
+	submission *joblog.Submission
+	// inIntake and inJournal tell where the log holds the submission.
+	inIntake, inJournal bool
 	// arrived is when the job was accepted, by the holder's clock.
 	arrived time.Duration
+	// version counts the changes of the job, planned is up to which a batch
+	// holds them, and committed up to which the log does.
+	version, planned, committed int
 	// logged is the phase that the log holds.
 	logged job.Phase
 	// shun names, by task, the worker on which it failed last.
@@ -114,17 +123,30 @@
 
 // Restore takes in what earlier holders logged. It must come before the first
 // Fold.
-func (c *Core) Restore(kept []joblog.Kept) {
+func (c *Core) Restore(kept []joblog.Kept, t Times) {
 	for _, k := range kept {
 		switch {
 		case k.Closed != nil:
 			c.restoreClosed(*k.Closed)
+		case k.Progress == nil:
 		case k.Progress.Phase.Final() && len(k.Progress.Occurrences) == 0:
 			c.ended[k.ID] = *k.Progress
 		default:
 			c.restored[k.ID] = k.Progress
 		}
 	}
+	for _, k := range kept {
+		if k.Submission == nil {
+			continue
+		}
+		if it := c.submit(k.Submission, t); it != nil {
+			it.inJournal = true
+			it.submission = nil
+			delete(c.dirty, it)
+		} else {
+			c.forgetJournal = append(c.forgetJournal, k.ID)
+		}
+	}
 }
 
 // Fold takes in records of the intake.
@@ -132,25 +154,69 @@
 	for _, h := range handed {
 		if h.Cancelled {
 			c.cancel(h.ID, t)
-		} else {
-			c.submit(h.Submission, t)
+			continue
 		}
+		it := c.submit(h.Submission, t)
+		if it == nil {
+			c.forgetIntake = append(c.forgetIntake, h.ID)
+			continue
+		}
+		it.inIntake = true
+		it.submission = nil
 	}
 	c.changed = true
 }
 
-// submit adds a job. The first submission of an ID counts: a caller that got no
-// answer sends it again.
-func (c *Core) submit(s *joblog.Submission, t Times) {
+// Submit takes in a job that reached the holder before the log. It returns the
+// version of the job from which on the log holds it.
+func (c *Core) Submit(s *joblog.Submission, t Times) int {
+	it := c.submit(s, t)
+	if it == nil {
+		return 0
+	}
+	if it.submission != nil {
+		c.touch(it)
+	}
+	return it.version
+}
+
+// Cancel cancels a job that is known here. It returns the version of the job
+// from which on the log holds that, or false when the job is not known.
+func (c *Core) Cancel(id job.ID, t Times) (int, bool) {
+	if _, over := c.ended[id]; over {
+		return 0, true
+	}
+	it := c.jobs[id]
+	if it == nil {
+		return 0, false
+	}
+	c.cancel(id, t)
+	return it.version, true
+}
+
+// Withdraw forgets a job that no batch holds, so that it certainly never runs.
+func (c *Core) Withdraw(id job.ID) bool {
+	it := c.jobs[id]
+	if it == nil || it.submission == nil || it.planned > 0 {
+		return false
+	}
+	delete(c.jobs, id)
+	delete(c.dirty, it)
+	c.open = slices.DeleteFunc(c.open, func(o *item) bool { return o == it })
+	return true
+}
+
+// submit adds a job, and returns it unless it is over. The first submission of
+// an ID counts: a caller that got no answer sends it again.
+func (c *Core) submit(s *joblog.Submission, t Times) *item {
 	id := s.Spec.ID
-	if c.jobs[id] != nil {
-		return
+	if it := c.jobs[id]; it != nil {
+		return it
 	}
 	if _, over := c.ended[id]; over {
-		c.forget = append(c.forget, id)
-		return
+		return nil
 	}
-	it := &item{arrived: t.Now - age(s.Accepted, t.Wall)}
+	it := &item{submission: s, arrived: t.Now - age(s.Accepted, t.Wall)}
 	if p := c.restored[id]; p != nil {
 		it.Job = job.Restore(s.Spec, s.Terms, *p)
 		it.logged = p.Phase
@@ -168,6 +234,7 @@
 		delete(c.cancels, id)
 		c.cancel(id, t)
 	}
+	return it
 }
 
 // maxAge bounds the time that a job is taken to have waited before its holder
@@ -217,6 +284,7 @@
 
 // touch notes that a job's progress has to be logged.
 func (c *Core) touch(it *item) {
+	it.version++
 	c.dirty[it] = true
 	c.changed = true
 }
@@ -244,6 +312,12 @@
 	return it.Phase, true
 }
 
+// Logged reports whether the log holds a version of a job.
+func (c *Core) Logged(id job.ID, version int) bool {
+	it := c.jobs[id]
+	return it == nil || it.committed >= version
+}
+
 // Waiting returns how many jobs of an entry have started no task.
 func (c *Core) Waiting(entry string) int {
 	n := 0
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,11 +21,17 @@
 	Forget []logstore.Entry
 
 	starts []start
-	phases map[*item]job.Phase
+	logs   map[*item]logged
 	ends   map[string]loggedEnds
 	closed []*closure
 }
 
+// logged is what a batch logs of a job.
+type logged struct {
+	phase   job.Phase
+	version int
+}
+
 // start is a planned run.
 type start struct {
 	run    job.RunID
@@ -47,7 +53,7 @@
 	c.expire(t)
 	c.release(t)
 	c.evacuate(t)
-	b := &Batch{phases: map[*item]job.Phase{}, ends: map[string]loggedEnds{}}
+	b := &Batch{logs: map[*item]logged{}, ends: map[string]loggedEnds{}}
 	c.place(b, t)
 	if err := c.encode(b, t); err != nil {
 		return nil, err
@@ -237,7 +243,7 @@
 func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, room job.Resources, now time.Duration) {
 	book.Add(&worker.Run{ID: r, Room: room, Key: worker.StepOf(r.Task), State: worker.Planned, Since: now})
 	b.starts = append(b.starts, start{run: r, worker: book.Incarnation})
-	c.dirty[it] = true
+	c.touch(it)
 }
 
 // encode writes down the progress of every job that changed, and which ends of
@@ -247,13 +253,9 @@
 		if !c.dirty[it] {
 			continue
 		}
-		it.Settle()
-		e, err := joblog.ProgressEntry(it.Spec.ID, &it.Progress)
-		if err != nil {
+		if err := c.encodeJob(b, it); err != nil {
 			return err
 		}
-		b.Progress = append(b.Progress, e)
-		b.phases[it] = it.Phase
 	}
 	clear(c.dirty)
 	if err := c.encodeClosed(b); err != nil {
@@ -265,10 +267,36 @@
 		}
 	}
 	c.expireEnded(b, t.Wall)
-	for _, id := range c.forget {
+	for _, id := range c.forgetIntake {
 		b.Forget = append(b.Forget, joblog.Forget(id)...)
 	}
-	c.forget = nil
+	for _, id := range c.forgetJournal {
+		b.Progress = append(b.Progress, joblog.ForgetSubmitted(id))
+	}
+	c.forgetIntake, c.forgetJournal = nil, nil
+	return nil
+}
+
+// encodeJob writes down a job's progress, and the job itself unless the log
+// holds it.
+func (c *Core) encodeJob(b *Batch, it *item) error {
+	it.Settle()
+	if it.submission != nil {
+		e, err := joblog.SubmittedEntry(it.submission)
+		if err != nil {
+			return err
+		}
+		b.Progress = append(b.Progress, e)
+		it.submission = nil
+		it.inJournal = true
+	}
+	e, err := joblog.ProgressEntry(it.Spec.ID, &it.Progress)
+	if err != nil {
+		return err
+	}
+	b.Progress = append(b.Progress, e)
+	b.logs[it] = logged{it.Phase, it.version}
+	it.planned = it.version
 	return nil
 }
 
@@ -283,10 +311,20 @@
 	}
 }
 
+// Versions returns up to which version of each job a batch holds it.
+func (b *Batch) Versions() map[job.ID]int {
+	out := make(map[job.ID]int, len(b.logs))
+	for it, l := range b.logs {
+		out[it.Spec.ID] = l.version
+	}
+	return out
+}
+
 // Committed takes in that a batch is logged. It returns the starts to order.
 func (c *Core) Committed(b *Batch, t Times) []job.RunID {
-	for it, phase := range b.phases {
-		it.logged = phase
+	for it, l := range b.logs {
+		it.logged = l.phase
+		it.committed = l.version
 	}
 	for id, e := range b.ends {
 		if book := c.workers[id]; book != nil && book.Incarnation.Born == e.born {
@@ -337,10 +375,12 @@
 		delete(c.jobs, id)
 		c.dropApprovals(id)
 		c.ended[id] = job.Progress{Phase: it.Phase, Ended: it.Ended}
-		c.forget = append(c.forget, id)
+		if it.inIntake {
+			c.forgetIntake = append(c.forgetIntake, id)
+		}
+		if it.inJournal {
+			c.forgetJournal = append(c.forgetJournal, id)
+		}
 		return true
 	})
-	if len(c.forget) > 0 {
-		c.changed = true
-	}
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -65,6 +65,8 @@
 	wake    chan struct{}
 	// asking admits one question to the advisor at a time.
 	asking chan struct{}
+	// ended is closed when Run returns.
+	ended chan struct{}
 
 	mu     sync.Mutex
 	core   *Core
@@ -74,6 +76,17 @@
 	// ready is set once what earlier holders logged has been taken in.
 	ready  bool
 	forget []logstore.Entry
+	// waiters wait for a version of a job to be logged.
+	waiters map[job.ID][]waiter
+	// appending is since when the log has been asked to take a batch, 0 for
+	// no batch.
+	appending time.Duration
+}
+
+// waiter waits for a version of a job to be logged.
+type waiter struct {
+	version int
+	done    chan struct{}
 }
 
 // agent is what the runner keeps for one worker.
@@ -93,8 +106,10 @@
 		metrics: newMetrics(o.Scope),
 		wake:    make(chan struct{}, 1),
 		asking:  make(chan struct{}, 1),
+		ended:   make(chan struct{}),
 		core:    NewCore(o.Options, o.Clock.Now()),
 		agents:  map[string]*agent{},
+		waiters: map[job.ID][]waiter{},
 	}
 }
 
@@ -106,6 +121,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer close(r.ended)
 	journal, err := joblog.OpenJournal(ctx, r.opt.Log, r.opt.Pool, r.opt.Token)
 	if err != nil {
 		return err
@@ -134,7 +150,7 @@
 		if err == nil {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.core.Restore(r.decodeProgress(recs))
+			r.core.Restore(r.decodeProgress(recs), r.times())
 			return nil
 		}
 		if !sleep(ctx, readRetry) {
@@ -324,7 +340,9 @@
 		return nil
 	}
 	start := time.Now()
+	r.noteAppending(r.opt.Clock.Now())
 	err := j.Append(ctx, b.Progress)
+	r.noteAppending(0)
 	r.metrics.appended(len(b.Progress), time.Since(start))
 	if errors.Is(err, logstore.ErrFenced) {
 		r.opt.Logger.Warn().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Msg("another holder has taken the pool's log")
@@ -338,6 +356,7 @@
 	r.update(func(t Times) {
 		runs = r.core.Committed(b, t)
 		r.forget = append(r.forget, b.Forget...)
+		r.release(b.Versions())
 	})
 	where := make(map[job.RunID]string, len(b.starts))
 	for _, s := range b.starts {
@@ -357,6 +376,32 @@
 	}
 }
 
+func (r *Runner) noteAppending(since time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.appending = since
+}
+
+// release tells those who waited for versions that are logged now. It must be
+// called with mu held.
+func (r *Runner) release(versions map[job.ID]int) {
+	for id, version := range versions {
+		left := r.waiters[id][:0]
+		for _, w := range r.waiters[id] {
+			if w.version <= version {
+				close(w.done)
+			} else {
+				left = append(left, w)
+			}
+		}
+		if len(left) == 0 {
+			delete(r.waiters, id)
+		} else {
+			r.waiters[id] = left
+		}
+	}
+}
+
 // start orders a run until the order is answered.
 func (r *Runner) start(ctx context.Context, a *agent, run job.RunID) {
 	for ctx.Err() == nil {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -399,7 +399,7 @@
 			kept = append(kept, k)
 		}
 	}
-	h.core.Restore(kept)
+	h.core.Restore(kept, w.times())
 	w.holder = h
 	h.fold()
 	h.list()
