Probe a silent holder before its duty is claimed

A released duty was claimed half a second late, a silent one after 2.7 s, and every new holder of the fleet duty waited 3.2 s. Change: a holder keeps its duty by reading the claims; heartbeats only tell others to probe it, over the peer link; only orders that check no token need a fresh heartbeat. At a planned stop the fleet duty is handed over with the hosts that had orders lately. Ruled out: heartbeats over several partitions: every daemon would read them all.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -124,6 +124,8 @@
 	d.Front.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	d.Duties.keeper.Leave()
+	d.Fleet.stop()
 	if err := d.Duties.keeper.Release(ctx); err != nil {
 		d.Logger.Warn().Err(err).Msg("duties not handed over")
 	}
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -52,6 +52,7 @@
 		newWorkers,
 		newAdvisor,
 		newRegistry,
+		newDutyDirectory,
 		newDuties,
 		fleet.NewWaves,
 		newFleetNode,
@@ -133,11 +134,13 @@
 // fleetDuty runs the fleet's controller while the duty for it is held here.
 type fleetDuty struct {
 	ctx        context.Context
+	host       string
 	keeper     *duty.Keeper
 	controller *fleet.Controller
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
+	runs   sync.WaitGroup
 }
 
 // fleetLease is the lease of the fleet duty under one token.
@@ -146,8 +149,8 @@
 	token  duty.Token
 }
 
-// Remaining implements fleet.Lease.
-func (l fleetLease) Remaining() time.Duration { return l.keeper.Remaining(duty.Fleet, l.token) }
+// OrderTime implements fleet.Lease.
+func (l fleetLease) OrderTime() time.Duration { return l.keeper.OrderTime(duty.Fleet, l.token) }
 
 func (f *fleetDuty) gained(g duty.Gain) {
 	if g.Duty != duty.Fleet {
@@ -160,7 +163,22 @@
 		f.cancel()
 	}
 	f.cancel = cancel
-	go f.controller.Run(ctx, int64(g.Token), fleetLease{f.keeper, g.Token}, g.Succeeds)
+	before := fleet.Predecessor{Holder: g.Before.Holder.Host, Released: g.Before.Released}
+	if before.Holder == f.host {
+		before.Holder = ""
+	}
+	f.runs.Go(func() { f.controller.Run(ctx, int64(g.Token), fleetLease{f.keeper, g.Token}, before) })
+}
+
+// stop ends the controller and waits until no order is under way.
+func (f *fleetDuty) stop() {
+	f.mu.Lock()
+	if f.cancel != nil {
+		f.cancel()
+		f.cancel = nil
+	}
+	f.mu.Unlock()
+	f.runs.Wait()
 }
 
 func (f *fleetDuty) lost(n duty.Name) {
@@ -177,6 +195,7 @@
 	agent.Register(n)
 	d.fleet = &fleetDuty{
 		ctx:    ctx,
+		host:   self.Host,
 		keeper: d.keeper,
 		controller: fleet.NewController(fleet.ControllerOptions{
 			Holder:      self.Host,
@@ -204,7 +223,7 @@
 	return platform.NewAdvice(place.Advice, platform.Metrics{Scope: m.scope})
 }
 
-func newDuties(ctx context.Context, place platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.InForce, w worker.Control, a scheduler.Advisor, r *worker.Registry, l zerolog.Logger, m metrics) *duties {
+func newDuties(ctx context.Context, place platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.InForce, w worker.Control, a scheduler.Advisor, n *peer.Node, dir *dutyDirectory, r *worker.Registry, l zerolog.Logger, m metrics) *duties {
 	d := &duties{}
 	d.keeper = duty.NewKeeper(duty.Options{
 		Self:     self,
@@ -212,9 +231,12 @@
 		Clock:    cl,
 		Wanted:   func() []duty.Name { return wantedDuties(p) },
 		Observer: d,
+		Prober:   duty.PeerProber{Caller: n},
 		Logger:   l,
 		Scope:    m.scope,
 	})
+	d.keeper.Register(n)
+	dir.keeper = d.keeper
 	d.pools = scheduler.NewManager(ctx, scheduler.ManagerOptions{
 		Lease:  d.keeper,
 		Logger: l,
@@ -256,10 +278,17 @@
 	return out
 }
 
-func newFleetNode(self duty.Member, d *duties, l zerolog.Logger, m metrics) *peer.Node {
-	return peer.NewNode(peer.Options{Self: self.ID(), Resolve: d.keeper.Address, Logger: l, Scope: m.scope})
+func newFleetNode(self duty.Member, d *dutyDirectory, l zerolog.Logger, m metrics) *peer.Node {
+	return peer.NewNode(peer.Options{Self: self.ID(), Resolve: d.address, Logger: l, Scope: m.scope})
 }
 
+// dutyDirectory resolves daemons by the keeper, which needs the node first.
+type dutyDirectory struct{ keeper *duty.Keeper }
+
+func newDutyDirectory() *dutyDirectory { return &dutyDirectory{} }
+
+func (d *dutyDirectory) address(id string) (string, bool) { return d.keeper.Address(id) }
+
 func newCommitter(log logstore.Log, m metrics) *joblog.Committer {
 	return joblog.NewCommitter(log, m.scope)
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,21 +26,35 @@
 )
 
 const (
-	// DefaultLease is how long a holder may act after its last renewal.
+	// DefaultLease is how long a holder may act after it last knew that nobody
+	// else had claimed its duty.
 	DefaultLease = 2500 * time.Millisecond
-	// DefaultHeartbeat is the time between renewals.
-	DefaultHeartbeat = 700 * time.Millisecond
-	// leaseSlack is how much longer than the lease others wait: clocks may run
-	// at slightly different rates.
-	leaseSlack = 200 * time.Millisecond
+	// OrderLease is how long a holder may give orders that check no fencing
+	// token after its last heartbeat. It has ended when the heartbeat is old
+	// enough for others to claim the duty.
+	OrderLease = 1300 * time.Millisecond
+	// DefaultHeartbeat is the time between the heartbeats of a holder.
+	DefaultHeartbeat = 500 * time.Millisecond
+	// idleFactor is how many times longer that is for a daemon without duties.
+	idleFactor = 3
+	// claimWait is how long a read of the claims waits for one.
+	claimWait = 700 * time.Millisecond
+	// deadSilence is how long a holder without a process has to be silent for
+	// its duty to be claimed, and silentFor how long any other.
+	deadSilence = 700 * time.Millisecond
+	silentFor   = OrderLease + 200*time.Millisecond
+	// probedRanks is how many candidates probe a silent holder at once.
+	probedRanks = 3
 	// settleTime is how long a new daemon waits for the heartbeats of others
 	// before it claims what nobody holds.
 	settleTime = 600 * time.Millisecond
+	// claimInterval is the longest time between two looks for what to claim.
+	claimInterval = 250 * time.Millisecond
 	// rankDelay is how much later each further candidate claims.
 	rankDelay = 300 * time.Millisecond
 	// peerAge is the age of the last heartbeat up to which a daemon counts as
 	// live.
-	peerAge = 4 * time.Second
+	peerAge = 2200 * time.Millisecond
 	// retryPause is the wait after a call of the log that failed.
 	retryPause = 150 * time.Millisecond
 )
@@ -48,8 +63,8 @@
 type Gain struct {
 	Duty  Name
 	Token Token
-	// Succeeds is set when another host held the duty before.
-	Succeeds bool
+	// Before is the claim before. Its token is 0 when there was none.
+	Before Claim
 }
 
 // Observer is told when this daemon gains and loses duties, in order. It must
@@ -67,28 +82,37 @@
 	// Wanted returns the duties that somebody should hold.
 	Wanted   func() []Name
 	Observer Observer
-	Lease    time.Duration
-	// Heartbeat is the time between renewals, 0 for DefaultHeartbeat.
+	// Prober is asked about holders whose heartbeats fail to come.
+	Prober Prober
+	Lease  time.Duration
+	// Heartbeat is the time between a holder's heartbeats, 0 for
+	// DefaultHeartbeat.
 	Heartbeat time.Duration
 	Logger    zerolog.Logger
 	Scope     tally.Scope
 }
 
-// Keeper claims duties, renews the lease of those that it holds and knows who
-// holds the others.
+// Keeper claims duties, keeps those that it holds and knows who holds the others.
+//
+// A holder needs no write to keep a duty: it may act for a lease after each
+// read of the claims that showed none by another daemon. A daemon that claims a
+// duty therefore has to expect its predecessor to act for a lease from the
+// claim on, but for orders under OrderLease, which also depends on heartbeats.
 type Keeper struct {
 	opt     Options
 	started time.Duration
 	// patience bounds the heartbeats.
 	patience logstore.Patience
+	// news wakes the claim loop.
+	news chan struct{}
 
 	mu      sync.Mutex
 	table   *table
 	leaving bool
 	held    map[Name]Token
-	// renewed is when the last heartbeat that arrived was sent, and confirmed
+	// heartbeat is when the last heartbeat that arrived was sent, and confirmed
 	// a moment up to which no claim is unknown here.
-	renewed   time.Duration
+	heartbeat time.Duration
 	confirmed time.Duration
 	// peersRead is when the last complete read of the heartbeats began.
 	peersRead time.Duration
@@ -112,6 +136,7 @@
 	return &Keeper{
 		opt:             o,
 		started:         o.Clock.Now(),
+		news:            make(chan struct{}, 1),
 		table:           newTable(),
 		held:            map[Name]Token{},
 		claimable:       map[Name]time.Duration{},
@@ -152,7 +177,19 @@
 	if held, ok := k.held[n]; !ok || held != t {
 		return 0
 	}
-	return max(0, min(k.renewed, k.confirmed)+k.opt.Lease-now)
+	return max(0, k.confirmed+k.opt.Lease-now)
+}
+
+// OrderTime returns how long this daemon may still give orders under a token
+// that nobody checks.
+func (k *Keeper) OrderTime(n Name, t Token) time.Duration {
+	now := k.opt.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if held, ok := k.held[n]; !ok || held != t {
+		return 0
+	}
+	return max(0, min(k.heartbeat, k.confirmed)+OrderLease-now)
 }
 
 // Holder returns the last claim of a duty.
@@ -193,7 +230,7 @@
 func (k *Keeper) LogConfirmed() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(k.renewed, k.confirmed)
+	return max(k.heartbeat, k.confirmed)
 }
 
 // Run keeps duties until ctx ends.
@@ -201,16 +238,39 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { k.followClaims(ctx) })
 	loops.Go(func() { k.heartbeats(ctx) })
+	loops.Go(func() { k.claimLoop(ctx) })
 	loops.Wait()
 }
 
+// claimLoop claims what has been abandoned. It is a loop of its own because
+// probes take time.
+func (k *Keeper) claimLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(claimInterval)
+		select {
+		case <-ctx.Done():
+		case <-k.news:
+		case <-t.C:
+		}
+		t.Stop()
+		k.claimAbandoned(ctx)
+	}
+}
+
+// tell has the claim loop look at once.
+func (k *Keeper) tell() {
+	select {
+	case k.news <- struct{}{}:
+	default:
+	}
+}
+
 // followClaims reads claims as they are made.
 func (k *Keeper) followClaims(ctx context.Context) {
 	tail := logstore.NewTail(k.opt.Log, claimPartition)
-	wait := k.opt.Heartbeat
 	for ctx.Err() == nil {
 		start := k.opt.Clock.Now()
-		recs, _, err := tail.Next(ctx, wait)
+		recs, _, err := tail.Next(ctx, claimWait)
 		if err != nil {
 			k.failed("read claims", err)
 			sleep(ctx, retryPause)
@@ -218,16 +278,16 @@
 		}
 		now := k.opt.Clock.Now()
 		confirmed := start
-		if len(recs) == 0 && now-start >= wait {
+		if len(recs) == 0 && now-start >= claimWait {
 			// Nothing was claimed while the answer waited.
-			confirmed = start + wait
+			confirmed = start + claimWait
 		}
 		k.mu.Lock()
 		k.foldClaims(recs, now)
 		k.claimEnd = max(k.claimEnd, tail.Position())
 		k.confirmed = max(k.confirmed, confirmed)
 		k.mu.Unlock()
-		k.claimAbandoned(ctx)
+		k.tell()
 	}
 }
 
@@ -239,13 +299,13 @@
 			k.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("claim ignored: it cannot be read")
 		}
 		k.claimEnd = max(k.claimEnd, r.Offset+1)
-		k.settle(Name(r.Key), before.Token > 0 && before.Holder.Host != k.opt.Self.Host)
+		k.settle(Name(r.Key), before)
 	}
 }
 
-// settle compares a duty's last claim with what this daemon holds. succeeds is
-// set when another host made the claim before.
-func (k *Keeper) settle(n Name, succeeds bool) {
+// settle compares a duty's last claim with what this daemon holds. before is
+// the claim before it.
+func (k *Keeper) settle(n Name, before Claim) {
 	c := k.table.claims[n]
 	token, held := k.held[n]
 	own := c.Holder == k.opt.Self && !c.Released
@@ -259,25 +319,39 @@
 		k.held[n] = c.Token
 		k.claims.Inc(1)
 		k.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(c.Token)).Msg("duty gained")
-		k.opt.Observer.Gained(Gain{Duty: n, Token: c.Token, Succeeds: succeeds})
+		k.opt.Observer.Gained(Gain{Duty: n, Token: c.Token, Before: before})
 	}
 	delete(k.claimable, n)
 	k.heldGauge.Update(float64(len(k.held)))
 }
 
-// heartbeats renews this daemon's lease and reads who else is there.
+// heartbeats says that this daemon lives and reads who else does.
 func (k *Keeper) heartbeats(ctx context.Context) {
 	tail := logstore.NewTail(k.opt.Log, heartbeatPartition)
+	var last time.Duration
 	for ctx.Err() == nil {
-		next := k.opt.Clock.Now() + k.opt.Heartbeat
-		k.renew(ctx)
+		start := k.opt.Clock.Now()
+		if start-last >= k.interval() {
+			last = start
+			k.beat(ctx)
+		}
 		k.readPeers(ctx, tail)
-		k.claimAbandoned(ctx)
-		sleep(ctx, next-k.opt.Clock.Now())
+		k.tell()
+		sleep(ctx, start+k.opt.Heartbeat-k.opt.Clock.Now())
+	}
+}
+
+// interval returns the time between two heartbeats.
+func (k *Keeper) interval() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.held) > 0 || k.leaving {
+		return k.opt.Heartbeat
 	}
+	return idleFactor * k.opt.Heartbeat
 }
 
-func (k *Keeper) renew(ctx context.Context) {
+func (k *Keeper) beat(ctx context.Context) {
 	k.mu.Lock()
 	h := heartbeat{Member: k.opt.Self, Leaving: k.leaving}
 	k.mu.Unlock()
@@ -289,12 +363,12 @@
 	start := k.opt.Clock.Now()
 	if err := k.appendHeartbeat(ctx, logstore.Entry{Key: h.Member.Host, Value: value}); err != nil {
 		k.heartbeatErrors.Inc(1)
-		k.failed("renew", err)
+		k.failed("heartbeat", err)
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.renewed = start
+	k.heartbeat = start
 	if k.logDown {
 		k.logDown = false
 		k.opt.Logger.Info().Msg("log reachable")
@@ -337,16 +411,36 @@
 	}
 }
 
-// claimAbandoned claims the duties that nobody holds and that are this
+// claimAbandoned claims the duties that nobody can act for and that are this
 // daemon's turn.
 func (k *Keeper) claimAbandoned(ctx context.Context) {
-	for _, n := range k.turns() {
-		k.claim(ctx, n)
+	var probes sync.WaitGroup
+	for _, s := range k.suspects() {
+		probes.Go(func() {
+			if s.vacant || k.abandoned(ctx, s) {
+				k.claimInTurn(ctx, s)
+			} else {
+				k.forgetClaimable(s.duty)
+			}
+		})
 	}
+	probes.Wait()
 }
 
-// turns returns the duties that this daemon should claim now.
-func (k *Keeper) turns() []Name {
+// suspect is a duty that this daemon may have to claim.
+type suspect struct {
+	duty   Name
+	holder Member
+	// vacant is set when nobody holds the duty.
+	vacant bool
+	// silence is how long the holder has sent no heartbeat.
+	silence time.Duration
+	rank    int
+}
+
+// suspects returns the duties without a holder or with a silent one, as far as
+// this daemon is among the first that should claim them.
+func (k *Keeper) suspects() []suspect {
 	now := k.opt.Clock.Now()
 	wanted := k.opt.Wanted()
 	k.mu.Lock()
@@ -355,28 +449,64 @@
 		return nil
 	}
 	live := k.table.live(now, peerAge)
-	var out []Name
+	var out []suspect
 	for _, n := range wanted {
-		if _, held := k.held[n]; held || !k.table.abandoned(n, k.peersRead, k.opt.Lease+leaseSlack) {
-			delete(k.claimable, n)
+		if _, held := k.held[n]; held {
 			continue
 		}
-		if _, ok := k.claimable[n]; !ok {
-			k.claimable[n] = now
-		}
-		if k.ownBefore(n) {
-			out = append(out, n)
-			continue
+		s := suspect{duty: n, holder: k.table.claims[n].Holder, vacant: k.table.vacant(n) || k.ownBefore(n)}
+		if !s.vacant {
+			s.silence = k.table.silence(n, k.peersRead)
+			if s.silence < deadSilence {
+				delete(k.claimable, n)
+				continue
+			}
 		}
-		since := max(k.claimable[n], k.started+settleTime)
-		if now >= since+time.Duration(k.table.rank(n, k.opt.Self, live))*rankDelay {
-			out = append(out, n)
+		s.rank = k.table.rank(n, k.opt.Self, live)
+		if s.vacant || s.rank < probedRanks {
+			out = append(out, s)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(a, b suspect) int { return strings.Compare(string(a.duty), string(b.duty)) })
 	return out
 }
 
+// abandoned probes a silent holder. One that answers and can act keeps its duty
+// even when the log is too slow for its heartbeats.
+func (k *Keeper) abandoned(ctx context.Context, s suspect) bool {
+	h := k.opt.Prober.Probe(ctx, s.holder, s.duty)
+	switch h {
+	case Able:
+		return false
+	case Dead:
+		return true
+	default:
+		return s.silence >= silentFor
+	}
+}
+
+func (k *Keeper) forgetClaimable(n Name) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.claimable, n)
+}
+
+// claimInTurn claims a duty once those that should do so first had their time.
+func (k *Keeper) claimInTurn(ctx context.Context, s suspect) {
+	now := k.opt.Clock.Now()
+	k.mu.Lock()
+	if _, ok := k.claimable[s.duty]; !ok {
+		k.claimable[s.duty] = now
+	}
+	since := max(k.claimable[s.duty], k.started+settleTime)
+	mine := now >= since+time.Duration(s.rank)*rankDelay || k.ownBefore(s.duty)
+	k.mu.Unlock()
+	if mine {
+		k.opt.Logger.Info().Str("duty", string(s.duty)).Str("holder", s.holder.ID()).Bool("vacant", s.vacant).Dur("silence", s.silence).Int("rank", s.rank).Msg("claiming a duty")
+		k.claim(ctx, s.duty)
+	}
+}
+
 // ownBefore reports whether the process that ran here before held the duty.
 func (k *Keeper) ownBefore(n Name) bool {
 	c := k.table.claims[n]
@@ -402,7 +532,7 @@
 	var conflict *logstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		// Somebody else claimed something first; the tail tells what.
+		k.catchUp(ctx, at)
 		return false
 	case err != nil:
 		k.failed("claim", err)
@@ -414,6 +544,19 @@
 	return true
 }
 
+// catchUp reads the claims that came before an own one. The loop that follows
+// them may still wait for the next.
+func (k *Keeper) catchUp(ctx context.Context, from int64) {
+	b, err := k.opt.Log.Read(ctx, claimPartition, from, 0)
+	if err != nil {
+		k.failed("read claims", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.foldClaims(b.Records, k.opt.Clock.Now())
+}
+
 // Release gives up every duty, so that others can claim it at once. It
 // returns an error when the log did not take a release; the others then wait
 // for the lease to end.
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -143,27 +143,30 @@
 	return out
 }
 
-// abandoned reports whether a duty has no holder that could still act for it.
-// read is when the last complete read of the heartbeats began.
-func (t *table) abandoned(n Name, read, lease time.Duration) bool {
+// vacant reports whether a duty certainly has no holder.
+func (t *table) vacant(n Name) bool {
 	c, ok := t.claims[n]
 	if !ok || c.Released {
 		return true
 	}
+	// Another process on the holder's host shows that the holder has ended.
 	p, seen := t.peers[c.Holder.Host]
-	if seen && p.Incarnation > c.Holder.Incarnation {
-		// Another process runs on the holder's host, so the holder has ended.
-		return true
-	}
+	return seen && p.Incarnation > c.Holder.Incarnation
+}
+
+// silence returns for how long the holder of a duty has sent no heartbeat. read
+// is when the last complete read of the heartbeats began.
+func (t *table) silence(n Name, read time.Duration) time.Duration {
 	last := t.since[n]
-	if seen {
+	if p, seen := t.peers[t.claims[n].Holder.Host]; seen {
 		last = max(last, p.Seen)
 	}
-	return read > last+lease
+	return read - last
 }
 
-// rank returns the place of a daemon in the order in which the live ones
-// should claim a duty: those that hold the least for their weight first.
+// rank returns the place of a daemon in the order in which the live ones other
+// than the last holder should claim a duty: those that hold the least for their
+// weight first.
 func (t *table) rank(n Name, self Member, live []Peer) int {
 	held := map[string]float64{}
 	for _, c := range t.claims {
@@ -177,9 +180,9 @@
 		hash uint64
 	}
 	var list []candidate
-	last := t.claims[n]
+	last := t.claims[n].Holder.Host
 	for _, p := range live {
-		if p.Leaving || last.Released && p.Host == last.Holder.Host {
+		if p.Leaving || p.Host == last {
 			continue
 		}
 		load := held[p.Host] / max(p.Weight, minWeight)
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -26,7 +26,7 @@
 	listAge = 600 * time.Millisecond
 	// orderMargin is what must be left of the duty's lease for an order to
 	// leave: its call has ended by then.
-	orderMargin = time.Second
+	orderMargin = 650 * time.Millisecond
 	// refusedPause is how long a host is left alone after an order was refused.
 	refusedPause = time.Second
 	// ordersAtOnce bounds the orders under way.
@@ -34,14 +34,16 @@
 	// succeedSlack is added to the wait of a new holder for the orders of the
 	// one before.
 	succeedSlack = 200 * time.Millisecond
-	// statusRetry is the wait after the state of a wave could not be written.
+	// loadRetry is the wait after the progress of waves could not be read.
 	loadRetry = 200 * time.Millisecond
+	// handOverTimeout bounds the last append of a holder.
+	handOverTimeout = 500 * time.Millisecond
 )
 
-// Lease tells how long the duty may still be acted on.
+// Lease tells how long orders may still be given.
 type Lease interface {
-	// Remaining returns how long without a further renewal, 0 for not at all.
-	Remaining() time.Duration
+	// OrderTime returns how long without a further renewal, 0 for not at all.
+	OrderTime() time.Duration
 }
 
 // ControllerOptions configure a Controller.
@@ -93,16 +95,28 @@
 	// paused are hosts with a refused order, and until when.
 	paused map[string]time.Duration
 	states map[int]*waveState
+	// ordered is when the last order for a host was answered.
+	ordered map[string]time.Duration
 	// surplusSince is since when a pool has had more hosts than it needs.
 	surplusSince map[string]time.Duration
 	// needs are those that were logged last.
 	needs map[string]Need
 	slots chan struct{}
+	// orders are those under way.
+	orders sync.WaitGroup
 }
 
-// Run decides and orders until ctx ends. succeeds is set when another daemon
-// held the duty before.
-func (c *Controller) Run(ctx context.Context, token int64, lease Lease, succeeds bool) {
+// Predecessor tells how the duty came to this daemon.
+type Predecessor struct {
+	// Holder is the host that held the duty before, or "" for none or this one.
+	Holder string
+	// Released is set when it gave the duty up.
+	Released bool
+}
+
+// Run decides and orders until ctx ends. It returns once no order is under way,
+// after it has told the next holder which hosts had orders lately.
+func (c *Controller) Run(ctx context.Context, token int64, lease Lease, before Predecessor) {
 	s := &session{
 		Controller:   c,
 		order:        Order{Holder: c.opt.Holder, Token: token},
@@ -110,36 +124,78 @@
 		pending:      map[string]Action{},
 		underway:     map[string]bool{},
 		paused:       map[string]time.Duration{},
+		ordered:      map[string]time.Duration{},
 		surplusSince: map[string]time.Duration{},
 		needs:        map[string]Need{},
 		slots:        make(chan struct{}, ordersAtOnce),
 	}
-	if succeeds {
-		// Hosts check no tokens: the last order of the holder before has to
-		// be long over.
-		sleep(ctx, c.opt.HolderLease+succeedSlack)
+	s.takeOver(ctx, before)
+	for ctx.Err() == nil {
+		wait := tick
+		if s.step(ctx) {
+			wait = quickTick
+		}
+		sleep(ctx, wait)
 	}
+	s.orders.Wait()
+	s.handOver()
+}
+
+// takeOver reads how far the holder before came, and waits until its last
+// orders are long over: hosts check no tokens. After a planned hand-over only
+// the hosts that had orders lately have to wait.
+func (s *session) takeOver(ctx context.Context, before Predecessor) {
+	var recent *handover
 	for ctx.Err() == nil {
-		states, err := loadProgress(ctx, c.opt.Log)
+		states, last, err := loadProgress(ctx, s.opt.Log)
 		if err == nil {
-			s.states = states
+			s.states, recent = states, last
 			break
 		}
 		sleep(ctx, loadRetry)
 	}
-	for ctx.Err() == nil {
-		wait := tick
-		if s.step(ctx) {
-			wait = quickTick
+	if before.Holder == "" {
+		return
+	}
+	if !before.Released || recent == nil || recent.Holder != before.Holder {
+		sleep(ctx, s.opt.HolderLease+succeedSlack)
+		return
+	}
+	now := s.opt.Clock.Now()
+	for m, age := range recent.Ages {
+		s.paused[m] = now + s.opt.HolderLease + succeedSlack - age
+	}
+}
+
+// handOver writes down which hosts had orders lately.
+func (s *session) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	now := s.opt.Clock.Now()
+	h := handover{Holder: s.order.Holder, Ages: map[string]time.Duration{}}
+	s.mu.Lock()
+	for m, at := range s.ordered {
+		if age := now - at; age < s.opt.HolderLease {
+			h.Ages[m] = age
 		}
-		sleep(ctx, wait)
+	}
+	for m := range s.pending {
+		h.Ages[m] = 0
+	}
+	s.mu.Unlock()
+	e, err := handoverEntry(h)
+	if err == nil {
+		_, err = s.opt.Log.Append(ctx, wavePartition, []logstore.Entry{e}, logstore.Condition{})
+	}
+	if err != nil {
+		s.opt.Logger.Info().Err(err).Msg("recent orders not written, the next holder has to wait")
 	}
 }
 
 // step makes one decision and carries it out. It reports whether the next one
 // should follow soon.
 func (s *session) step(ctx context.Context) (soon bool) {
-	if s.lease.Remaining() < orderMargin || s.opt.Policy.Get() == nil {
+	if s.lease.OrderTime() < orderMargin || s.opt.Policy.Get() == nil {
 		return false
 	}
 	if !s.refresh(ctx) {
@@ -393,19 +449,19 @@
 	}
 	s.underway[a.Machine] = true
 	s.mu.Unlock()
-	go func() {
+	s.orders.Go(func() {
 		s.slots <- struct{}{}
 		defer func() { <-s.slots }()
 		err := s.call(ctx, a)
 		s.answered(a, err)
-	}()
+	})
 }
 
 // errLeaseShort means that too little is left of the duty's lease.
 var errLeaseShort = verdict.Refuse(verdict.ReasonNotReady, "too little is left of the duty's lease")
 
 func (s *session) call(ctx context.Context, a Action) error {
-	if ctx.Err() != nil || s.lease.Remaining() < orderMargin {
+	if ctx.Err() != nil || s.lease.OrderTime() < orderMargin {
 		return errLeaseShort
 	}
 	if a.Kind == Maintain {
@@ -421,6 +477,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.underway, a.Machine)
+	if !errors.Is(err, errLeaseShort) {
+		s.ordered[a.Machine] = now
+	}
 	line := s.opt.Logger.Info()
 	if err != nil {
 		line = s.opt.Logger.Warn().Err(err)
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -69,14 +69,38 @@
 	return logstore.Entry{Key: waveKey(p.Number), Value: value}, err
 }
 
-// loadProgress reads how far earlier holders came.
-func loadProgress(ctx context.Context, l logstore.Log) (map[int]*waveState, error) {
+// handover is what a holder leaves to the next one.
+type handover struct {
+	Holder string `cbor:"1,keyasint"`
+	// Ages is how long ago each host had its last order, for those that had
+	// one lately.
+	Ages map[string]time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+const handoverKey = "handover"
+
+func handoverEntry(h handover) (logstore.Entry, error) {
+	value, err := record.Encode(h)
+	return logstore.Entry{Key: handoverKey, Value: value}, err
+}
+
+// loadProgress reads how far earlier holders came, and what the last one that
+// gave the duty up left.
+func loadProgress(ctx context.Context, l logstore.Log) (map[int]*waveState, *handover, error) {
 	recs, _, err := logstore.All(ctx, l, wavePartition)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	out := map[int]*waveState{}
+	var last *handover
 	for _, r := range recs {
+		if r.Key == handoverKey {
+			last = &handover{}
+			if record.Decode(r.Value, last) != nil {
+				last = nil
+			}
+			continue
+		}
 		var p progress
 		if !strings.HasPrefix(r.Key, "wave/") || record.Decode(r.Value, &p) != nil {
 			continue
@@ -88,7 +112,7 @@
 		}
 		out[p.Number] = s
 	}
-	return out, nil
+	return out, last, nil
 }
 
 // waveState is how far a wave has come.
