Eject workers that fail or stand still, and place tasks by when they end

Cause: a worker that fails all it starts is empty again at once and so got ever more tasks; one that stands still held its tasks for seconds; hosts that a pool gave back waited for single long tasks.

--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -417,8 +417,8 @@
 	}
 }
 
-// idle returns the hosts of a pool that could be given back, the emptiest
-// first. Those with long-running tasks stay.
+// idle returns the hosts of a pool that could be given back, those that are
+// empty the soonest first. Those with long-running tasks stay.
 func (d *decider) idle(p *poolState) []Machine {
 	var out []Machine
 	for _, m := range d.Machines {
@@ -428,7 +428,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Machine) int {
-		return cmp.Compare(d.loads[a.Worker].Runs, d.loads[b.Worker].Runs)
+		return cmp.Compare(d.loads[a.Worker].EmptyIn, d.loads[b.Worker].EmptyIn)
 	})
 	return out
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"greengagedeck/internal/job"
 )
@@ -16,6 +17,9 @@
 	Free   job.Resources
 	Rack   string
 	Labels []string
+	// BusyUntil is when the last of its runs is expected to end, on the clock
+	// of Request.Ends.
+	BusyUntil time.Duration
 	// Avoid is set for workers to use only when no other fits.
 	Avoid bool
 }
@@ -31,8 +35,14 @@
 	Most  int
 	// Shun names a worker to use only when no other fits, or is empty.
 	Shun string
+	// Ends is when the task is expected to end.
+	Ends time.Duration
 }
 
+// extensionStep is the resolution at which it matters how much longer a task
+// keeps a worker busy.
+const extensionStep = 200 * time.Millisecond
+
 // allows reports whether a node may take the task at all.
 func (r Request) allows(n *Node) bool {
 	if !r.Room.Fits(n.Free) {
@@ -45,8 +55,10 @@
 }
 
 // Choose returns the node for a task, or nil when none fits: one on the rack of
-// its data if there is one, and of those the one with the least processor time
-// left, so that whole workers stay free for large tasks.
+// its data if there is one, of those one that the task keeps busy for the least
+// time beyond what it is anyway, and of those the one with the least processor
+// time left. Tasks that end together so come to lie together, and whole workers
+// fall free.
 func Choose(nodes []*Node, r Request) *Node {
 	var best *Node
 	for _, n := range nodes {
@@ -64,11 +76,24 @@
 func (r Request) compare(a, b *Node) int {
 	return cmp.Or(
 		cmp.Compare(r.penalty(a), r.penalty(b)),
+		cmp.Compare(r.extension(a), r.extension(b)),
 		cmp.Compare(a.Free.CPU, b.Free.CPU),
 		cmp.Compare(a.ID, b.ID),
 	)
 }
 
+// extension returns for how many steps a task keeps a node busy beyond what it
+// is anyway.
+func (r Request) extension(n *Node) int {
+	return int(max(0, r.Ends-n.BusyUntil) / extensionStep)
+}
+
+// Take notes that a node gets the task.
+func (r Request) Take(n *Node) {
+	n.Free = n.Free.Sub(r.Room)
+	n.BusyUntil = max(n.BusyUntil, r.Ends)
+}
+
 // penalty counts what speaks against a node, the worst first.
 func (r Request) penalty(n *Node) int {
 	p := 0
@@ -139,7 +164,7 @@
 		if n == nil {
 			return nil
 		}
-		n.Free = n.Free.Sub(r.Room)
+		r.Take(n)
 		placed[n.ID]++
 		out = append(out, byID[n.ID])
 	}
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -168,6 +168,8 @@
 	// will get none.
 	Closed bool `cbor:"8,keyasint,omitempty"`
 	Empty  bool `cbor:"9,keyasint,omitempty"`
+	// EmptyIn is how long its runs are expected to go on.
+	EmptyIn time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Report is what a pool's holder says of the pool.
@@ -207,7 +209,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-		rep.Workers = append(rep.Workers, c.load(id, &rep))
+		rep.Workers = append(rep.Workers, c.load(id, &rep, now))
 	}
 	rep.Stuck = pack(stuck, c.largest())
 	return rep
@@ -248,7 +250,7 @@
 	return len(free)
 }
 
-func (c *Core) load(id string, rep *Report) WorkerLoad {
+func (c *Core) load(id string, rep *Report, now time.Duration) WorkerLoad {
 	b := c.workers[id]
 	l := WorkerLoad{
 		ID:       id,
@@ -256,7 +258,8 @@
 		Runs:     len(b.Runs),
 		Used:     b.Used,
 		Capacity: b.Capacity,
-		Open:     c.takes(b),
+		Open:     c.takes(b) && !c.ejected(id, now),
+		EmptyIn:  b.BusyUntil(now) - now,
 	}
 	rep.Used = rep.Used.Add(b.Used)
 	for _, r := range b.Runs {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -63,6 +63,9 @@
 	// closed are the workers that take no new tasks, by ID.
 	closed map[string]*closure
 	demand demand
+	health map[string]*health
+	// paces are, by entry, how long tasks take against their estimates.
+	paces map[string]*pace
 	// approved are, for steps that need it, the workers that may run them.
 	approved  map[worker.StepKey]*approvals
 	questions []Question
@@ -108,6 +111,8 @@
 		restored: map[job.ID]*job.Progress{},
 		workers:  map[string]*worker.Book{},
 		closed:   map[string]*closure{},
+		health:   map[string]*health{},
+		paces:    map[string]*pace{},
 		approved: map[worker.StepKey]*approvals{},
 		dirty:    map[*item]bool{},
 	}
@@ -263,6 +268,7 @@
 			Key:   worker.StepOf(r.Task),
 			State: worker.Ordered,
 			Since: now,
+			Lasts: c.lasts(it.Step(r.Task)),
 		})
 	})
 }
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -56,14 +56,10 @@
 	d.mean.memory += (w.memory - d.mean.memory) * share
 }
 
-// took notes how long a task was at work.
-func (d *demand) took(actual, estimate time.Duration) {
-	if estimate <= 0 {
-		return
-	}
+// took notes the ratio of actual to estimated time of a task.
+func (d *demand) took(ratio float64) {
 	d.tasks = min(d.tasks+1, ratioTasks)
-	ratio := min(maxRatio, actual.Seconds()/estimate.Seconds())
-	d.ratio += (ratio - d.ratio) / float64(d.tasks)
+	d.ratio += (min(maxRatio, ratio) - d.ratio) / float64(d.tasks)
 }
 
 func (d *demand) advance(now time.Duration) {
@@ -101,13 +97,18 @@
 	return d.room(last / length), d.room(max(0, last+trend*ahead) / length)
 }
 
-// room returns the room that a number of jobs a second needs.
-func (d *demand) room(perSecond float64) job.Resources {
-	ratio := d.ratio
+// usual returns the mean of actual to estimated time at work.
+func (d *demand) usual() float64 {
 	if d.tasks == 0 {
-		ratio = 1
+		return 1
 	}
-	return job.Resources{CPU: int(perSecond * d.mean.cpu * ratio), MemoryMB: int(perSecond * d.mean.memory * ratio)}
+	return d.ratio
+}
+
+// room returns the room that a number of jobs a second needs.
+func (d *demand) room(perSecond float64) job.Resources {
+	each := perSecond * d.usual()
+	return job.Resources{CPU: int(each * d.mean.cpu), MemoryMB: int(each * d.mean.memory)}
 }
 
 // workOf returns the work of a job, as far as estimates tell.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -53,6 +53,7 @@
 	c.expire(t)
 	c.release(t)
 	c.evacuate(t)
+	c.watchStalls(t.Now)
 	b := &Batch{logs: map[*item]logged{}, ends: map[string]loggedEnds{}}
 	c.place(b, t)
 	if err := c.encode(b, t); err != nil {
@@ -95,11 +96,8 @@
 	if c.fenced {
 		return
 	}
+	nodes := c.withoutEjected(c.nodes(t.Now), t.Now)
 	queue := c.queue(t.Now)
-	if len(queue) == 0 {
-		return
-	}
-	nodes := c.nodes()
 	for _, w := range queue {
 		nodes := nodes
 		if w.it.Terms.Advice != nil {
@@ -111,6 +109,7 @@
 		}
 		c.placeTasks(b, w, nodes, t.Now)
 	}
+	c.copies(b, nodes, t.Now)
 }
 
 // queue returns the groups that wait, the most urgent first.
@@ -174,14 +173,16 @@
 }
 
 // nodes returns the workers that take new tasks, in the order of their IDs.
-func (c *Core) nodes() []*placement.Node {
+func (c *Core) nodes(now time.Duration) []*placement.Node {
 	var out []*placement.Node
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		b := c.workers[id]
 		if !c.takes(b) {
 			continue
 		}
-		out = append(out, &placement.Node{ID: id, Free: b.Free(), Rack: b.Rack, Labels: b.Labels})
+		out = append(out, &placement.Node{
+			ID: id, Free: b.Free(), Rack: b.Rack, Labels: b.Labels, BusyUntil: b.BusyUntil(now),
+		})
 	}
 	return out
 }
@@ -205,6 +206,7 @@
 
 func (c *Core) placeTasks(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
 	req := c.request(w.it, w.group)
+	req.Ends = now + c.lasts(w.it.Spec.Steps[w.group.Step])
 	for _, k := range w.group.Waiting {
 		t := job.TaskID{Job: w.it.Spec.ID, Occurrence: w.group.Occurrence, Step: w.group.Step, Index: k}
 		req.Shun = w.it.shun[t]
@@ -212,36 +214,51 @@
 		if n == nil {
 			return
 		}
-		n.Free = n.Free.Sub(req.Room)
+		req.Take(n)
 		book := c.workers[n.ID]
-		c.planned(b, w.it, w.it.Place(t, locate(book)), book, req.Room, now)
+		c.planned(b, w.it, w.it.Place(t, locate(book)), book, now)
 	}
 }
 
 func (c *Core) placeGang(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
 	req := c.request(w.it, w.group)
 	s := w.it.Spec.Steps[w.group.Step]
+	req.Ends = now + c.lasts(s)
 	chosen := placement.ChooseGang(nodes, req, s.Count, s.SameRack)
 	if chosen == nil {
 		return
 	}
 	at := make([]job.Location, 0, len(chosen))
 	for _, n := range chosen {
-		n.Free = n.Free.Sub(req.Room)
+		req.Take(n)
 		at = append(at, locate(c.workers[n.ID]))
 	}
 	for i, r := range w.it.PlaceGang(w.group.Occurrence, w.group.Step, at) {
-		c.planned(b, w.it, r, c.workers[at[i].Worker.ID], req.Room, now)
+		c.planned(b, w.it, r, c.workers[at[i].Worker.ID], now)
 	}
 }
 
+// foreverLasts stands for the time that a long-running task is at work.
+const foreverLasts = 1000 * time.Hour
+
+// lasts returns how long a task of a step is expected to be at work.
+func (c *Core) lasts(s job.Step) time.Duration {
+	if s.LongRunning {
+		return foreverLasts
+	}
+	return time.Duration(c.demand.usual() * float64(s.Estimate))
+}
+
 func locate(b *worker.Book) job.Location {
 	return job.Location{Worker: b.Incarnation, Address: b.Address}
 }
 
 // planned notes a run that is to be logged and then ordered.
-func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, room job.Resources, now time.Duration) {
-	book.Add(&worker.Run{ID: r, Room: room, Key: worker.StepOf(r.Task), State: worker.Planned, Since: now})
+func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, now time.Duration) {
+	s := it.Step(r.Task)
+	book.Add(&worker.Run{
+		ID: r, Room: s.Room(), Key: worker.StepOf(r.Task), State: worker.Planned, Since: now, Lasts: c.lasts(s),
+	})
 	b.starts = append(b.starts, start{run: r, worker: book.Incarnation})
 	c.touch(it)
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -80,6 +80,7 @@
 func (c *Core) dropIdle(id string) {
 	if b := c.workers[id]; b != nil && !b.Listed && len(b.Runs) == 0 {
 		delete(c.workers, id)
+		delete(c.health, id)
 		c.Open(id)
 	}
 }
@@ -100,8 +101,15 @@
 		return
 	}
 	c.logEnd(b, r, how)
-	if how == job.EndDone && r.State == worker.Confirmed {
-		c.demand.took(t.Now-r.Since, it.Step(r.ID.Task).Estimate)
+	switch how {
+	case job.EndDone:
+		c.succeeded(b.Incarnation.ID)
+		if r.State == worker.Confirmed {
+			c.took(it.Terms.Entry, t.Now-r.Since, it.Step(r.ID.Task).Estimate)
+		}
+	case job.EndFailed:
+		c.failedOn(b.Incarnation.ID, r.ID.Task.Job, t.Now)
+	default:
 	}
 	if how == job.EndFailed {
 		it.avoid(r.ID.Task, b.Incarnation.ID)
--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -44,6 +44,8 @@
 	Unanswered bool
 	// Since is when the run reached its state.
 	Since time.Duration
+	// Lasts is how long it is expected to be at work.
+	Lasts time.Duration
 	// SentAt is when the last order to start it left.
 	SentAt time.Duration
 	// Stopping is set once the run is to be stopped.
@@ -123,6 +125,15 @@
 // Target returns where orders to the worker go.
 func (b *Book) Target() Target { return Target{ID: b.Incarnation.ID, Address: b.Address} }
 
+// BusyUntil returns when the last run is expected to end.
+func (b *Book) BusyUntil(now time.Duration) time.Duration {
+	until := now
+	for _, r := range b.Runs {
+		until = max(until, r.Since+r.Lasts)
+	}
+	return until
+}
+
 // Free returns the room that is left.
 func (b *Book) Free() job.Resources { return b.Capacity.Sub(b.Used) }
 
