Share workers between tasks that serve and fill, preempt, leave draining workers

Cause: The scheduler knew one kind of task. Tasks that fill took room as if they needed it, an urgent job waited behind less urgent ones on a full pool, and long-running tasks stayed on a worker that announced its end until it was gone. The model also had no gangs, labels, spread, copies or closed workers, so none of these promises were checked under faults. Change: internal/sharing sets the pace of what fills by the tails of what serves; scheduler/preempt.go stops less urgent runs where that makes room and moves runs off workers that drain or are closed for evacuation. A run is at work only when the worker said so, not when its start was answered. After a worker's restart a run whose order may still arrive is stopped only when the first look does not find it, and one whose order cannot arrive any more counts as lost: it was left waiting for ever before. The model draws gangs, labels, spread, copies, priorities, closings and drains, and checks AVAIL, ROUTE, ORDER, BUDGET and LIMIT. Two checks of the model were put right by traces: a stop for an older run than the one at work ends nothing, and a drain ends in a restart, never in a return to work, which is what the platform says of it. Ruled out: taking the reported percent as the pace of what fills; it is the progress of a run.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,11 @@
 	BusyUntil time.Duration
 	// Avoid is set for workers to use only when no other fits.
 	Avoid bool
+	// Serves is set where a task runs that serves its own users.
+	Serves bool
+	// FillCPU is what the tasks that fill the worker could use of its
+	// processors, in thousandths of a core.
+	FillCPU int
 }
 
 // Request asks for room for one task.
@@ -37,6 +42,11 @@
 	Shun string
 	// Ends is when the task is expected to end.
 	Ends time.Duration
+	// Serves is set for a task that serves its own users, and Fills for one
+	// that uses what others leave, SoftCPU of it if it can.
+	Serves  bool
+	Fills   bool
+	SoftCPU int
 }
 
 // extensionStep is the resolution at which it matters how much longer a task
@@ -74,6 +84,13 @@
 
 // compare orders two nodes that both fit, better ones first.
 func (r Request) compare(a, b *Node) int {
+	if r.Fills {
+		return cmp.Or(
+			cmp.Compare(r.penalty(a), r.penalty(b)),
+			cmp.Compare(b.left(), a.left()),
+			cmp.Compare(a.ID, b.ID),
+		)
+	}
 	return cmp.Or(
 		cmp.Compare(r.penalty(a), r.penalty(b)),
 		cmp.Compare(r.extension(a), r.extension(b)),
@@ -88,9 +105,16 @@
 	return int(max(0, r.Ends-n.BusyUntil) / extensionStep)
 }
 
+// left returns the processor time that a further task could use as a filler.
+func (n *Node) left() int { return n.Free.CPU - n.FillCPU }
+
 // Take notes that a node gets the task.
 func (r Request) Take(n *Node) {
 	n.Free = n.Free.Sub(r.Room)
+	n.Serves = n.Serves || r.Serves
+	if r.Fills {
+		n.FillCPU += r.SoftCPU
+	}
 	n.BusyUntil = max(n.BusyUntil, r.Ends)
 }
 
@@ -98,9 +122,13 @@
 func (r Request) penalty(n *Node) int {
 	p := 0
 	if n.Avoid {
-		p += 4
+		p += 8
 	}
 	if r.Shun == n.ID {
+		p += 4
+	}
+	// Tasks that fill disturb those that serve.
+	if r.Fills && n.Serves || r.Serves && n.FillCPU > 0 {
 		p += 2
 	}
 	if r.DataRack != "" && r.DataRack != n.Rack {
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -97,30 +97,10 @@
 	return nil
 }
 
-// evacuate stops long-running tasks on closed workers, within what each step
-// may miss, so that they start elsewhere.
-func (c *Core) evacuate(t Times) {
-	for _, id := range slices.Sorted(maps.Keys(c.closed)) {
-		cl, b := c.closed[id], c.workers[id]
-		if b == nil || cl.removed || !cl.Evacuate {
-			continue
-		}
-		for _, r := range sortedRuns(b) {
-			it := c.jobs[r.ID.Task.Job]
-			if it == nil || r.Stopping || r.State != worker.Confirmed || !it.Step(r.ID.Task).LongRunning {
-				continue
-			}
-			if c.mayMiss(it, r.ID.Task, t.Now) {
-				c.stop(b, r, "its worker is being emptied")
-			}
-		}
-	}
-}
-
 // mayMiss reports whether one more task of a long-running step may be taken
 // away. A task counts as away from the order that stops it until it is at work
 // again, and whatever else it is away for.
-func (c *Core) mayMiss(it *item, t job.TaskID, now time.Duration) bool {
+func (c *Core) mayMiss(it *item, t job.TaskID) bool {
 	away := 0
 	o := it.Task(t)
 	for k := range it.Step(t).Count {
@@ -141,16 +121,13 @@
 			continue
 		}
 		run := b.Runs[job.RunID{Task: id, Number: r.Number}]
-		if run != nil && run.State == worker.Confirmed && !run.Stopping && run.Percent == fullPace {
+		if run != nil && run.State == worker.Confirmed && !run.Stopping && run.Percent == worker.FullPace {
 			return true
 		}
 	}
 	return false
 }
 
-// fullPace is the percent of a run that works at full speed.
-const fullPace = 100
-
 // WorkerLoad is what a pool's holder says of one worker.
 type WorkerLoad struct {
 	ID      string `cbor:"1,keyasint"`
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -11,6 +11,7 @@
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/sharing"
 	"greengagedeck/internal/worker"
 )
 
@@ -66,6 +67,8 @@
 	health map[string]*health
 	// paces are, by entry, how long tasks take against their estimates.
 	paces map[string]*pace
+	// governors set the pace of what fills a worker, by the worker's ID.
+	governors map[string]*sharing.Governor
 	// approved are, for steps that need it, the workers that may run them.
 	approved  map[worker.StepKey]*approvals
 	questions []Question
@@ -94,6 +97,8 @@
 	version, planned, committed int
 	// logged is the phase that the log holds.
 	logged job.Phase
+	// preempted is when room was last made for the job.
+	preempted time.Duration
 	// shun names, by task, the worker on which it failed last.
 	shun map[job.TaskID]string
 }
@@ -104,17 +109,18 @@
 // NewCore returns a pool without jobs and workers.
 func NewCore(opt Options, now time.Duration) *Core {
 	c := &Core{
-		opt:      opt,
-		jobs:     map[job.ID]*item{},
-		cancels:  map[job.ID]bool{},
-		ended:    map[job.ID]job.Progress{},
-		restored: map[job.ID]*job.Progress{},
-		workers:  map[string]*worker.Book{},
-		closed:   map[string]*closure{},
-		health:   map[string]*health{},
-		paces:    map[string]*pace{},
-		approved: map[worker.StepKey]*approvals{},
-		dirty:    map[*item]bool{},
+		opt:       opt,
+		jobs:      map[job.ID]*item{},
+		cancels:   map[job.ID]bool{},
+		ended:     map[job.ID]job.Progress{},
+		restored:  map[job.ID]*job.Progress{},
+		workers:   map[string]*worker.Book{},
+		closed:    map[string]*closure{},
+		health:    map[string]*health{},
+		paces:     map[string]*pace{},
+		governors: map[string]*sharing.Governor{},
+		approved:  map[worker.StepKey]*approvals{},
+		dirty:     map[*item]bool{},
 	}
 	c.blind = now + opt.DutyLease + c.longestLease()
 	return c
@@ -262,14 +268,10 @@
 		}
 		// Whether the run is there has to be seen by a look that begins now.
 		b.Fenced = false
-		b.Add(&worker.Run{
-			ID:    r,
-			Room:  it.Step(r.Task).Room(),
-			Key:   worker.StepOf(r.Task),
-			State: worker.Ordered,
-			Since: now,
-			Lasts: c.lasts(it.Step(r.Task)),
-		})
+		s := it.Step(r.Task)
+		run := worker.NewRun(r, s, worker.Ordered, now, c.lasts(s))
+		run.PaceTold = worker.PaceUnknown
+		b.Add(run)
 	})
 }
 
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -85,7 +85,11 @@
 	l.Request.Acknowledged = b.Logged
 	if c.ordered(b) && remaining > 0 {
 		l.Request.Until = b.Lease(now, c.lease(remaining))
-		if b.Seen == b.Logged {
+		switch {
+		case b.Seen > b.Logged:
+		case shares(b):
+			l.Request.Wait = shareWait
+		default:
 			l.Request.Wait = lookWait
 		}
 	}
@@ -164,6 +168,7 @@
 	if b.Seen > b.Logged {
 		c.changed = true
 	}
+	c.govern(b, t.Now)
 }
 
 // takeEnds notes the ends that were not seen before. It returns the runs that
@@ -209,10 +214,11 @@
 // stray notes a run that is at a worker without being in the log.
 func (c *Core) stray(b *worker.Book, row worker.Running, now time.Duration) *worker.Run {
 	c.opt.Logger.Warn().Stringer("task", row.Run.Task).Int("run", row.Run.Number).Str("worker", b.Incarnation.ID).Msg("run found that was given up, stopping it")
-	r := &worker.Run{ID: row.Run, Key: worker.StepOf(row.Run.Task), State: worker.Confirmed, Since: now}
+	var s job.Step
 	if it := c.jobs[row.Run.Task.Job]; it != nil && it.Task(row.Run.Task) != nil {
-		r.Room = it.Step(row.Run.Task).Room()
+		s = it.Step(row.Run.Task)
 	}
+	r := worker.NewRun(row.Run, s, worker.Confirmed, now, 0)
 	b.Add(r)
 	c.stop(b, r, "not in the log")
 	return r
@@ -230,6 +236,9 @@
 			// The answer fenced off every earlier holder, so a run of theirs
 			// that is not there was never started and never will be.
 			c.over(b, r, job.EndLost, "", t)
+		case first && r.Unanswered:
+			// Its order went to an earlier incarnation and may still arrive.
+			c.stop(b, r, "worker restarted with an order unanswered")
 		case r.State == worker.Confirmed && r.Since < l.Sent:
 			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", l.Worker).Msg("run vanished")
 			c.over(b, r, job.EndLost, "", t)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -13,6 +13,7 @@
 type metrics struct {
 	starts, startsRefused, startsUnanswered tally.Counter
 	stops, stopsFailed                      tally.Counter
+	paces, pacesFailed                      tally.Counter
 	looks, looksFailed                      tally.Counter
 	questions, questionsFailed              tally.Counter
 	appends, records                        tally.Counter
@@ -33,6 +34,8 @@
 		startsUnanswered: scope.Counter("starts_unanswered"),
 		stops:            scope.Counter("stops"),
 		stopsFailed:      scope.Counter("stops_failed"),
+		paces:            scope.Counter("paces"),
+		pacesFailed:      scope.Counter("paces_failed"),
 		looks:            scope.Counter("looks"),
 		looksFailed:      scope.Counter("looks_failed"),
 		questions:        scope.Counter("questions"),
@@ -62,6 +65,13 @@
 	}
 }
 
+func (m metrics) paced(err error) {
+	m.paces.Inc(1)
+	if err != nil {
+		m.pacesFailed.Inc(1)
+	}
+}
+
 func (m metrics) looked(err error) {
 	m.looks.Inc(1)
 	if err != nil {
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -51,7 +51,7 @@
 // random hands in work or causes a fault.
 func (w *simWorld) random() {
 	s := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(17) {
+	switch w.rng.IntN(19) {
 	case 0, 1, 2, 3, 4:
 		w.submit(w.randomSpec(), 2+w.rng.IntN(2))
 	case 5:
@@ -77,12 +77,19 @@
 	case 13:
 		w.takeOver()
 	case 14:
-		s.draining = !s.draining
-		w.relist()
+		w.drain(s)
 	case 15:
 		s.listed = !s.listed
 		w.relist()
 	case 16:
+		if h := w.holder; h.active() {
+			h.core.Close(s.id, "test", w.rng.IntN(2) == 0)
+		}
+	case 17:
+		if h := w.holder; h.active() {
+			h.core.Open(s.id)
+		}
+	case 18:
 		w.logDown = true
 		w.after(time.Duration(500+w.rng.IntN(6000))*time.Millisecond, func() { w.logDown = false })
 	}
@@ -95,6 +102,20 @@
 	}
 }
 
+// drain announces that a worker goes, and shuts it down some time later. A drain
+// is never called off: the next life under the same ID takes work again.
+func (w *simWorld) drain(s *simWorker) {
+	if !s.up || s.draining {
+		return
+	}
+	s.draining = true
+	w.relist()
+	w.after(time.Duration(500+w.rng.IntN(6000))*time.Millisecond, func() {
+		s.crash()
+		w.after(time.Duration(500+w.rng.IntN(5000))*time.Millisecond, func() { w.reboot(s) })
+	})
+}
+
 func (w *simWorld) relist() {
 	for _, h := range append(w.zombies, w.holder) {
 		if h != nil {
@@ -140,12 +161,17 @@
 func (w *simWorld) heal() {
 	w.lost, w.late, w.unanswered, w.logDown = 0, 0, 0, false
 	for _, s := range w.workers {
-		s.cut, s.failing, s.draining, s.listed = false, false, false, true
+		s.cut, s.failing, s.listed = false, false, true
 		w.reboot(s)
 	}
 	if w.holder.dead {
 		w.takeOver()
 	}
+	w.after(10*time.Second, func() {
+		for _, s := range w.workers {
+			w.holder.core.Open(s.id)
+		}
+	})
 	w.relist()
 }
 
@@ -165,6 +191,17 @@
 			Need:        w.randomNeed(),
 			Estimate:    time.Duration(100+w.rng.IntN(1000)) * time.Millisecond,
 			Checkpoints: w.rng.IntN(2) == 0,
+			Gang:        w.rng.IntN(6) == 0,
+		}
+		if !st.Gang {
+			st.Speculative = w.rng.IntN(4) == 0
+		}
+		if w.rng.IntN(6) == 0 {
+			st.Label = "a"
+		}
+		if st.Gang || st.Label != "" {
+			// A single worker has room for all of them.
+			st.Need = job.Resources{CPU: 500 + w.rng.IntN(1400), MemoryMB: 200 + w.rng.IntN(3000)}
 		}
 		if i > 0 {
 			st.After = []int{w.rng.IntN(i)}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -42,7 +42,7 @@
 	if run == nil || run.State != worker.Ordered || run.Stopping {
 		return Start{}, SendNever
 	}
-	if remaining <= 0 {
+	if remaining <= 0 || !b.Fenced {
 		return Start{}, SendLater
 	}
 	run.SentAt = now
@@ -80,6 +80,9 @@
 			r.State = worker.Confirmed
 			r.Since = t.Now
 		}
+		if r.Fills {
+			c.govern(b, t.Now)
+		}
 		return false
 	case errors.Is(err, worker.ErrGone):
 		c.gone(b, t)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -107,7 +107,9 @@
 			c.placeGang(b, w, nodes, t.Now)
 			continue
 		}
-		c.placeTasks(b, w, nodes, t.Now)
+		if !c.placeTasks(b, w, nodes, t.Now) {
+			c.preempt(w, nodes, t.Now)
+		}
 	}
 	c.copies(b, nodes, t.Now)
 }
@@ -180,13 +182,37 @@
 		if !c.takes(b) {
 			continue
 		}
-		out = append(out, &placement.Node{
-			ID: id, Free: b.Free(), Rack: b.Rack, Labels: b.Labels, BusyUntil: b.BusyUntil(now),
-		})
+		out = append(out, c.node(b, now))
 	}
 	return out
 }
 
+func (c *Core) node(b *worker.Book, now time.Duration) *placement.Node {
+	n := &placement.Node{
+		ID:        b.Incarnation.ID,
+		Free:      b.Free(),
+		Rack:      b.Rack,
+		Labels:    b.Labels,
+		BusyUntil: b.BusyUntil(now),
+	}
+	for _, r := range b.Runs {
+		n.Serves = n.Serves || r.Target > 0
+		if r.Fills {
+			n.FillCPU += c.fillCPU(r)
+		}
+	}
+	return n
+}
+
+// fillCPU returns the processor time that a task that fills could use.
+func (c *Core) fillCPU(r *worker.Run) int {
+	it := c.jobs[r.ID.Task.Job]
+	if it == nil {
+		return 0
+	}
+	return it.Step(r.ID.Task).Need.CPU
+}
+
 // takes reports whether a worker takes new tasks.
 func (c *Core) takes(b *worker.Book) bool {
 	return b.Listed && !b.Draining && b.Closed == "" && reachable(b)
@@ -201,10 +227,14 @@
 		DataRack: s.DataRack,
 		Taken:    func(id string) int { return c.workers[id].Count(key) },
 		Most:     s.MaxPerWorker,
+		Serves:   s.TailTarget > 0,
+		Fills:    s.Fills,
+		SoftCPU:  s.Need.CPU,
 	}
 }
 
-func (c *Core) placeTasks(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
+// placeTasks reports whether every task of a group found a worker.
+func (c *Core) placeTasks(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) bool {
 	req := c.request(w.it, w.group)
 	req.Ends = now + c.lasts(w.it.Spec.Steps[w.group.Step])
 	for _, k := range w.group.Waiting {
@@ -212,12 +242,13 @@
 		req.Shun = w.it.shun[t]
 		n := placement.Choose(nodes, req)
 		if n == nil {
-			return
+			return false
 		}
 		req.Take(n)
 		book := c.workers[n.ID]
 		c.planned(b, w.it, w.it.Place(t, locate(book)), book, now)
 	}
+	return true
 }
 
 func (c *Core) placeGang(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
@@ -256,9 +287,7 @@
 // planned notes a run that is to be logged and then ordered.
 func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, now time.Duration) {
 	s := it.Step(r.Task)
-	book.Add(&worker.Run{
-		ID: r, Room: s.Room(), Key: worker.StepOf(r.Task), State: worker.Planned, Since: now, Lasts: c.lasts(s),
-	})
+	book.Add(worker.NewRun(r, s, worker.Planned, now, c.lasts(s)))
 	b.starts = append(b.starts, start{run: r, worker: book.Incarnation})
 	c.touch(it)
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -234,11 +234,15 @@
 	r.mu.Lock()
 	change(r.times())
 	stops := r.core.Stops()
+	paces := r.core.Paces()
 	changed := r.core.Changed()
 	r.mu.Unlock()
 	for _, s := range stops {
 		go r.stop(s)
 	}
+	for _, p := range paces {
+		go r.pace(p)
+	}
 	if changed {
 		wake(r.wake)
 	}
@@ -434,6 +438,12 @@
 	r.update(func(t Times) { r.core.Stopped(s, clock, err, t) })
 }
 
+func (r *Runner) pace(p Pace) {
+	err := r.opt.Control.Pace(context.Background(), p.Target, p.Run, p.Percent, p.Token)
+	r.metrics.paced(err)
+	r.update(func(Times) { r.core.Paced(p, err) })
+}
+
 // lookLoop looks at one worker as long as there is a reason to.
 func (r *Runner) lookLoop(ctx context.Context, a *agent) {
 	for ctx.Err() == nil {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -29,6 +29,12 @@
 	simTick = 10 * time.Millisecond
 	// simTimeout is when a call without an answer is given up.
 	simTimeout = 600 * time.Millisecond
+	// simStartup is what a long-running task takes to begin its work.
+	simStartup = 300 * time.Millisecond
+	// simNotice is how long a task has to be away to count as such.
+	simNotice = 4500 * time.Millisecond
+	// simGangTimeout is how long a gang's member waits for the others.
+	simGangTimeout = 3 * time.Second
 	// simListInterval is how often a holder reads the list of workers.
 	simListInterval = 700 * time.Millisecond
 	// cancelBound is how long after an acknowledged cancel tasks may start.
@@ -64,6 +70,12 @@
 	done      map[job.TaskID]bool
 	failures  map[job.TaskID]int
 	starts    map[job.TaskID]int
+	// gangFailures counts the runs of a gang in which a member failed.
+	gangFailures map[worker.StepKey]map[int]bool
+	// gone is when a task stopped working last, and ordered whether by an
+	// order.
+	gone    map[job.TaskID]time.Duration
+	ordered map[job.TaskID]bool
 
 	// faults of the network, as probabilities of a call.
 	lost, late, unanswered float64
@@ -93,6 +105,10 @@
 		done:      map[job.TaskID]bool{},
 		failures:  map[job.TaskID]int{},
 		starts:    map[job.TaskID]int{},
+
+		gangFailures: map[worker.StepKey]map[int]bool{},
+		gone:         map[job.TaskID]time.Duration{},
+		ordered:      map[job.TaskID]bool{},
 	}
 	for i := range workers {
 		s := &simWorker{
@@ -102,6 +118,7 @@
 			born:     1000,
 			rate:     1 - 0.02*w.rng.Float64(),
 			capacity: job.Resources{CPU: 8000, MemoryMB: 16000},
+			labels:   []string{[]string{"a", "b"}[i%2], fmt.Sprintf("r%d", i/2)},
 			listed:   true,
 		}
 		s.bornAt = w.now - time.Duration(w.rng.IntN(5000))*time.Millisecond
@@ -174,7 +191,9 @@
 	w.specs[spec.ID] = spec
 	w.ids = append(w.ids, spec.ID)
 	w.maxFail[spec.ID] = attempts
-	terms := job.Terms{Entry: "e", Pool: simPool, MaxAttempts: attempts, Stretch: 2, Slack: time.Second}
+	terms := job.Terms{
+		Entry: "e", Pool: simPool, Priority: w.rng.IntN(2), MaxAttempts: attempts, Stretch: 2, Slack: time.Second,
+	}
 	h := joblog.Handed{ID: spec.ID, Submission: &joblog.Submission{Spec: spec, Terms: terms, Accepted: w.wall()}}
 	w.hand(h)
 	if w.rng.IntN(4) == 0 {
@@ -229,6 +248,13 @@
 	if !step.LongRunning && !step.Gang && w.failures[t] >= w.maxFail[t.Job] {
 		w.violate("BUDGET start of %s after %d failures", t, w.failures[t])
 	}
+	if step.Gang && len(w.gangFailures[worker.StepOf(t)]) >= w.maxFail[t.Job] {
+		w.violate("BUDGET start of gang %s after %d failures", t, len(w.gangFailures[worker.StepOf(t)]))
+	}
+	if step.Label != "" && !slices.Contains(s.labels, step.Label) {
+		w.violate("ROUTE start of %s on %s without label %s", t, s.id, step.Label)
+	}
+	w.checkSpread(s, t, step)
 	w.checkRoom(s, step)
 }
 
@@ -251,6 +277,86 @@
 	}
 }
 
+// checkSpread holds the number of a step's tasks on a worker against its limit.
+func (w *simWorld) checkSpread(s *simWorker, t job.TaskID, step job.Step) {
+	if step.MaxPerWorker == 0 {
+		return
+	}
+	n := 1
+	for other := range s.running {
+		if other != t && worker.StepOf(other) == worker.StepOf(t) {
+			n++
+		}
+	}
+	if n > step.MaxPerWorker {
+		w.violate("ROUTE %d tasks of %s on %s", n, t, s.id)
+	}
+}
+
+// checkStop holds the stop of a task that lasts against what its step may miss.
+func (w *simWorld) checkStop(s *simWorker, run job.RunID) {
+	spec := w.specs[run.Task.Job]
+	r := s.running[run.Task]
+	if r == nil || r.id.Number > run.Number || !r.step.LongRunning || !r.atWork(w.now) || s.draining {
+		return
+	}
+	if _, cancelled := w.cancelled[run.Task.Job]; cancelled {
+		return
+	}
+	away := 0
+	for k := range spec.Steps[run.Task.Step].Count {
+		t := run.Task
+		t.Index = k
+		if t != run.Task && w.isAway(t) {
+			away++
+		}
+	}
+	if away >= r.step.MayMiss {
+		w.violate("AVAIL stop of %s while %d others are away", run.Task, away)
+	}
+	w.gone[run.Task] = w.now
+	w.ordered[run.Task] = true
+}
+
+// isAway reports whether a task that lasts is away by an order, or for long.
+func (w *simWorld) isAway(t job.TaskID) bool {
+	for _, s := range w.workers {
+		if r := s.running[t]; s.up && r != nil && r.atWork(w.now) {
+			return false
+		}
+	}
+	gone, known := w.gone[t]
+	return known && (w.ordered[t] || w.now > gone+simNotice)
+}
+
+// gang returns how a member of a gang ends now, or "" if it goes on. Members
+// work only while all of them are there, and end together.
+func (w *simWorld) gang(r *simRun) job.How {
+	key := worker.StepOf(r.id.Task)
+	here := 0
+	for _, s := range w.workers {
+		for t, other := range s.running {
+			if worker.StepOf(t) == key && other.id.Number == r.id.Number {
+				here++
+			}
+		}
+	}
+	switch {
+	case here == r.step.Count && !r.together:
+		r.together = true
+		r.ends = w.now + time.Second
+	case here < r.step.Count && r.together && w.done[r.id.Task]:
+		return job.EndDone
+	case here < r.step.Count && r.together:
+		return job.EndBroken
+	case !r.together && w.now > r.started+simGangTimeout:
+		return job.EndAlone
+	case r.together && w.now >= r.ends:
+		return r.how
+	}
+	return ""
+}
+
 func (w *simWorld) checkOrder(spec job.Spec, t job.TaskID) {
 	for _, a := range spec.Steps[t.Step].After {
 		for k := range spec.Steps[a].Count {
@@ -293,6 +399,16 @@
 func (w *simWorld) runOver(_ *simWorker, r *simRun, how job.How) {
 	if how == job.EndDone {
 		w.done[r.id.Task] = true
+		for k := range r.step.Count {
+			if t := r.id.Task; r.step.Gang {
+				t.Index = k
+				w.done[t] = true
+			}
+		}
+	}
+	if r.step.LongRunning && how != job.EndStopped {
+		w.gone[r.id.Task] = w.now
+		w.ordered[r.id.Task] = false
 	}
 }
 
@@ -308,6 +424,11 @@
 	}
 	if e.How == job.EndFailed {
 		w.failures[t]++
+		key := worker.StepOf(t)
+		if w.gangFailures[key] == nil {
+			w.gangFailures[key] = map[int]bool{}
+		}
+		w.gangFailures[key][e.Run.Number] = true
 	}
 }
 
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -21,6 +21,7 @@
 	// rate is how fast its clock runs.
 	rate     float64
 	capacity job.Resources
+	labels   []string
 	up       bool
 	cut      bool
 	draining bool
@@ -43,14 +44,21 @@
 }
 
 type simRun struct {
-	id       job.RunID
-	step     job.Step
-	started  time.Duration
-	ends     time.Duration
-	how      job.How
+	id      job.RunID
+	step    job.Step
+	started time.Duration
+	ends    time.Duration
+	how     job.How
+	// together is set once all members of a gang are there.
+	together bool
 	stopping bool
 }
 
+// atWork reports whether a long-running task has begun its work.
+func (r *simRun) atWork(now time.Duration) bool {
+	return !r.stopping && now >= r.started+simStartup
+}
+
 func (s *simWorker) clock() int64 {
 	return int64(float64((s.w.now - s.bornAt).Milliseconds()) * s.rate)
 }
@@ -68,7 +76,7 @@
 func (s *simWorker) boot() {
 	s.born++
 	s.bornAt = s.w.now
-	s.up = true
+	s.up, s.draining = true, false
 	s.token, s.lease, s.number, s.acked = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
@@ -81,8 +89,8 @@
 		Incarnation: job.Incarnation{ID: s.id, Born: s.born},
 		Address:     s.address,
 		Pool:        simPool,
-		Rack:        "r1",
-		Labels:      []string{"a", "r1"},
+		Rack:        s.labels[1],
+		Labels:      s.labels,
 		Capacity:    s.capacity,
 		Draining:    s.draining,
 		Clock:       s.clock(),
@@ -131,6 +139,7 @@
 		return &worker.Refusal{Reason: worker.ReasonFenced, Clock: s.clock()}
 	}
 	s.newest[run.Task] = max(s.newest[run.Task], run.Number)
+	s.w.checkStop(s, run)
 	if r := s.running[run.Task]; r != nil && r.id.Number <= run.Number && !r.stopping {
 		r.stopping = true
 		r.ends = s.w.now + simStopTime/2
@@ -150,7 +159,11 @@
 	s.acknowledge(l.Acknowledged)
 	rep := worker.Report{Born: s.born, Clock: s.clock(), Ended: slices.Clone(s.ended)}
 	for _, r := range s.running {
-		rep.Running = append(rep.Running, worker.Running{Run: r.id, Percent: 100})
+		percent := 0
+		if r.atWork(s.w.now) {
+			percent = worker.FullPace
+		}
+		rep.Running = append(rep.Running, worker.Running{Run: r.id, Percent: percent})
 	}
 	slices.SortFunc(rep.Running, func(a, b worker.Running) int {
 		return compareNames(a.Run.Task.String(), b.Run.Task.String())
@@ -191,6 +204,10 @@
 		switch {
 		case lapsed:
 			how = job.EndLapsed
+		case r.step.Gang && !r.stopping:
+			if how = s.w.gang(r); how == "" {
+				continue
+			}
 		case s.w.now < r.ends:
 			continue
 		}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -81,6 +81,7 @@
 	if b := c.workers[id]; b != nil && !b.Listed && len(b.Runs) == 0 {
 		delete(c.workers, id)
 		delete(c.health, id)
+		delete(c.governors, id)
 		c.Open(id)
 	}
 }
--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -56,10 +56,45 @@
 	// answered.
 	StopSent bool
 	StopDone time.Duration
-	// Checkpoint, Percent and Figure are as last reported.
+	// Checkpoint, Percent and Figure are as last reported. A long-running
+	// task is at work when its percent is FullPace.
 	Checkpoint string
 	Percent    int
 	Figure     int
+	// Target is set for tasks that serve, and Fills for those that use what
+	// others leave.
+	Target time.Duration
+	Fills  bool
+	// Pace is the percent of full speed that a task that fills should work
+	// at, and PaceTold what the worker was last told, or PaceUnknown. PaceSent
+	// is set while an order to change it is under way.
+	Pace     int
+	PaceTold int
+	PaceSent bool
+}
+
+const (
+	// FullPace is the percent of a run that works at full speed.
+	FullPace = 100
+	// PaceUnknown stands for a pace that an earlier order may have changed.
+	PaceUnknown = -1
+)
+
+// NewRun returns a run of a step's task.
+func NewRun(id job.RunID, s job.Step, st RunState, now, lasts time.Duration) *Run {
+	return &Run{
+		ID:     id,
+		Room:   s.Room(),
+		Key:    StepOf(id.Task),
+		State:  st,
+		Since:  now,
+		Lasts:  lasts,
+		Target: s.TailTarget,
+		Fills:  s.Fills,
+		Pace:   FullPace,
+		// Tasks start at full speed.
+		PaceTold: FullPace,
+	}
 }
 
 // StepKey names a step of one occurrence of a job.
@@ -221,8 +256,9 @@
 
 // Reborn notes that another incarnation answers to the worker's ID. Its runs
 // most likely ended with the old one, but an order may have reached the new one
-// before that was known, so each has to be looked for there. One with an order
-// that was not answered, which may still arrive, has to be stopped there first.
+// before that was known, so each has to be looked for there. One that is not
+// there and whose order, which was not answered, may still arrive has to be
+// stopped there.
 // longest is the longest lease that a worker grants.
 func (b *Book) Reborn(l Listing, now, longest time.Duration) {
 	runs, listed := b.Runs, b.Listed
@@ -231,11 +267,12 @@
 	b.Listed = listed
 	for _, r := range runs {
 		inFlight := r.State == Ordered && r.SentAt > 0 || r.Unanswered
-		if inFlight && now < r.SentAt+lateOrders {
+		r.Unanswered = inFlight && now < r.SentAt+lateOrders
+		if r.Unanswered {
 			r.State = Ordered
-			r.Stopping = true
-			r.StopReason = "worker restarted with an order unanswered"
 			b.blind = max(b.blind, r.SentAt+lateOrders+longest)
+		} else {
+			r.SentAt = 0
 		}
 		r.StopSent = false
 		r.StopDone = 0
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -76,7 +76,8 @@
 	Run job.RunID
 	// Checkpoint is the newest saved progress.
 	Checkpoint string
-	// Percent is the share of its full speed that the run may work at.
+	// Percent is how far the run has come; FullPace for a long-running task
+	// that is at work.
 	Percent int
 	// Figure is, for a task that serves, the tail of its response times in
 	// milliseconds, and for any other the processor time in use, in
