Give duties to the hosts that can carry them, and make preemption cheap

Cause: On the grown site a pool's holder fell behind: it sat on a host with 0.19 cores and 10 Mbit/s, while hosts with 0.8 cores and 200 Mbit/s held nothing. The rank divided the duties held by the weight, which is the same for all hosts that hold none, and the weight left out the link. Beside that, a plan looked at every run on every worker for every group that waited, also where nothing less urgent was at work: 37 ms a plan with 500 jobs waiting at 80 workers. Change: The rank counts the duty to be taken too, so the strongest host goes first; the weight is the least of processor time and link. The preemptor is made once a plan, keeps the runs that may be stopped by worker, looks only for groups more urgent than some job that has begun, and for eight groups a plan at most. Ruled out: the store's call rate and the number of workers: the log "does not answer" came from the holder's own link, other daemons reached it all the while.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -83,7 +83,7 @@
 				Incarnation: n,
 				Address:     internalAddress(place, peerPort),
 				Zone:        place.Zone,
-				Weight:      place.CPUShare,
+				Weight:      weight(place),
 			}, nil
 		}
 		logger.Warn().Err(err).Msg("waiting for the log")
@@ -93,6 +93,16 @@
 	}
 }
 
+// holderLink is the bandwidth, in Mbit/s, that goes with a core of a host that
+// holds a duty.
+const holderLink = 100
+
+// weight returns how much of the work of duties a host can carry, as a share of
+// a core. What it has least of decides.
+func weight(place platform.Settings) float64 {
+	return min(place.Cores, place.LinkMbps/holderLink)
+}
+
 func internalAddress(place platform.Settings, port uint16) string {
 	return netip.AddrPortFrom(place.IP, place.FirstPort+port).String()
 }
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -165,8 +165,8 @@
 }
 
 // rank returns the place of a daemon in the order in which the live ones other
-// than the last holder should claim a duty: those that hold the least for their
-// weight first.
+// than the last holder should claim a duty: those that will hold the least for
+// their weight first.
 func (t *table) rank(n Name, self Member, live []Peer) int {
 	held := map[string]float64{}
 	for _, c := range t.claims {
@@ -185,7 +185,7 @@
 		if p.Leaving || p.Host == last {
 			continue
 		}
-		load := held[p.Host] / max(p.Weight, minWeight)
+		load := (held[p.Host] + 1) / max(p.Weight, minWeight)
 		list = append(list, candidate{p.Host, load, xxhash.Sum64String(string(n) + "|" + p.Host)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -97,8 +97,8 @@
 		return
 	}
 	nodes := c.withoutEjected(c.nodes(t.Now), t.Now)
-	queue := c.queue(t.Now)
-	for _, w := range queue {
+	p := c.preemptor(t.Now)
+	for _, w := range c.queue(t.Now) {
 		nodes := nodes
 		if w.it.Terms.Advice != nil {
 			nodes = c.approvedNodes(w, nodes, t.Now)
@@ -108,7 +108,7 @@
 			continue
 		}
 		if !c.placeTasks(b, w, nodes, t.Now) {
-			c.preempt(w, nodes, t.Now)
+			p.preempt(w, nodes)
 		}
 	}
 	c.copies(b, nodes, t.Now)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,59 +17,113 @@
 	// preemptLeast is what a run must still be expected to take for it to be
 	// worth stopping.
 	preemptLeast = 600 * time.Millisecond
+	// preemptTries bounds for how many groups a plan looks for runs to stop.
+	preemptTries = 8
 )
 
+// preemptor finds the runs of a pool that may be stopped for more urgent ones.
+// It is made once a plan, and looks at the runs only when a group waits that is
+// more urgent than some job.
+type preemptor struct {
+	c   *Core
+	now time.Duration
+	// least is the priority of the least urgent job that has begun.
+	least int
+	// able are the runs that may be stopped, by worker, the least work that a
+	// stop throws away first.
+	able map[string][]*worker.Run
+	// tries counts the groups for which runs were looked for.
+	tries int
+}
+
+func (c *Core) preemptor(now time.Duration) *preemptor {
+	p := &preemptor{c: c, now: now}
+	for _, it := range c.open {
+		if it.Phase == job.Running {
+			p.least = max(p.least, it.Terms.Priority)
+		}
+	}
+	return p
+}
+
 // preempt makes room for a group that no worker has room for, by stopping runs
 // of less urgent jobs on one worker. The most urgent group is placed first when
 // that room falls free.
-func (c *Core) preempt(w waiting, nodes []*placement.Node, now time.Duration) {
-	if w.class() == classLate || now < max(w.it.arrived, w.it.preempted)+preemptAfter {
+func (p *preemptor) preempt(w waiting, nodes []*placement.Node) {
+	if w.it.Terms.Priority >= p.least || w.class() == classLate {
 		return
 	}
-	req := c.request(w.it, w.group)
-	var best []*worker.Run
-	var at *worker.Book
-	for _, n := range nodes {
-		b := c.workers[n.ID]
-		runs := c.victims(b, n, w, req, now)
-		if runs != nil && (best == nil || lost(runs, now) < lost(best, now)) {
-			best, at = runs, b
-		}
+	if p.now < max(w.it.arrived, w.it.preempted)+preemptAfter {
+		return
+	}
+	if p.tries++; p.tries > preemptTries {
+		return
 	}
-	if best == nil {
+	id, runs := p.cheapest(w, nodes)
+	if runs == nil {
 		return
 	}
-	w.it.preempted = now
-	for _, r := range best {
-		c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", at.Incarnation.ID).Str("for", string(w.it.Spec.ID)).Int("priority", w.it.Terms.Priority).Msg("run preempted")
-		c.stop(at, r, "preempted by "+string(w.it.Spec.ID))
+	w.it.preempted = p.now
+	for _, r := range runs {
+		p.c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", id).Str("for", string(w.it.Spec.ID)).Int("priority", w.it.Terms.Priority).Msg("run preempted")
+		p.c.stop(p.c.workers[id], r, "preempted by "+string(w.it.Spec.ID))
 	}
 }
 
-// victims returns the runs whose end makes room on a node for one task of a
-// group, or nil when there are none.
-func (c *Core) victims(b *worker.Book, n *placement.Node, w waiting, req placement.Request, now time.Duration) []*worker.Run {
-	var able []*worker.Run
-	for _, r := range sortedRuns(b) {
-		it := c.jobs[r.ID.Task.Job]
-		if it == nil || it.Terms.Priority <= w.it.Terms.Priority || !c.preemptible(it, r, now) {
-			continue
+// cheapest returns the worker on which room for one task of a group costs the
+// least work, with the runs to stop there, or nil when there is none.
+func (p *preemptor) cheapest(w waiting, nodes []*placement.Node) (string, []*worker.Run) {
+	req := p.c.request(w.it, w.group)
+	var best []*worker.Run
+	var at string
+	for _, n := range nodes {
+		runs := p.victims(n, w.it.Terms.Priority, req)
+		if runs != nil && (best == nil || lost(runs, p.now) < lost(best, p.now)) {
+			best, at = runs, n.ID
 		}
-		able = append(able, r)
 	}
-	slices.SortStableFunc(able, func(x, y *worker.Run) int {
-		return int(lost([]*worker.Run{x}, now) - lost([]*worker.Run{y}, now))
-	})
+	return at, best
+}
+
+// victims returns the runs whose end makes room on a node for one task, or nil
+// when there are none.
+func (p *preemptor) victims(n *placement.Node, priority int, req placement.Request) []*worker.Run {
+	var out []*worker.Run
 	free := *n
-	for i, r := range able {
+	for _, r := range p.candidates(n.ID) {
+		if r.Stopping || p.c.jobs[r.ID.Task.Job].Terms.Priority <= priority {
+			continue
+		}
+		out = append(out, r)
 		free.Free = free.Free.Add(r.Room)
 		if placement.Choose([]*placement.Node{&free}, req) != nil {
-			return able[:i+1]
+			return out
 		}
 	}
 	return nil
 }
 
+// candidates returns the runs on a worker that may be stopped at all.
+func (p *preemptor) candidates(id string) []*worker.Run {
+	if runs, known := p.able[id]; known {
+		return runs
+	}
+	if p.able == nil {
+		p.able = map[string][]*worker.Run{}
+	}
+	var out []*worker.Run
+	for _, r := range sortedRuns(p.c.workers[id]) {
+		if it := p.c.jobs[r.ID.Task.Job]; it != nil && p.c.preemptible(it, r, p.now) {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(x, y *worker.Run) int {
+		return cmp.Compare(lost([]*worker.Run{x}, p.now), lost([]*worker.Run{y}, p.now))
+	})
+	p.able[id] = out
+	return out
+}
+
 // preemptible reports whether a run may be stopped for a more urgent job.
 func (c *Core) preemptible(it *item, r *worker.Run, now time.Duration) bool {
 	if r.State != worker.Confirmed || r.Stopping || it.Task(r.ID.Task) == nil {
@@ -118,7 +173,7 @@
 			out = append(out, b)
 		}
 	}
-	slices.SortFunc(out, func(x, y *worker.Book) int { return compareNames(x.Incarnation.ID, y.Incarnation.ID) })
+	slices.SortFunc(out, func(x, y *worker.Book) int { return cmp.Compare(x.Incarnation.ID, y.Incarnation.ID) })
 	return out
 }
 
@@ -151,14 +206,3 @@
 	req.Take(n)
 	return true
 }
-
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
