Keep what an order did when a list of hosts is older than it

Cause: The fleet's holder replaced its list of hosts by each answer. A list that was asked for before an upkeep was answered came back without it, so the host counted as free and one more was taken down than the wave allows. Change: fleet.hosts keeps what orders changed since a list was asked for and puts it over an older answer. The test fails with the guard taken out. Ruled out: orders under way or in doubt: they are pending, and pending hosts count as down.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -84,10 +84,8 @@
 	order Order
 	lease Lease
 
-	mu       sync.Mutex
-	machines []Machine
-	// listed is when the last list of hosts was asked for.
-	listed time.Duration
+	mu    sync.Mutex
+	hosts *hosts
 	// pending are the orders whose outcome is not known.
 	pending map[string]Action
 	// underway names the hosts with a call on the way.
@@ -121,6 +119,7 @@
 		Controller:   c,
 		order:        Order{Holder: c.opt.Holder, Token: token},
 		lease:        lease,
+		hosts:        newHosts(),
 		pending:      map[string]Action{},
 		underway:     map[string]bool{},
 		paused:       map[string]time.Duration{},
@@ -238,7 +237,7 @@
 func (s *session) refresh(ctx context.Context) bool {
 	now := s.opt.Clock.Now()
 	s.mu.Lock()
-	fresh := s.machines != nil && now-s.listed < listAge
+	fresh := s.hosts.fresh(now)
 	s.mu.Unlock()
 	if fresh {
 		return true
@@ -251,8 +250,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.machines = list
-	s.listed = now
+	s.hosts.replace(list, now)
 	return true
 }
 
@@ -263,7 +261,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := View{
-		Machines: slices.Clone(s.machines),
+		Machines: slices.Clone(s.hosts.list),
 		Pools:    pools,
 		Pending:  map[string]bool{},
 		Surplus:  map[string]time.Duration{},
@@ -489,7 +487,7 @@
 	switch {
 	case err == nil:
 		delete(s.pending, a.Machine)
-		s.done(a)
+		s.done(a, now)
 	case errors.As(err, &refusal) || verdict.Of(err) == verdict.NotRun:
 		if _, doubt := s.pending[a.Machine]; !doubt || errors.As(err, &refusal) {
 			delete(s.pending, a.Machine)
@@ -498,28 +496,24 @@
 	default:
 		s.pending[a.Machine] = a
 	}
-	s.listed = 0
+	s.hosts.stale = true
 }
 
 var orderNames = map[Kind]string{Move: "host moved", Maintain: "host maintained"}
 
 // done notes an order that was carried out, ahead of the next list.
-func (s *session) done(a Action) {
-	for i := range s.machines {
-		m := &s.machines[i]
-		if m.Name != a.Machine {
-			continue
-		}
+func (s *session) done(a Action, now time.Duration) {
+	s.hosts.change(a.Machine, now, func(m *Machine) {
 		m.Worker = ""
 		if a.Kind == Maintain {
 			m.State = Upkeep
-			if st := s.states[a.Wave]; st != nil {
-				st.begun[a.Machine] = true
-			}
 			return
 		}
 		m.State = Moving
 		m.Pool = a.To
+	})
+	if st := s.states[a.Wave]; a.Kind == Maintain && st != nil {
+		st.begun[a.Machine] = true
 	}
 }
 
