Keep pools as they are until callers have come

Cause: The fleet gave all hosts back to standby in the seconds before the first callers came, since nothing ran. Change: Nothing is given back before callers have handed in work for WarmUp, 1 s. Until then nobody knows which pool they need.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -97,6 +97,8 @@
 	ordered map[string]time.Duration
 	// surplusSince is since when a pool has had more hosts than it needs.
 	surplusSince map[string]time.Duration
+	// busySince is since when callers have handed in work, 0 for not yet.
+	busySince time.Duration
 	// needs are those that were logged last.
 	needs map[string]Need
 	slots chan struct{}
@@ -283,6 +285,7 @@
 		v.Waves = append(v.Waves, s.waveView(w, now))
 	}
 	s.noteSurplus(&v, now)
+	s.noteBusy(&v, now)
 	return v
 }
 
@@ -351,6 +354,18 @@
 	}
 }
 
+// noteBusy keeps since when callers have handed in work.
+func (s *session) noteBusy(v *View, now time.Duration) {
+	for _, p := range v.Pools {
+		if s.busySince == 0 && p.Report.Rate.CPU > 0 {
+			s.busySince = now
+		}
+	}
+	if s.busySince > 0 {
+		v.Busy = now - s.busySince
+	}
+}
+
 // report tells the log and the operators how far the waves have come.
 func (s *session) report(ctx context.Context, v View) {
 	for _, w := range v.Waves {
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -26,6 +26,9 @@
 	// IdleAfter is how long a pool has more hosts than it needs before one is
 	// given back.
 	IdleAfter time.Duration
+	// WarmUp is for how long callers must have handed in work before hosts are
+	// given back: until then nobody knows which pools they need.
+	WarmUp time.Duration
 	// MinHosts is how many hosts a pool keeps.
 	MinHosts int
 	// WaveReserve is the part of a wave's time that is kept for hosts that are
@@ -40,6 +43,7 @@
 	Reserve:     2,
 	LateShare:   0.3,
 	IdleAfter:   400 * time.Millisecond,
+	WarmUp:      time.Second,
 	MinHosts:    1,
 	WaveReserve: 0.75,
 }
@@ -382,7 +386,7 @@
 // shrink closes workers of pools that have had more hosts than they need, and
 // moves their hosts to standby once they are empty.
 func (d *decider) shrink() {
-	if d.standby == "" {
+	if d.standby == "" || d.Busy < d.rates.WarmUp {
 		return
 	}
 	for _, m := range d.Machines {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,8 @@
 	Pending map[string]bool
 	// Surplus is for how long each pool has had more hosts than it needs.
 	Surplus map[string]time.Duration
+	// Busy is for how long callers have handed in work, 0 for not at all.
+	Busy time.Duration
 }
 
 // Kind is what an action does.
