Watch holders by probes, and claim only from the holder that was judged

Cause: Heartbeats of all daemons go through one partition that takes appends one after another. While the store was slow they queued, and the fleet's orders, which needed a fresh heartbeat, stopped for 8 s. A random test of the new keeper then found two further faults, both old: a claim was appended where the claims ended when it was sent, so that a daemon that had judged one holder could take the duty from another one that had claimed it meanwhile; and a holder two claims back was forgotten when the last one had ended. Change: A holder needs no write to keep a duty: it acts for a lease after each read of the claims that showed none by others. Daemons probe holders over their own links and read heartbeats only when in doubt or every 2 s; heartbeats stretch with the time that an append takes. Ruled out: a lease renewed by writes (as many appends as holders, all in one partition); heartbeats in partitions of their own (each daemon then reads all of them); a note on this host of which holders had ended (a third daemon doesn't know it).

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -25,7 +25,7 @@
 const (
 	// logSilence is how long the log may not have answered for this daemon to
 	// take callers.
-	logSilence = 2 * time.Second
+	logSilence = 3 * time.Second
 	// drainPoll is the time between looks whether callers have left.
 	drainPoll = 50 * time.Millisecond
 	// exitMargin is kept of the grace at a planned stop.
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -159,8 +159,8 @@
 	token  duty.Token
 }
 
-// OrderTime implements fleet.Lease.
-func (l fleetLease) OrderTime() time.Duration { return l.keeper.OrderTime(duty.Fleet, l.token) }
+// Remaining implements fleet.Lease.
+func (l fleetLease) Remaining() time.Duration { return l.keeper.Remaining(duty.Fleet, l.token) }
 
 func (f *fleetDuty) gained(g duty.Gain) {
 	if g.Duty != duty.Fleet {
@@ -173,7 +173,7 @@
 		f.cancel()
 	}
 	f.cancel = cancel
-	before := fleet.Predecessor{Holder: g.Before.Holder.Host, Released: g.Before.Released}
+	before := fleet.Predecessor{Holder: g.Before.Holder.Host, Released: g.Before.Released, ActsFor: g.ActsFor}
 	if before.Holder == f.host {
 		before.Holder = ""
 	}
--- /dev/null
+++ b/internal/duty/heartbeat.go
@@ -0,0 +1,66 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/record"
+)
+
+const (
+	// holderInterval is the time between two heartbeats of a holder, and
+	// idleInterval for a daemon without duties.
+	holderInterval = 700 * time.Millisecond
+	idleInterval   = 3 * time.Second
+	// A heartbeat may take no more than one part of these of the time between
+	// two, so that those of all daemons together fit into a slow log.
+	holderShare = 10
+	idleShare   = 30
+)
+
+// heartbeats says that this daemon lives until ctx ends.
+func (k *Keeper) heartbeats(ctx context.Context) {
+	var patience logstore.Patience
+	for ctx.Err() == nil {
+		start := k.opt.Clock.Now()
+		k.beat(ctx, &patience)
+		pause(ctx, k.interval(k.opt.Clock.Now()-start), k.beatNow)
+	}
+}
+
+// interval returns the time until the next heartbeat, after one that took a
+// time.
+func (k *Keeper) interval(took time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.held) > 0 {
+		return max(holderInterval, holderShare*took)
+	}
+	return max(idleInterval, idleShare*took)
+}
+
+func (k *Keeper) beat(ctx context.Context, patience *logstore.Patience) {
+	k.mu.Lock()
+	h := heartbeat{Member: k.opt.Self, Leaving: k.leaving}
+	k.mu.Unlock()
+	value, err := record.Encode(h)
+	if err != nil {
+		k.failed("encode heartbeat", err)
+		return
+	}
+	start := k.opt.Clock.Now()
+	ctx, cancel := patience.Context(ctx, 0)
+	defer cancel()
+	_, err = k.opt.Log.Append(ctx, heartbeatPartition, []logstore.Entry{{Key: h.Member.Host, Value: value}}, logstore.Condition{})
+	patience.Note(err)
+	if err != nil {
+		k.heartbeatErrors.Inc(1)
+		k.failed("heartbeat", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.beaten = start
+	k.recovered()
+}
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -63,6 +63,8 @@
 	Holder Member `cbor:"1,keyasint"`
 	// Released duties have no holder any more.
 	Released bool `cbor:"2,keyasint,omitempty"`
+	// ActsFor is how long after the claim an earlier holder may still act.
+	ActsFor time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Claim is a duty's last claim.
@@ -72,6 +74,8 @@
 	Token  Token
 	// Released is set once the holder has given the duty up.
 	Released bool
+	// ActsFor is how long after the claim an earlier holder may still act.
+	ActsFor time.Duration
 }
 
 // Peer is a daemon as its heartbeats show it.
@@ -108,7 +112,7 @@
 	if token <= t.claims[name].Token {
 		return nil
 	}
-	t.claims[name] = Claim{Duty: name, Holder: c.Holder, Token: token, Released: c.Released}
+	t.claims[name] = Claim{Duty: name, Holder: c.Holder, Token: token, Released: c.Released, ActsFor: c.ActsFor}
 	t.since[name] = now
 	return nil
 }
@@ -154,6 +158,12 @@
 	return seen && p.Incarnation > c.Holder.Incarnation
 }
 
+// actsFor returns how long from now on a holder of a duty may act, when the last
+// one has stopped.
+func (t *table) actsFor(n Name, now time.Duration) time.Duration {
+	return max(0, t.since[n]+t.claims[n].ActsFor-now)
+}
+
 // silence returns for how long the holder of a duty has sent no heartbeat. read
 // is when the last complete read of the heartbeats began.
 func (t *table) silence(n Name, read time.Duration) time.Duration {
--- a/internal/duty/table_test.go
+++ b/internal/duty/table_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/record"
 )
 
 // claimInTurns lets the first in rank claim each duty in turn, and returns how
@@ -59,3 +62,18 @@
 	g.Expect(tab.rank(n, live[0].Member, live)).To(Equal(1))
 	g.Expect(tab.rank(n, live[1].Member, live)).To(Equal(1))
 }
+
+func TestLateHeartbeatOfAnEarlierLifeIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	tab := newTable()
+	n := OfPool("p")
+	old, reborn := Member{Host: "a", Incarnation: 1}, Member{Host: "a", Incarnation: 2}
+	tab.claims[n] = Claim{Duty: n, Holder: old, Token: 1}
+	for i, m := range []Member{old, reborn, old} {
+		value, err := record.Encode(heartbeat{Member: m})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(tab.foldHeartbeat(logstore.Record{Offset: int64(i), Key: m.Host, Value: value}, time.Second)).To(Succeed())
+	}
+	g.Expect(tab.peers["a"].Incarnation).To(Equal(int64(2)))
+	g.Expect(tab.vacant(n)).To(BeTrue())
+}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -42,8 +42,8 @@
 
 // Lease tells how long orders may still be given.
 type Lease interface {
-	// OrderTime returns how long without a further renewal, 0 for not at all.
-	OrderTime() time.Duration
+	// Remaining returns how long without a further renewal, 0 for not at all.
+	Remaining() time.Duration
 }
 
 // ControllerOptions configure a Controller.
@@ -112,6 +112,8 @@
 	Holder string
 	// Released is set when it gave the duty up.
 	Released bool
+	// ActsFor is how long it may still give orders.
+	ActsFor time.Duration
 }
 
 // Run decides and orders until ctx ends. It returns once no order is under way,
@@ -159,7 +161,7 @@
 		return
 	}
 	if !before.Released || recent == nil || recent.Holder != before.Holder {
-		sleep(ctx, s.opt.HolderLease+succeedSlack)
+		sleep(ctx, before.ActsFor+s.opt.HolderLease+succeedSlack)
 		return
 	}
 	now := s.opt.Clock.Now()
@@ -196,7 +198,7 @@
 // step makes one decision and carries it out. It reports whether the next one
 // should follow soon.
 func (s *session) step(ctx context.Context) (soon bool) {
-	if s.lease.OrderTime() < orderMargin || s.opt.Policy.Get() == nil {
+	if s.lease.Remaining() < orderMargin || s.opt.Policy.Get() == nil {
 		return false
 	}
 	if !s.refresh(ctx) {
@@ -474,7 +476,7 @@
 var errLeaseShort = verdict.Refuse(verdict.ReasonNotReady, "too little is left of the duty's lease")
 
 func (s *session) call(ctx context.Context, a Action) error {
-	if ctx.Err() != nil || s.lease.OrderTime() < orderMargin {
+	if ctx.Err() != nil || s.lease.Remaining() < orderMargin {
 		return errLeaseShort
 	}
 	if a.Kind == Maintain {
