--- /dev/null
+++ b/internal/joblog/joblog_test.go
@@ -0,0 +1,214 @@
+package joblog
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/logstore/logtest"
+	"greengagedeck/internal/verdict"
+)
+
+const (
+	pool        = "p"
+	id   job.ID = "00000000000000aa"
+)
+
+// inBubble runs a test in virtual time.
+func inBubble(t *testing.T, test func(ctx context.Context, g *WithT)) {
+	synctest.Test(t, func(t *testing.T) { test(t.Context(), NewWithT(t)) })
+}
+
+func records(ctx context.Context, g *WithT, l *logtest.Log, p logstore.Partition) []logstore.Record {
+	b, err := l.Client("reader").Read(ctx, p, 0, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	return b.Records
+}
+
+func entries(n int) []logstore.Entry {
+	out := make([]logstore.Entry, n)
+	for i := range out {
+		out[i] = logstore.Entry{Key: fmt.Sprint("k", i), Value: []byte("v")}
+	}
+	return out
+}
+
+func TestJournalOfAnEarlierHolderIsFenced(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		old, err := OpenJournal(ctx, l.Client("a"), pool, 3)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(old.Append(ctx, entries(1))).To(Succeed())
+		next, err := OpenJournal(ctx, l.Client("b"), pool, 4)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(old.Append(ctx, entries(1))).To(MatchError(logstore.ErrFenced))
+		g.Expect(next.Append(ctx, entries(2))).To(Succeed())
+		_, err = OpenJournal(ctx, l.Client("a"), pool, 3)
+		g.Expect(err).To(MatchError(logstore.ErrFenced))
+		g.Expect(records(ctx, g, l, Progress(pool))).To(HaveLen(3))
+	})
+}
+
+func TestJournalLogsOnceWhatIsNotAnswered(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		j, err := OpenJournal(ctx, l.Client("a"), pool, 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		calls := 0
+		l.SetFault(func(logtest.Call) logtest.Fault {
+			calls++
+			return logtest.Fault{Silent: calls < 3, Late: true}
+		})
+		g.Expect(j.Append(ctx, entries(2))).To(Succeed())
+		g.Expect(calls).To(Equal(3))
+		l.SetFault(nil)
+		g.Expect(j.Append(ctx, entries(1))).To(Succeed())
+		g.Expect(records(ctx, g, l, Progress(pool))).To(HaveLen(3))
+	})
+}
+
+func TestJournalGivesUpWithItsContext(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		j, err := OpenJournal(ctx, l.Client("a"), pool, 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		l.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Refused: true} })
+		short, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		g.Expect(j.Append(short, entries(1))).NotTo(Succeed())
+		g.Expect(short.Err()).To(HaveOccurred())
+	})
+}
+
+func TestLargeAppendsAreDivided(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		j, err := OpenJournal(ctx, l.Client("a"), pool, 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		big := entries(5)
+		for i := range big {
+			big[i].Value = make([]byte, maxAppendBytes/2)
+		}
+		before := l.Calls(logtest.Append)
+		g.Expect(j.Append(ctx, big)).To(Succeed())
+		g.Expect(l.Calls(logtest.Append) - before).To(BeNumerically(">=", 3))
+		g.Expect(records(ctx, g, l, Progress(pool))).To(HaveLen(5))
+	})
+}
+
+func TestCommitterSharesAppends(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		c := NewCommitter(l.Client("a"), tally.NoopScope)
+		done := make(chan error, 20)
+		for _, e := range entries(cap(done)) {
+			go func() { done <- c.Append(ctx, Intake(pool), e) }()
+		}
+		for range cap(done) {
+			g.Expect(<-done).To(Succeed())
+		}
+		g.Expect(l.Calls(logtest.Append)).To(Equal(1))
+		g.Expect(records(ctx, g, l, Intake(pool))).To(HaveLen(cap(done)))
+	})
+}
+
+// A refusal of an entry that is in the log, or comes to be, would be untrue.
+func TestCommitterRefusesOnlyWhatNeverTakesEffect(t *testing.T) {
+	for name, fault := range map[string]func(call int) logtest.Fault{
+		"refused":                 func(int) logtest.Fault { return logtest.Fault{Refused: true} },
+		"silent":                  func(int) logtest.Fault { return logtest.Fault{Silent: true} },
+		"late":                    func(int) logtest.Fault { return logtest.Fault{Silent: true, Late: true} },
+		"late, then refused":      func(n int) logtest.Fault { return logtest.Fault{Silent: n == 1, Late: true, Refused: n > 1} },
+		"refused, then answering": func(n int) logtest.Fault { return logtest.Fault{Refused: n == 1} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, g *WithT) {
+				l := logtest.New()
+				calls := 0
+				l.SetFault(func(logtest.Call) logtest.Fault { calls++; return fault(calls) })
+				c := NewCommitter(l.Client("a"), tally.NoopScope)
+				short, cancel := context.WithTimeout(ctx, 2*time.Second)
+				defer cancel()
+				err := c.Append(short, Intake(pool), entries(1)[0])
+				time.Sleep(10 * time.Second)
+				l.SetFault(nil)
+				stored := len(records(ctx, g, l, Intake(pool))) > 0
+				if err == nil {
+					g.Expect(stored).To(BeTrue())
+				}
+				if stored {
+					g.Expect(verdict.Of(err)).NotTo(Equal(verdict.NotRun))
+				}
+			})
+		})
+	}
+}
+
+func TestCommitterRefusesAtOnceWhileTheLogIsDown(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		l.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Refused: true} })
+		start := time.Now()
+		err := NewCommitter(l.Client("a"), tally.NoopScope).Append(ctx, Intake(pool), entries(1)[0])
+		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+	})
+}
+
+func TestFindTellsWhereAJobStands(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		l := logtest.New()
+		c := l.Client("a")
+		put := func(p logstore.Partition, e logstore.Entry, err error) {
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Append(ctx, p, []logstore.Entry{e}, logstore.Condition{})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := Find(ctx, c, pool, id)
+		g.Expect(err).To(MatchError(ErrNotFound))
+		e, err := SubmissionEntry(Submission{Spec: job.Spec{ID: id}})
+		put(Intake(pool), e, err)
+		other, err := SubmissionEntry(Submission{Spec: job.Spec{ID: "00000000000000ab"}})
+		put(Intake(pool), other, err)
+		g.Expect(Find(ctx, c, pool, id)).To(Equal(job.Queued))
+		e, err = ProgressEntry(id, &job.Progress{Phase: job.Running})
+		put(Progress(pool), e, err)
+		g.Expect(Find(ctx, c, pool, id)).To(Equal(job.Running))
+		put(Intake(pool), CancelEntry(id), nil)
+		g.Expect(Find(ctx, c, pool, id)).To(Equal(job.Cancelled))
+		e, err = ProgressEntry(id, &job.Progress{Phase: job.Completed})
+		put(Progress(pool), e, err)
+		g.Expect(Find(ctx, c, pool, id)).To(Equal(job.Completed))
+	})
+}
+
+// FuzzDecodeRecords hands any record to the decoders of both partitions.
+func FuzzDecodeRecords(f *testing.F) {
+	e, err := SubmissionEntry(Submission{Spec: job.Spec{ID: id, Steps: []job.Step{{Count: 1}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	p, err := ProgressEntry(id, &job.New(job.Spec{ID: id, Steps: []job.Step{{Count: 1}}}, job.Terms{}).Progress)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, e := range []logstore.Entry{e, p, {Key: "x"}, {Key: "", Value: []byte("v")}, {Key: "w1", Value: []byte{0xff}}, CancelEntry(id)} {
+		f.Add(e.Key, e.Value)
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		r := logstore.Record{Key: key, Value: value}
+		if h, ok, err := DecodeIntake(r); ok && (err != nil || h.Submission == nil && !h.Cancelled) {
+			t.Errorf("%+v, %v", h, err)
+		}
+		if k, ok, err := DecodeProgress(r); ok && (err != nil || k.Progress == nil && k.Submission == nil && k.Closed == nil) {
+			t.Errorf("%+v, %v", k, err)
+		}
+	})
+}
