Log every decision on a job, bounded by kind, and explain why tasks wait

Cause: A job could be followed from its acceptance to its end only at the debug level: placing, starts, ends and the reason why tasks wait were not logged, nor requests that the front turned down or the loss of the cloud. Nothing bounded the lines, and a stop waited for an output that nobody read. Change: One line when a job is taken in, when its tasks wait (with the limit that binds), are placed, started, stopped and ended, when a request is turned down, an order goes around the holder, the cloud is lost or answers again. A reload takes in the memory limit. Ruled out: one line a plan with all its runs (no line is found by its ID); sampling (the line that is needed is the one left out).

--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rotisserie/eris"
@@ -52,6 +53,14 @@
 // more frequent.
 const memoryShare = 0.7
 
+// lifecycle are the messages of lines that are never left out.
+var lifecycle = []string{"serving", "stopping", "stopped", "settings reloaded", "duty gained", "duty lost", "log unreachable", "log reachable"}
+
+// limitMemory has the collector keep to the host's memory.
+func limitMemory(place platform.Settings) {
+	debug.SetMemoryLimit(int64(float64(place.MemoryBytes) * memoryShare))
+}
+
 func runFleet(args []string) int {
 	s, err := parseFleetSettings(args, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
@@ -66,15 +75,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	debug.SetMemoryLimit(int64(float64(place.MemoryBytes) * memoryShare))
-	out := telemetry.NewLogWriter(os.Stdout)
-	defer out.Close()
-	logger := zerolog.New(out).Level(s.LogLevel).With().Timestamp().Str("host", place.Host).Str("zone", place.Zone).Logger()
+	limitMemory(place)
+	m := newMetrics()
+	dropped := m.scope.SubScope("log").Counter("lines_dropped")
+	out := telemetry.NewLogWriter(os.Stdout, func(lines int) { dropped.Inc(int64(lines)) })
+	defer func() { _ = out.Close() }()
+	logger := zerolog.New(out).Level(s.LogLevel).Hook(telemetry.NewLimiter(time.Now, m.scope, lifecycle...)).
+		With().Timestamp().Str("host", place.Host).Str("zone", place.Zone).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	reload := &reloader{path: s.SettingsFile, place: place, logger: logger, apply: func(platform.Settings) {}}
+	reload := &reloader{path: s.SettingsFile, place: place, logger: logger, apply: limitMemory}
 	go reload.run(ctx)
-	if err := serveFleet(ctx, place, logger); err != nil {
+	if err := serveFleet(ctx, place, m, logger); err != nil {
 		logger.Error().Err(err).Msg("stopped")
 		return exitFailure
 	}
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -31,8 +31,7 @@
 )
 
 // serveFleet builds the fleet daemon and runs it until ctx ends.
-func serveFleet(ctx context.Context, place platform.Settings, logger zerolog.Logger) error {
-	m := newMetrics()
+func serveFleet(ctx context.Context, place platform.Settings, m metrics, logger zerolog.Logger) error {
 	store := platform.NewStore(place.Store, platform.Metrics{Scope: m.scope})
 	self, err := newFleetMember(ctx, place, store, logger)
 	if err != nil {
--- a/cmd/greengaged/reload.go
+++ b/cmd/greengaged/reload.go
@@ -21,7 +21,8 @@
 	path   string
 	place  platform.Settings
 	logger zerolog.Logger
-	// apply takes in settings that changed.
+	// apply takes in what may change while the daemon runs. What else changed
+	// counts from the next start on.
 	apply func(platform.Settings)
 }
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -101,7 +101,9 @@
 	busySince time.Duration
 	// needs are those that were logged last.
 	needs map[string]Need
-	slots chan struct{}
+	// cloudDown is set while the cloud does not answer.
+	cloudDown bool
+	slots     chan struct{}
 	// orders are those under way.
 	orders sync.WaitGroup
 }
@@ -229,7 +231,7 @@
 		}
 		s.needs[n.Pool] = n
 		r := reports[n.Pool]
-		s.opt.Logger.Debug().Str("pool", n.Pool).Int("hosts", n.Have).Int("closing", n.Closing).Int("wanted", n.Want).
+		s.opt.Logger.Info().Str("pool", n.Pool).Int("hosts", n.Have).Int("closing", n.Closing).Int("wanted", n.Want).
 			Int("used_cpu", r.Used.CPU).Int("waiting_cpu", r.Waiting.CPU).Int("late_cpu", r.Late.CPU).Int("long_cpu", r.Long.CPU).
 			Int("rate_cpu", r.Rate.CPU).Int("expected_cpu", r.Expected.CPU).
 			Int("used_mb", r.Used.MemoryMB).Int("waiting_mb", r.Waiting.MemoryMB).Int("expected_mb", r.Expected.MemoryMB).
@@ -237,6 +239,17 @@
 	}
 }
 
+// noteCloud logs when the cloud no longer answers, and when it does again.
+func (s *session) noteCloud(err error) {
+	switch down := err != nil; {
+	case down && !s.cloudDown:
+		s.opt.Logger.Warn().Err(err).Msg("cloud unreachable")
+	case !down && s.cloudDown:
+		s.opt.Logger.Info().Msg("cloud reachable")
+	}
+	s.cloudDown = err != nil
+}
+
 // refresh reads the list of hosts when it is too old.
 func (s *session) refresh(ctx context.Context) bool {
 	now := s.opt.Clock.Now()
@@ -248,8 +261,8 @@
 	}
 	list, err := s.opt.Cloud.Machines(ctx)
 	s.metrics.list(err)
+	s.noteCloud(err)
 	if err != nil {
-		s.opt.Logger.Debug().Err(err).Msg("hosts cannot be listed")
 		return false
 	}
 	s.mu.Lock()
@@ -417,7 +430,7 @@
 		_, err = s.opt.Log.Append(ctx, part, []logstore.Entry{status}, logstore.Condition{})
 	}
 	if err != nil {
-		s.opt.Logger.Debug().Err(err).Int("wave", p.Number).Msg("progress of the wave not written")
+		s.opt.Logger.Info().Err(err).Int("wave", p.Number).Msg("progress of the wave not written")
 	}
 	return err == nil
 }
@@ -446,7 +459,7 @@
 		err := s.opt.Pools.Close(ctx, o)
 		s.metrics.closed(a.Kind, err)
 		if err != nil {
-			s.opt.Logger.Debug().Err(err).Str("worker", a.Worker).Msg("worker not closed")
+			s.opt.Logger.Info().Err(err).Str("worker", a.Worker).Str("pool", a.Pool).Str("reason", a.Reason).Msg("worker not closed")
 		}
 		return err == nil && a.Kind == Close
 	default:
--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -136,6 +136,7 @@
 // the job goes to the intake log, which the next holder reads; having it twice
 // is having it once.
 func (s *Service) Submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
+	start := s.opt.Clock.Now()
 	sub := joblog.Submission{Spec: spec, Terms: e.Terms(version), Accepted: s.opt.Clock.Wall().UnixMilli()}
 	err := s.order(ctx, e.Pool, MethodSubmit, SubmitOrder{sub}, func(ctx context.Context) error {
 		return s.ownSubmit(ctx, &sub)
@@ -144,19 +145,20 @@
 		err = s.around(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.SubmissionEntry(sub) })
 	}
 	s.metrics.submitted(err)
-	s.log("job accepted", "job not accepted", spec.ID, e, err)
+	s.logOrder("job accepted", "job not accepted", spec.ID, e, start, err)
 	return err
 }
 
 // Cancel cancels a job. Once it returns nil the cancel is stored.
 func (s *Service) Cancel(ctx context.Context, e policy.Entry, id job.ID) error {
+	start := s.opt.Clock.Now()
 	o := CancelOrder{Pool: e.Pool, ID: id}
 	err := s.order(ctx, e.Pool, MethodCancel, o, func(ctx context.Context) error { return s.ownCancel(ctx, o) })
 	if err != nil && !refused(err) {
 		err = s.around(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil })
 	}
 	s.metrics.cancelled(err)
-	s.log("cancel accepted", "cancel not accepted", id, e, err)
+	s.logOrder("cancel accepted", "cancel not accepted", id, e, start, err)
 	return err
 }
 
@@ -205,6 +207,7 @@
 		return verdict.Refuse(verdict.ReasonBadRequest, "%v", err)
 	}
 	s.metrics.around.Inc(1)
+	s.opt.Logger.Info().Err(before).Str("key", e.Key).Str("pool", pool).Str("holder", s.holder(pool)).Msg("holder not reached, going to the log")
 	err = s.opt.Committer.Append(ctx, joblog.Intake(pool), e)
 	if err != nil && !errors.Is(before, scheduler.ErrNotHeld) && verdict.Of(err) == verdict.NotRun {
 		return verdict.Unsure(verdict.ReasonPeerLost, "%v, and before: %v", err, before)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -157,12 +158,26 @@
 	return WaitingAnswer{Held: ok, Count: n}
 }
 
-func (s *Service) log(done, failed string, id job.ID, e policy.Entry, err error) {
-	if err == nil {
-		s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", e.Pool).Msg(done)
-		return
+// logOrder logs what became of a job or cancel that a caller handed in.
+func (s *Service) logOrder(done, failed string, id job.ID, e policy.Entry, start time.Duration, err error) {
+	line := s.opt.Logger.Info()
+	msg := done
+	if err != nil {
+		line = s.opt.Logger.Warn().Err(err).Stringer("verdict", verdict.Of(err))
+		msg = failed
+	}
+	took := s.opt.Clock.Now() - start
+	s.metrics.orderTime.RecordDuration(took)
+	line.Str("job", string(id)).Str("entry", e.Name).Str("pool", e.Pool).Str("holder", s.holder(e.Pool)).Dur("took", took).Msg(msg)
+}
+
+// holder names the pool's holder as this daemon knows it, for people.
+func (s *Service) holder(pool string) string {
+	c, ok := s.opt.Holders.Holder(duty.OfPool(pool))
+	if !ok {
+		return "none"
 	}
-	s.opt.Logger.Warn().Err(err).Str("job", string(id)).Str("entry", e.Name).Str("pool", e.Pool).Stringer("verdict", verdict.Of(err)).Msg(failed)
+	return fmt.Sprintf("%s/%d", c.Holder.ID(), c.Token)
 }
 
 // State returns the phase of a job. The error is ErrUnknownJob when nobody
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"greengagedeck/internal/verdict"
@@ -12,6 +14,14 @@
 	cancels, cancelsFailed    tally.Counter
 	around                    tally.Counter
 	unanswered, logLookups    tally.Counter
+	// orderTime is how long jobs and cancels took to be stored or refused.
+	orderTime tally.Histogram
+}
+
+// orderBuckets are the bounds of that time.
+var orderBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -25,6 +35,7 @@
 		around:        scope.Counter("orders_around_holder"),
 		unanswered:    scope.Counter("states_unanswered"),
 		logLookups:    scope.Counter("states_from_log"),
+		orderTime:     scope.Histogram("order_seconds", orderBuckets),
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,6 +64,49 @@
 	return r.Most == 0 || r.Taken(n.ID) < r.Most
 }
 
+// Obstacle says why a task finds no node.
+type Obstacle string
+
+// The obstacles, the first that holds for every node that is left.
+const (
+	// NoNodes means that no node takes tasks.
+	NoNodes Obstacle = "no worker takes tasks"
+	// NoLabel means that no node has the label.
+	NoLabel Obstacle = "no worker has the label"
+	// TooMany means that every such node has as many tasks of the step as it
+	// may.
+	TooMany Obstacle = "every worker has as many tasks of the step as it may"
+	// NoRoom means that none of the others has room.
+	NoRoom Obstacle = "no worker has the room"
+)
+
+// Explain returns why none of the nodes fits, and the most processor time that
+// is left on one that could take the task otherwise.
+func Explain(nodes []*Node, r Request) (why Obstacle, cpu int) {
+	labelled, open := false, false
+	for _, n := range nodes {
+		if r.Label != "" && !slices.Contains(n.Labels, r.Label) {
+			continue
+		}
+		labelled = true
+		if r.Most > 0 && r.Taken(n.ID) >= r.Most {
+			continue
+		}
+		open = true
+		cpu = max(cpu, n.Free.CPU)
+	}
+	switch {
+	case len(nodes) == 0:
+		return NoNodes, 0
+	case !labelled:
+		return NoLabel, 0
+	case !open:
+		return TooMany, 0
+	default:
+		return NoRoom, cpu
+	}
+}
+
 // Choose returns the node for a task, or nil when none fits: one on the rack of
 // its data if there is one, of those one that the task keeps busy for the least
 // time beyond what it is anyway, and of those the one with the least processor
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -77,6 +77,8 @@
 	// forgetIntake and forgetJournal are ended jobs whose submission is to be
 	// removed.
 	forgetIntake, forgetJournal []job.ID
+	// jobTimes are how long the jobs took that ended since the last plan.
+	jobTimes []time.Duration
 	// changed is set when a plan could differ from the last one.
 	changed bool
 	// fenced is set once a worker has seen a newer holder's token.
@@ -101,6 +103,8 @@
 	preempted time.Duration
 	// shun names, by task, the worker on which it failed last.
 	shun map[job.TaskID]string
+	// waits are, by step, why its tasks were not placed.
+	waits map[int]wait
 }
 
 // blindFactor covers the drift of a worker's clock, with some slack.
@@ -236,7 +240,8 @@
 		it.Job = job.New(s.Spec, s.Terms)
 		c.demand.add(t.Now, workOf(&s.Spec))
 	}
-	c.opt.Logger.Debug().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", it.Phase).Msg("job taken in")
+	c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", it.Phase).
+		Dur("age", t.Now-it.arrived).Dur("objective", it.objective()).Msg("job taken in")
 	c.jobs[id] = it
 	c.open = append(c.open, it)
 	c.adopt(it, t.Now)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -18,6 +18,13 @@
 	questions, questionsFailed              tally.Counter
 	appends, records                        tally.Counter
 	appendTime                              tally.Histogram
+	jobTime                                 tally.Histogram
+}
+
+// jobBuckets are the bounds of the time from a job's arrival to its end.
+var jobBuckets = tally.DurationBuckets{
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+	15 * time.Second, 30 * time.Second, time.Minute, 5 * time.Minute,
 }
 
 // appendBuckets are the bounds of the time of one append.
@@ -43,6 +50,7 @@
 		appends:          scope.Counter("appends"),
 		records:          scope.Counter("records"),
 		appendTime:       scope.Histogram("append_seconds", appendBuckets),
+		jobTime:          scope.Histogram("job_seconds", jobBuckets),
 	}
 }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -77,6 +77,7 @@
 	case err == nil:
 		b.HeardOrder(clock, t.Now)
 		if r.State != worker.Confirmed {
+			c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Dur("order", t.Now-r.SentAt).Msg("run started")
 			r.State = worker.Confirmed
 			r.Since = t.Now
 		}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -19,6 +18,8 @@
 	Progress []logstore.Entry
 	// Forget goes to the intake partition. It may fail.
 	Forget []logstore.Entry
+	// JobTimes are how long the jobs took that ended since the last plan.
+	JobTimes []time.Duration
 
 	starts []start
 	logs   map[*item]logged
@@ -54,7 +55,8 @@
 	c.release(t)
 	c.evacuate(t)
 	c.watchStalls(t.Now)
-	b := &Batch{logs: map[*item]logged{}, ends: map[string]loggedEnds{}}
+	b := &Batch{JobTimes: c.jobTimes, logs: map[*item]logged{}, ends: map[string]loggedEnds{}}
+	c.jobTimes = nil
 	c.place(b, t)
 	if err := c.encode(b, t); err != nil {
 		return nil, err
@@ -83,14 +85,6 @@
 	return max(0, time.Duration(first-wall)*time.Millisecond), found
 }
 
-// waiting is a group of tasks to start.
-type waiting struct {
-	it    *item
-	group job.Group
-	// slack is how long the job can still wait and be done in time.
-	slack time.Duration
-}
-
 // place gives waiting tasks to workers as far as there is room.
 func (c *Core) place(b *Batch, t Times) {
 	if c.fenced {
@@ -104,76 +98,19 @@
 			nodes = c.approvedNodes(w, nodes, t.Now)
 		}
 		if w.it.Spec.Steps[w.group.Step].Gang {
-			c.placeGang(b, w, nodes, t.Now)
+			if !c.placeGang(b, w, nodes, t.Now) {
+				c.noteWait(w, nodes, t.Now)
+			}
 			continue
 		}
 		if !c.placeTasks(b, w, nodes, t.Now) {
+			c.noteWait(w, nodes, t.Now)
 			p.preempt(w, nodes)
 		}
 	}
 	c.copies(b, nodes, t.Now)
 }
 
-// queue returns the groups that wait, the most urgent first.
-func (c *Core) queue(now time.Duration) []waiting {
-	var out []waiting
-	for _, it := range c.open {
-		for _, g := range it.Waiting() {
-			out = append(out, waiting{it: it, group: g, slack: it.slack(now)})
-		}
-	}
-	slices.SortStableFunc(out, func(a, b waiting) int {
-		return cmp.Or(
-			cmp.Compare(a.it.Terms.Priority, b.it.Terms.Priority),
-			cmp.Compare(a.class(), b.class()),
-			cmp.Compare(a.slack, b.slack),
-		)
-	})
-	return out
-}
-
-// Classes of waiting tasks within a priority, the first first.
-const (
-	classLong = iota
-	classInTime
-	classLate
-)
-
-// class puts tasks that last first, since every moment without them counts, and
-// jobs that cannot be done in time any more last.
-func (w waiting) class() int {
-	switch {
-	case w.it.Spec.Steps[w.group.Step].LongRunning:
-		return classLong
-	case w.slack >= 0:
-		return classInTime
-	default:
-		return classLate
-	}
-}
-
-// slack returns how long the job can still wait and be done in time, as far as
-// estimates tell.
-func (it *item) slack(now time.Duration) time.Duration {
-	left := it.Chain()
-	objective := it.Terms.Slack + time.Duration(it.Terms.Stretch*float64(it.whole()))
-	return it.arrived + objective - left - now
-}
-
-// whole returns the longest chain of estimated work of the whole job.
-func (it *item) whole() time.Duration {
-	longest := make([]time.Duration, len(it.Spec.Steps))
-	var whole time.Duration
-	for i, s := range it.Spec.Steps {
-		for _, a := range s.After {
-			longest[i] = max(longest[i], longest[a])
-		}
-		longest[i] += s.Estimate
-		whole = max(whole, longest[i])
-	}
-	return whole
-}
-
 // nodes returns the workers that take new tasks, in the order of their IDs.
 func (c *Core) nodes(now time.Duration) []*placement.Node {
 	var out []*placement.Node
@@ -251,13 +188,14 @@
 	return true
 }
 
-func (c *Core) placeGang(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) {
+// placeGang reports whether all tasks of a gang found workers.
+func (c *Core) placeGang(b *Batch, w waiting, nodes []*placement.Node, now time.Duration) bool {
 	req := c.request(w.it, w.group)
 	s := w.it.Spec.Steps[w.group.Step]
 	req.Ends = now + c.lasts(s)
 	chosen := placement.ChooseGang(nodes, req, s.Count, s.SameRack)
 	if chosen == nil {
-		return
+		return false
 	}
 	at := make([]job.Location, 0, len(chosen))
 	for _, n := range chosen {
@@ -267,6 +205,7 @@
 	for i, r := range w.it.PlaceGang(w.group.Occurrence, w.group.Step, at) {
 		c.planned(b, w.it, r, c.workers[at[i].Worker.ID], now)
 	}
+	return true
 }
 
 // foreverLasts stands for the time that a long-running task is at work.
@@ -406,6 +345,7 @@
 		c.over(book, r, job.EndLost, "", t)
 		return false
 	}
+	c.logPlaced(it, r, book, t.Now)
 	r.State = worker.Ordered
 	r.Since = t.Now
 	return true
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -356,6 +356,9 @@
 
 // commit orders what a logged batch starts.
 func (r *Runner) commit(ctx context.Context, b *Batch) {
+	for _, took := range b.JobTimes {
+		r.metrics.jobTime.RecordDuration(took)
+	}
 	var runs []job.RunID
 	r.update(func(t Times) {
 		runs = r.core.Committed(b, t)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -101,7 +101,7 @@
 	if !it.End(r.ID, how, checkpoint, t.Wall) {
 		return
 	}
-	c.logEnd(b, r, how)
+	c.logEnd(it, b, r, how, t.Now)
 	switch how {
 	case job.EndDone:
 		c.succeeded(b.Incarnation.ID)
@@ -117,19 +117,12 @@
 	}
 	c.touch(it)
 	if it.Phase != before && it.Phase.Final() {
-		c.opt.Logger.Info().Str("job", string(it.Spec.ID)).Stringer("phase", it.Phase).Dur("after", t.Now-it.arrived).Msg("job ended")
+		c.jobTimes = append(c.jobTimes, t.Now-it.arrived)
+		c.opt.Logger.Info().Str("job", string(it.Spec.ID)).Stringer("phase", it.Phase).Dur("after", t.Now-it.arrived).Dur("objective", it.objective()).Msg("job ended")
 	}
 	c.stopNeedless(it)
 }
 
-func (c *Core) logEnd(b *worker.Book, r *worker.Run, how job.How) {
-	e := c.opt.Logger.Debug()
-	if how != job.EndDone && how != job.EndStopped {
-		e = c.opt.Logger.Info()
-	}
-	e.Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).Str("how", string(how)).Msg("run ended")
-}
-
 func (it *item) avoid(t job.TaskID, workerID string) {
 	if it.shun == nil {
 		it.shun = map[job.TaskID]string{}
@@ -157,7 +150,7 @@
 	r.Stopping = true
 	r.StopReason = reason
 	c.changed = true
-	c.opt.Logger.Debug().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).Str("reason", reason).Msg("run to be stopped")
+	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).Str("reason", reason).Msg("run to be stopped")
 }
 
 // expire ends the runs of workers that do not answer, once no lease can be left.
