Move no task while an earlier holder's stop may be under way

A holder that loses its pool may have sent a stop just before; the worker lists the task until the stop is over, for up to the platform's bound, so the next holder's first look took it to be at work and moved a second task. Change: A run of an earlier holder counts as at work only once a look that was sent a stop's time after the worker was fenced lists it. Ruled out: waiting a fixed time after each takeover (fenced workers are known one by one); the fleet's orders (it maintains only hosts without runs).

--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -121,13 +121,19 @@
 			continue
 		}
 		run := b.Runs[job.RunID{Task: id, Number: r.Number}]
-		if run != nil && run.State == worker.Confirmed && !run.Stopping && run.Percent == worker.FullPace {
+		if run != nil && run.State == worker.Confirmed && !run.Stopping && run.Percent == worker.FullPace && c.stays(b, run) {
 			return true
 		}
 	}
 	return false
 }
 
+// stays reports whether no earlier holder is stopping a run: one that did so just
+// before the worker was fenced leaves it there for a while.
+func (c *Core) stays(b *worker.Book, r *worker.Run) bool {
+	return r.SentAt > 0 || r.Reported >= b.FencedAt+c.opt.StopTime
+}
+
 // WorkerLoad is what a pool's holder says of one worker.
 type WorkerLoad struct {
 	ID      string `cbor:"1,keyasint"`
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -160,10 +160,11 @@
 	first := !b.Fenced
 	if first {
 		b.Fenced = true
+		b.FencedAt = t.Now
 		c.changed = true
 	}
 	ended := c.takeEnds(b, rep.Ended, t)
-	at := c.takeRunning(b, rep.Running, t.Now)
+	at := c.takeRunning(b, rep.Running, l.Sent, t.Now)
 	c.missing(b, l, first, at, ended, t)
 	if b.Seen > b.Logged {
 		c.changed = true
@@ -190,7 +191,7 @@
 
 // takeRunning notes what runs. A run that nobody asked for is stopped: no order
 // for it can be under way any more. It returns the runs at work.
-func (c *Core) takeRunning(b *worker.Book, rows []worker.Running, now time.Duration) map[job.RunID]bool {
+func (c *Core) takeRunning(b *worker.Book, rows []worker.Running, sent, now time.Duration) map[job.RunID]bool {
 	at := map[job.RunID]bool{}
 	for _, row := range rows {
 		at[row.Run] = true
@@ -202,6 +203,7 @@
 			r.State = worker.Confirmed
 			r.Since = now
 		}
+		r.Reported = sent
 		r.Percent = row.Percent
 		r.Figure = row.Figure
 		if row.Checkpoint != "" {
--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -61,6 +61,8 @@
 	Checkpoint string
 	Percent    int
 	Figure     int
+	// Reported is when the last look was sent that found the run there.
+	Reported time.Duration
 	// Target is set for tasks that serve, and Fills for those that use what
 	// others leave.
 	Target time.Duration
@@ -119,6 +121,8 @@
 	// of earlier holders have no effect from then on, and what runs there is
 	// known.
 	Fenced bool
+	// FencedAt is when that became known.
+	FencedAt time.Duration
 	Runs   map[job.RunID]*Run
 	// Used is the room that the runs take.
 	Used job.Resources
