Replace a holder that the log no longer answers

After an outage of the log for all, the first daemon to read it counted the outage as the holder's silence and took its duty. Change: A probe tells a holder that the log does not answer from one that does not hold the duty. The former is replaced once the log has answered here, and not there, for 500 ms. Silence counts only while the log answers. Ruled out: claiming at the first such answer (when a log comes back, the first daemon that it answers takes over duties); times of sending in heartbeats.

--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -160,11 +160,10 @@
 	case d == nil:
 		return Dead
 	}
-	a := d.probed(ProbeQuery{duty})
-	if d.self.ID() == m.ID() && a.Holds && a.LogAge < ableAge {
-		return Able
+	if d.self.ID() != m.ID() {
+		return Stranger
 	}
-	return Unable
+	return d.probed(ProbeQuery{duty}).health()
 }
 
 // inBubble runs a test in virtual time, with daemons that end with it.
@@ -265,6 +264,44 @@
 	})
 }
 
+// cutOffBound is how long a duty may be without a holder that can act when the
+// log no longer answers the holder but other daemons reach it.
+const cutOffBound = ableAge + probeInterval + cutOffFor + 2*watchInterval
+
+func TestHolderThatOnlyTheLogDoesNotAnswerIsReplaced(t *testing.T) {
+	for start := range 10 {
+		inBubble(t, func(ctx context.Context, g *WithT) {
+			n := newGroup(pool)
+			old := n.start(ctx, "a", 0.8)
+			elapse(2 * time.Second)
+			next := n.start(ctx, "b", 0.8)
+			elapse(4*time.Second + time.Duration(start)*200*time.Millisecond)
+			n.log.SetFault(func(c logtest.Call) logtest.Fault { return logtest.Fault{Silent: c.Client == "a"} })
+			elapse(cutOffBound)
+			g.Expect(next.wins()).To(HaveLen(1))
+			g.Expect(next.wins()[0].ActsFor).To(Equal(DefaultLease))
+			g.Expect(old.losses()).To(BeEmpty())
+		})
+	}
+}
+
+func TestHoldersStayWhileTheLogAnswersNobody(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		n := newGroup(pool)
+		old := n.start(ctx, "a", 0.8)
+		elapse(2 * time.Second)
+		next := n.start(ctx, "b", 0.8)
+		elapse(3 * time.Second)
+		n.log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Refused: true} })
+		elapse(20 * time.Second)
+		n.log.SetFault(nil)
+		elapse(10 * time.Second)
+		held, _ := old.gained()
+		g.Expect(next.wins()).To(BeEmpty())
+		g.Expect(old.Remaining(pool, held.Token)).To(BeNumerically(">", 0))
+	})
+}
+
 func TestCutOffHolderStopsBeforeItsSuccessorActs(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g *WithT) {
 		n := newGroup(pool)
--- a/internal/duty/probe.go
+++ b/internal/duty/probe.go
@@ -38,9 +38,10 @@
 	Silent Health = iota
 	// Able daemons answered and can act.
 	Able
-	// Unable daemons answered and cannot act: the log does not answer them,
-	// or they do not hold the duty.
-	Unable
+	// CutOff daemons answered, and the log has not answered them for a while.
+	CutOff
+	// Stranger daemons answered and do not hold the duty.
+	Stranger
 	// Dead daemons have no process that listens on their address.
 	Dead
 )
@@ -73,10 +74,19 @@
 		return Dead
 	case err != nil:
 		return Silent
-	case a.Holds && a.LogAge < ableAge:
+	default:
+		return a.health()
+	}
+}
+
+func (a ProbeAnswer) health() Health {
+	switch {
+	case !a.Holds:
+		return Stranger
+	case a.LogAge < ableAge:
 		return Able
 	default:
-		return Unable
+		return CutOff
 	}
 }
 
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -164,14 +164,13 @@
 	return max(0, t.since[n]+t.claims[n].ActsFor-now)
 }
 
-// silence returns for how long the holder of a duty has sent no heartbeat. read
-// is when the last complete read of the heartbeats began.
-func (t *table) silence(n Name, read time.Duration) time.Duration {
+// lastSign returns when the holder of a duty last gave a sign of life in the log.
+func (t *table) lastSign(n Name) time.Duration {
 	last := t.since[n]
 	if p, seen := t.peers[t.claims[n].Holder.Host]; seen {
 		last = max(last, p.Seen)
 	}
-	return read - last
+	return last
 }
 
 // rank returns the place of a daemon in the order in which the live ones other
--- a/internal/duty/watch.go
+++ b/internal/duty/watch.go
@@ -22,6 +22,9 @@
 	// silentFor is how long a holder that does not answer, or cannot act, has
 	// to send no heartbeat for its duty to be claimed.
 	silentFor = 1500 * time.Millisecond
+	// cutOffFor is how long the log must have answered here, and not the holder,
+	// for a duty to be claimed. A log that comes back answers all within it.
+	cutOffFor = 500 * time.Millisecond
 	// rankDelay is how much later each further candidate claims.
 	rankDelay = 300 * time.Millisecond
 	// peersInterval is the longest time between two reads of the heartbeats.
@@ -36,12 +39,15 @@
 type watch struct {
 	*Keeper
 	tail *logstore.Tail
-	// read is when the last complete read of the heartbeats began.
-	read time.Duration
+	// read is when the last complete read of the heartbeats began, and answers
+	// since when every such read was answered, 0 if the last one was not.
+	read, answers time.Duration
 	// probed is when each holder was probed last, by duty, and claimable since
 	// when a duty could be claimed.
 	probed    map[Name]time.Duration
 	claimable map[Name]time.Duration
+	// cutOff is since when the log has answered here and not the holder.
+	cutOff map[Name]time.Duration
 }
 
 func newWatch(k *Keeper) *watch {
@@ -50,6 +56,7 @@
 		tail:      logstore.NewTail(k.opt.Log, heartbeatPartition),
 		probed:    map[Name]time.Duration{},
 		claimable: map[Name]time.Duration{},
+		cutOff:    map[Name]time.Duration{},
 	}
 }
 
@@ -62,7 +69,8 @@
 
 // look probes holders and claims what has been abandoned.
 func (w *watch) look(ctx context.Context) {
-	if w.read == 0 || w.opt.Clock.Now()-w.read >= peersInterval {
+	begun := w.opt.Clock.Now()
+	if w.read == 0 || begun-w.read >= peersInterval {
 		w.readPeers(ctx)
 	}
 	if w.read == 0 {
@@ -76,7 +84,7 @@
 		w.rank(found)
 	}
 	for _, f := range found {
-		if !w.abandoned(f) {
+		if !w.abandoned(f, begun) {
 			delete(w.claimable, f.duty)
 			continue
 		}
@@ -168,13 +176,14 @@
 	}
 }
 
-// abandoned reports whether nobody can act for a duty. A holder that answers
-// and can act keeps its duty even when the log is too slow for its heartbeats.
-func (w *watch) abandoned(f finding) bool {
+// abandoned reports whether nobody can act for a duty, as a look that began at
+// begun shows. A holder that answers and can act keeps its duty even when the log
+// is too slow for its heartbeats.
+func (w *watch) abandoned(f finding, begun time.Duration) bool {
 	switch {
 	case f.vacant || f.health == Dead:
 		return true
-	case f.health == Able:
+	case f.health == Able || w.answers == 0:
 		return false
 	}
 	w.mu.Lock()
@@ -182,7 +191,16 @@
 	if w.table.vacant(f.duty) {
 		return true
 	}
-	silent := w.table.silence(f.duty, w.read) >= silentFor
+	if f.health != CutOff || w.read < begun {
+		delete(w.cutOff, f.duty)
+	} else if _, seen := w.cutOff[f.duty]; !seen {
+		w.cutOff[f.duty] = begun
+	}
+	if at, seen := w.cutOff[f.duty]; seen && begun-at >= cutOffFor {
+		return true
+	}
+	// While the log answered nobody, no heartbeat could come.
+	silent := w.read-max(w.table.lastSign(f.duty), w.answers) >= silentFor
 	if !silent {
 		// The next look should come soon.
 		w.probed[f.duty] = 0
@@ -216,8 +234,12 @@
 	recs, _, err := w.tail.Next(ctx, 0)
 	if err != nil {
 		w.failed("read heartbeats", err)
+		w.answers = 0
 		return
 	}
+	if w.answers == 0 {
+		w.answers = start
+	}
 	now := w.opt.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
