--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -53,6 +53,9 @@
 // more frequent.
 const memoryShare = 0.7
 
+// logTime is the form of times in logs. Lines of several daemons are ordered by it.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // lifecycle are the messages of lines that are never left out.
 var lifecycle = []string{"serving", "stopping", "stopped", "settings reloaded", "duty gained", "duty lost", "log unreachable", "log reachable"}
 
@@ -76,6 +79,7 @@
 		return exitUsage
 	}
 	limitMemory(place)
+	zerolog.TimeFieldFormat = logTime
 	m := newMetrics()
 	dropped := m.scope.SubScope("log").Counter("lines_dropped")
 	out := telemetry.NewLogWriter(os.Stdout, func(lines int) { dropped.Inc(int64(lines)) })
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -166,6 +166,7 @@
 			a.leaf("", command{name: "status", usage: "status [flags]", help: "show the daemons and the version in force on each", exec: a.status}),
 			a.leaf("", command{name: "hosts", usage: "hosts [flags]", help: "show every host, its pool and phase", exec: a.hosts}),
 			a.leaf("", command{name: "explain", usage: "explain [flags] KIND NAME", help: "show why: KIND is host, pool, entry, wave, team, daemon or request", exec: a.explain}),
+			a.leaf("", command{name: "trace", usage: "trace ID FILE...", help: "show what the logs of several daemons say of a job, task, worker or duty, in order", exec: a.trace}),
 			a.reportCommands(),
 		},
 		Exec: func(ctx context.Context, args []string) error {
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,129 @@
+package ctl
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	at      time.Time
+	host    string
+	level   string
+	message string
+	// fields are the others.
+	fields map[string]any
+}
+
+// ordinary are the fields that every line has.
+var ordinary = []string{"time", "host", "level", "message", "zone", "daemon"}
+
+// parseLine reads a line. Whatever stands before its first brace is passed over:
+// what collects logs may put a time or a name there.
+func parseLine(text string) (logLine, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return logLine{}, false
+	}
+	l := logLine{fields: map[string]any{}}
+	if err := json.Unmarshal([]byte(text[at:]), &l.fields); err != nil {
+		return logLine{}, false
+	}
+	word := func(name string) string {
+		s, _ := l.fields[name].(string)
+		return s
+	}
+	l.host, l.level, l.message = word("host"), word("level"), word("message")
+	var err error
+	if l.at, err = time.Parse(time.RFC3339Nano, word("time")); err != nil {
+		return logLine{}, false
+	}
+	for _, name := range ordinary {
+		delete(l.fields, name)
+	}
+	return l, true
+}
+
+// about reports whether a line names a job, one of its tasks, a worker, a pool
+// or whatever else has that ID.
+func (l logLine) about(id string) bool {
+	for _, v := range l.fields {
+		s, ok := v.(string)
+		if ok && (s == id || strings.HasPrefix(s, id+".") || strings.HasSuffix(s, "/"+id)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l logLine) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-5s %s: %s", l.at.Format("15:04:05.000"), l.level, l.host, l.message)
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
+
+// readLines returns the lines of a log that are about an ID. Lines of another
+// form are passed over.
+func readLines(r io.Reader, id string) ([]logLine, error) {
+	var out []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for s.Scan() {
+		if !strings.Contains(s.Text(), id) {
+			continue
+		}
+		if l, ok := parseLine(s.Text()); ok && l.about(id) {
+			out = append(out, l)
+		}
+	}
+	return out, s.Err()
+}
+
+// trace prints the lines about an ID from the logs of several daemons, in the
+// order of their times.
+func (a *app) trace(_ context.Context, args []string) error {
+	if len(args) < 2 {
+		return usagef("trace needs an ID and the files to search")
+	}
+	id, files := args[0], args[1:]
+	var lines []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return eris.Wrap(err, "log")
+		}
+		got, err := readLines(f, id)
+		_ = f.Close()
+		if err != nil {
+			return eris.Wrapf(err, "log %s", name)
+		}
+		lines = append(lines, got...)
+	}
+	if len(lines) == 0 {
+		return eris.Errorf("no line in %d files names %s", len(files), id)
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.host, y.host))
+	})
+	for _, l := range lines {
+		fmt.Fprintln(a.out, l)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/trace_test.go
@@ -0,0 +1,55 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// writeLog writes lines to a file and returns its name.
+func writeLog(g *WithT, dir, name string, lines ...string) string {
+	path := filepath.Join(dir, name)
+	g.Expect(os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600)).To(Succeed())
+	return path
+}
+
+func runTrace(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Run(context.Background(), append([]string{"trace"}, args...), Options{Out: &o, ErrOut: &e})
+	return code, o.String(), e.String()
+}
+
+func TestTraceOrdersTheLinesOfSeveralDaemons(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	a := writeLog(g, dir, "a",
+		`{"level":"info","host":"a","job":"00aa","time":"2026-03-21T16:19:25.100Z","message":"job accepted"}`,
+		`{"level":"info","host":"a","job":"00ab","time":"2026-03-21T16:19:25.2Z","message":"job accepted"}`)
+	b := writeLog(g, dir, "b",
+		`  1.5 b {"level":"info","host":"b","task":"00aa.0.0.1","run":2,"time":"2026-03-21T16:19:25.900Z","message":"run placed"}`,
+		`panic: 00aa`, `{"job":"00aa"}`, `{"half`,
+		`{"level":"info","host":"b","job":"00aa","time":"2026-03-21T16:19:25.150Z","message":"job taken in"}`)
+	code, out, _ := runTrace("00aa", a, b)
+	g.Expect(code).To(Equal(ExitOK))
+	g.Expect(out).To(Equal("16:19:25.100 info  a: job accepted job=00aa\n" +
+		"16:19:25.150 info  b: job taken in job=00aa\n" +
+		"16:19:25.900 info  b: run placed run=2 task=00aa.0.0.1\n"))
+}
+
+func TestTraceOfNothing(t *testing.T) {
+	g := NewWithT(t)
+	a := writeLog(g, t.TempDir(), "a", `{"time":"2026-03-21T16:19:25Z","job":"x"}`)
+	code, _, errOut := runTrace("00aa", a)
+	g.Expect(code).To(Equal(ExitFailure))
+	g.Expect(errOut).To(ContainSubstring("no line in 1 files names 00aa"))
+	code, _, errOut = runTrace("00aa")
+	g.Expect(code).To(Equal(ExitUsage))
+	g.Expect(errOut).To(ContainSubstring("trace needs an ID"))
+	code, _, _ = runTrace("00aa", filepath.Join(t.TempDir(), "missing"))
+	g.Expect(code).To(Equal(ExitFailure))
+}
