Keep holders over an outage of the log

When the log came back after 4.8 s, the first daemon that it answered took the duties of holders whose reads still hung on lost connections; the 500 ms before that were too short, and were counted from the start of a look whose own read had hung. Such takeovers happened before too, less often. Change: A probe that finds the log silent has the holder read the claims at once, so that it knows within 250 ms that the log is back; a duty is claimed when the log has answered here and not there for 900 ms, between answered reads. A heartbeat that failed no longer stretches the time to the next.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -18,6 +18,8 @@
 	// lease after each.
 	holderClaimWait = 700 * time.Millisecond
 	idleClaimWait   = 1400 * time.Millisecond
+	// refreshTimeout bounds a read of the claims on behalf of a probe.
+	refreshTimeout = 250 * time.Millisecond
 )
 
 // followClaims reads claims as they are made.
@@ -142,9 +144,10 @@
 	return true
 }
 
-// catchUp reads the claims that came before an own one. The loop that follows
-// them may still wait for the next.
+// catchUp reads the claims from an offset on. The loop that follows them may
+// still wait for the next, or for an answer that is lost.
 func (k *Keeper) catchUp(ctx context.Context, from int64) {
+	start := k.opt.Clock.Now()
 	b, err := k.opt.Log.Read(ctx, claimPartition, from, 0)
 	if err != nil {
 		k.failed("read claims", err)
@@ -153,6 +156,25 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.foldClaims(b.Records, k.opt.Clock.Now())
+	k.confirmed = max(k.confirmed, start)
+}
+
+// refreshes reads the claims when a probe asks for it: the log may be back before
+// the loop that follows the claims knows.
+func (k *Keeper) refreshes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.refreshNow:
+		}
+		k.mu.Lock()
+		from := k.claimEnd
+		k.mu.Unlock()
+		once, cancel := context.WithTimeout(ctx, refreshTimeout)
+		k.catchUp(once, from)
+		cancel()
+	}
 }
 
 // Release gives up every duty, so that others can claim it at once. It
--- a/internal/duty/heartbeat.go
+++ b/internal/duty/heartbeat.go
@@ -23,14 +23,13 @@
 func (k *Keeper) heartbeats(ctx context.Context) {
 	var patience logstore.Patience
 	for ctx.Err() == nil {
-		start := k.opt.Clock.Now()
-		k.beat(ctx, &patience)
-		pause(ctx, k.interval(k.opt.Clock.Now()-start), k.beatNow)
+		took := k.beat(ctx, &patience)
+		pause(ctx, k.interval(took), k.beatNow)
 	}
 }
 
 // interval returns the time until the next heartbeat, after one that took a
-// time.
+// time. One that was not answered says nothing about the next.
 func (k *Keeper) interval(took time.Duration) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -40,14 +39,15 @@
 	return max(idleInterval, idleShare*took)
 }
 
-func (k *Keeper) beat(ctx context.Context, patience *logstore.Patience) {
+// beat appends a heartbeat. It returns how long that took, or 0 if it failed.
+func (k *Keeper) beat(ctx context.Context, patience *logstore.Patience) time.Duration {
 	k.mu.Lock()
 	h := heartbeat{Member: k.opt.Self, Leaving: k.leaving}
 	k.mu.Unlock()
 	value, err := record.Encode(h)
 	if err != nil {
 		k.failed("encode heartbeat", err)
-		return
+		return 0
 	}
 	start := k.opt.Clock.Now()
 	ctx, cancel := patience.Context(ctx, 0)
@@ -57,10 +57,11 @@
 	if err != nil {
 		k.heartbeatErrors.Inc(1)
 		k.failed("heartbeat", err)
-		return
+		return 0
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.beaten = start
 	k.recovered()
+	return k.opt.Clock.Now() - start
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -71,8 +71,9 @@
 type Keeper struct {
 	opt     Options
 	started time.Duration
-	// news wakes the watch, and beatNow the heartbeats.
-	news, beatNow chan struct{}
+	// news wakes the watch, beatNow the heartbeats, and refreshNow has the claims
+	// read at once.
+	news, beatNow, refreshNow chan struct{}
 
 	mu      sync.Mutex
 	table   *table
@@ -102,6 +103,7 @@
 		started:         o.Clock.Now(),
 		news:            make(chan struct{}, 1),
 		beatNow:         make(chan struct{}, 1),
+		refreshNow:      make(chan struct{}, 1),
 		table:           newTable(),
 		held:            map[Name]Token{},
 		claims:          scope.Counter("claims"),
@@ -177,6 +179,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { k.followClaims(ctx) })
+	loops.Go(func() { k.refreshes(ctx) })
 	loops.Go(func() { k.heartbeats(ctx) })
 	loops.Go(func() { newWatch(k).run(ctx) })
 	loops.Wait()
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -286,20 +286,24 @@
 }
 
 func TestHoldersStayWhileTheLogAnswersNobody(t *testing.T) {
-	inBubble(t, func(ctx context.Context, g *WithT) {
-		n := newGroup(pool)
-		old := n.start(ctx, "a", 0.8)
-		elapse(2 * time.Second)
-		next := n.start(ctx, "b", 0.8)
-		elapse(3 * time.Second)
-		n.log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Refused: true} })
-		elapse(20 * time.Second)
-		n.log.SetFault(nil)
-		elapse(10 * time.Second)
-		held, _ := old.gained()
-		g.Expect(next.wins()).To(BeEmpty())
-		g.Expect(old.Remaining(pool, held.Token)).To(BeNumerically(">", 0))
-	})
+	for _, fault := range []logtest.Fault{{Refused: true}, {Silent: true}} {
+		for length := 3 * time.Second; length < 8*time.Second; length += 230 * time.Millisecond {
+			inBubble(t, func(ctx context.Context, g *WithT) {
+				n := newGroup(pool)
+				old := n.start(ctx, "a", 0.8)
+				elapse(2 * time.Second)
+				next := n.start(ctx, "b", 0.8)
+				elapse(3 * time.Second)
+				n.log.SetFault(func(logtest.Call) logtest.Fault { return fault })
+				elapse(length)
+				n.log.SetFault(nil)
+				elapse(10 * time.Second)
+				held, _ := old.gained()
+				g.Expect(next.wins()).To(BeEmpty(), "%+v for %v", fault, length)
+				g.Expect(old.Remaining(pool, held.Token)).To(BeNumerically(">", 0))
+			})
+		}
+	}
 }
 
 func TestCutOffHolderStopsBeforeItsSuccessorActs(t *testing.T) {
--- a/internal/duty/probe.go
+++ b/internal/duty/probe.go
@@ -114,7 +114,11 @@
 func (k *Keeper) probed(q ProbeQuery) ProbeAnswer {
 	now := k.opt.Clock.Now()
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	_, holds := k.held[q.Duty]
-	return ProbeAnswer{Holds: holds, LogAge: now - k.confirmed}
+	a := ProbeAnswer{Holds: holds, LogAge: now - k.confirmed}
+	k.mu.Unlock()
+	if a.health() == CutOff {
+		wake(k.refreshNow)
+	}
+	return a
 }
--- a/internal/duty/watch.go
+++ b/internal/duty/watch.go
@@ -23,8 +23,9 @@
 	// to send no heartbeat for its duty to be claimed.
 	silentFor = 1500 * time.Millisecond
 	// cutOffFor is how long the log must have answered here, and not the holder,
-	// for a duty to be claimed. A log that comes back answers all within it.
-	cutOffFor = 500 * time.Millisecond
+	// for a duty to be claimed. A holder that is probed reads the log anew: one that
+	// comes back has answered it by then.
+	cutOffFor = 900 * time.Millisecond
 	// rankDelay is how much later each further candidate claims.
 	rankDelay = 300 * time.Millisecond
 	// peersInterval is the longest time between two reads of the heartbeats.
@@ -180,8 +181,9 @@
 // begun shows. A holder that answers and can act keeps its duty even when the log
 // is too slow for its heartbeats.
 func (w *watch) abandoned(f finding, begun time.Duration) bool {
+	cut := w.cutOffLong(f, begun)
 	switch {
-	case f.vacant || f.health == Dead:
+	case f.vacant || f.health == Dead || cut:
 		return true
 	case f.health == Able || w.answers == 0:
 		return false
@@ -191,14 +193,6 @@
 	if w.table.vacant(f.duty) {
 		return true
 	}
-	if f.health != CutOff || w.read < begun {
-		delete(w.cutOff, f.duty)
-	} else if _, seen := w.cutOff[f.duty]; !seen {
-		w.cutOff[f.duty] = begun
-	}
-	if at, seen := w.cutOff[f.duty]; seen && begun-at >= cutOffFor {
-		return true
-	}
 	// While the log answered nobody, no heartbeat could come.
 	silent := w.read-max(w.table.lastSign(f.duty), w.answers) >= silentFor
 	if !silent {
@@ -208,6 +202,21 @@
 	return silent
 }
 
+// cutOffLong reports whether the log has answered here, and not the holder, for
+// so long that it cannot be coming back.
+func (w *watch) cutOffLong(f finding, begun time.Duration) bool {
+	if f.health != CutOff || w.read < begun {
+		delete(w.cutOff, f.duty)
+		return false
+	}
+	since, seen := w.cutOff[f.duty]
+	if !seen {
+		w.cutOff[f.duty] = w.read
+		return false
+	}
+	return w.read-since >= cutOffFor
+}
+
 // claimInTurn claims a duty once those that should do so first had their time.
 func (w *watch) claimInTurn(ctx context.Context, f finding) {
 	now := w.opt.Clock.Now()
