Let calls of a slow log take what the last ones took

Callers were held to the end of their time and told 504. Change: The time for a call is four times what the last answer took, between 0.5 and 2 s; it doubles when one is not answered. Ruled out: refusing at once while an append is unanswered (a log that is slow but answers would have its callers turned away).

--- a/internal/logstore/patience.go
+++ b/internal/logstore/patience.go
@@ -14,18 +14,24 @@
 	shortPatience = 500 * time.Millisecond
 	// longPatience is how long it may take while the log is slow.
 	longPatience = 2 * time.Second
+	// patienceFactor times what the last answer took is how long the next may
+	// take.
+	patienceFactor = 4
 )
 
-// Patience bounds the calls of one user of the log. A call that was not
-// answered in time makes the next one wait longer, so that a slow log still
-// gets its answers through. The zero value is ready for use by one goroutine.
-type Patience struct{ cur time.Duration }
+// Patience bounds the calls of one user of the log by what the last ones took,
+// so that a slow log still gets its answers through and is not asked twice for
+// the same. The zero value is ready for use by one goroutine.
+type Patience struct {
+	cur, wait time.Duration
+	start     time.Time
+}
 
 // Context returns a context for one call that may wait at the log for a while.
 func (p *Patience) Context(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
-	if p.cur == 0 {
-		p.cur = shortPatience
-	}
+	p.cur = max(p.cur, shortPatience)
+	p.wait = wait
+	p.start = time.Now()
 	return context.WithTimeout(ctx, wait+p.cur)
 }
 
@@ -36,5 +42,6 @@
 		p.cur = min(2*p.cur, longPatience)
 		return
 	}
-	p.cur = shortPatience
+	took := time.Since(p.start) - p.wait
+	p.cur = min(max(patienceFactor*took, shortPatience), longPatience)
 }
