Split the fleet's decisions and the pool's runner by duty

Change: Files by duty: upkeep, sizing, view, orders and progress of the fleet; agent, answers and taking of the runner. No line of code changed. Ruled out: nothing.

--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -89,15 +89,6 @@
 	done    chan struct{}
 }
 
-// agent is what the runner keeps for one worker.
-type agent struct {
-	id    string
-	wake  chan struct{}
-	slots chan struct{}
-	// last is when the last look ended.
-	last time.Duration
-}
-
 // NewRunner returns a runner that does nothing until Run.
 func NewRunner(o RunnerOptions) *Runner {
 	o.Options.Logger = o.Logger
@@ -142,93 +133,6 @@
 	return r.planLoop(ctx, journal)
 }
 
-// restore reads what earlier holders logged. The journal is open, so nothing
-// is added meanwhile.
-func (r *Runner) restore(ctx context.Context) error {
-	for {
-		recs, _, err := logstore.All(ctx, r.opt.Log, joblog.Progress(r.opt.Pool))
-		if err == nil {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.core.Restore(r.decodeProgress(recs), r.times())
-			return nil
-		}
-		if !sleep(ctx, readRetry) {
-			return err
-		}
-	}
-}
-
-func (r *Runner) decodeProgress(recs []logstore.Record) []joblog.Kept {
-	out := make([]joblog.Kept, 0, len(recs))
-	for _, rec := range recs {
-		k, ok, err := joblog.DecodeProgress(rec)
-		if err != nil {
-			r.opt.Logger.Error().Err(err).Int64("offset", rec.Offset).Msg("progress record ignored")
-		}
-		if ok {
-			out = append(out, k)
-		}
-	}
-	return out
-}
-
-func (r *Runner) firstIntake(ctx context.Context, tail *logstore.Tail) error {
-	for {
-		start := r.opt.Clock.Now()
-		recs, _, err := tail.Next(ctx, 0)
-		if err == nil {
-			r.fold(recs, start)
-			r.mu.Lock()
-			r.ready = true
-			jobs := len(r.core.open)
-			r.mu.Unlock()
-			r.opt.Logger.Info().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
-			return nil
-		}
-		if !sleep(ctx, readRetry) {
-			return err
-		}
-	}
-}
-
-func (r *Runner) followIntake(ctx context.Context, tail *logstore.Tail) {
-	for ctx.Err() == nil {
-		start := r.opt.Clock.Now()
-		recs, _, err := tail.Next(ctx, intakeWait)
-		if err != nil {
-			sleep(ctx, readRetry)
-			continue
-		}
-		if now := r.opt.Clock.Now(); len(recs) == 0 && now-start >= intakeWait {
-			// Nothing was handed in while the answer waited.
-			start += intakeWait
-		}
-		r.fold(recs, start)
-		sleep(ctx, intakeGap)
-	}
-}
-
-// fold takes in records of the intake that were read from start on.
-func (r *Runner) fold(recs []logstore.Record, start time.Duration) {
-	handed := make([]joblog.Handed, 0, len(recs))
-	for _, rec := range recs {
-		h, ok, err := joblog.DecodeIntake(rec)
-		if err != nil {
-			r.opt.Logger.Error().Err(err).Int64("offset", rec.Offset).Msg("intake record ignored")
-		}
-		if ok {
-			handed = append(handed, h)
-		}
-	}
-	r.update(func(t Times) {
-		r.confirmed = max(r.confirmed, start)
-		if len(handed) > 0 {
-			r.core.Fold(handed, t)
-		}
-	})
-}
-
 // update changes the core and carries out what follows from that at once.
 func (r *Runner) update(change func(Times)) {
 	r.mu.Lock()
@@ -409,96 +313,6 @@
 	}
 }
 
-// start orders a run until the order is answered.
-func (r *Runner) start(ctx context.Context, a *agent, run job.RunID) {
-	for ctx.Err() == nil {
-		again := r.startOnce(ctx, a, run)
-		if !again || !sleep(ctx, startRetry) {
-			return
-		}
-	}
-}
-
-func (r *Runner) startOnce(ctx context.Context, a *agent, run job.RunID) (again bool) {
-	a.slots <- struct{}{}
-	defer func() { <-a.slots }()
-	r.mu.Lock()
-	s, send := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
-	r.mu.Unlock()
-	if send != SendNow {
-		return send == SendLater
-	}
-	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
-	r.metrics.started(err)
-	r.update(func(t Times) { again = r.core.Started(s, clock, err, t) })
-	wake(a.wake)
-	return again
-}
-
-func (r *Runner) stop(s Stop) {
-	clock, err := r.opt.Control.Stop(context.Background(), s.Target, s.Run, s.Token)
-	r.metrics.stopped(err)
-	r.update(func(t Times) { r.core.Stopped(s, clock, err, t) })
-}
-
-func (r *Runner) pace(p Pace) {
-	err := r.opt.Control.Pace(context.Background(), p.Target, p.Run, p.Percent, p.Token)
-	r.metrics.paced(err)
-	r.update(func(Times) { r.core.Paced(p, err) })
-}
-
-// lookLoop looks at one worker as long as there is a reason to.
-func (r *Runner) lookLoop(ctx context.Context, a *agent) {
-	for ctx.Err() == nil {
-		r.mu.Lock()
-		at, ok := r.core.NextLook(a.id, a.last)
-		if r.core.workers[a.id] == nil {
-			delete(r.agents, a.id)
-			r.mu.Unlock()
-			return
-		}
-		r.mu.Unlock()
-		if !ok {
-			select {
-			case <-ctx.Done():
-			case <-a.wake:
-			}
-			continue
-		}
-		if wait := at - r.opt.Clock.Now(); wait > 0 {
-			t := time.NewTimer(wait)
-			select {
-			case <-ctx.Done():
-			case <-a.wake:
-			case <-t.C:
-			}
-			t.Stop()
-			continue
-		}
-		r.look(ctx, a)
-	}
-}
-
-func (r *Runner) look(ctx context.Context, a *agent) {
-	r.mu.Lock()
-	if r.core.workers[a.id] == nil {
-		r.mu.Unlock()
-		return
-	}
-	l := r.core.Look(a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
-	r.mu.Unlock()
-	rep, err := r.opt.Control.Look(ctx, l.Target, l.Request)
-	r.metrics.looked(err)
-	r.update(func(t Times) {
-		if err != nil {
-			r.core.LookFailed(l, err, t)
-		} else {
-			r.core.Looked(l, rep, t)
-		}
-		a.last = t.Now
-	})
-}
-
 // forgetLoop removes the submissions of ended jobs. A removal that fails is
 // dropped: the next holder finds the job ended and removes it.
 func (r *Runner) forgetLoop(ctx context.Context) {
@@ -516,63 +330,6 @@
 	}
 }
 
-// Answer is what the holder says of a job.
-type Answer struct {
-	Phase job.Phase
-	Known bool
-	// Current is a moment up to which the holder knows every submission, by
-	// its clock, and Now the present.
-	Current, Now time.Duration
-}
-
-// Lookup returns what is known of a job, or false before the pool is taken over.
-func (r *Runner) Lookup(id job.ID) (Answer, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.ready {
-		return Answer{}, false
-	}
-	a := Answer{Current: r.confirmed, Now: r.opt.Clock.Now()}
-	a.Phase, a.Known = r.core.Lookup(id)
-	return a, true
-}
-
-// Waiting returns how many jobs of an entry have started no task, or false
-// before the pool is taken over.
-func (r *Runner) Waiting(entry string) (int, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.core.Waiting(entry), r.ready
-}
-
-// Report describes the pool, or returns false before it is taken over.
-func (r *Runner) Report(lead time.Duration) (Report, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.ready {
-		return Report{}, false
-	}
-	return r.core.Report(r.opt.Clock.Now(), lead), true
-}
-
-// Close has workers take no new tasks.
-func (r *Runner) Close(ids []string, reason string, evacuate bool) {
-	r.update(func(Times) {
-		for _, id := range ids {
-			r.core.Close(id, reason, evacuate)
-		}
-	})
-}
-
-// Open has closed workers take tasks again.
-func (r *Runner) Open(ids []string) {
-	r.update(func(Times) {
-		for _, id := range ids {
-			r.core.Open(id)
-		}
-	})
-}
-
 // sleep reports whether the time passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -123,7 +123,7 @@
 	Fenced bool
 	// FencedAt is when that became known.
 	FencedAt time.Duration
-	Runs   map[job.RunID]*Run
+	Runs     map[job.RunID]*Run
 	// Used is the room that the runs take.
 	Used job.Resources
 	// Closed, if set, says why the worker takes no new tasks.
