Go around a holder that alone is cut from the log

Change: A refusal of the holder has no effect there, so a daemon that the log answered within 2 s puts the job into the intake log. Ruled out: going around without looking at the age of the log here (a store that is down for all would hold callers to the end of their time).

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -311,6 +311,7 @@
 		Holders:   d.keeper,
 		Local:     d.pools,
 		Caller:    n,
+		LogAge:    func() time.Duration { return cl.Now() - d.keeper.LogConfirmed() },
 		Clock:     cl,
 		Logger:    l,
 		Scope:     m.scope,
--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -141,7 +141,7 @@
 	err := s.order(ctx, e.Pool, MethodSubmit, SubmitOrder{sub}, func(ctx context.Context) error {
 		return s.ownSubmit(ctx, &sub)
 	})
-	if err != nil && !refused(err) {
+	if err != nil && !s.refused(err) {
 		err = s.around(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.SubmissionEntry(sub) })
 	}
 	s.metrics.submitted(err)
@@ -154,7 +154,7 @@
 	start := s.opt.Clock.Now()
 	o := CancelOrder{Pool: e.Pool, ID: id}
 	err := s.order(ctx, e.Pool, MethodCancel, o, func(ctx context.Context) error { return s.ownCancel(ctx, o) })
-	if err != nil && !refused(err) {
+	if err != nil && !s.refused(err) {
 		err = s.around(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil })
 	}
 	s.metrics.cancelled(err)
@@ -162,10 +162,18 @@
 	return err
 }
 
-// refused reports whether the holder refused an order for good: the log that
-// it writes to is the one that the way around needs.
-func refused(err error) bool {
-	return !errors.Is(err, scheduler.ErrNotHeld) && verdict.Of(err) == verdict.NotRun
+// freshLog is how long ago the log may have answered this daemon for it to go
+// around a holder that the log does not answer.
+const freshLog = 2 * time.Second
+
+// refused reports whether the holder refused an order for good: the log does not
+// answer it, and the way around needs the log. An order that is refused has no
+// effect at the holder, so it may go around it all the same.
+func (s *Service) refused(err error) bool {
+	if errors.Is(err, scheduler.ErrNotHeld) || verdict.Of(err) != verdict.NotRun {
+		return false
+	}
+	return s.opt.LogAge() >= freshLog
 }
 
 // order hands an order to the pool's holder, which may be this daemon.
@@ -209,7 +217,8 @@
 	s.metrics.around.Inc(1)
 	s.opt.Logger.Info().Err(before).Str("key", e.Key).Str("pool", pool).Str("holder", s.holder(pool)).Msg("holder not reached, going to the log")
 	err = s.opt.Committer.Append(ctx, joblog.Intake(pool), e)
-	if err != nil && !errors.Is(before, scheduler.ErrNotHeld) && verdict.Of(err) == verdict.NotRun {
+	noEffect := errors.Is(before, scheduler.ErrNotHeld) || verdict.Of(before) == verdict.NotRun
+	if err != nil && !noEffect && verdict.Of(err) == verdict.NotRun {
 		return verdict.Unsure(verdict.ReasonPeerLost, "%v, and before: %v", err, before)
 	}
 	return err
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -101,9 +101,11 @@
 	Holders   Holders
 	Local     Local
 	Caller    peer.Caller
-	Clock     clock.Clock
-	Logger    zerolog.Logger
-	Scope     tally.Scope
+	// LogAge returns how long ago the log answered this daemon.
+	LogAge func() time.Duration
+	Clock  clock.Clock
+	Logger zerolog.Logger
+	Scope  tally.Scope
 }
 
 // Service serves callers.
