Count only hosts that were moved just now as on their way

The pool's want grew by a host for them only beyond those "arriving", and every host whose worker took no tasks counted as arriving: cut off, crashed and ejected ones too. Change: A host is arriving while it moves or is maintained, and for 5 s after. Figures: TestHostsForTasksThatFindNoneAreNotThoseOutOfReach fails without the change. Ruled out: hosts of the whole pool counted by who answers (a zone that is cut off for a second would double the pool).

--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -67,7 +67,7 @@
 	have int
 	// want is how many it needs.
 	want int
-	// arriving counts those of them that do not work yet.
+	// arriving counts those of them that will work soon.
 	arriving int
 	// closing counts the hosts that are being emptied.
 	closing int
@@ -142,7 +142,7 @@
 			p.closing++
 		default:
 			p.have++
-			if !d.loads[m.Worker].Open {
+			if !d.loads[m.Worker].Open && (m.State != Up || d.Arriving[m.Name]) {
 				p.arriving++
 			}
 		}
--- a/internal/fleet/decide_test.go
+++ b/internal/fleet/decide_test.go
@@ -183,3 +183,18 @@
 	g.Expect(count(actions, Open)).To(Equal(1))
 	g.Expect(count(actions, Move)).To(Equal(needs[0].Want - 4))
 }
+
+// A host whose worker takes no tasks, and that was not moved there just now, is no
+// help for a task that finds no worker.
+func TestHostsForTasksThatFindNoneAreNotThoseOutOfReach(t *testing.T) {
+	g := NewWithT(t)
+	rep := scheduler.Report{Long: roomOf(1), Used: roomOf(1), Stuck: 1}
+	f := newFleetView().pool("a", 8, 1, rep).spare(4)
+	f.load("a-6").Open, f.load("a-7").Open = false, false
+	actions, _ := Decide(f.View, DefaultRates)
+	g.Expect(count(actions, Move)).To(Equal(1))
+
+	f.Arriving = map[string]bool{"m-a-6": true}
+	actions, _ = Decide(f.View, DefaultRates)
+	g.Expect(count(actions, Move)).To(BeZero(), "one is on its way")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,6 +102,9 @@
 	// Pending names the hosts with an order whose outcome is unknown or not
 	// yet in the list.
 	Pending map[string]bool
+	// Arriving names the hosts that were moved or maintained so lately that
+	// their workers may still be starting.
+	Arriving map[string]bool
 	// Surplus is for how long each pool has had more hosts than it needs.
 	Surplus map[string]time.Duration
 	// Busy is for how long callers have handed in work, 0 for not at all.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -39,6 +39,10 @@
 	return true
 }
 
+// joinTime is how long a worker takes at most from its start until its pool's
+// holder has looked at it.
+const joinTime = 5 * time.Second
+
 // view gathers what a decision rests on.
 func (s *session) view(ctx context.Context) View {
 	pools := s.poolViews(ctx)
@@ -49,8 +53,12 @@
 		Machines: slices.Clone(s.hosts.list),
 		Pools:    pools,
 		Pending:  map[string]bool{},
+		Arriving: map[string]bool{},
 		Surplus:  map[string]time.Duration{},
 	}
+	for m, at := range s.ordered {
+		v.Arriving[m] = now-at < s.opt.Lead+joinTime
+	}
 	for m := range s.pending {
 		v.Pending[m] = true
 	}
