--- a/internal/logstore/logtest/log.go
+++ b/internal/logstore/logtest/log.go
@@ -89,6 +89,14 @@
 	l.partition(p).truncate(before)
 }
 
+// Put appends an entry whatever fault there is.
+func (l *Log) Put(p logstore.Partition, e logstore.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// Without a condition it cannot fail.
+	_, _ = l.partition(p).append([]logstore.Entry{e}, logstore.Condition{})
+}
+
 // Client returns the log as one client reaches it.
 func (l *Log) Client(name string) logstore.Log { return client{l, name} }
 
