Wait in one place

Cause: duplicates listed eight copies of a wait that ends with its context. Change: clock.Sleep in their place. Ruled out: the keeper's pause, which a channel can end too.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -137,7 +137,7 @@
 		if s.step(ctx) {
 			wait = quickTick
 		}
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	s.orders.Wait()
 	s.handOver()
@@ -154,13 +154,13 @@
 			s.states, recent = states, last
 			break
 		}
-		sleep(ctx, loadRetry)
+		clock.Sleep(ctx, loadRetry)
 	}
 	if before.Holder == "" {
 		return
 	}
 	if !before.Released || recent == nil || recent.Holder != before.Holder {
-		sleep(ctx, before.ActsFor+s.opt.HolderLease+succeedSlack)
+		clock.Sleep(ctx, before.ActsFor+s.opt.HolderLease+succeedSlack)
 		return
 	}
 	now := s.opt.Clock.Now()
@@ -235,13 +235,3 @@
 			Int("stuck", r.Stuck).Msg("need of a pool changed")
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -198,7 +198,7 @@
 		if phase, ok := s.lookup(ctx, e.Pool, id); ok {
 			return phase, nil
 		}
-		if !sleep(ctx, askRetry) {
+		if !clock.Sleep(ctx, askRetry) {
 			s.metrics.unanswered.Inc(1)
 			return 0, verdict.Refuse(verdict.ReasonNotReady, "nobody answers for pool %s", e.Pool)
 		}
@@ -274,7 +274,7 @@
 		if err == nil && a.Held {
 			return a.Count, nil
 		}
-		if !sleep(ctx, askRetry) {
+		if !clock.Sleep(ctx, askRetry) {
 			s.metrics.unanswered.Inc(1)
 			return 0, verdict.Refuse(verdict.ReasonNotReady, "nobody answers for pool %s", e.Pool)
 		}
@@ -297,14 +297,3 @@
 	s.metrics.logLookups.Inc(1)
 	return phase, true
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 )
 
@@ -81,7 +82,7 @@
 		case errors.As(err, &seq):
 			return eris.Wrapf(err, "sequence %d of %v", j.sequence, j.partition)
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !clock.Sleep(ctx, pause.NextBackOff()) {
 			return eris.Wrap(err, ctx.Err().Error())
 		}
 	}
@@ -101,15 +102,3 @@
 	b.MaxInterval = appendRetryMax
 	return b
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/logstore/logtest/log.go
+++ b/internal/logstore/logtest/log.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/verdict"
 )
@@ -234,7 +235,7 @@
 	if f.Refused {
 		return f, verdict.Refuse(verdict.ReasonNotReady, "the log is down")
 	}
-	inTime := sleep(ctx, f.Delay)
+	inTime := clock.Sleep(ctx, f.Delay)
 	switch {
 	case f.Silent && f.Late:
 		return f, nil
@@ -263,7 +264,7 @@
 	if f.Silent {
 		<-ctx.Done()
 	}
-	if !sleep(ctx, f.Back) {
+	if !clock.Sleep(ctx, f.Back) {
 		return logstore.Appended{}, errNoAnswer()
 	}
 	return a, err
@@ -278,7 +279,7 @@
 		return logstore.Batch{}, err
 	}
 	b, err := c.log.await(ctx, p, from, wait)
-	if !sleep(ctx, f.Back) {
+	if !clock.Sleep(ctx, f.Back) {
 		return logstore.Batch{}, errNoAnswer()
 	}
 	return b, err
@@ -341,18 +342,3 @@
 	}
 	return page, nil
 }
-
-// sleep waits for d. It returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/policy/follower.go
+++ b/internal/policy/follower.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 )
 
@@ -39,7 +40,7 @@
 				f.Logger.Warn().Err(err).Msg("configuration cannot be read")
 			}
 			down = true
-			pause(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 			continue
 		}
 		if down {
@@ -53,12 +54,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/platform"
 )
 
@@ -101,7 +102,7 @@
 			pause.Reset()
 			continue
 		}
-		sleep(ctx, pause.NextBackOff())
+		clock.Sleep(ctx, pause.NextBackOff())
 	}
 	return ctx.Err()
 }
@@ -214,7 +215,7 @@
 // is seldom needed; a daemon cut from the platform lives on it.
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerPoll)
+		clock.Sleep(ctx, peerPoll)
 		offset := f.opt.Replica.State().Offset
 		for _, id := range f.opt.Ahead.Ahead(offset) {
 			if f.opt.Source.Fetch(ctx, id) {
@@ -223,12 +224,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/platform"
 	"greengagedeck/internal/record"
 )
@@ -151,7 +152,7 @@
 	written := scope.Counter("snapshots_written")
 	size := scope.Gauge("snapshot_bytes")
 	for ctx.Err() == nil {
-		sleep(ctx, snapshotCheck)
+		clock.Sleep(ctx, snapshotCheck)
 		if !s.Leader.Leads() || !s.due(ctx) {
 			continue
 		}
--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
 )
 
@@ -20,7 +21,7 @@
 func (r *Runner) start(ctx context.Context, a *agent, run job.RunID) {
 	for ctx.Err() == nil {
 		again := r.startOnce(ctx, a, run)
-		if !again || !sleep(ctx, startRetry) {
+		if !again || !clock.Sleep(ctx, startRetry) {
 			return
 		}
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -239,7 +239,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-r.wake:
-		sleep(ctx, planDelay)
+		clock.Sleep(ctx, planDelay)
 	}
 }
 
@@ -316,7 +316,7 @@
 // forgetLoop removes the submissions of ended jobs. A removal that fails is
 // dropped: the next holder finds the job ended and removes it.
 func (r *Runner) forgetLoop(ctx context.Context) {
-	for sleep(ctx, forgetInterval) {
+	for clock.Sleep(ctx, forgetInterval) {
 		r.mu.Lock()
 		entries := r.forget
 		r.forget = nil
@@ -329,15 +329,3 @@
 		}
 	}
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/scheduler/taking.go
+++ b/internal/scheduler/taking.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
 )
@@ -19,7 +20,7 @@
 			r.core.Restore(r.decodeProgress(recs), r.times())
 			return nil
 		}
-		if !sleep(ctx, readRetry) {
+		if !clock.Sleep(ctx, readRetry) {
 			return err
 		}
 	}
@@ -52,7 +53,7 @@
 			r.opt.Logger.Info().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
 			return nil
 		}
-		if !sleep(ctx, readRetry) {
+		if !clock.Sleep(ctx, readRetry) {
 			return err
 		}
 	}
@@ -63,7 +64,7 @@
 		start := r.opt.Clock.Now()
 		recs, _, err := tail.Next(ctx, intakeWait)
 		if err != nil {
-			sleep(ctx, readRetry)
+			clock.Sleep(ctx, readRetry)
 			continue
 		}
 		if now := r.opt.Clock.Now(); len(recs) == 0 && now-start >= intakeWait {
@@ -71,7 +72,7 @@
 			start += intakeWait
 		}
 		r.fold(recs, start)
-		sleep(ctx, intakeGap)
+		clock.Sleep(ctx, intakeGap)
 	}
 }
 
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 )
 
@@ -113,11 +114,11 @@
 		}
 		recs, reset, err := tail.Next(ctx, 0)
 		if err != nil {
-			pause(ctx, registryRetry)
+			clock.Sleep(ctx, registryRetry)
 			continue
 		}
 		r.apply(recs, reset)
-		pause(ctx, registryInterval)
+		clock.Sleep(ctx, registryInterval)
 	}
 }
 
@@ -184,12 +185,3 @@
 	}
 	return l, true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
