Count what leaves draining workers before closed ones are emptied

One plan stopped two tasks of a step of which one may be away: the first on a worker closed for maintenance, within what may be missed, the second on a worker that was draining, which leaves in any case. The workers were gone through in the order of their IDs, so the second did not count for the first. Change: Draining workers come first. Figures: TestTaskOnADrainingWorkerCountsFirst fails without the change. Ruled out: counting all tasks on draining workers as away from the start (one that finds no room elsewhere stays at work until its worker has gone).

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// leaving returns the workers that are about to go, in the order of their IDs.
+// leaving returns the workers that are about to go. Draining ones come first: what
+// is moved off them counts as away for the others.
 func (c *Core) leaving() []*worker.Book {
 	var out []*worker.Book
 	for id, b := range c.workers {
@@ -173,10 +174,24 @@
 			out = append(out, b)
 		}
 	}
-	slices.SortFunc(out, func(x, y *worker.Book) int { return cmp.Compare(x.Incarnation.ID, y.Incarnation.ID) })
+	slices.SortFunc(out, func(x, y *worker.Book) int {
+		return cmp.Or(-compareBool(x.Draining, y.Draining), cmp.Compare(x.Incarnation.ID, y.Incarnation.ID))
+	})
 	return out
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // drainSlack is how much longer than it says a draining worker is taken to
 // stay.
 const drainSlack = 2 * time.Second
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -89,3 +89,25 @@
 	lookAt(c, now, 0, 1)
 	g.Expect(stops(g, c, now)).To(HaveLen(1), "one of two may be away")
 }
+
+// Of two tasks of which one may be away, one is on a worker that leaves in any case.
+func TestTaskOnADrainingWorkerCountsFirst(t *testing.T) {
+	g := NewWithT(t)
+	now := scheduler.Times{Now: time.Hour, Wall: 1_700_000_000_000}
+	c := takenOver(now)
+	lookAt(c, now, 0)
+	one := job.RunID{Task: job.TaskID{Job: lastingJob, Index: 1}, Number: 2}
+	b, err := c.Plan(now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Committed(b, now)).To(ConsistOf(one), "task 1 was lost and goes to worker b")
+	now.Now += time.Second
+	lookAt(c, now, 0)
+	c.Looked(c.Look("b", now.Now, time.Second), worker.Report{Born: 1, Running: []worker.Running{{Run: one, Percent: worker.FullPace}}}, now)
+	room := worker.Listing{Incarnation: job.Incarnation{ID: "c", Born: 1}, Address: "c", Pool: simPool, Capacity: job.Resources{CPU: 4000}}
+	leaves := worker.Listing{Incarnation: job.Incarnation{ID: "b", Born: 1}, Address: "b", Pool: simPool, Capacity: job.Resources{CPU: 4000}, Draining: true}
+	c.List([]worker.Listing{room, leaves}, nil, now)
+	c.Looked(c.Look("c", now.Now, time.Second), worker.Report{Born: 1}, now)
+	got := stops(g, c, now)
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].Run).To(Equal(one))
+}
