Ask for a host when a job stands still in a pool with room by numbers

A pool's want rests on sums of room, to which hosts count whose workers take no tasks; only long-running tasks that found no worker added a host. Change: A job that has had nothing at work for 2 s, though its tasks wait, adds one host, while less than half of the pool's processors are in use. Ruled out: all waiting tasks as stuck (in a burst that doubles the hosts asked for).

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -340,6 +340,9 @@
 	}
 }
 
+// AtWork reports whether a run of the job may be at work.
+func (j *Job) AtWork() bool { return slices.ContainsFunc(j.Occurrences, (*Occurrence).active) }
+
 // Needless reports whether a run serves no purpose any more: its job has ended
 // or another run of its task is done.
 func (j *Job) Needless(r RunID) bool {
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -170,7 +170,8 @@
 	Expected job.Resources `cbor:"6,keyasint"`
 	Workers  []WorkerLoad  `cbor:"7,keyasint"`
 	// Stuck is how many hosts the long-running tasks would fill that wait
-	// because no worker has room for them.
+	// because no worker has room for them, and at least one when another job
+	// has stood still for want of a worker.
 	Stuck int `cbor:"8,keyasint,omitempty"`
 }
 
@@ -195,9 +196,39 @@
 		rep.Workers = append(rep.Workers, c.load(id, &rep, now))
 	}
 	rep.Stuck = pack(stuck, c.largest())
+	if rep.Stuck == 0 && !c.crowded(rep.Used) && c.standsStill(now) {
+		rep.Stuck = 1
+	}
 	return rep
 }
 
+// stillAfter is how long a job may have nothing at work, with tasks that find no
+// worker, before it counts as standing still.
+const stillAfter = 2 * time.Second
+
+// crowded reports whether half of the pool's processors are in use: what waits then
+// is served by the hosts that its demand calls for.
+func (c *Core) crowded(used job.Resources) bool {
+	var whole job.Resources
+	for _, b := range c.workers {
+		if b.Listed {
+			whole = whole.Add(b.Capacity)
+		}
+	}
+	return 2*used.CPU >= whole.CPU
+}
+
+// standsStill reports whether a job stands still for want of a worker: the room
+// that the pool has by numbers may lie on workers that take no tasks.
+func (c *Core) standsStill(now time.Duration) bool {
+	for _, it := range c.open {
+		if it.stillSince > 0 && now-it.stillSince >= stillAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func repeat(r job.Resources, n int) []job.Resources {
 	out := make([]job.Resources, n)
 	for i := range out {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -103,6 +103,9 @@
 	preempted time.Duration
 	// shun names, by task, the worker on which it failed last.
 	shun map[job.TaskID]string
+	// stillSince is since when the job has had nothing at work though tasks of
+	// it wait, 0 if it has.
+	stillSince time.Duration
 	// waits are, by step, why its tasks were not placed.
 	waits map[int]wait
 }
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -38,6 +38,18 @@
 		Int("priority", w.it.Terms.Priority).Dur("slack", w.slack).Dur("waited", now-w.it.arrived).Msg("tasks wait")
 }
 
+// noteStill notes which jobs have nothing at work though their turn has come.
+func (c *Core) noteStill(now time.Duration) {
+	for _, it := range c.open {
+		switch still := len(it.waits) > 0 && !it.AtWork() && len(it.Waiting()) > 0; {
+		case !still:
+			it.stillSince = 0
+		case it.stillSince == 0:
+			it.stillSince = now
+		}
+	}
+}
+
 // logPlaced logs that a run is in the log and will be ordered.
 func (c *Core) logPlaced(it *item, r *worker.Run, b *worker.Book, now time.Duration) {
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -109,6 +109,7 @@
 		}
 	}
 	c.copies(b, nodes, t.Now)
+	c.noteStill(t.Now)
 }
 
 // nodes returns the workers that take new tasks, in the order of their IDs.
