--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -131,7 +131,7 @@
 	}
 	if !c.fenced {
 		c.fenced = true
-		c.opt.Logger.Warn().Str("pool", c.opt.Pool).Int64("token", c.opt.Token).Msg("a worker has seen a newer holder")
+		c.opt.Logger.Warn().Int64("token", c.opt.Token).Msg("a worker has seen a newer holder")
 	}
 	return true
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -253,7 +253,7 @@
 	r.noteAppending(0)
 	r.metrics.appended(len(b.Progress), time.Since(start))
 	if errors.Is(err, logstore.ErrFenced) {
-		r.opt.Logger.Warn().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Msg("another holder has taken the pool's log")
+		r.opt.Logger.Warn().Int64("token", r.opt.Token).Msg("another holder has taken the pool's log")
 	}
 	return err
 }
--- a/internal/scheduler/taking.go
+++ b/internal/scheduler/taking.go
@@ -50,7 +50,7 @@
 			r.ready = true
 			jobs := len(r.core.open)
 			r.mu.Unlock()
-			r.opt.Logger.Info().Str("pool", r.opt.Pool).Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
+			r.opt.Logger.Info().Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
 			return nil
 		}
 		if !clock.Sleep(ctx, readRetry) {
