Look for free ports without listening on them

A look for a free port listened there for a moment, and the test of the ports, in another process, looks at 6,000 of the same range. Change: A port is free when a connection to it is refused. The soak's daemons take their ports from the same place, in a row, outside the range for connections. Ruled out: a retry of the target's listen (daemons meet the same); parts of the range by process (the test of the ports needs most of it).

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"greengagedeck/standin/loadgen"
@@ -96,7 +97,7 @@
 		}
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if given.ports[port] || !free(address) {
+		if given.ports[port] || !Free(address) {
 			continue
 		}
 		given.ports[port] = true
@@ -105,18 +106,41 @@
 	return nil, errors.New("no free ports")
 }
 
-func free(address string) bool {
-	ln, err := net.Listen("tcp", address)
-	return err == nil && ln.Close() == nil
+// FreeRange returns the first of n ports in a row that nothing listens on.
+func FreeRange(n int) (first int, err error) {
+	given.Lock()
+	defer given.Unlock()
+	for range portTries {
+		first := lowestPort + rand.IntN(highestPort-lowestPort-n)
+		if !rangeFree(first, n) {
+			continue
+		}
+		for p := first; p < first+n; p++ {
+			given.ports[p] = true
+		}
+		return first, nil
+	}
+	return 0, errors.New("no free ports in a row")
+}
+
+func rangeFree(first, n int) bool {
+	for p := first; p < first+n; p++ {
+		if given.ports[p] || !Free(fmt.Sprintf("127.0.0.1:%d", p)) {
+			return false
+		}
+	}
+	return true
 }
 
-// Free reports whether nothing listens on an address.
+// Free reports whether nothing listens on an address. It does not listen there
+// itself: another process might want to at that moment.
 func Free(address string) bool {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		_ = c.Close()
 		return false
 	}
-	return ln.Close() == nil
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (f *Fleet) peers() []string {
--- a/standin/fleet/ports_test.go
+++ b/standin/fleet/ports_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"net"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -20,3 +21,30 @@
 		}
 	}
 }
+
+// Looking whether a port is free must not keep anybody from listening there.
+func TestLookForAFreePortTakesNone(t *testing.T) {
+	g := NewWithT(t)
+	ports, err := fleet.FreePorts(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	done := make(chan struct{})
+	looked := make(chan struct{})
+	go func() {
+		defer close(looked)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				fleet.Free(ports[0])
+			}
+		}
+	}()
+	for range 3000 {
+		ln, err := net.Listen("tcp", ports[0])
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(ln.Close()).To(Succeed())
+	}
+	close(done)
+	<-looked
+}
--- a/standin/jobsim/daemon_test.go
+++ b/standin/jobsim/daemon_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
+
+	"greengagedeck/standin/fleet"
 )
 
 var program string
@@ -40,36 +41,9 @@
 	cmd      *exec.Cmd
 }
 
-// freePorts returns a number of ports in a row that nothing listens on.
-func freePorts(n int) (int, error) {
-	for range 50 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := ln.Addr().(*net.TCPAddr).Port
-		_ = ln.Close()
-		if allFree(first, n) {
-			return first, nil
-		}
-	}
-	return 0, fmt.Errorf("no %d free ports in a row", n)
-}
-
-func allFree(first, n int) bool {
-	for p := first; p < first+n; p++ {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if err != nil {
-			return false
-		}
-		_ = ln.Close()
-	}
-	return true
-}
-
 // newDaemon writes the settings of an entry host.
 func newDaemon(dir, name, store string) (*daemon, error) {
-	first, err := freePorts(4)
+	first, err := fleet.FreeRange(4)
 	if err != nil {
 		return nil, err
 	}
