--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -13,7 +13,6 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/dig"
 
-	"greengagedeck/internal/clock"
 	"greengagedeck/internal/duty"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
@@ -42,7 +41,6 @@
 	Self     duty.Member
 	Logger   zerolog.Logger
 	Metrics  metrics
-	Clock    clock.Clock
 	Stage    *stage
 	Policy   *policy.InForce
 	Follower *policy.Follower
@@ -111,7 +109,7 @@
 
 // ready reports whether the balancer should send callers here.
 func (d *fleetDaemon) ready() bool {
-	return d.Stage.ready() && d.Policy.Get() != nil && d.Clock.Now()-d.Duties.keeper.LogConfirmed() < logSilence
+	return d.Stage.ready() && d.Policy.Get() != nil && d.Duties.keeper.LogAge() < logSilence
 }
 
 // stop ends in an order that cuts nothing: the balancer is told, the duties
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -166,11 +166,9 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
+	f.end()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancel != nil {
-		f.cancel()
-	}
 	f.cancel = cancel
 	before := fleet.Predecessor{Holder: g.Before.Holder.Host, Released: g.Before.Released, ActsFor: g.ActsFor}
 	if before.Holder == f.host {
@@ -181,19 +179,21 @@
 
 // stop ends the controller and waits until no order is under way.
 func (f *fleetDuty) stop() {
-	f.mu.Lock()
-	if f.cancel != nil {
-		f.cancel()
-		f.cancel = nil
-	}
-	f.mu.Unlock()
+	f.end()
 	f.runs.Wait()
 }
 
 func (f *fleetDuty) lost(n duty.Name) {
+	if n == duty.Fleet {
+		f.end()
+	}
+}
+
+// end has the controller give no further order.
+func (f *fleetDuty) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n == duty.Fleet && f.cancel != nil {
+	if f.cancel != nil {
 		f.cancel()
 		f.cancel = nil
 	}
@@ -311,7 +311,7 @@
 		Holders:   d.keeper,
 		Local:     d.pools,
 		Caller:    n,
-		LogAge:    func() time.Duration { return cl.Now() - d.keeper.LogConfirmed() },
+		LogAge:    d.keeper.LogAge,
 		Clock:     cl,
 		Logger:    l,
 		Scope:     m.scope,
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/record"
 	"greengagedeck/internal/verdict"
@@ -31,7 +32,7 @@
 		recs, _, err := tail.Next(ctx, wait)
 		if err != nil {
 			k.failed("read claims", err)
-			pause(ctx, retryPause, nil)
+			clock.Sleep(ctx, retryPause)
 			continue
 		}
 		now := k.opt.Clock.Now()
@@ -193,7 +194,7 @@
 			return eris.Wrapf(verdict.Refuse(verdict.ReasonDeadline, "%v", err), "release %s", n)
 		}
 		if !k.append(ctx, n, token, claim{Holder: k.opt.Self, Released: true}) {
-			pause(ctx, retryPause, nil)
+			clock.Sleep(ctx, retryPause)
 		}
 	}
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -167,12 +167,12 @@
 	return "", false
 }
 
-// LogConfirmed returns the last moment at which the log is known to have
-// answered, by this daemon's clock.
-func (k *Keeper) LogConfirmed() time.Duration {
+// LogAge returns how long ago the log is known to have answered this daemon.
+func (k *Keeper) LogAge() time.Duration {
+	now := k.opt.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(k.beaten, k.confirmed)
+	return now - max(k.beaten, k.confirmed)
 }
 
 // Run keeps duties until ctx ends.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -87,7 +88,7 @@
 	for name, pool := range p.Pools {
 		out = append(out, PoolView{Name: name, Standby: pool.Standby})
 	}
-	slices.SortFunc(out, func(a, b PoolView) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b PoolView) int { return cmp.Compare(a.Name, b.Name) })
 	var wg sync.WaitGroup
 	for i := range out {
 		if out[i].Standby {
@@ -102,17 +103,6 @@
 	return out
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (s *session) waveView(w wanted, now time.Duration) WaveView {
 	st := s.states[w.Number]
 	if st == nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,15 +55,15 @@
 
 // allows reports whether a node may take the task at all.
 func (r Request) allows(n *Node) bool {
-	if !r.Room.Fits(n.Free) {
-		return false
-	}
-	if r.Label != "" && !slices.Contains(n.Labels, r.Label) {
-		return false
-	}
-	return r.Most == 0 || r.Taken(n.ID) < r.Most
+	return r.Room.Fits(n.Free) && r.labelled(n) && r.spreads(n)
 }
 
+// labelled reports whether a node has the label.
+func (r Request) labelled(n *Node) bool { return r.Label == "" || slices.Contains(n.Labels, r.Label) }
+
+// spreads reports whether a node may have one more task of the step.
+func (r Request) spreads(n *Node) bool { return r.Most == 0 || r.Taken(n.ID) < r.Most }
+
 // Obstacle says why a task finds no node.
 type Obstacle string
 
@@ -85,11 +85,11 @@
 func Explain(nodes []*Node, r Request) (why Obstacle, cpu int) {
 	labelled, open := false, false
 	for _, n := range nodes {
-		if r.Label != "" && !slices.Contains(n.Labels, r.Label) {
+		if !r.labelled(n) {
 			continue
 		}
 		labelled = true
-		if r.Most > 0 && r.Taken(n.ID) >= r.Most {
+		if !r.spreads(n) {
 			continue
 		}
 		open = true
--- a/internal/scheduler/closing.go
+++ b/internal/scheduler/closing.go
@@ -222,7 +222,7 @@
 // that the pool has by numbers may lie on workers that take no tasks.
 func (c *Core) standsStill(now time.Duration) bool {
 	for _, it := range c.open {
-		if it.stillSince > 0 && now-it.stillSince >= stillAfter {
+		if it.stillSince > 0 && !it.Phase.Final() && now-it.stillSince >= stillAfter {
 			return true
 		}
 	}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -17,8 +17,11 @@
 	at  time.Duration
 }
 
-// noteWait logs why a group finds no room, when that is new.
+// noteWait notes that a group finds no room, and logs why when that is new.
 func (c *Core) noteWait(w waiting, nodes []*placement.Node, now time.Duration) {
+	if w.it.stillSince == 0 && !w.it.AtWork() {
+		w.it.stillSince = now
+	}
 	last, seen := w.it.waits[w.group.Step]
 	if seen && now < last.at+explainInterval {
 		return
@@ -38,18 +41,6 @@
 		Int("priority", w.it.Terms.Priority).Dur("slack", w.slack).Dur("waited", now-w.it.arrived).Msg("tasks wait")
 }
 
-// noteStill notes which jobs have nothing at work though their turn has come.
-func (c *Core) noteStill(now time.Duration) {
-	for _, it := range c.open {
-		switch still := len(it.waits) > 0 && !it.AtWork() && len(it.Waiting()) > 0; {
-		case !still:
-			it.stillSince = 0
-		case it.stillSince == 0:
-			it.stillSince = now
-		}
-	}
-}
-
 // logPlaced logs that a run is in the log and will be ordered.
 func (c *Core) logPlaced(it *item, r *worker.Run, b *worker.Book, now time.Duration) {
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", b.Incarnation.ID).
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -109,7 +109,6 @@
 		}
 	}
 	c.copies(b, nodes, t.Now)
-	c.noteStill(t.Now)
 }
 
 // nodes returns the workers that take new tasks, in the order of their IDs.
@@ -228,6 +227,7 @@
 func (c *Core) planned(b *Batch, it *item, r job.RunID, book *worker.Book, now time.Duration) {
 	s := it.Step(r.Task)
 	book.Add(worker.NewRun(r, s, worker.Planned, now, c.lasts(s)))
+	it.stillSince = 0
 	b.starts = append(b.starts, start{run: r, worker: book.Incarnation})
 	c.touch(it)
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -175,23 +175,17 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y *worker.Book) int {
-		return cmp.Or(-compareBool(x.Draining, y.Draining), cmp.Compare(x.Incarnation.ID, y.Incarnation.ID))
+		if x.Draining != y.Draining {
+			if x.Draining {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(x.Incarnation.ID, y.Incarnation.ID)
 	})
 	return out
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // drainSlack is how much longer than it says a draining worker is taken to
 // stay.
 const drainSlack = 2 * time.Second
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -734,7 +734,7 @@
 func (h *simHolder) stops() {
 	stops := h.core.Stops()
 	slices.SortFunc(stops, func(a, b scheduler.Stop) int {
-		return compareNames(a.Run.Task.String(), b.Run.Task.String())
+		return cmp.Compare(a.Run.Task.String(), b.Run.Task.String())
 	})
 	for _, stop := range stops {
 		s := h.worker(stop.Worker)
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -167,21 +168,11 @@
 		rep.Running = append(rep.Running, worker.Running{Run: r.id, Percent: percent})
 	}
 	slices.SortFunc(rep.Running, func(a, b worker.Running) int {
-		return compareNames(a.Run.Task.String(), b.Run.Task.String())
+		return cmp.Compare(a.Run.Task.String(), b.Run.Task.String())
 	})
 	return rep, nil
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (s *simWorker) acknowledge(upTo int64) {
 	for len(s.ended) > 0 && s.ended[0].Number <= upTo {
 		s.w.noted(s, s.ended[0])
@@ -221,7 +212,7 @@
 	for t := range s.running {
 		out = append(out, t)
 	}
-	slices.SortFunc(out, func(a, b job.TaskID) int { return compareNames(a.String(), b.String()) })
+	slices.SortFunc(out, func(a, b job.TaskID) int { return cmp.Compare(a.String(), b.String()) })
 	return out
 }
 
