Plan for the jobs that changed, and look for stops only where there are some

Change: Sets of workers with runs to stop or to slow down; a queue that is updated for changed jobs only; sums kept with a worker's state; an index of nodes by free CPU; overdue runs and ended jobs are looked for at intervals. Which task goes where is unchanged.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,9 @@
 	// BestEffortCPU is the CPU time that the node's best-effort tasks could
 	// use, in thousandths of a core.
 	BestEffortCPU int
+
+	// bucket and slot are the node's position in an Index.
+	bucket, slot int
 }
 
 // Request describes one task to place.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -11,6 +11,7 @@
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/placement"
 	"greengagedeck/internal/sharing"
 	"greengagedeck/internal/worker"
 )
@@ -53,6 +54,8 @@
 	// openJobs are the jobs that are not settled, in the order in which they
 	// became known.
 	openJobs []*trackedJob
+	// submitted counts the jobs that became known.
+	submitted int64
 	// earlyCancels are the cancels of jobs that are not known yet.
 	earlyCancels map[job.ID]bool
 	// endedJobs are settled jobs whose state may still be queried.
@@ -62,6 +65,9 @@
 	restoredProgress map[job.ID]*job.Progress
 
 	workers map[string]*worker.State
+	// stoppingWorkers are the workers that may have runs to be stopped, and
+	// speedWorkers those that may have runs whose speed is to be changed.
+	stoppingWorkers, speedWorkers map[string]bool
 	// cordons are the workers that take no new tasks, by worker ID.
 	cordons map[string]*cordon
 	demand  demandEstimate
@@ -77,7 +83,17 @@
 	approvals        map[worker.StepKey]*stepApprovals
 	approvalRequests []ApprovalRequest
 
-	dirty map[*trackedJob]bool
+	// waiting are the tasks that wait.
+	waiting waitQueue
+	// dirty are the jobs whose last changes are in no batch.
+	dirty []*trackedJob
+	// healthCheckedAt is when overdue runs were last looked for, and
+	// endedCheckedAt the time of day at which endedJobs was last searched, in
+	// milliseconds since 1970.
+	healthCheckedAt time.Duration
+	endedCheckedAt  int64
+	// nodeBuffer holds the nodes of the last plan.
+	nodeBuffer []placement.Node
 	// intakeDeletes and journalDeletes are ended jobs whose submission is to be
 	// deleted from the intake and from the progress partition.
 	intakeDeletes, journalDeletes []job.ID
@@ -98,8 +114,17 @@
 	// inIntake and inJournal tell whether the intake and the progress partition
 	// hold the submission.
 	inIntake, inJournal bool
-	// arrived is when the job was accepted, by the holder's clock.
-	arrived time.Duration
+	// arrived is when the job was accepted, by the holder's clock, and sequence
+	// its position in the order in which jobs became known.
+	arrived  time.Duration
+	sequence int64
+	// objective is the time in which the job should be done.
+	objective time.Duration
+	// speculative is set if any step of the job may have copies.
+	speculative bool
+	// dirty is set while the job is in Core.dirty, and requeue while it is in the
+	// waitQueue's list of changed jobs.
+	dirty, requeue bool
 	// version counts the changes of the job. batchedVersion is the last version
 	// in a batch, and committedVersion the last in the log.
 	version, batchedVersion, committedVersion int
@@ -128,12 +153,13 @@
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
+		stoppingWorkers:  map[string]bool{},
+		speedWorkers:     map[string]bool{},
 		cordons:          map[string]*cordon{},
 		health:           map[string]*workerHealth{},
 		durationRatios:   map[string]*durationRatio{},
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
-		dirty:            map[*trackedJob]bool{},
 	}
 	c.earlierLeasesEnd = now + opt.DutyLease + c.longestLease()
 	return c
@@ -166,7 +192,6 @@
 		if j := c.submit(rec.Submission, t); j != nil {
 			j.inJournal = true
 			j.submission = nil
-			delete(c.dirty, j)
 		} else {
 			c.journalDeletes = append(c.journalDeletes, rec.ID)
 		}
@@ -226,8 +251,10 @@
 		return false
 	}
 	delete(c.jobs, id)
-	delete(c.dirty, j)
-	c.openJobs = slices.DeleteFunc(c.openJobs, func(other *trackedJob) bool { return other == j })
+	isWithdrawn := func(other *trackedJob) bool { return other == j }
+	c.dirty = slices.DeleteFunc(c.dirty, isWithdrawn)
+	c.openJobs = slices.DeleteFunc(c.openJobs, isWithdrawn)
+	c.waiting.remove(j)
 	return true
 }
 
@@ -241,7 +268,7 @@
 	if _, ended := c.endedJobs[id]; ended {
 		return nil
 	}
-	j := &trackedJob{submission: s, arrived: t.Now - sinceAccepted(s.AcceptedAt, t.Wall)}
+	j := c.newTrackedJob(s, t)
 	if p := c.restoredProgress[id]; p != nil {
 		j.Job = job.Restore(s.Spec, s.Terms, *p)
 		j.loggedPhase = p.Phase
@@ -251,9 +278,10 @@
 		c.demand.add(t.Now, estimatedWork(&s.Spec))
 	}
 	c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", j.Phase).
-		Dur("age", t.Now-j.arrived).Dur("objective", j.objective()).Msg("job added to the pool")
+		Dur("age", t.Now-j.arrived).Dur("objective", j.objective).Msg("job added to the pool")
 	c.jobs[id] = j
 	c.openJobs = append(c.openJobs, j)
+	c.waiting.jobChanged(j)
 	c.adoptRuns(j, t.Now)
 	c.stopRedundant(j)
 	if c.earlyCancels[id] {
@@ -263,6 +291,18 @@
 	return j
 }
 
+// newTrackedJob returns the state of a submitted job, without its progress.
+func (c *Core) newTrackedJob(s *joblog.Submission, t Times) *trackedJob {
+	c.submitted++
+	return &trackedJob{
+		submission:  s,
+		arrived:     t.Now - sinceAccepted(s.AcceptedAt, t.Wall),
+		sequence:    c.submitted,
+		objective:   objective(&s.Spec, s.Terms),
+		speculative: slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.Speculative }),
+	}
+}
+
 // maxAge bounds how long a job is assumed to have waited before its holder
 // learnt of it, since the clocks of two hosts may differ.
 const maxAge = 30 * time.Second
@@ -312,7 +352,11 @@
 // markDirty records that a job's progress has to be logged.
 func (c *Core) markDirty(j *trackedJob) {
 	j.version++
-	c.dirty[j] = true
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+	c.waiting.jobChanged(j)
 	c.needsPlan = true
 }
 
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -39,7 +39,7 @@
 	c.opt.Logger.Info().Str("job", string(pg.job.Spec.ID)).Int("step", pg.group.Step).Int("tasks", len(pg.group.Waiting)).
 		Str("limit", string(reason)).Int("workers", len(nodes)).Int("listed", len(c.workers)).Int("most_free_cpu", maxFreeCPU).
 		Int("needs_cpu", req.Resources.CPU).Int("needs_mb", req.Resources.MemoryMB).
-		Int("priority", pg.job.Terms.Priority).Dur("slack", pg.slack).Dur("waited", now-pg.job.arrived).Msg("tasks cannot be placed")
+		Int("priority", pg.job.Terms.Priority).Dur("slack", pg.slack(now)).Dur("waited", now-pg.job.arrived).Msg("tasks cannot be placed")
 }
 
 // logPlaced logs that a run is in the log and its start will be sent.
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -206,20 +206,20 @@
 
 // placeCopies starts a second run of speculative tasks whose only run is
 // overdue.
-func (c *Core) placeCopies(b *Batch, nodes []*placement.Node, now time.Duration) {
+func (c *Core) placeCopies(b *Batch, x *placement.Index, now time.Duration) {
 	for _, j := range c.openJobs {
-		if j.Phase.Final() || !j.speculative() {
+		if j.Phase.Final() || !j.speculative {
 			continue
 		}
 		for _, r := range j.ActiveRuns() {
-			c.placeCopy(b, j, r, nodes, now)
+			c.placeCopy(b, j, r, x, now)
 		}
 	}
 }
 
 // placeCopy starts a second run beside r if r is overdue and another worker
 // takes it.
-func (c *Core) placeCopy(b *Batch, j *trackedJob, r job.RunID, nodes []*placement.Node, now time.Duration) {
+func (c *Core) placeCopy(b *Batch, j *trackedJob, r job.RunID, x *placement.Index, now time.Duration) {
 	s := j.Step(r.Task)
 	task := j.Task(r.Task)
 	if !s.Speculative || s.Gang || len(task.Runs) != 1 {
@@ -233,23 +233,13 @@
 	req := c.placementRequest(j, job.TaskGroup{Occurrence: r.Task.Occurrence, Step: r.Task.Step})
 	req.AvoidNode = original
 	req.ExpectedEnd = now + c.expectedDuration(s)
-	n := placement.Choose(nodes, req)
+	n := x.Choose(req)
 	if n == nil || n.ID == original {
 		return
 	}
-	req.Reserve(n)
+	x.Reserve(req, n)
 	target := c.workers[n.ID]
 	run := j.Place(r.Task, locationOf(target))
 	c.opt.Logger.Debug().Stringer("task", r.Task).Int("run", run.Number).Str("worker", n.ID).Str("beside", original).Msg("placing a copy of an overdue run")
 	c.addPlannedRun(b, j, run, target, now)
 }
-
-// speculative reports whether any step of the job may have copies.
-func (j *trackedJob) speculative() bool {
-	for _, s := range j.Spec.Steps {
-		if s.Speculative {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -79,8 +79,7 @@
 		ws.RecordOrderAnswer(clock, t.Now)
 		if r.State != worker.RunConfirmed {
 			c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Dur("order", t.Now-r.StartSentAt).Msg("run started")
-			r.State = worker.RunConfirmed
-			r.StateSince = t.Now
+			ws.SetRunState(r, worker.RunConfirmed, t.Now)
 		}
 		if r.BestEffort {
 			c.updateSpeeds(ws, t.Now)
@@ -152,21 +151,39 @@
 		return nil
 	}
 	var out []StopOrder
-	for id, ws := range c.workers {
-		if ws.Address == "" || ws.UnansweredCalls > 0 {
+	for id := range c.stoppingWorkers {
+		ws := c.workers[id]
+		if ws == nil {
+			delete(c.stoppingWorkers, id)
 			continue
 		}
-		for _, r := range ws.Runs {
-			if !r.Stopping || r.StopInFlight || r.StopAnsweredAt > 0 || r.State == worker.RunPlanned {
-				continue
-			}
-			r.StopInFlight = true
-			out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+		stops, stopping := c.stopOrdersFor(id, ws)
+		if !stopping {
+			delete(c.stoppingWorkers, id)
 		}
+		out = append(out, stops...)
 	}
 	return out
 }
 
+// stopOrdersFor returns the stops to send to a worker now, and whether any of its
+// runs is to be stopped.
+func (c *Core) stopOrdersFor(id string, ws *worker.State) (out []StopOrder, stopping bool) {
+	reachable := ws.Address != "" && ws.UnansweredCalls == 0
+	for _, r := range ws.Runs {
+		if !r.Stopping {
+			continue
+		}
+		stopping = true
+		if !reachable || r.StopInFlight || r.StopAnsweredAt > 0 || r.State == worker.RunPlanned {
+			continue
+		}
+		r.StopInFlight = true
+		out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+	}
+	return out, stopping
+}
+
 // StopAnswered handles the answer to a stop. A stop that was not carried out is
 // returned again by the next call of StopOrders.
 func (c *Core) StopAnswered(s StopOrder, clock int64, err error, t Times) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +11,14 @@
 	"greengagedeck/internal/worker"
 )
 
+const (
+	// healthInterval is the time between two searches for overdue runs.
+	healthInterval = 100 * time.Millisecond
+	// endedCheckInterval is the time between two searches for ended jobs whose
+	// state need not be kept any more.
+	endedCheckInterval = time.Second
+)
+
 // Batch holds the records that must be logged before the starts of one plan may
 // be sent.
 type Batch struct {
@@ -57,10 +64,14 @@
 	c.expireLeases(t)
 	c.releaseDue(t)
 	c.evacuate(t)
-	c.detectStalls(t.Now)
+	checkHealth := t.Now >= c.healthCheckedAt+healthInterval
+	if checkHealth {
+		c.healthCheckedAt = t.Now
+		c.detectStalls(t.Now)
+	}
 	b := &Batch{JobDurations: c.jobDurations, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
 	c.jobDurations = nil
-	c.place(b, t)
+	c.place(b, t, checkHealth)
 	if err := c.encodeBatch(b, t); err != nil {
 		return nil, err
 	}
@@ -89,70 +100,61 @@
 	return max(0, time.Duration(next-wall)*time.Millisecond), found
 }
 
-// place assigns waiting tasks to workers as far as resources allow.
-func (c *Core) place(b *Batch, t Times) {
+// place assigns waiting tasks to workers as far as resources allow. With copies
+// set it also starts copies of overdue runs.
+func (c *Core) place(b *Batch, t Times, copies bool) {
 	if c.fenced {
 		return
 	}
-	nodes := c.withoutEjected(c.nodes(t.Now), t.Now)
+	x := placement.NewIndex(c.withoutEjected(c.nodes(t.Now), t.Now))
 	p := c.newPreemptor(t.Now)
 	for _, pg := range c.queue(t.Now) {
-		nodes := nodes
+		x := x
 		if pg.job.Terms.Approval != nil {
-			nodes = c.approvedNodes(pg, nodes, t.Now)
+			x = placement.NewIndex(c.approvedNodes(pg, x.Nodes(), t.Now))
 		}
 		if pg.job.Spec.Steps[pg.group.Step].Gang {
-			if !c.placeGang(b, pg, nodes, t.Now) {
-				c.recordWait(pg, nodes, t.Now)
+			if !c.placeGang(b, pg, x, t.Now) {
+				c.recordWait(pg, x.Nodes(), t.Now)
 			}
 			continue
 		}
-		if !c.placeTasks(b, pg, nodes, t.Now) {
-			c.recordWait(pg, nodes, t.Now)
-			p.preempt(pg, nodes)
+		if !c.placeTasks(b, pg, x, t.Now) {
+			c.recordWait(pg, x.Nodes(), t.Now)
+			p.preempt(pg, x.Nodes())
 		}
 	}
-	c.placeCopies(b, nodes, t.Now)
+	if copies {
+		c.placeCopies(b, x, t.Now)
+	}
 }
 
-// nodes returns the workers that accept new tasks, in the order of their IDs.
+// nodes returns the workers that accept new tasks. They are valid until the next
+// call.
 func (c *Core) nodes(now time.Duration) []*placement.Node {
-	var out []*placement.Node
-	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-		ws := c.workers[id]
+	c.nodeBuffer = slices.Grow(c.nodeBuffer[:0], len(c.workers))
+	out := make([]*placement.Node, 0, len(c.workers))
+	for _, ws := range c.workers {
 		if !c.acceptsTasks(ws) {
 			continue
 		}
-		out = append(out, c.node(ws, now))
+		c.nodeBuffer = append(c.nodeBuffer, c.node(ws, now))
+		out = append(out, &c.nodeBuffer[len(c.nodeBuffer)-1])
 	}
 	return out
 }
 
 // node describes a worker to the placement.
-func (c *Core) node(ws *worker.State, now time.Duration) *placement.Node {
-	n := &placement.Node{
-		ID:        ws.Incarnation.ID,
-		Free:      ws.FreeResources(),
-		Rack:      ws.Rack,
-		Labels:    ws.Labels,
-		BusyUntil: ws.BusyUntil(now),
-	}
-	for _, r := range ws.Runs {
-		n.Serving = n.Serving || r.TailLatencyTarget > 0
-		if r.BestEffort {
-			n.BestEffortCPU += c.bestEffortCPU(r)
-		}
+func (c *Core) node(ws *worker.State, now time.Duration) placement.Node {
+	return placement.Node{
+		ID:            ws.Incarnation.ID,
+		Free:          ws.FreeResources(),
+		Rack:          ws.Rack,
+		Labels:        ws.Labels,
+		BusyUntil:     ws.BusyUntil(now),
+		Serving:       ws.ServingRuns > 0,
+		BestEffortCPU: ws.BestEffortCPU,
 	}
-	return n
-}
-
-// bestEffortCPU returns the processor time that a best-effort task could use.
-func (c *Core) bestEffortCPU(r *worker.Run) int {
-	j := c.jobs[r.ID.Task.Job]
-	if j == nil {
-		return 0
-	}
-	return j.Step(r.ID.Task).Need.CPU
 }
 
 // acceptsTasks reports whether a worker takes new tasks.
@@ -178,36 +180,56 @@
 
 // placeTasks places the tasks of a group one by one. It reports whether every
 // task found a worker.
-func (c *Core) placeTasks(b *Batch, pg pendingGroup, nodes []*placement.Node, now time.Duration) bool {
+func (c *Core) placeTasks(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
+	if !x.MayFit(pg.job.Spec.Steps[pg.group.Step].ReservedResources()) {
+		return false
+	}
 	req := c.placementRequest(pg.job, pg.group)
 	req.ExpectedEnd = now + c.expectedDuration(pg.job.Spec.Steps[pg.group.Step])
+	if len(pg.job.avoidedWorkers) > 0 {
+		return c.placeAvoiding(b, pg, req, x, now)
+	}
+	nodes := x.ChooseGroup(req, len(pg.group.Waiting))
+	for i, n := range nodes {
+		c.placeTask(b, pg, pg.group.Waiting[i], n, now)
+	}
+	return len(nodes) == len(pg.group.Waiting)
+}
+
+// placeAvoiding does what placeTasks does for a job with tasks that avoid the
+// worker on which they failed.
+func (c *Core) placeAvoiding(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
 	for _, k := range pg.group.Waiting {
-		t := job.TaskID{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step, Index: k}
-		req.AvoidNode = pg.job.avoidedWorkers[t]
-		n := placement.Choose(nodes, req)
+		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
+		n := x.Choose(req)
 		if n == nil {
 			return false
 		}
-		req.Reserve(n)
-		ws := c.workers[n.ID]
-		c.addPlannedRun(b, pg.job, pg.job.Place(t, locationOf(ws)), ws, now)
+		x.Reserve(req, n)
+		c.placeTask(b, pg, k, n, now)
 	}
 	return true
 }
 
+// placeTask adds a run of a group's task with index k on a node.
+func (c *Core) placeTask(b *Batch, pg pendingGroup, k int, n *placement.Node, now time.Duration) {
+	ws := c.workers[n.ID]
+	c.addPlannedRun(b, pg.job, pg.job.Place(pg.task(k), locationOf(ws)), ws, now)
+}
+
 // placeGang places all tasks of a gang or none. It reports whether it placed
 // them.
-func (c *Core) placeGang(b *Batch, pg pendingGroup, nodes []*placement.Node, now time.Duration) bool {
+func (c *Core) placeGang(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
 	req := c.placementRequest(pg.job, pg.group)
 	s := pg.job.Spec.Steps[pg.group.Step]
 	req.ExpectedEnd = now + c.expectedDuration(s)
-	chosen := placement.ChooseGang(nodes, req, s.Count, s.SameRack)
+	chosen := placement.ChooseGang(x.Nodes(), req, s.Count, s.SameRack)
 	if chosen == nil {
 		return false
 	}
 	at := make([]job.Location, 0, len(chosen))
 	for _, n := range chosen {
-		req.Reserve(n)
+		x.Reserve(req, n)
 		at = append(at, locationOf(c.workers[n.ID]))
 	}
 	for i, r := range pg.job.PlaceGang(pg.group.Occurrence, pg.group.Step, at) {
@@ -244,15 +266,14 @@
 // encodeBatch adds to a batch the progress of every job that changed, and which
 // ends reported by workers that progress covers.
 func (c *Core) encodeBatch(b *Batch, t Times) error {
-	for _, j := range c.openJobs {
-		if !c.dirty[j] {
-			continue
-		}
+	for _, j := range c.dirty {
+		j.dirty = false
 		if err := c.encodeJob(b, j); err != nil {
 			return err
 		}
 	}
 	clear(c.dirty)
+	c.dirty = c.dirty[:0]
 	if err := c.encodeCordons(b); err != nil {
 		return err
 	}
@@ -297,6 +318,10 @@
 
 // expireEnded deletes the progress of jobs whose state is no longer kept.
 func (c *Core) expireEnded(b *Batch, wall int64) {
+	if wall < c.endedCheckedAt+endedCheckInterval.Milliseconds() {
+		return
+	}
+	c.endedCheckedAt = wall
 	for id, p := range c.endedJobs {
 		if wall-p.EndedAt > c.opt.StatusRetention.Milliseconds() {
 			delete(c.endedJobs, id)
@@ -355,8 +380,7 @@
 		return false
 	}
 	c.logPlaced(j, r, ws, t.Now)
-	r.State = worker.RunOrdered
-	r.StateSince = t.Now
+	ws.SetRunState(r, worker.RunOrdered, t.Now)
 	return true
 }
 
@@ -364,7 +388,7 @@
 // endedJobs.
 func (c *Core) settleJobs() {
 	c.openJobs = slices.DeleteFunc(c.openJobs, func(j *trackedJob) bool {
-		if c.dirty[j] || j.loggedPhase != j.Phase || !j.Finalize() {
+		if !j.Phase.Final() || j.dirty || j.loggedPhase != j.Phase || !j.Finalize() {
 			return false
 		}
 		id := j.Spec.ID
--- a/internal/scheduler/plan_bench_test.go
+++ b/internal/scheduler/plan_bench_test.go
@@ -14,15 +14,9 @@
 	"greengagedeck/internal/worker"
 )
 
-const (
-	fullPoolWorkers = 80
-	fullPoolJobs    = 500
-)
-
-// newFullPool sets up a pool whose workers are full while hundreds of jobs wait,
-// which is when a holder has the most work, and returns a function that makes a
-// plan.
-func newFullPool(tb testing.TB) (plan func()) {
+// newFullPool sets up a pool whose workers are full while many jobs wait, which is
+// when a holder has the most work, and returns a function that makes a plan.
+func newFullPool(tb testing.TB, workers, jobs int) (plan func()) {
 	tb.Helper()
 	now := time.Hour
 	t := scheduler.Times{Now: now, Wall: 1_700_000_000_000}
@@ -31,7 +25,7 @@
 		DutyLease: simDutyLease, StatusRetention: 2 * time.Minute, Logger: zerolog.Nop(),
 	}, now-time.Minute)
 	var list []worker.Listing
-	for i := range fullPoolWorkers {
+	for i := range workers {
 		list = append(list, worker.Listing{
 			Incarnation: job.Incarnation{ID: fmt.Sprintf("i-%d", i), StartedAt: 1},
 			Address:     fmt.Sprintf("10.0.0.%d:1", i),
@@ -46,7 +40,7 @@
 		poll := c.Poll(l.Incarnation.ID, now, time.Second)
 		c.PollSucceeded(poll, worker.Report{StartedAt: 1}, t)
 	}
-	for i := range fullPoolJobs {
+	for i := range jobs {
 		c.Submit(&joblog.Submission{
 			Spec:       fullPoolSpec(i),
 			Terms:      job.Terms{Entry: "e", Priority: i % 2, MaxAttempts: 3, StretchFactor: 2, Slack: time.Second},
@@ -83,23 +77,30 @@
 	return spec
 }
 
-// TestPlanAllocationsOfFullPool bounds the number of allocations of a plan, per
-// waiting job and per worker, while all jobs wait: the holder's daemon uses the
-// same CPU to serve callers.
+// TestPlanAllocationsOfFullPool bounds the number of allocations of a plan while
+// all jobs wait: the holder's daemon uses the same processor for orders and
+// callers. Jobs that wait unchanged cost none.
 func TestPlanAllocationsOfFullPool(t *testing.T) {
 	g := NewWithT(t)
-	plan := newFullPool(t)
-	for range 100 {
-		plan()
+	for _, jobs := range []int{500, 4000} {
+		const workers = 80
+		plan := newFullPool(t, workers, jobs)
+		for range 100 {
+			plan()
+		}
+		g.Expect(testing.AllocsPerRun(20, plan)).To(BeNumerically("<", 2*workers), "%d jobs", jobs)
 	}
-	g.Expect(testing.AllocsPerRun(20, plan)).To(BeNumerically("<", 4*fullPoolJobs+20*fullPoolWorkers))
 }
 
 func BenchmarkPlanFullPool(b *testing.B) {
-	plan := newFullPool(b)
-	plan()
-	b.ReportAllocs()
-	for b.Loop() {
-		plan()
+	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
+			plan := newFullPool(b, size.workers, size.jobs)
+			plan()
+			b.ReportAllocs()
+			for b.Loop() {
+				plan()
+			}
+		})
 	}
 }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -204,8 +204,7 @@
 			r = c.stopUnknownRun(ws, row, now)
 		}
 		if r.State != worker.RunConfirmed {
-			r.State = worker.RunConfirmed
-			r.StateSince = now
+			ws.SetRunState(r, worker.RunConfirmed, now)
 		}
 		r.LastReported = sent
 		r.ProgressPercent = row.ProgressPercent
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -52,7 +52,7 @@
 // of less urgent jobs on one worker. The most urgent group is placed first once
 // these resources are free.
 func (p *preemptor) preempt(pg pendingGroup, nodes []*placement.Node) {
-	if pg.job.Terms.Priority >= p.leastUrgent || pg.class() == classLate {
+	if pg.job.Terms.Priority >= p.leastUrgent || pg.class(p.now) == classLate {
 		return
 	}
 	if p.now < max(pg.job.arrived, pg.job.lastPreemption)+preemptDelay {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -61,7 +61,7 @@
 		s := pg.job.Spec.Steps[pg.group.Step]
 		needed := s.ReservedResources().Times(len(pg.group.Waiting))
 		rep.Waiting = rep.Waiting.Add(needed)
-		switch pg.class() {
+		switch pg.class(now) {
 		case classLongRunning:
 			rep.LongRunning = rep.LongRunning.Add(needed)
 			unplaced = append(unplaced, repeated(s.ReservedResources(), len(pg.group.Waiting))...)
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -50,6 +50,9 @@
 			c.opt.Logger.Debug().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", id).Int("percent", percent).Int("serving", len(serving)).Msg("speed of a best-effort run changed")
 			r.Speed = percent
 		}
+		if r.BestEffort && r.Speed != r.SpeedAtWorker {
+			c.speedWorkers[id] = true
+		}
 	}
 }
 
@@ -63,13 +66,15 @@
 	startedAt int64
 }
 
-// SpeedOrders returns the changes of speed to send now.
+// SpeedOrders returns the changes of speed to send now. A change that cannot be
+// sent now is considered again when its worker answers.
 func (c *Core) SpeedOrders() []SpeedOrder {
 	if c.fenced {
 		return nil
 	}
 	var out []SpeedOrder
-	for id := range c.governors {
+	for id := range c.speedWorkers {
+		delete(c.speedWorkers, id)
 		ws := c.workers[id]
 		if ws == nil || !reachable(ws) {
 			continue
@@ -97,6 +102,7 @@
 		return
 	}
 	r.SpeedInFlight = false
+	c.speedWorkers[s.Worker] = true
 	if err != nil {
 		r.SpeedAtWorker = worker.SpeedUnknown
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Int("percent", s.Percent).Msg("changing the speed of a run failed")
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -120,9 +120,18 @@
 	c.markDirty(j)
 	if j.Phase != before && j.Phase.Final() {
 		c.jobDurations = append(c.jobDurations, t.Now-j.arrived)
-		c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("phase", j.Phase).Dur("after", t.Now-j.arrived).Dur("objective", j.objective()).Msg("job ended")
+		c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("phase", j.Phase).Dur("after", t.Now-j.arrived).Dur("objective", j.objective).Msg("job ended")
 	}
-	c.stopRedundant(j)
+	if j.Phase.Final() || reason == job.EndDone && j.mayHaveOtherRuns(r.ID.Task) {
+		c.stopRedundant(j)
+	}
+}
+
+// mayHaveOtherRuns reports whether further runs may do the same work as one of a
+// task.
+func (j *trackedJob) mayHaveOtherRuns(t job.TaskID) bool {
+	s := &j.Spec.Steps[t.Step]
+	return s.Speculative || s.Gang
 }
 
 // avoidWorker sets the worker that a task avoids from now on.
@@ -152,6 +161,7 @@
 	}
 	r.Stopping = true
 	r.StopReason = reason
+	c.stoppingWorkers[ws.Incarnation.ID] = true
 	c.needsPlan = true
 	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", reason).Msg("stopping run")
 }
@@ -159,11 +169,15 @@
 // expireLeases ends the runs of workers that do not answer, once every lease
 // granted to them has expired.
 func (c *Core) expireLeases(t Times) {
-	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-		ws := c.workers[id]
-		if len(ws.Runs) == 0 || reachable(ws) || !ws.LeaseExpired(t.Now) {
-			continue
+	var expired []string
+	for id, ws := range c.workers {
+		if len(ws.Runs) > 0 && !reachable(ws) && ws.LeaseExpired(t.Now) {
+			expired = append(expired, id)
 		}
+	}
+	slices.Sort(expired)
+	for _, id := range expired {
+		ws := c.workers[id]
 		for _, r := range sortedRuns(ws) {
 			if r.State == worker.RunPlanned {
 				continue
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -72,9 +72,11 @@
 	// sent.
 	LastReported time.Duration
 	// TailLatencyTarget is set for serving tasks, and BestEffort for tasks that
-	// use what the others leave unused.
+	// use what the others leave unused, BestEffortCPU of it if they can, in
+	// thousandths of a core.
 	TailLatencyTarget time.Duration
 	BestEffort        bool
+	BestEffortCPU     int
 	// Speed is the percentage of full speed at which a best-effort task should
 	// run. SpeedAtWorker is the one last set at the worker, or SpeedUnknown.
 	// SpeedInFlight is set while an order to change it is in flight.
@@ -92,7 +94,7 @@
 
 // NewRun returns a run of a step's task.
 func NewRun(id job.RunID, s job.Step, st RunState, now, expectedDuration time.Duration) *Run {
-	return &Run{
+	r := &Run{
 		ID:                id,
 		Resources:         s.ReservedResources(),
 		Key:               StepKeyOf(id.Task),
@@ -105,8 +107,15 @@
 		// Tasks start at full speed.
 		SpeedAtWorker: FullSpeed,
 	}
+	if s.BestEffort {
+		r.BestEffortCPU = s.Need.CPU
+	}
+	return r
 }
 
+// expectedEnd returns when the run is expected to end.
+func (r *Run) expectedEnd() time.Duration { return r.StateSince + r.ExpectedDuration }
+
 // StepKey identifies a step of one occurrence of a job.
 type StepKey struct {
 	Job        job.ID
@@ -134,8 +143,14 @@
 	FencedAt time.Duration
 	// Runs are the runs that the worker has or may have.
 	Runs map[job.RunID]*Run
-	// Used is the amount of resources that the runs take.
-	Used job.Resources
+	// Used is the amount of resources that the runs take, ServingRuns is how many
+	// of them are serving tasks, and BestEffortCPU the CPU time that the
+	// best-effort tasks among them could use.
+	Used          job.Resources
+	ServingRuns   int
+	BestEffortCPU int
+	// busyUntil is when the last of the runs is expected to end.
+	busyUntil time.Duration
 	// CordonReason is why the worker takes no new tasks, or empty if it takes
 	// them.
 	CordonReason string
@@ -180,13 +195,7 @@
 func (s *State) Target() Target { return Target{ID: s.Incarnation.ID, Address: s.Address} }
 
 // BusyUntil returns when the last of the worker's runs is expected to end.
-func (s *State) BusyUntil(now time.Duration) time.Duration {
-	until := now
-	for _, r := range s.Runs {
-		until = max(until, r.StateSince+r.ExpectedDuration)
-	}
-	return until
-}
+func (s *State) BusyUntil(now time.Duration) time.Duration { return max(now, s.busyUntil) }
 
 // FreeResources returns the resources that no run takes.
 func (s *State) FreeResources() job.Resources { return s.Capacity.Sub(s.Used) }
@@ -195,14 +204,39 @@
 func (s *State) AddRun(r *Run) {
 	s.Runs[r.ID] = r
 	s.Used = s.Used.Add(r.Resources)
+	s.busyUntil = max(s.busyUntil, r.expectedEnd())
+	if r.TailLatencyTarget > 0 {
+		s.ServingRuns++
+	}
+	s.BestEffortCPU += r.BestEffortCPU
 }
 
 // RemoveRun removes a run and frees its resources.
 func (s *State) RemoveRun(id job.RunID) {
-	if r, ok := s.Runs[id]; ok {
-		delete(s.Runs, id)
-		s.Used = s.Used.Sub(r.Resources)
+	r, ok := s.Runs[id]
+	if !ok {
+		return
 	}
+	delete(s.Runs, id)
+	s.Used = s.Used.Sub(r.Resources)
+	if r.TailLatencyTarget > 0 {
+		s.ServingRuns--
+	}
+	s.BestEffortCPU -= r.BestEffortCPU
+	if r.expectedEnd() < s.busyUntil {
+		return
+	}
+	s.busyUntil = 0
+	for _, other := range s.Runs {
+		s.busyUntil = max(s.busyUntil, other.expectedEnd())
+	}
+}
+
+// SetRunState changes the state of one of the worker's runs.
+func (s *State) SetRunState(r *Run, st RunState, now time.Duration) {
+	r.State = st
+	r.StateSince = now
+	s.busyUntil = max(s.busyUntil, r.expectedEnd())
 }
 
 // CountRuns returns how many runs of a step the worker has or may have.
