Cordon the workers of a pool in one call, and look at each host once in a decision

Change: One cordon call a pool and decision (method fleet.cordon); movable hosts and hosts that await maintenance are indexed; the list is read again after failed orders and by age only; orders keep to the cloud's rate; a worker that its pool has polled does not count as arriving. TestPolledWorkerThatTakesNoTasksIsNotArriving fails with the old rule.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -220,6 +220,7 @@
 			Params:          fleet.DefaultParams,
 			LeadTime:        settings.Move,
 			OrderSeparation: settings.HolderLease,
+			OrderRate:       settings.DutyRate,
 			WaveStatus:      platform.WaveStatus,
 			Logger:          l,
 			Scope:           m.scope,
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -18,8 +18,8 @@
 const (
 	// MethodReport requests the load of a pool.
 	MethodReport peer.Method = "fleet.report"
-	// MethodCordon cordons or uncordons a worker.
-	MethodCordon peer.Method = "fleet.close"
+	// MethodCordon cordons and uncordons workers.
+	MethodCordon peer.Method = "fleet.cordon"
 )
 
 // ReportRequest is the request of MethodReport.
@@ -36,15 +36,20 @@
 	Report scheduler.Report `cbor:"2,keyasint"`
 }
 
-// CordonOrder is the request of MethodCordon.
+// CordonOrder is the request of MethodCordon. It changes any number of workers of
+// one pool, since demand that turns to another pool frees hundreds at once.
 type CordonOrder struct {
-	Pool  string `cbor:"1,keyasint"`
-	Token int64  `cbor:"2,keyasint"`
-	// Worker is cordoned, or uncordoned if Uncordon is set.
-	Worker   string `cbor:"3,keyasint"`
-	Uncordon bool   `cbor:"4,keyasint,omitempty"`
-	Reason   string `cbor:"5,keyasint,omitempty"`
-	Evacuate bool   `cbor:"6,keyasint,omitempty"`
+	Pool    string         `cbor:"1,keyasint"`
+	Token   int64          `cbor:"2,keyasint"`
+	Changes []CordonChange `cbor:"7,keyasint"`
+}
+
+// CordonChange cordons a worker, or uncordons it if Uncordon is set.
+type CordonChange struct {
+	Worker   string `cbor:"1,keyasint"`
+	Uncordon bool   `cbor:"2,keyasint,omitempty"`
+	Reason   string `cbor:"3,keyasint,omitempty"`
+	Evacuate bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // errPoolNotHeld means that no known daemon holds the pool, or that the daemon
@@ -111,11 +116,11 @@
 	if !ok {
 		return errPoolNotHeld
 	}
-	if o.Uncordon {
-		r.Uncordon([]string{o.Worker})
-		return nil
+	changes := make([]scheduler.CordonChange, 0, len(o.Changes))
+	for _, c := range o.Changes {
+		changes = append(changes, scheduler.CordonChange(c))
 	}
-	r.Cordon([]string{o.Worker}, o.Reason, o.Evacuate)
+	r.ChangeCordons(changes)
 	return nil
 }
 
@@ -147,7 +152,7 @@
 	return a.Report, err
 }
 
-// Cordon cordons or uncordons a worker.
+// Cordon cordons and uncordons workers.
 func (p *PoolClient) Cordon(ctx context.Context, o CordonOrder) error {
 	return p.call(ctx, o.Pool, MethodCordon, o, nil, func() error { return p.Agent.cordon(o) })
 }
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
@@ -29,6 +30,9 @@
 	rejectedPause = time.Second
 	// maxConcurrentOrders bounds the orders in flight.
 	maxConcurrentOrders = 8
+	// orderBurst is for how long orders may be saved up: the cloud counts them by
+	// the second.
+	orderBurst = 100 * time.Millisecond
 	// takeoverMargin is added to the time that a new holder waits for the orders
 	// of its predecessor to end.
 	takeoverMargin = 200 * time.Millisecond
@@ -61,6 +65,8 @@
 	// OrderSeparation is the minimum time between the orders of two holders for
 	// one host.
 	OrderSeparation time.Duration
+	// OrderRate is how many orders a second the cloud takes.
+	OrderRate float64
 	// WaveStatus returns the status entry of a wave for operators and the
 	// partition to append it to.
 	WaveStatus func(wave int, completed bool) (logstore.Partition, logstore.Entry)
@@ -105,9 +111,11 @@
 	loggedDemands map[string]Demand
 	// cloudDown is set while the list of hosts cannot be read from the cloud.
 	cloudDown bool
-	// orderSlots limits the concurrent orders, and orderGroup waits for them.
-	orderSlots chan struct{}
-	orderGroup sync.WaitGroup
+	// orderSlots limits the concurrent orders, orderLimiter their rate, and
+	// orderGroup waits for them.
+	orderSlots   chan struct{}
+	orderLimiter *rate.Limiter
+	orderGroup   sync.WaitGroup
 }
 
 // Predecessor describes the previous holder of the duty.
@@ -138,6 +146,7 @@
 		surplusSince:  map[string]time.Duration{},
 		loggedDemands: map[string]Demand{},
 		orderSlots:    make(chan struct{}, maxConcurrentOrders),
+		orderLimiter:  rate.NewLimiter(rate.Limit(c.opt.OrderRate), max(1, int(c.opt.OrderRate*orderBurst.Seconds()))),
 	}
 	s.takeOver(ctx, predecessor)
 	for ctx.Err() == nil {
@@ -216,14 +225,10 @@
 	v := s.buildView(ctx)
 	s.reportWaves(ctx, v)
 	s.retryPending(ctx)
-	actions, demands := Decide(v, s.opt.Params)
-	s.logDemands(v, demands)
-	for _, a := range actions {
-		if s.execute(ctx, a) {
-			soon = true
-		}
-	}
-	return soon
+	d := Decide(v, s.opt.Params)
+	s.trackSurplus(d.Surplus)
+	s.logDemands(v, d.Demands)
+	return s.execute(ctx, d.Actions)
 }
 
 // logDemands logs each pool's demand when it changes, with the figures that it
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -57,6 +57,9 @@
 	workerLoads map[string]scheduler.WorkerLoad
 	pools       map[string]*poolState
 	standbyPool string
+	// awaitingMaintenance holds the hosts that an uncompleted wave still has to
+	// maintain.
+	awaitingMaintenance map[string]bool
 	// hasAction holds the hosts that already have an action in this decision.
 	hasAction map[string]bool
 	actions   []Action
@@ -90,15 +93,24 @@
 	Required int
 }
 
-// Decide returns the actions to take now and the demands they are based on. It
-// does not modify v.
-func Decide(v View, params Params) ([]Action, []Demand) {
+// Decision is the result of Decide.
+type Decision struct {
+	// Actions are what to do now, and Demands what that is based on.
+	Actions []Action
+	Demands []Demand
+	// Surplus holds the pools that have more hosts than they need.
+	Surplus map[string]bool
+}
+
+// Decide returns what to do now. It does not modify v.
+func Decide(v View, params Params) Decision {
 	d := newDecider(v, params)
-	demands := d.demands()
+	out := Decision{Demands: d.demands(), Surplus: d.poolsWithSurplus()}
 	d.planWaves()
 	d.growPools()
 	d.shrinkPools()
-	return d.actions, demands
+	out.Actions = d.actions
+	return out
 }
 
 func newDecider(v View, params Params) *decider {
@@ -109,6 +121,8 @@
 		workerLoads: map[string]scheduler.WorkerLoad{},
 		pools:       map[string]*poolState{},
 		hasAction:   map[string]bool{},
+
+		awaitingMaintenance: map[string]bool{},
 	}
 	d.indexView()
 	return d
@@ -137,6 +151,9 @@
 			d.workerLoads[w.ID] = w
 		}
 	}
+	for i := range d.Waves {
+		d.indexWave(&d.Waves[i])
+	}
 	for _, h := range d.Hosts {
 		d.hostsByName[h.Name] = h
 		p := d.pools[h.Pool]
@@ -150,7 +167,7 @@
 			p.cordoned++
 		default:
 			p.hosts++
-			if !d.workerLoads[h.Worker].Schedulable && (h.State != HostUp || d.Arriving[h.Name]) {
+			if d.isArriving(h) {
 				p.arriving++
 			}
 		}
@@ -160,6 +177,29 @@
 	}
 }
 
+// indexWave records which hosts a wave still has to maintain.
+func (d *decider) indexWave(w *WaveView) {
+	if w.Completed {
+		return
+	}
+	for _, name := range w.Hosts {
+		if !w.Started[name] {
+			d.awaitingMaintenance[name] = true
+		}
+	}
+}
+
+// isArriving reports whether a host is on its way to its pool, so that its worker
+// will soon take tasks. A worker that its pool has polled is not: if it takes no
+// tasks, it is not known when it will.
+func (d *decider) isArriving(h Host) bool {
+	if h.State != HostUp {
+		return true
+	}
+	l, known := d.workerLoads[h.Worker]
+	return d.Arriving[h.Name] && (!known || l.Joining)
+}
+
 // requiredHosts returns how many hosts a pool needs: enough for what runs and
 // waits now, and for what callers are forecast to submit by the time a moved
 // host would run tasks.
--- a/internal/fleet/decide_test.go
+++ b/internal/fleet/decide_test.go
@@ -77,17 +77,19 @@
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 20, 0, scheduler.Report{})
 	f.BusyFor = 0
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(actions).To(BeEmpty())
 	f.BusyFor = DefaultParams.WarmUp
-	actions, demands := Decide(f.View, DefaultParams)
+	d := Decide(f.View, DefaultParams)
+	actions, demands := d.Actions, d.Demands
 	g.Expect(countActions(actions, Cordon)).To(Equal(20 - demands[0].Required))
 }
 
 func TestPoolGrowsByWaitingDemand(t *testing.T) {
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 2, 3, scheduler.Report{Used: capacityOf(2), Waiting: capacityOf(6)}).addStandby(30)
-	actions, demands := Decide(f.View, DefaultParams)
+	d := Decide(f.View, DefaultParams)
+	actions, demands := d.Actions, d.Demands
 	g.Expect(demands[0].Required).To(BeNumerically(">=", 8))
 	g.Expect(countActions(actions, Move)).To(Equal(demands[0].Required - 2))
 	for _, a := range actions {
@@ -98,7 +100,7 @@
 func TestForecastIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 2, 1, scheduler.Report{Used: capacityOf(1), ExpectedDemand: capacityOf(400)}).addStandby(30)
-	_, demands := Decide(f.View, DefaultParams)
+	demands := Decide(f.View, DefaultParams).Demands
 	g.Expect(demands[0].Required).To(BeNumerically("<", 10))
 }
 
@@ -106,7 +108,8 @@
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 20, 0, scheduler.Report{}).addStandby(5)
 	f.Pools[1].HasReport = false
-	actions, demands := Decide(f.View, DefaultParams)
+	d := Decide(f.View, DefaultParams)
+	actions, demands := d.Actions, d.Demands
 	g.Expect(actions).To(BeEmpty())
 	g.Expect(demands).To(BeEmpty())
 }
@@ -121,7 +124,7 @@
 	f.Waves = []WaveView{w}
 	f.Hosts[5].State = HostInMaintenance
 	f.Pending[f.Hosts[6].Name] = true
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Maintain)).To(Equal(2))
 }
 
@@ -133,10 +136,10 @@
 	}
 	w := WaveView{Wave: Wave{Number: 1, Hosts: []string{"m-a-0", "m-a-1"}, Duration: 20 * time.Second, MaxConcurrent: 1}, TimeLeft: 19 * time.Second, Started: map[string]bool{}}
 	f.Waves = []WaveView{w}
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(actions).To(BeEmpty())
 	f.Waves[0].TimeLeft = 10 * time.Second
-	actions, _ = Decide(f.View, DefaultParams)
+	actions = Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Cordon)).To(Equal(1))
 	g.Expect(actions[0].Evacuate).To(BeTrue())
 }
@@ -149,7 +152,7 @@
 		w.Hosts = append(w.Hosts, fmt.Sprintf("m-spare-%d", i))
 	}
 	f.Waves = []WaveView{w}
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Maintain)).To(Equal(1))
 	g.Expect(countActions(actions, Move)).To(Equal(0))
 }
@@ -157,7 +160,7 @@
 func TestHostWithRunsIsCordonedNotMoved(t *testing.T) {
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 10, 1, scheduler.Report{Used: capacityOf(1)})
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Move)).To(Equal(0))
 	g.Expect(countActions(actions, Cordon)).To(BeNumerically(">", 0))
 	for i := range 10 {
@@ -166,7 +169,7 @@
 	}
 	f.workerLoad("a-9").Empty = true
 	f.Pools[1].Report.Used = job.Resources{}
-	actions, _ = Decide(f.View, DefaultParams)
+	actions = Decide(f.View, DefaultParams).Actions
 	for _, a := range actions {
 		if a.Kind == Move {
 			g.Expect(a.Worker).To(Equal("a-9"))
@@ -179,7 +182,8 @@
 	f := newViewBuilder().addPool("a", 4, 1, scheduler.Report{Used: capacityOf(2), Waiting: capacityOf(1)}).addStandby(4)
 	l := f.workerLoad("a-3")
 	l.Cordoned, l.Schedulable = true, false
-	actions, demands := Decide(f.View, DefaultParams)
+	d := Decide(f.View, DefaultParams)
+	actions, demands := d.Actions, d.Demands
 	g.Expect(countActions(actions, Uncordon)).To(Equal(1))
 	g.Expect(countActions(actions, Move)).To(Equal(demands[0].Required - 4))
 }
@@ -191,10 +195,22 @@
 	rep := scheduler.Report{LongRunning: capacityOf(1), Used: capacityOf(1), HostsNeeded: 1}
 	f := newViewBuilder().addPool("a", 8, 1, rep).addStandby(4)
 	f.workerLoad("a-6").Schedulable, f.workerLoad("a-7").Schedulable = false, false
-	actions, _ := Decide(f.View, DefaultParams)
+	actions := Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Move)).To(Equal(1))
 
 	f.Arriving = map[string]bool{"m-a-6": true}
-	actions, _ = Decide(f.View, DefaultParams)
+	f.workerLoad("a-6").Joining = true
+	actions = Decide(f.View, DefaultParams).Actions
 	g.Expect(countActions(actions, Move)).To(BeZero(), "one host is arriving")
 }
+
+// A host that was moved to its pool just now and whose worker drains, is ejected or
+// no longer answers is not on its way any more.
+func TestPolledWorkerThatTakesNoTasksIsNotArriving(t *testing.T) {
+	g := NewWithT(t)
+	rep := scheduler.Report{LongRunning: capacityOf(1), Used: capacityOf(1), HostsNeeded: 1}
+	f := newViewBuilder().addPool("a", 5, 1, rep).addStandby(4)
+	f.workerLoad("a-4").Schedulable = false
+	f.Arriving = map[string]bool{"m-a-4": true}
+	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Move)).To(Equal(1))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,7 +106,7 @@
 	// its outcome is unknown, or the host is paused.
 	Pending map[string]bool
 	// Arriving holds the hosts that were moved or maintained so recently that
-	// their workers may still be starting.
+	// their workers may still be starting, if their pool has not polled them yet.
 	Arriving map[string]bool
 	// SurplusFor is how long each pool has had more hosts than it needs.
 	SurplusFor map[string]time.Duration
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -31,14 +31,16 @@
 	}
 }
 
-func (m metrics) countCordon(k ActionKind, err error) {
-	switch {
-	case err != nil:
-		m.cordonsFailed.Inc(1)
-	case k == Uncordon:
-		m.uncordons.Inc(1)
-	default:
-		m.cordons.Inc(1)
+func (m metrics) countCordons(changes []CordonChange, err error) {
+	for _, c := range changes {
+		switch {
+		case err != nil:
+			m.cordonsFailed.Inc(1)
+		case c.Uncordon:
+			m.uncordons.Inc(1)
+		default:
+			m.cordons.Inc(1)
+		}
 	}
 }
 
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengagedeck/internal/verdict"
@@ -24,21 +27,41 @@
 	}
 }
 
-// execute carries out an action. It reports whether a worker was cordoned.
-func (s *session) execute(ctx context.Context, a Action) bool {
-	switch a.Kind {
-	case Cordon, Uncordon:
-		o := CordonOrder{Pool: a.Pool, Token: s.issuer.Token, Worker: a.Worker, Uncordon: a.Kind == Uncordon, Reason: a.Reason, Evacuate: a.Evacuate}
-		err := s.opt.Pools.Cordon(ctx, o)
-		s.metrics.countCordon(a.Kind, err)
-		if err != nil {
-			s.opt.Logger.Info().Err(err).Str("worker", a.Worker).Str("pool", a.Pool).Str("reason", a.Reason).Msg("failed to cordon or uncordon the worker")
+// execute carries out the actions of a decision. It reports whether a worker was
+// cordoned.
+func (s *session) execute(ctx context.Context, actions []Action) (cordoned bool) {
+	changes := map[string][]CordonChange{}
+	for _, a := range actions {
+		switch a.Kind {
+		case Cordon, Uncordon:
+			changes[a.Pool] = append(changes[a.Pool], CordonChange{Worker: a.Worker, Uncordon: a.Kind == Uncordon, Reason: a.Reason, Evacuate: a.Evacuate})
+		default:
+			s.sendOrder(ctx, a)
 		}
-		return err == nil && a.Kind == Cordon
-	default:
-		s.sendOrder(ctx, a)
+	}
+	var calls sync.WaitGroup
+	var any atomic.Bool
+	for pool, list := range changes {
+		calls.Go(func() {
+			if s.changeCordons(ctx, pool, list) {
+				any.Store(true)
+			}
+		})
+	}
+	calls.Wait()
+	return any.Load()
+}
+
+// changeCordons cordons and uncordons workers of a pool. It reports whether any
+// was cordoned.
+func (s *session) changeCordons(ctx context.Context, pool string, changes []CordonChange) (cordoned bool) {
+	err := s.opt.Pools.Cordon(ctx, CordonOrder{Pool: pool, Token: s.issuer.Token, Changes: changes})
+	s.metrics.countCordons(changes, err)
+	if err != nil {
+		s.opt.Logger.Info().Err(err).Str("pool", pool).Int("workers", len(changes)).Str("first", changes[0].Worker).Str("reason", changes[0].Reason).Msg("failed to cordon and uncordon workers")
 		return false
 	}
+	return slices.ContainsFunc(changes, func(c CordonChange) bool { return !c.Uncordon })
 }
 
 // sendOrder sends the order for a move or a maintenance in the background,
@@ -59,13 +82,16 @@
 	})
 }
 
-// errLeaseTooShort is returned for an order that was not sent because the lease
-// of the fleet duty might expire before the call ends.
-var errLeaseTooShort = verdict.NewNotRun(verdict.ReasonNotReady, "too little is left of the duty's lease")
+// errOrderNotSent is returned for an order that was not sent, because the lease of
+// the fleet duty might expire before the call ends or the controller stops.
+var errOrderNotSent = verdict.NewNotRun(verdict.ReasonNotReady, "too little is left of the duty's lease")
 
 func (s *session) callCloud(ctx context.Context, a Action) error {
+	if err := s.orderLimiter.Wait(ctx); err != nil {
+		return errOrderNotSent
+	}
 	if ctx.Err() != nil || s.lease.Remaining() < minOrderLease {
-		return errLeaseTooShort
+		return errOrderNotSent
 	}
 	if a.Kind == Maintain {
 		return s.opt.Cloud.Maintain(ctx, s.issuer, a.Host, a.Wave)
@@ -80,7 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, a.Host)
-	if !errors.Is(err, errLeaseTooShort) {
+	if !errors.Is(err, errOrderNotSent) {
 		s.lastOrdered[a.Host] = now
 	}
 	line := s.opt.Logger.Info()
@@ -102,7 +128,8 @@
 	default:
 		s.pending[a.Host] = a
 	}
-	s.hostList.stale = true
+	// The results of orders that were carried out are known without the list.
+	s.hostList.stale = s.hostList.stale || err != nil
 }
 
 // orderMessages are the log messages for answered orders. A failed order's line
--- a/internal/fleet/progress.go
+++ b/internal/fleet/progress.go
@@ -39,12 +39,13 @@
 // allStarted reports whether the maintenance of every host of a wave that is
 // still listed has started.
 func allStarted(w WaveView, hosts []Host) bool {
-	for _, h := range hosts {
-		if slices.Contains(w.Hosts, h.Name) && !w.Started[h.Name] {
-			return false
+	left := map[string]bool{}
+	for _, name := range w.Hosts {
+		if !w.Started[name] {
+			left[name] = true
 		}
 	}
-	return true
+	return !slices.ContainsFunc(hosts, func(h Host) bool { return left[h.Name] })
 }
 
 // writeProgress appends a wave's progress to the log and then, if publish is
--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -10,12 +10,17 @@
 // pool itself, then moves hosts from standby, then empty hosts of other pools.
 func (d *decider) growPools() {
 	pools := d.poolsBelowDemand()
+	if len(pools) == 0 {
+		return
+	}
+	movable := d.movableHosts()
 	for _, p := range pools {
 		d.uncordonHosts(p)
-		for p.hosts < p.required {
-			h, ok := d.nextMovableHost()
-			if !ok {
-				return
+		for p.hosts < p.required && len(movable) > 0 {
+			h := movable[0]
+			movable = movable[1:]
+			if d.hasAction[h.Name] {
+				continue
 			}
 			p.hosts++
 			d.addAction(Action{
@@ -33,7 +38,7 @@
 		if p.hosts >= p.required {
 			return
 		}
-		if h.Pool != p.view.Name || !d.canOrder(h) || !d.workerLoads[h.Worker].Cordoned || d.awaitsMaintenance(h.Name) {
+		if h.Pool != p.view.Name || !d.canOrder(h) || !d.workerLoads[h.Worker].Cordoned || d.awaitingMaintenance[h.Name] {
 			continue
 		}
 		p.hosts++
@@ -60,31 +65,20 @@
 	return out
 }
 
-// nextMovableHost returns an empty host that can be moved now, preferably one in
-// standby.
-func (d *decider) nextMovableHost() (Host, bool) {
-	best := Host{}
-	found := false
+// movableHosts returns the empty hosts that can be moved now, those in standby
+// first.
+func (d *decider) movableHosts() []Host {
+	var standby, others []Host
 	for _, h := range d.Hosts {
-		if !d.canOrder(h) || !d.isEmpty(h) || d.awaitsMaintenance(h.Name) {
-			continue
-		}
-		if !found || d.pools[h.Pool].view.Standby && !d.pools[best.Pool].view.Standby {
-			best, found = h, true
-		}
-	}
-	return best, found
-}
-
-// awaitsMaintenance reports whether an uncompleted wave still has to maintain a
-// host.
-func (d *decider) awaitsMaintenance(name string) bool {
-	for _, w := range d.Waves {
-		if !w.Completed && !w.Started[name] && slices.Contains(w.Hosts, name) {
-			return true
+		switch {
+		case !d.canOrder(h) || !d.isEmpty(h) || d.awaitingMaintenance[h.Name]:
+		case d.pools[h.Pool].view.Standby:
+			standby = append(standby, h)
+		default:
+			others = append(others, h)
 		}
 	}
-	return false
+	return append(standby, others...)
 }
 
 // shrinkPools cordons workers of pools that have had more hosts than they need
@@ -95,7 +89,7 @@
 	}
 	for _, h := range d.Hosts {
 		p := d.pools[h.Pool]
-		if p != nil && !p.view.Standby && d.canOrder(h) && d.isEmpty(h) && !d.awaitsMaintenance(h.Name) {
+		if p != nil && !p.view.Standby && d.canOrder(h) && d.isEmpty(h) && !d.awaitingMaintenance[h.Name] {
 			d.addAction(Action{
 				Kind: Move, Host: h.Name, Worker: h.Worker, Pool: h.Pool, To: d.standbyPool,
 				Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts),
@@ -143,8 +137,7 @@
 }
 
 // poolsWithSurplus returns the pools that have more hosts than they need.
-func poolsWithSurplus(v View, params Params) map[string]bool {
-	d := newDecider(v, params)
+func (d *decider) poolsWithSurplus() map[string]bool {
 	out := map[string]bool{}
 	for name, p := range d.pools {
 		if p.view.HasReport && !p.view.Standby && p.hosts > p.required {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -77,7 +77,9 @@
 	for _, w := range s.opt.Waves.sorted() {
 		v.Waves = append(v.Waves, s.waveView(w, now))
 	}
-	s.trackSurplus(&v, now)
+	for pool, since := range s.surplusSince {
+		v.SurplusFor[pool] = now - since
+	}
 	s.trackBusy(&v, now)
 	return v
 }
@@ -120,21 +122,18 @@
 	return WaveView{Wave: w.Wave, TimeLeft: w.firstSeen + w.Duration - now, Started: started, Completed: st.completed}
 }
 
-// trackSurplus updates surplusSince and sets SurplusFor of the view.
-func (s *session) trackSurplus(v *View, now time.Duration) {
-	surplus := poolsWithSurplus(*v, s.opt.Params)
+// trackSurplus updates surplusSince with the pools that have a surplus now.
+func (s *session) trackSurplus(surplus map[string]bool) {
+	now := s.opt.Clock.Now()
 	for pool := range s.surplusSince {
 		if !surplus[pool] {
 			delete(s.surplusSince, pool)
 		}
 	}
 	for pool := range surplus {
-		since, ok := s.surplusSince[pool]
-		if !ok {
-			since = now
+		if _, ok := s.surplusSince[pool]; !ok {
 			s.surplusSince[pool] = now
 		}
-		v.SurplusFor[pool] = now - since
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -27,6 +27,8 @@
 	Empty    bool `cbor:"9,keyasint,omitempty"`
 	// EmptyIn is how long the worker's runs are expected to go on.
 	EmptyIn time.Duration `cbor:"10,keyasint,omitempty"`
+	// Joining is set for a worker that is listed and was not polled yet.
+	Joining bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Report is what a pool's holder reports of the pool.
@@ -152,6 +154,7 @@
 		Used:        ws.Used,
 		Capacity:    ws.Capacity,
 		Schedulable: c.acceptsTasks(ws) && !c.ejected(id, now),
+		Joining:     ws.Listed && !ws.Draining && !ws.Fenced && ws.UnansweredCalls == 0,
 		EmptyIn:     ws.BusyUntil(now) - now,
 	}
 	rep.Used = rep.Used.Add(ws.Used)
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -45,20 +45,23 @@
 	return r.core.Report(r.opt.Clock.Now(), lead), true
 }
 
-// Cordon makes workers take no new tasks.
-func (r *Runner) Cordon(ids []string, reason string, evacuate bool) {
-	r.update(func(Times) {
-		for _, id := range ids {
-			r.core.Cordon(id, reason, evacuate)
-		}
-	})
+// CordonChange makes a worker take no new tasks, or take them again.
+type CordonChange struct {
+	Worker   string
+	Uncordon bool
+	Reason   string
+	Evacuate bool
 }
 
-// Uncordon makes cordoned workers take tasks again.
-func (r *Runner) Uncordon(ids []string) {
+// ChangeCordons cordons and uncordons workers.
+func (r *Runner) ChangeCordons(changes []CordonChange) {
 	r.update(func(Times) {
-		for _, id := range ids {
-			r.core.Uncordon(id)
+		for _, c := range changes {
+			if c.Uncordon {
+				r.core.Uncordon(c.Worker)
+			} else {
+				r.core.Cordon(c.Worker, c.Reason, c.Evacuate)
+			}
 		}
 	})
 }
