Replace a holder whose host is cut off within a second, and spread duties over hosts and zones

When its zone was cut, a holder was replaced only once its heartbeats had been missing for 1.5 s (35.139 and 36.973 s after a cut at 33.5 s), and candidates in the same cut zone ranked first. Change: A probe that gets no answer checks whether the host accepts connections; if not, daemons in zones other than the holder's and the prober's are asked, and the duty is claimed when at least two cannot connect either and none can. Probes of the first ranks every 250 ms. Ranks are recomputed before a claim, prefer zones with few duties and zones other than the holder's.

--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -86,8 +86,10 @@
 
 	mu      sync.Mutex
 	daemons map[string]*daemon
-	// isolated hosts cannot reach other daemons or be reached by them.
+	// isolated hosts cannot reach other daemons or be reached by them, and hosts in
+	// cutZones those in other zones.
 	isolated map[string]bool
+	cutZones map[string]bool
 }
 
 func newCluster(wanted ...Name) *cluster {
@@ -97,14 +99,20 @@
 		wanted:   wanted,
 		daemons:  map[string]*daemon{},
 		isolated: map[string]bool{},
+		cutZones: map[string]bool{},
 	}
 }
 
 // start runs a daemon on a host until ctx ends.
 func (n *cluster) start(ctx context.Context, host string, weight float64) *daemon {
+	return n.startInZone(ctx, host, "", weight)
+}
+
+// startInZone runs a daemon on a host of a zone until ctx ends.
+func (n *cluster) startInZone(ctx context.Context, host, zone string, weight float64) *daemon {
 	n.mu.Lock()
 	n.lastIncarnation++
-	d := &daemon{self: Member{Host: host, Incarnation: n.lastIncarnation, Address: host, Weight: weight}, done: make(chan struct{})}
+	d := &daemon{self: Member{Host: host, Incarnation: n.lastIncarnation, Address: host, Zone: zone, Weight: weight}, done: make(chan struct{})}
 	n.mu.Unlock()
 	d.Elector = NewElector(Options{
 		Self:     d.self,
@@ -112,7 +120,7 @@
 		Clock:    n.clock,
 		Wanted:   func() []Name { return n.wanted },
 		Observer: d,
-		Prober:   prober{n, host},
+		Prober:   prober{n, d.self},
 		Logger:   zerolog.Nop(),
 	})
 	ctx, d.cancel = context.WithCancel(ctx)
@@ -143,21 +151,61 @@
 	n.isolated[host] = isolated
 }
 
+// setZoneCut cuts a zone off from the other zones and from the log, or heals the
+// cut.
+func (n *cluster) setZoneCut(zone string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutZones[zone] = cut
+	var hosts []string
+	for host, d := range n.daemons {
+		if d.self.Zone == zone && cut {
+			hosts = append(hosts, host)
+		}
+	}
+	n.log.SetFault(func(c logtest.Call) logtest.Fault { return logtest.Fault{NoResponse: slices.Contains(hosts, c.Client)} })
+}
+
+// connected reports whether two daemons reach each other. The caller holds n.mu.
+func (n *cluster) connected(a, b Member) bool {
+	if n.isolated[a.Host] || n.isolated[b.Host] {
+		return false
+	}
+	return a.Zone == b.Zone || !n.cutZones[a.Zone] && !n.cutZones[b.Zone]
+}
+
 // prober simulates the network as seen by one daemon.
 type prober struct {
 	net  *cluster
-	from string
+	self Member
+}
+
+// Witness implements Prober.
+func (p prober) Witness(ctx context.Context, witness, m Member) WitnessResult {
+	p.net.mu.Lock()
+	asked, reached := p.net.connected(p.self, witness), p.net.connected(witness, m)
+	p.net.mu.Unlock()
+	switch {
+	case !asked:
+		pause(ctx, witnessTimeout, nil)
+		return WitnessNoAnswer
+	case !reached:
+		pause(ctx, connectTimeout, nil)
+		return WitnessCannotReach
+	default:
+		return WitnessReaches
+	}
 }
 
 func (p prober) Probe(ctx context.Context, m Member, duty Name) ProbeResult {
 	p.net.mu.Lock()
-	isolated := p.net.isolated[m.Host] || p.net.isolated[p.from]
+	connected := p.net.connected(p.self, m)
 	d := p.net.daemons[m.Host]
 	p.net.mu.Unlock()
 	switch {
-	case isolated:
-		pause(ctx, probeTimeout, nil)
-		return ProbeNoAnswer
+	case !connected:
+		pause(ctx, connectDelay+connectTimeout, nil)
+		return ProbeUnreachable
 	case d == nil:
 		return ProbeProcessEnded
 	}
@@ -502,13 +550,14 @@
 	defer synctest.Wait()
 	defer cancel()
 	n := newCluster(pool, Fleet)
-	hosts := []string{"a", "b", "c"}
+	// Each host is in a zone of its own.
+	hosts := []string{"a", "b", "c", "d", "e"}
 	for _, h := range hosts {
-		n.start(ctx, h, 0.8)
+		n.startInZone(ctx, h, "zone "+h, 0.8)
 	}
 	for range rapid.IntRange(3, 12).Draw(rt, "events") {
 		h := rapid.SampledFrom(hosts).Draw(rt, "host")
-		switch rapid.IntRange(0, 4).Draw(rt, "event") {
+		switch rapid.IntRange(0, 5).Draw(rt, "event") {
 		case 0:
 			n.setIsolated(h, true)
 		case 1:
@@ -529,7 +578,9 @@
 			if d := n.daemons[h]; d != nil {
 				n.kill(d)
 			}
-			n.start(ctx, h, 0.8)
+			n.startInZone(ctx, h, "zone "+h, 0.8)
+		case 5:
+			n.setZoneCut("zone "+h, rapid.Bool().Draw(rt, "cut"))
 		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			advance(100 * time.Millisecond)
--- a/internal/duty/monitor.go
+++ b/internal/duty/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,7 +18,7 @@
 	// probeInterval is the time between two probes of a holder by the daemons
 	// in the first rank group, which should claim its duty first. Each further
 	// group probes less often than the one before.
-	probeInterval = 500 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
 	// rankGroupSize is the number of consecutive ranks that share a probe
 	// interval.
 	rankGroupSize = 3
@@ -38,6 +39,13 @@
 	// maxHeartbeatAge is the age of the last heartbeat up to which a daemon
 	// counts as live.
 	maxHeartbeatAge = 2 * idleHeartbeatInterval
+	// maxWitnesses is how many daemons are asked whether they reach a holder, and
+	// minWitnesses how many must say that they do not.
+	maxWitnesses = 4
+	minWitnesses = 2
+	// rankAge is how long the rank for a duty is used for the time between
+	// probes.
+	rankAge = time.Second
 )
 
 // monitor finds duties that no daemon can act for, and claims them when it is
@@ -53,6 +61,8 @@
 	// is since when each duty can be claimed.
 	lastProbe      map[Name]time.Duration
 	claimableSince map[Name]time.Duration
+	// ranks holds this daemon's last rank for each duty.
+	ranks map[Name]knownRank
 	// logUnreachableSince is since when the log has answered this daemon but
 	// not the duty's holder.
 	logUnreachableSince map[Name]time.Duration
@@ -64,10 +74,17 @@
 		tail:                logstore.NewTail(e.opt.Log, heartbeatPartition),
 		lastProbe:           map[Name]time.Duration{},
 		claimableSince:      map[Name]time.Duration{},
+		ranks:               map[Name]knownRank{},
 		logUnreachableSince: map[Name]time.Duration{},
 	}
 }
 
+// knownRank is a rank and when it was computed.
+type knownRank struct {
+	rank int
+	at   time.Duration
+}
+
 func (m *monitor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.check(ctx)
@@ -85,12 +102,14 @@
 		return
 	}
 	results := m.probe(ctx, m.dueChecks())
+	var questions sync.WaitGroup
+	questions.Go(func() { m.askWitnesses(ctx, results) })
 	if slices.ContainsFunc(results, checkResult.needsHeartbeats) {
 		// Only the newest heartbeats show whether a holder is unreachable for
 		// every daemon or for this one alone, and which daemons can claim.
 		m.readHeartbeats(ctx)
-		m.updateRanks(results)
 	}
+	questions.Wait()
 	for _, r := range results {
 		if !m.isClaimable(r, start) {
 			delete(m.claimableSince, r.duty)
@@ -108,13 +127,14 @@
 	token Token
 	// vacant is set if the duty has no holder.
 	vacant bool
-	rank   int
 }
 
 // checkResult is a checked duty with the outcome of the probe of its holder.
 type checkResult struct {
 	dutyCheck
 	result ProbeResult
+	// cutOff is set if daemons in other zones cannot reach the holder either.
+	cutOff bool
 }
 
 // needsHeartbeats reports whether the newest heartbeats are needed to decide
@@ -131,7 +151,6 @@
 	if m.leaving || m.confirmedAt == 0 {
 		return nil
 	}
-	live := m.table.livePeers(now, maxHeartbeatAge)
 	var out []dutyCheck
 	for _, n := range wanted {
 		if _, held := m.held[n]; held {
@@ -142,9 +161,8 @@
 			holder: m.table.claims[n].Holder,
 			token:  m.table.claims[n].Token,
 			vacant: m.table.vacant(n) || m.heldByOwnHost(n),
-			rank:   m.table.rank(n, m.opt.Self, live),
 		}
-		if s.vacant || now >= m.lastProbe[n]+probeIntervalForRank(s.rank) {
+		if s.vacant || now >= m.lastProbe[n]+probeIntervalForRank(m.recentRank(n, now)) {
 			m.lastProbe[n] = now
 			out = append(out, s)
 		}
@@ -153,6 +171,24 @@
 	return out
 }
 
+// recentRank returns this daemon's rank for a duty, which may be rankAge old. The
+// caller holds m.mu.
+func (m *monitor) recentRank(n Name, now time.Duration) int {
+	k, known := m.ranks[n]
+	if !known || now-k.at > rankAge {
+		return m.currentRank(n, now)
+	}
+	return k.rank
+}
+
+// currentRank returns this daemon's rank for a duty by the claims and heartbeats
+// known now. The caller holds m.mu.
+func (m *monitor) currentRank(n Name, now time.Duration) int {
+	rank := m.table.rank(n, m.opt.Self, m.table.livePeers(now, maxHeartbeatAge))
+	m.ranks[n] = knownRank{rank, now}
+	return rank
+}
+
 // probeIntervalForRank returns the time between two probes by a daemon of a
 // rank.
 func probeIntervalForRank(rank int) time.Duration {
@@ -175,15 +211,70 @@
 	return out
 }
 
-// updateRanks recomputes the ranks from the current heartbeats.
-func (m *monitor) updateRanks(results []checkResult) {
+// askWitnesses finds out whether daemons in other zones reach the holders that
+// cannot be reached from here.
+func (m *monitor) askWitnesses(ctx context.Context, results []checkResult) {
+	var questions sync.WaitGroup
+	for i := range results {
+		r := &results[i]
+		if r.result != ProbeUnreachable || r.vacant {
+			continue
+		}
+		questions.Go(func() { r.cutOff = m.cutOff(ctx, r.holder) })
+	}
+	questions.Wait()
+}
+
+// cutOff reports whether a daemon's host is cut off, going by daemons in zones
+// other than its own and this one's: if this zone is cut off instead, they do not
+// answer.
+func (m *monitor) cutOff(ctx context.Context, holder Member) bool {
+	witnesses := m.witnesses(holder)
+	answers := make([]WitnessResult, len(witnesses))
+	var questions sync.WaitGroup
+	for i, w := range witnesses {
+		questions.Go(func() { answers[i] = m.opt.Prober.Witness(ctx, w.Member, holder) })
+	}
+	questions.Wait()
+	unreachable := 0
+	for _, a := range answers {
+		switch a {
+		case WitnessReaches:
+			return false
+		case WitnessCannotReach:
+			unreachable++
+		}
+	}
+	return unreachable >= minWitnesses
+}
+
+// witnesses returns the daemons to ask about a holder, as many zones as possible
+// among them.
+func (m *monitor) witnesses(holder Member) []Peer {
 	now := m.opt.Clock.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	live := m.table.livePeers(now, maxHeartbeatAge)
-	for i := range results {
-		results[i].rank = m.table.rank(results[i].duty, m.opt.Self, live)
+	m.mu.Unlock()
+	byZone := map[string][]Peer{}
+	for _, p := range live {
+		if !p.Leaving && p.Zone != holder.Zone && p.Zone != m.opt.Self.Zone {
+			byZone[p.Zone] = append(byZone[p.Zone], p)
+		}
+	}
+	zones := slices.Sorted(maps.Keys(byZone))
+	var out []Peer
+	for round := 0; len(out) < maxWitnesses; round++ {
+		before := len(out)
+		for _, z := range zones {
+			if list := byZone[z]; round < len(list) && len(out) < maxWitnesses {
+				out = append(out, list[(round+int(now/time.Second))%len(list)])
+			}
+		}
+		if len(out) == before {
+			break
+		}
 	}
+	return out
 }
 
 // isClaimable reports whether no daemon can act for a duty, according to a
@@ -192,7 +283,7 @@
 func (m *monitor) isClaimable(r checkResult, start time.Duration) bool {
 	logUnreachable := m.logUnreachableTooLong(r, start)
 	switch {
-	case r.vacant || r.result == ProbeProcessEnded || logUnreachable:
+	case r.vacant || r.result == ProbeProcessEnded || r.cutOff || logUnreachable:
 		return true
 	case r.result == ProbeAble || m.answeringSince == 0:
 		return false
@@ -239,12 +330,14 @@
 	own := m.heldByOwnHost(r.duty)
 	ended := r.result == ProbeProcessEnded || m.table.vacant(r.duty) || own
 	since := max(m.claimableSince[r.duty], m.startedAt+startupDelay)
+	// The rank takes account of what this daemon claimed a moment ago.
+	rank := m.currentRank(r.duty, now)
 	m.mu.Unlock()
-	if now < since+time.Duration(r.rank)*rankDelay && !own {
+	if now < since+time.Duration(rank)*rankDelay && !own {
 		m.lastProbe[r.duty] = 0
 		return
 	}
-	m.opt.Logger.Info().Str("duty", string(r.duty)).Str("holder", r.holder.ID()).Bool("vacant", r.vacant).Bool("ended", ended).Int("rank", r.rank).Msg("claiming a duty")
+	m.opt.Logger.Info().Str("duty", string(r.duty)).Str("holder", r.holder.ID()).Bool("vacant", r.vacant).Bool("ended", ended).Bool("cut_off", r.cutOff).Int("rank", rank).Msg("claiming a duty")
 	m.claimDuty(ctx, r.duty, r.token, ended)
 	delete(m.claimableSince, r.duty)
 }
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -183,34 +183,54 @@
 	return last
 }
 
-// rank returns the position of a daemon in the order in which live daemons
-// should claim a duty. Those that would hold the fewest duties relative to
-// their weight come first. The last holder and daemons that are leaving are no
-// candidates and rank after all others.
-func (t *table) rank(n Name, self Member, live []Peer) int {
-	held := map[string]float64{}
+// sameZoneFactor multiplies the load of candidates in the last holder's zone: what
+// made it unable to act may affect its whole zone.
+const sameZoneFactor = 2
+
+// candidate is a daemon that may claim a duty.
+type candidate struct {
+	host string
+	// load is how many duties the daemon would hold relative to its weight, and
+	// zoneDuties how many are held in its zone.
+	load       float64
+	zoneDuties int
+	hash       uint64
+}
+
+// candidates returns the live daemons in the order in which they should claim a
+// duty. Those that would hold the fewest duties relative to their weight come
+// first, and among those the ones in zones with the fewest duties. The last holder
+// and daemons that are leaving are no candidates.
+func (t *table) candidates(n Name, live []Peer) []candidate {
+	held, heldInZone := map[string]float64{}, map[string]int{}
 	for _, c := range t.claims {
 		if !c.Released {
 			held[c.Holder.Host]++
+			heldInZone[c.Holder.Zone]++
 		}
 	}
-	type candidate struct {
-		host string
-		load float64
-		hash uint64
-	}
 	var list []candidate
-	last := t.claims[n].Holder.Host
+	last := t.claims[n].Holder
 	for _, p := range live {
-		if p.Leaving || p.Host == last {
+		if p.Leaving || p.Host == last.Host {
 			continue
 		}
 		load := (held[p.Host] + 1) / max(p.Weight, minWeight)
-		list = append(list, candidate{p.Host, load, xxhash.Sum64String(string(n) + "|" + p.Host)})
+		if p.Zone == last.Zone {
+			load *= sameZoneFactor
+		}
+		list = append(list, candidate{p.Host, load, heldInZone[p.Zone], xxhash.Sum64String(string(n) + "|" + p.Host)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.hash, b.hash))
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.zoneDuties, b.zoneDuties), cmp.Compare(a.hash, b.hash))
 	})
+	return list
+}
+
+// rank returns the position of a daemon among the candidates for a duty. A daemon
+// that is no candidate ranks after all others.
+func (t *table) rank(n Name, self Member, live []Peer) int {
+	list := t.candidates(n, live)
 	at := slices.IndexFunc(list, func(c candidate) bool { return c.host == self.Host })
 	if at < 0 {
 		return len(list)
