Store jobs without a holder at the rate of a full turn, and refuse at once what can be stored nowhere

Change: Four intake partitions a pool, by job; a holder that did not answer is not asked for 300 ms; lookups in the log are bounded for all daemons together; a daemon that the log has not answered for 1.2 s rejects at once and says when to come back, later and spread in a long outage; readiness by the same age, 1.5 s in place of 3 s. TestLogLookupsOfAllDaemonsAreBounded fails with the old rate.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/duty"
+	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/release"
@@ -23,8 +24,8 @@
 
 const (
 	// maxLogAge is the time since the log's last answer after which this daemon is
-	// no longer ready for callers.
-	maxLogAge = 3 * time.Second
+	// no longer ready for callers. Blocking reads of the log answer within less.
+	maxLogAge = 1500 * time.Millisecond
 	// drainPollInterval is the interval between checks whether all callers have
 	// disconnected.
 	drainPollInterval = 50 * time.Millisecond
@@ -44,6 +45,7 @@
 	Logger       zerolog.Logger
 	Metrics      metrics
 	Stage        *stage
+	Log          *logstore.Tracked
 	Policy       *policy.Current
 	Follower     *policy.Follower
 	Registry     *worker.Registry
@@ -111,7 +113,7 @@
 
 // ready reports whether the balancer should send callers here.
 func (d *fleetDaemon) ready() bool {
-	return d.Stage.ready() && d.Policy.Get() != nil && d.DutyObserver.elector.LogAge() < maxLogAge
+	return d.Stage.ready() && d.Policy.Get() != nil && d.Log.Age() < maxLogAge
 }
 
 // stop shuts down without interrupting requests: the balancer is told, the duties
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -44,7 +44,8 @@
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
 		func() metrics { return m },
 		func() duty.Member { return self },
-		func() logstore.Log { return store },
+		func() *logstore.Tracked { return logstore.NewTracked(store, clock.System{}) },
+		func(t *logstore.Tracked) logstore.Log { return t },
 		func() clock.Clock { return clock.System{} },
 		func() *policy.Current { return &policy.Current{} },
 		newStage,
@@ -307,7 +308,7 @@
 	return joblog.NewCommitter(log, m.scope)
 }
 
-func newIntake(self duty.Member, p *policy.Current, c *joblog.Committer, log logstore.Log, d *dutyObserver, n *peer.Node, cl clock.Clock, l zerolog.Logger, m metrics) *intake.Service {
+func newIntake(self duty.Member, p *policy.Current, c *joblog.Committer, log *logstore.Tracked, d *dutyObserver, n *peer.Node, cl clock.Clock, l zerolog.Logger, m metrics) *intake.Service {
 	s := intake.NewService(intake.Options{
 		Self:      self,
 		Policy:    p,
@@ -316,7 +317,8 @@
 		Holders:   d.elector,
 		Local:     d.schedulers,
 		Caller:    n,
-		LogAge:    d.elector.LogAge,
+		LogAge:    log.Age,
+		Daemons:   d.elector.LiveDaemons,
 		Clock:     cl,
 		Logger:    l,
 		Scope:     m.scope,
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -83,9 +83,7 @@
 	leaving bool
 	held    map[Name]Token
 	// confirmedAt is a time up to which all claims are known here.
-	// lastHeartbeat is when the last heartbeat that the log accepted was sent.
-	confirmedAt   time.Duration
-	lastHeartbeat time.Duration
+	confirmedAt time.Duration
 	// nextClaimOffset is the offset after the last claim known here.
 	nextClaimOffset int64
 	logDown         bool
@@ -171,13 +169,12 @@
 	return "", false
 }
 
-// LogAge returns how long ago the log last answered this daemon, as far as is
-// known.
-func (e *Elector) LogAge() time.Duration {
+// LiveDaemons returns how many daemons are live, as far as is known.
+func (e *Elector) LiveDaemons() int {
 	now := e.opt.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now - max(e.lastHeartbeat, e.confirmedAt)
+	return len(e.table.livePeers(now, maxHeartbeatAge))
 }
 
 // Run claims and keeps duties until ctx ends.
--- a/internal/duty/heartbeat.go
+++ b/internal/duty/heartbeat.go
@@ -64,7 +64,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastHeartbeat = start
 	e.recordLogRecovery()
 	return e.opt.Clock.Now() - start
 }
--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 
-	"greengagedeck/internal/duty"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
@@ -90,15 +89,6 @@
 	}
 }
 
-const (
-	// holderTimeFraction is the fraction of the remaining time of a caller's
-	// request that the holder has to answer. The rest is for the append to the
-	// intake log when the holder does not answer.
-	holderTimeFraction = 0.5
-	// maxHolderTime is the upper limit of the time for the holder.
-	maxHolderTime = 900 * time.Millisecond
-)
-
 // registerSubmitAndCancel registers the handlers for submit and cancel requests
 // of other daemons.
 func (s *Service) registerSubmitAndCancel(m peer.Mux) {
@@ -149,7 +139,7 @@
 		return s.submitLocally(ctx, &sub)
 	})
 	if err != nil && !s.finallyRejected(err) {
-		err = s.appendToIntakeLog(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.IntakeSubmissionEntry(sub) })
+		err = s.appendToIntakeLog(ctx, e.Pool, spec.ID, err, func() (logstore.Entry, error) { return joblog.IntakeSubmissionEntry(sub) })
 	}
 	s.metrics.countSubmission(err)
 	s.logOutcome("job accepted", "job not accepted", spec.ID, e, start, err)
@@ -162,16 +152,16 @@
 	req := CancelRequest{Pool: e.Pool, ID: id}
 	err := s.sendToHolder(ctx, e.Pool, MethodCancel, req, func(ctx context.Context) error { return s.cancelLocally(ctx, req) })
 	if err != nil && !s.finallyRejected(err) {
-		err = s.appendToIntakeLog(ctx, e.Pool, err, func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil })
+		err = s.appendToIntakeLog(ctx, e.Pool, id, err, func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil })
 	}
 	s.metrics.countCancel(err)
 	s.logOutcome("cancel accepted", "cancel not accepted", id, e, start, err)
 	return err
 }
 
-// maxLogAge limits how long ago the log last answered this daemon, for the daemon
-// to append to the intake log after the holder rejected a request.
-const maxLogAge = 2 * time.Second
+// maxLogAge is how long the log may not have answered this daemon for it to append
+// to the intake log. Blocking reads of the log answer within less time.
+const maxLogAge = 1200 * time.Millisecond
 
 // finallyRejected reports whether a rejection by the holder is final. The holder
 // rejects a request when the log does not answer it, and the alternative, an append
@@ -185,53 +175,53 @@
 	return s.opt.LogAge() >= maxLogAge
 }
 
-// sendToHolder sends a request to the pool's holder. When this daemon is the
-// holder, it calls local instead.
+// sendToHolder sends a request to the pool's holder.
 func (s *Service) sendToHolder(ctx context.Context, pool string, m peer.Method, req any, local func(context.Context) error) error {
-	c, ok := s.opt.Holders.Holder(duty.OfPool(pool))
-	if !ok {
-		return scheduler.ErrPoolNotHeld
-	}
-	ctx, cancel := context.WithTimeout(ctx, holderTimeLimit(ctx))
-	defer cancel()
-	if c.Holder == s.opt.Self {
-		return local(ctx)
-	}
-	var resp HolderResponse
-	err := s.opt.Caller.Call(ctx, c.Holder.ID(), m, req, &resp)
-	switch {
-	case err == nil:
-		return resp.toError()
-	case eris.Is(err, peer.ErrNotSent):
-		return scheduler.ErrPoolNotHeld
-	default:
-		return verdict.NewMayHaveRun(verdict.ReasonPeerLost, "%v", err)
+	resp := HolderResponse{Outcome: OutcomeStored}
+	if err := s.callHolder(ctx, pool, m, req, &resp, local); err != nil {
+		return err
 	}
-}
-
-// holderTimeLimit returns how long the holder has to answer a request.
-func holderTimeLimit(ctx context.Context) time.Duration {
-	at, ok := ctx.Deadline()
-	if !ok {
-		return maxHolderTime
-	}
-	return min(maxHolderTime, time.Duration(holderTimeFraction*float64(time.Until(at))))
+	return resp.toError()
 }
 
 // appendToIntakeLog appends an entry to the intake log after the request to the
 // holder failed with holderErr. It returns the verdict not-run only if the request
 // certainly had no effect at the holder either.
-func (s *Service) appendToIntakeLog(ctx context.Context, pool string, holderErr error, entry func() (logstore.Entry, error)) error {
+func (s *Service) appendToIntakeLog(ctx context.Context, pool string, id job.ID, holderErr error, entry func() (logstore.Entry, error)) error {
+	noEffect := errors.Is(holderErr, scheduler.ErrPoolNotHeld) || verdict.Of(holderErr) == verdict.NotRun
+	if age := s.opt.LogAge(); age >= maxLogAge && noEffect {
+		return notStorable(age)
+	}
 	e, err := entry()
 	if err != nil {
 		return verdict.NewNotRun(verdict.ReasonBadRequest, "%v", err)
 	}
 	s.metrics.viaLog.Inc(1)
 	s.opt.Logger.Info().Err(holderErr).Str("key", e.Key).Str("pool", pool).Str("holder", s.holderLabel(pool)).Msg("request to the holder failed, appending to the intake log")
-	err = s.opt.Committer.Append(ctx, joblog.IntakePartition(pool), e)
-	noEffect := errors.Is(holderErr, scheduler.ErrPoolNotHeld) || verdict.Of(holderErr) == verdict.NotRun
+	err = s.opt.Committer.Append(ctx, joblog.IntakePartition(pool, id), e)
 	if err != nil && !noEffect && verdict.Of(err) == verdict.NotRun {
 		return verdict.NewMayHaveRun(verdict.ReasonPeerLost, "%v, and before: %v", err, holderErr)
 	}
 	return err
 }
+
+const (
+	// minRetryAfter is when a caller should come back after a rejection, and
+	// longOutage how long the log must not have answered for a later return to be
+	// asked for. Returns are spread over retrySpread, so that they do not all come
+	// at once when the log answers again.
+	minRetryAfter = time.Second
+	longOutage    = 2500 * time.Millisecond
+	retrySpread   = 2 * time.Second
+)
+
+// notStorable returns the rejection of a request that can be stored nowhere: the
+// pool's holder was not asked or rejected it, and the log has not answered for age.
+func notStorable(age time.Duration) error {
+	err := verdict.NewNotRun(verdict.ReasonNotReady, "the pool's holder is not reached and the log has not answered for %v", age.Round(time.Millisecond))
+	err.RetryAfter = minRetryAfter
+	if age >= longOutage {
+		err.RetryAfter += rand.N(retrySpread)
+	}
+	return err
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -77,9 +77,10 @@
 	// maxLag is the lag from which on a holder's answer that a job is unknown is
 	// not trusted.
 	maxLag = 2500 * time.Millisecond
-	// logLookupsPerSecond limits the rate of lookups in the log, since each
-	// reads a page.
-	logLookupsPerSecond = 2
+	// logLookupsPerSecond limits the rate of lookups in the log by all daemons
+	// together: each reads pages of up to a megabyte, and without a holder all
+	// daemons look jobs up at the same time.
+	logLookupsPerSecond = 4
 )
 
 // ErrUnknownJob means that no daemon accepted the job.
@@ -106,9 +107,11 @@
 	Caller    peer.Caller
 	// LogAge returns how long ago the log last answered this daemon.
 	LogAge func() time.Duration
-	Clock  clock.Clock
-	Logger zerolog.Logger
-	Scope  tally.Scope
+	// Daemons returns how many daemons are live.
+	Daemons func() int
+	Clock   clock.Clock
+	Logger  zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Service submits, cancels and looks up jobs for callers.
@@ -116,11 +119,15 @@
 	opt              Options
 	metrics          metrics
 	logLookupLimiter *rate.Limiter
+	holders          *holderTracker
 }
 
 // NewService returns a service.
 func NewService(o Options) *Service {
-	return &Service{opt: o, metrics: newMetrics(o.Scope), logLookupLimiter: rate.NewLimiter(logLookupsPerSecond, 1)}
+	s := &Service{opt: o, metrics: newMetrics(o.Scope), logLookupLimiter: rate.NewLimiter(0, 1), holders: newHolderTracker()}
+	// A new limiter has a lookup to spare, and all daemons may start at once.
+	s.logLookupLimiter.Allow()
+	return s
 }
 
 // Register registers the handlers for requests of other daemons.
@@ -264,6 +271,9 @@
 		local()
 		return nil
 	}
+	if _, ask := s.holders.timeLimit(c.Holder.ID(), s.opt.Clock.Now()); !ask {
+		return errPoolNotHeld
+	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	return s.opt.Caller.Call(ctx, c.Holder.ID(), m, q, a)
@@ -291,6 +301,7 @@
 // record: that a record is absent at one moment does not prove that the job is
 // unknown.
 func (s *Service) findInLog(ctx context.Context, pool string, id job.ID) (job.Phase, bool) {
+	s.logLookupLimiter.SetLimit(rate.Limit(logLookupsPerSecond / float64(max(1, s.opt.Daemons()))))
 	if !s.logLookupLimiter.Allow() {
 		return 0, false
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -67,6 +71,7 @@
 		Local:     noLocalPools{},
 		Caller:    h,
 		LogAge:    func() time.Duration { return age },
+		Daemons:   func() int { return 1 },
 		Clock:     clock.System{},
 		Logger:    zerolog.Nop(),
 		Scope:     tally.NoopScope,
@@ -109,12 +114,11 @@
 			g := NewWithT(t)
 			log := logtest.New()
 			log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Rejected: c.logDown} })
-			s := newTestService(log, c.known, c.holder, c.age)
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			for what, err := range map[string]error{
-				"submit": s.Submit(ctx, entry, 1, spec),
-				"cancel": s.Cancel(ctx, entry, id),
+				"submit": newTestService(log, c.known, c.holder, c.age).Submit(ctx, entry, 1, spec),
+				"cancel": newTestService(log, c.known, c.holder, c.age).Cancel(ctx, entry, id),
 			} {
 				if c.want == 0 {
 					g.Expect(err).NotTo(HaveOccurred(), what)
@@ -123,7 +127,7 @@
 				}
 			}
 			log.SetFault(nil)
-			b, err := log.Client("reader").Read(ctx, joblog.IntakePartition(entry.Pool), 0, 0)
+			b, err := log.Client("reader").Read(ctx, joblog.IntakePartition(entry.Pool, id), 0, 0)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(len(b.Records) > 0).To(Equal(c.logged))
 		})
@@ -161,3 +165,84 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(phase).To(Equal(job.Queued))
 }
+
+// silentHolder is a holder that counts the calls it gets and answers none.
+type silentHolder struct{ calls atomic.Int64 }
+
+func (h *silentHolder) Call(ctx context.Context, _ string, _ peer.Method, _, _ any) error {
+	h.calls.Add(1)
+	<-ctx.Done()
+	return eris.Wrap(peer.ErrLost, ctx.Err().Error())
+}
+
+func (h *silentHolder) Send(context.Context, string, peer.Method, any) error { return nil }
+
+// While a holder does not answer, one request after another must not wait for it.
+func TestSilentHolderDelaysOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := &silentHolder{}
+		s := newTestService(logtest.New(), true, nil, 0)
+		s.opt.Caller, s.opt.Clock = h, bubbleClock{time.Now()}
+		start := time.Now()
+		g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		g.Expect(time.Since(start)).To(BeNumerically(">=", maxHolderTime))
+		start = time.Now()
+		for range 20 {
+			g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		}
+		g.Expect(time.Since(start)).To(BeNumerically("<", silentPeriod))
+		g.Expect(h.calls.Load()).To(Equal(int64(1)))
+		time.Sleep(silentPeriod)
+		g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		g.Expect(h.calls.Load()).To(Equal(int64(2)), "the holder is asked again")
+	})
+}
+
+// bubbleClock reads the virtual time of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() time.Duration { return time.Since(c.start) }
+func (c bubbleClock) Wall() time.Time    { return time.Now() }
+
+// A job that can be stored nowhere is rejected at once, and the caller is told when
+// to come back.
+func TestUnstorableJobIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := logtest.New()
+		log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{NoResponse: true} })
+		for _, age := range []time.Duration{maxLogAge, 2 * longOutage} {
+			start := time.Now()
+			err := newTestService(log, true, notSent, age).Submit(t.Context(), entry, 1, spec)
+			g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
+			g.Expect(verdict.RetryAfter(err)).To(BeNumerically(">=", minRetryAfter))
+			g.Expect(verdict.RetryAfter(err)).To(BeNumerically("<", minRetryAfter+retrySpread))
+			g.Expect(time.Since(start)).To(BeZero())
+		}
+		g.Expect(log.Calls(logtest.Append)).To(BeZero())
+	})
+}
+
+// Without a holder every daemon of a large fleet looks jobs up in the log. All
+// together must not read more pages than the log can serve beside its other work.
+func TestLogLookupsOfAllDaemonsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, seconds = 147, 5
+		g := NewWithT(t)
+		log := logtest.New()
+		var lookups sync.WaitGroup
+		for range daemons {
+			s := newTestService(log, false, nil, 0)
+			s.opt.Daemons = func() int { return daemons }
+			lookups.Go(func() {
+				for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); {
+					_, err := s.State(t.Context(), entry, id)
+					g.Expect(err).To(HaveOccurred())
+				}
+			})
+		}
+		lookups.Wait()
+		g.Expect(log.Calls(logtest.Newest)).To(BeNumerically("<=", 3*logLookupsPerSecond*(seconds+1)), "each lookup reads up to 3 pages")
+	})
+}
--- a/internal/joblog/find.go
+++ b/internal/joblog/find.go
@@ -29,7 +29,7 @@
 	if phase.Final() {
 		return phase, nil
 	}
-	_, cancelled, err := newestRecord(ctx, l, IntakePartition(pool), kindCancel+string(id))
+	_, cancelled, err := newestRecord(ctx, l, IntakePartition(pool, id), kindCancel+string(id))
 	if err != nil {
 		return 0, err
 	}
@@ -39,7 +39,7 @@
 	if found {
 		return phase, nil
 	}
-	_, submitted, err := newestRecord(ctx, l, IntakePartition(pool), kindJob+string(id))
+	_, submitted, err := newestRecord(ctx, l, IntakePartition(pool, id), kindJob+string(id))
 	if err == nil && !submitted {
 		err = ErrNotFound
 	}
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -109,13 +109,13 @@
 		c := NewCommitter(l.Client("a"), tally.NoopScope)
 		done := make(chan error, 20)
 		for _, e := range entries(cap(done)) {
-			go func() { done <- c.Append(ctx, IntakePartition(pool), e) }()
+			go func() { done <- c.Append(ctx, IntakePartition(pool, id), e) }()
 		}
 		for range cap(done) {
 			g.Expect(<-done).To(Succeed())
 		}
 		g.Expect(l.Calls(logtest.Append)).To(Equal(1))
-		g.Expect(records(ctx, g, l, IntakePartition(pool))).To(HaveLen(cap(done)))
+		g.Expect(records(ctx, g, l, IntakePartition(pool, id))).To(HaveLen(cap(done)))
 	})
 }
 
@@ -137,10 +137,10 @@
 				c := NewCommitter(l.Client("a"), tally.NoopScope)
 				short, cancel := context.WithTimeout(ctx, 2*time.Second)
 				defer cancel()
-				err := c.Append(short, IntakePartition(pool), entries(1)[0])
+				err := c.Append(short, IntakePartition(pool, id), entries(1)[0])
 				time.Sleep(10 * time.Second)
 				l.SetFault(nil)
-				stored := len(records(ctx, g, l, IntakePartition(pool))) > 0
+				stored := len(records(ctx, g, l, IntakePartition(pool, id))) > 0
 				if err == nil {
 					g.Expect(stored).To(BeTrue())
 				}
@@ -157,7 +157,7 @@
 		l := logtest.New()
 		l.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Rejected: true} })
 		start := time.Now()
-		err := NewCommitter(l.Client("a"), tally.NoopScope).Append(ctx, IntakePartition(pool), entries(1)[0])
+		err := NewCommitter(l.Client("a"), tally.NoopScope).Append(ctx, IntakePartition(pool, id), entries(1)[0])
 		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
 		g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
 	})
@@ -175,14 +175,14 @@
 		_, err := FindPhase(ctx, c, pool, id)
 		g.Expect(err).To(MatchError(ErrNotFound))
 		e, err := IntakeSubmissionEntry(Submission{Spec: job.Spec{ID: id}})
-		put(IntakePartition(pool), e, err)
+		put(IntakePartition(pool, id), e, err)
 		other, err := IntakeSubmissionEntry(Submission{Spec: job.Spec{ID: "00000000000000ab"}})
-		put(IntakePartition(pool), other, err)
+		put(IntakePartition(pool, "00000000000000ab"), other, err)
 		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Queued))
 		e, err = ProgressEntry(id, &job.Progress{Phase: job.Running})
 		put(ProgressPartition(pool), e, err)
 		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Running))
-		put(IntakePartition(pool), CancelEntry(id), nil)
+		put(IntakePartition(pool, id), CancelEntry(id), nil)
 		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Cancelled))
 		e, err = ProgressEntry(id, &job.Progress{Phase: job.Completed})
 		put(ProgressPartition(pool), e, err)
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -1,5 +1,5 @@
-// Package joblog stores jobs in the platform's log. Each pool has an intake
-// partition with submitted jobs and cancels, which any daemon writes, and a
+// Package joblog stores jobs in the platform's log. Each pool has intake
+// partitions with submitted jobs and cancels, which any daemon writes, and a
 // progress partition with the state of the jobs, which only the pool's holder
 // writes.
 package joblog
@@ -7,6 +7,7 @@
 import (
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"greengagedeck/internal/job"
@@ -16,13 +17,27 @@
 
 const (
 	topicPrefix  = "jobs."
-	intakePart   = 0
 	progressPart = 1
 )
 
-// IntakePartition returns the partition of a pool's submitted jobs and cancels.
-func IntakePartition(pool string) logstore.Partition {
-	return logstore.Partition{Topic: topicPrefix + pool, Part: intakePart}
+// intakeParts are the numbers of a pool's intake partitions. A partition takes one
+// append at a time, so one would not keep up when a pool has no holder and all
+// daemons of a large fleet append jobs.
+var intakeParts = [...]int{0, 2, 3, 4}
+
+// IntakePartitions returns the partitions of a pool's submitted jobs and cancels.
+func IntakePartitions(pool string) []logstore.Partition {
+	out := make([]logstore.Partition, 0, len(intakeParts))
+	for _, part := range intakeParts {
+		out = append(out, logstore.Partition{Topic: topicPrefix + pool, Part: part})
+	}
+	return out
+}
+
+// IntakePartition returns the partition of a job's submission and cancel.
+func IntakePartition(pool string, id job.ID) logstore.Partition {
+	part := intakeParts[xxhash.Sum64String(string(id))%uint64(len(intakeParts))]
+	return logstore.Partition{Topic: topicPrefix + pool, Part: part}
 }
 
 // ProgressPartition returns the partition of the state of a pool's jobs.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -24,8 +24,9 @@
 type Batch struct {
 	// Progress goes to the progress partition.
 	Progress []logstore.Entry
-	// IntakeDeletes go to the intake partition. Writing them may fail.
-	IntakeDeletes []logstore.Entry
+	// IntakeDeletes are the jobs to delete from the intake partitions. Writing
+	// that may fail.
+	IntakeDeletes []job.ID
 	// JobDurations are how long the jobs took that ended since the last plan.
 	JobDurations []time.Duration
 
@@ -283,9 +284,7 @@
 		}
 	}
 	c.expireEnded(b, t.Wall)
-	for _, id := range c.intakeDeletes {
-		b.IntakeDeletes = append(b.IntakeDeletes, joblog.DeleteIntake(id)...)
-	}
+	b.IntakeDeletes = c.intakeDeletes
 	for _, id := range c.journalDeletes {
 		b.Progress = append(b.Progress, joblog.DeleteProgressSubmission(id))
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -73,12 +73,13 @@
 	mu     sync.Mutex
 	core   *Core
 	agents map[string]*agent
-	// intakeReadUpTo is a moment up to which every submission is known here.
-	intakeReadUpTo time.Duration
+	// intakeReadUpTo is, for each intake partition, a moment up to which every
+	// submission in it is known here.
+	intakeReadUpTo map[logstore.Partition]time.Duration
 	// ready is set once what earlier holders logged has been loaded.
 	ready bool
-	// intakeDeletes are the deletions to append to the intake.
-	intakeDeletes []logstore.Entry
+	// intakeDeletes are the jobs to delete from the intake.
+	intakeDeletes []job.ID
 	// logWaiters are the callers that wait for a version of a job to be logged.
 	logWaiters map[job.ID][]logWaiter
 	// appendStarted is when the append in flight began, or 0 when there is
@@ -104,6 +105,8 @@
 		core:         NewCore(o.Options, o.Clock.Now()),
 		agents:       map[string]*agent{},
 		logWaiters:   map[job.ID][]logWaiter{},
+
+		intakeReadUpTo: map[logstore.Partition]time.Duration{},
 	}
 }
 
@@ -125,14 +128,16 @@
 	if err := r.restore(ctx); err != nil {
 		return err
 	}
-	intake := logstore.NewTail(r.opt.Log, joblog.IntakePartition(r.opt.Pool))
+	intake := r.intakeTails()
 	if err := r.loadIntake(ctx, intake); err != nil {
 		return err
 	}
 	defer r.opt.Registry.Watch(func(c worker.ListChange) { r.applyWorkerChange(ctx, c) })()
 	var loops sync.WaitGroup
 	defer loops.Wait()
-	loops.Go(func() { r.followIntake(ctx, intake) })
+	for p, tail := range intake {
+		loops.Go(func() { r.followIntake(ctx, p, tail) })
+	}
 	loops.Go(func() { r.deleteLoop(ctx) })
 	defer cancel()
 	return r.planLoop(ctx, journal)
@@ -329,14 +334,18 @@
 func (r *Runner) deleteLoop(ctx context.Context) {
 	for clock.Sleep(ctx, deleteInterval) {
 		r.mu.Lock()
-		entries := r.intakeDeletes
+		ids := r.intakeDeletes
 		r.intakeDeletes = nil
 		r.mu.Unlock()
-		if len(entries) == 0 {
-			continue
+		entries := map[logstore.Partition][]logstore.Entry{}
+		for _, id := range ids {
+			p := joblog.IntakePartition(r.opt.Pool, id)
+			entries[p] = append(entries[p], joblog.DeleteIntake(id)...)
 		}
-		if _, err := r.opt.Log.Append(ctx, joblog.IntakePartition(r.opt.Pool), entries, logstore.Condition{}); err != nil {
-			r.opt.Logger.Debug().Err(err).Int("entries", len(entries)).Msg("deleting the submissions of ended jobs failed")
+		for p, list := range entries {
+			if _, err := r.opt.Log.Append(ctx, p, list, logstore.Condition{}); err != nil {
+				r.opt.Logger.Debug().Err(err).Int("entries", len(list)).Msg("deleting the submissions of ended jobs failed")
+			}
 		}
 	}
 }
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -22,7 +22,7 @@
 	if !r.ready {
 		return JobStatus{}, false
 	}
-	status := JobStatus{KnownUpTo: r.intakeReadUpTo, Now: r.opt.Clock.Now()}
+	status := JobStatus{KnownUpTo: r.submissionsKnownUpTo(), Now: r.opt.Clock.Now()}
 	status.Phase, status.Known = r.core.Lookup(id)
 	return status, true
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
@@ -42,19 +44,40 @@
 	return out
 }
 
-// loadIntake reads the intake up to its present end, which completes the
-// takeover.
-func (r *Runner) loadIntake(ctx context.Context, tail *logstore.Tail) error {
+// intakeTails returns a tail of each intake partition.
+func (r *Runner) intakeTails() map[logstore.Partition]*logstore.Tail {
+	out := map[logstore.Partition]*logstore.Tail{}
+	for _, p := range joblog.IntakePartitions(r.opt.Pool) {
+		out[p] = logstore.NewTail(r.opt.Log, p)
+	}
+	return out
+}
+
+// loadIntake reads the intake partitions up to their present ends, which completes
+// the takeover.
+func (r *Runner) loadIntake(ctx context.Context, tails map[logstore.Partition]*logstore.Tail) error {
+	loads, loadCtx := errgroup.WithContext(ctx)
+	for p, tail := range tails {
+		loads.Go(func() error { return r.loadIntakePartition(loadCtx, p, tail) })
+	}
+	if err := loads.Wait(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.ready = true
+	jobs := len(r.core.openJobs)
+	r.mu.Unlock()
+	r.opt.Logger.Info().Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
+	return nil
+}
+
+// loadIntakePartition reads one intake partition up to its present end.
+func (r *Runner) loadIntakePartition(ctx context.Context, p logstore.Partition, tail *logstore.Tail) error {
 	for {
 		start := r.opt.Clock.Now()
 		recs, _, err := tail.Next(ctx, 0)
 		if err == nil {
-			r.applyIntake(recs, start)
-			r.mu.Lock()
-			r.ready = true
-			jobs := len(r.core.openJobs)
-			r.mu.Unlock()
-			r.opt.Logger.Info().Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
+			r.applyIntake(p, recs, start)
 			return nil
 		}
 		if !clock.Sleep(ctx, readRetry) {
@@ -63,8 +86,8 @@
 	}
 }
 
-// followIntake applies new records of the intake until ctx ends.
-func (r *Runner) followIntake(ctx context.Context, tail *logstore.Tail) {
+// followIntake applies new records of an intake partition until ctx ends.
+func (r *Runner) followIntake(ctx context.Context, p logstore.Partition, tail *logstore.Tail) {
 	for ctx.Err() == nil {
 		start := r.opt.Clock.Now()
 		recs, _, err := tail.Next(ctx, intakeWait)
@@ -76,13 +99,13 @@
 			// Nothing was submitted while the read waited.
 			start += intakeWait
 		}
-		r.applyIntake(recs, start)
+		r.applyIntake(p, recs, start)
 		clock.Sleep(ctx, intakeGap)
 	}
 }
 
-// applyIntake applies records of the intake that were read from start on.
-func (r *Runner) applyIntake(recs []logstore.Record, start time.Duration) {
+// applyIntake applies records of an intake partition that were read from start on.
+func (r *Runner) applyIntake(p logstore.Partition, recs []logstore.Record, start time.Duration) {
 	decoded := make([]joblog.IntakeRecord, 0, len(recs))
 	for _, rec := range recs {
 		intake, ok, err := joblog.DecodeIntake(rec)
@@ -94,9 +117,19 @@
 		}
 	}
 	r.update(func(t Times) {
-		r.intakeReadUpTo = max(r.intakeReadUpTo, start)
+		r.intakeReadUpTo[p] = max(r.intakeReadUpTo[p], start)
 		if len(decoded) > 0 {
 			r.core.ApplyIntake(decoded, t)
 		}
 	})
 }
+
+// submissionsKnownUpTo returns a moment up to which every submission is known
+// here. It must be called with mu held.
+func (r *Runner) submissionsKnownUpTo() time.Duration {
+	upTo := r.opt.Clock.Now()
+	for _, at := range r.intakeReadUpTo {
+		upTo = min(upTo, at)
+	}
+	return upTo
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -115,6 +115,15 @@
 	return MayHaveRun
 }
 
+// RetryAfter returns when to retry according to an error, or 0 if it does not say.
+func RetryAfter(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
 // MarshalText returns the result of String. JSON encoding uses it too.
 func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
 
