Take the fleet duty over without waiting when the earlier holder answers

A pool without any host was never given one, because the size of a host was not known. Change: A new holder asks the earlier one to step down: it stops, waits for its orders in flight and says which hosts had recent orders; only these are paused. If it does not answer, the new holder waits for its lease and watches the list of hosts meanwhile; only hosts that changed are paused. The size of a host is taken from any host.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -174,7 +174,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = cancel
-	predecessor := fleet.Predecessor{Holder: g.Previous.Holder.Host, Released: g.Previous.Released, LeaseRemaining: g.PriorLeaseRemaining}
+	predecessor := fleet.Predecessor{Holder: g.Previous.Holder.Host, ID: g.Previous.Holder.ID(), Released: g.Previous.Released, LeaseRemaining: g.PriorLeaseRemaining}
 	if predecessor.Holder == f.host {
 		predecessor.Holder = ""
 	}
@@ -205,7 +205,6 @@
 
 func newFleetRunner(ctx context.Context, settings platform.Settings, self duty.Member, d *dutyObserver, n *peer.Node, w *fleet.WaveSet, p *policy.Current, log logstore.Log, cl clock.Clock, l zerolog.Logger, m metrics) *fleetRunner {
 	agent := fleet.NewAgent(d.schedulers)
-	agent.Register(n)
 	d.fleet = &fleetRunner{
 		ctx:     ctx,
 		host:    self.Host,
@@ -220,6 +219,7 @@
 			Clock:           cl,
 			Params:          fleet.DefaultParams,
 			LeadTime:        settings.Move,
+			MinOutage:       min(settings.Move, settings.Upkeep),
 			OrderSeparation: settings.HolderLease,
 			OrderRate:       settings.DutyRate,
 			WaveStatus:      platform.WaveStatus,
@@ -227,6 +227,8 @@
 			Scope:           m.scope,
 		}),
 	}
+	agent.StepDown = d.fleet.controller.StepDown
+	agent.Register(n)
 	return d.fleet
 }
 
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -20,6 +20,9 @@
 	MethodReport peer.Method = "fleet.report"
 	// MethodCordon cordons and uncordons workers.
 	MethodCordon peer.Method = "fleet.cordon"
+	// MethodStepDown makes an earlier holder of the fleet duty stop. Its sender is
+	// the new holder.
+	MethodStepDown peer.Method = "fleet.stepdown"
 )
 
 // ReportRequest is the request of MethodReport.
@@ -52,6 +55,20 @@
 	Evacuate bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// StepDownRequest is the request of MethodStepDown.
+type StepDownRequest struct {
+	// Token is the fencing token of the new holder.
+	Token int64 `cbor:"1,keyasint"`
+}
+
+// StepDownResponse is the response to a StepDownRequest. Once it is sent, the
+// earlier holder sends no further order under a token below the request's.
+type StepDownResponse struct {
+	// OrderAges is how long ago the last order for each host ended, for hosts
+	// with a recent order. It is 0 if the outcome of the order is unknown.
+	OrderAges map[string]time.Duration `cbor:"1,keyasint,omitempty"`
+}
+
 // errPoolNotHeld means that no known daemon holds the pool, or that the daemon
 // that received the call does not hold it.
 var errPoolNotHeld = eris.New("the pool is not held here")
@@ -68,6 +85,10 @@
 // this daemon holds.
 type Agent struct {
 	runners RunnerLookup
+	// StepDown stops the controller if its token is lower, waits until none of
+	// its orders is in progress and returns the ages of the recent ones. It must
+	// be set before Register.
+	StepDown func(token int64) map[string]time.Duration
 
 	mu sync.Mutex
 	// highestToken is the highest fencing token of all orders received so far.
@@ -93,6 +114,13 @@
 		}
 		return nil, a.cordon(o)
 	})
+	m.Handle(MethodStepDown, func(_ context.Context, _ string, body cbor.RawMessage) (any, error) {
+		var q StepDownRequest
+		if err := record.Decode(body, &q); err != nil {
+			return nil, err
+		}
+		return StepDownResponse{OrderAges: a.StepDown(q.Token)}, nil
+	})
 }
 
 func (a *Agent) report(q ReportRequest) ReportResponse {
@@ -157,6 +185,20 @@
 	return p.call(ctx, o.Pool, MethodCordon, o, nil, func() error { return p.Agent.cordon(o) })
 }
 
+// stepDownTimeout bounds the wait for an earlier holder to stop, which has to wait
+// for the orders that it has in flight.
+const stepDownTimeout = 900 * time.Millisecond
+
+// StepDown makes an earlier holder of the fleet duty stop. It returns the ages of
+// its recent orders.
+func (p *PoolClient) StepDown(ctx context.Context, holderID string, token int64) (map[string]time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout)
+	defer cancel()
+	var a StepDownResponse
+	err := p.Caller.Call(ctx, holderID, MethodStepDown, StepDownRequest{token}, &a)
+	return a.OrderAges, err
+}
+
 func (p *PoolClient) call(ctx context.Context, pool string, m peer.Method, req, resp any, local func() error) error {
 	c, ok := p.Holders.Holder(duty.OfPool(pool))
 	if !ok {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -36,6 +36,12 @@
 	// takeoverMargin is added to the time that a new holder waits for the orders
 	// of its predecessor to end.
 	takeoverMargin = 200 * time.Millisecond
+	// watchInterval is the time between two reads of the list of hosts while a
+	// predecessor may send orders.
+	watchInterval = 400 * time.Millisecond
+	// listRetryDelay is the delay after a failed read of the list of hosts while
+	// the duty is taken over.
+	listRetryDelay = 100 * time.Millisecond
 	// loadRetryDelay is the delay after a failed read of the waves' progress.
 	loadRetryDelay = 200 * time.Millisecond
 	// handoverTimeout bounds the append of the handover record.
@@ -62,6 +68,9 @@
 	Params Params
 	// LeadTime is how long a moved host takes until it runs tasks.
 	LeadTime time.Duration
+	// MinOutage is the shortest time for which an order takes a host out of
+	// service.
+	MinOutage time.Duration
 	// OrderSeparation is the minimum time between the orders of two holders for
 	// one host.
 	OrderSeparation time.Duration
@@ -79,6 +88,13 @@
 type Controller struct {
 	opt     ControllerOptions
 	metrics metrics
+
+	mu sync.Mutex
+	// highestToken is the highest fencing token known here. No order is sent
+	// under a lower one.
+	highestToken int64
+	// current is the session that runs, with its end and how to bring it about.
+	current *session
 }
 
 // NewController returns a controller. Run starts it.
@@ -116,13 +132,17 @@
 	orderSlots   chan struct{}
 	orderLimiter *rate.Limiter
 	orderGroup   sync.WaitGroup
+	// cancel ends the session, and ended is closed once no order is in progress.
+	cancel context.CancelFunc
+	ended  chan struct{}
 }
 
 // Predecessor describes the previous holder of the duty.
 type Predecessor struct {
 	// Holder is the host of the previous holder, or "" if there was none or it
-	// was this daemon.
+	// was this daemon. ID identifies its process.
 	Holder string
+	ID     string
 	// Released is set if it released the duty.
 	Released bool
 	// LeaseRemaining is how long its lease may still last. Until then it may send
@@ -134,6 +154,8 @@
 // waits for the orders in flight and writes a handover record that tells the
 // next holder which hosts had recent orders.
 func (c *Controller) Run(ctx context.Context, token int64, lease Lease, predecessor Predecessor) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s := &session{
 		Controller:    c,
 		issuer:        Issuer{Holder: c.opt.Holder, Token: token},
@@ -148,6 +170,10 @@
 		orderSlots:    make(chan struct{}, maxConcurrentOrders),
 		orderLimiter:  rate.NewLimiter(rate.Limit(c.opt.OrderRate), max(1, int(c.opt.OrderRate*orderBurst.Seconds()))),
 	}
+	s.cancel, s.ended = cancel, make(chan struct{})
+	if !c.begin(s) {
+		return
+	}
 	s.takeOver(ctx, predecessor)
 	for ctx.Err() == nil {
 		wait := decisionInterval
@@ -157,14 +183,45 @@
 		clock.Sleep(ctx, wait)
 	}
 	s.orderGroup.Wait()
+	close(s.ended)
 	s.writeHandover()
 }
 
+// begin makes a session the current one, unless a higher token is known.
+func (c *Controller) begin(s *session) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.issuer.Token < c.highestToken {
+		return false
+	}
+	c.highestToken = s.issuer.Token
+	c.current = s
+	return true
+}
+
+// StepDown ends the current session if its token is lower than that of a new
+// holder, and waits until none of its orders is in progress. It returns the ages of
+// its recent orders. No order is sent under a lower token from then on.
+func (c *Controller) StepDown(token int64) map[string]time.Duration {
+	c.mu.Lock()
+	c.highestToken = max(c.highestToken, token)
+	s := c.current
+	c.mu.Unlock()
+	if s == nil || s.issuer.Token >= token {
+		return nil
+	}
+	s.opt.Logger.Info().Int64("token", s.issuer.Token).Int64("newer_token", token).Msg("a newer holder of the fleet duty is known, this daemon stops moving hosts")
+	s.cancel()
+	<-s.ended
+	return s.orderAges()
+}
+
 // takeOver loads the progress of the waves and makes sure that no order of the
 // predecessor is still being carried out: hosts do not check fencing tokens.
-// After a planned handover only the hosts with recent orders are paused;
-// otherwise all orders wait.
+// Only the hosts with recent orders are paused, if the predecessor has left a
+// record of them or answers.
 func (s *session) takeOver(ctx context.Context, predecessor Predecessor) {
+	claimed := s.opt.Clock.Now()
 	var recent *handoverRecord
 	for ctx.Err() == nil {
 		states, last, err := loadProgress(ctx, s.opt.Log)
@@ -177,40 +234,109 @@
 	if predecessor.Holder == "" {
 		return
 	}
-	if !predecessor.Released || recent == nil || recent.Holder != predecessor.Holder {
-		clock.Sleep(ctx, predecessor.LeaseRemaining+s.opt.OrderSeparation+takeoverMargin)
+	if predecessor.Released && recent != nil && recent.Holder == predecessor.Holder {
+		s.pauseOrdered(recent.OrderAges)
 		return
 	}
+	ages, err := s.opt.Pools.StepDown(ctx, predecessor.ID, s.issuer.Token)
+	if err == nil {
+		s.opt.Logger.Info().Str("holder", predecessor.Holder).Int("recent_orders", len(ages)).Msg("the previous holder of the fleet duty has stopped")
+		s.pauseOrdered(ages)
+		return
+	}
+	s.opt.Logger.Info().Err(err).Str("holder", predecessor.Holder).Dur("lease", predecessor.LeaseRemaining).Msg("the previous holder of the fleet duty does not answer, waiting for its lease to expire")
+	s.awaitPredecessor(ctx, claimed+predecessor.LeaseRemaining)
+}
+
+// pauseOrdered pauses the hosts with recent orders of the predecessor, by the ages
+// of these orders.
+func (s *session) pauseOrdered(ages map[string]time.Duration) {
 	now := s.opt.Clock.Now()
-	for host, age := range recent.OrderAges {
+	for host, age := range ages {
 		s.pausedUntil[host] = now + s.opt.OrderSeparation + takeoverMargin - age
 	}
 }
 
+// awaitPredecessor waits until a predecessor that does not answer can send no
+// further order, and pauses the hosts that may have had a recent one. leaseEnd is
+// when the predecessor's lease has expired.
+func (s *session) awaitPredecessor(ctx context.Context, leaseEnd time.Duration) {
+	start := s.opt.Clock.Now()
+	// A host that is up with the same worker in two lists had no order between
+	// them, nor in the last MinOutage before the first.
+	end := max(leaseEnd, start+s.opt.OrderSeparation-s.opt.MinOutage) + takeoverMargin
+	list := s.listHosts(ctx)
+	changedAt := map[string]time.Duration{}
+	for requested := start; requested < end && ctx.Err() == nil; {
+		clock.Sleep(ctx, min(watchInterval, end-requested))
+		requested = s.opt.Clock.Now()
+		next := s.listHosts(ctx)
+		noteChanges(changedAt, list, next, s.opt.Clock.Now())
+		list = next
+	}
+	for host, at := range changedAt {
+		s.pausedUntil[host] = at + s.opt.OrderSeparation + takeoverMargin
+	}
+	s.opt.Logger.Info().Int("hosts", len(list)).Int("changed", len(changedAt)).Msg("the lease of the previous holder of the fleet duty has expired")
+}
+
+// noteChanges records in changedAt the time now for each host that is not up with
+// the same worker in two lists.
+func noteChanges(changedAt map[string]time.Duration, before, after []Host, now time.Duration) {
+	old := make(map[string]Host, len(before))
+	for _, h := range before {
+		old[h.Name] = h
+	}
+	for _, h := range after {
+		b, listed := old[h.Name]
+		if !listed || h.State != HostUp || b.State != HostUp || b.Pool != h.Pool || b.Worker != h.Worker {
+			changedAt[h.Name] = now
+		}
+	}
+}
+
+// listHosts reads the list of hosts, and retries until it succeeds or ctx ends.
+func (s *session) listHosts(ctx context.Context) []Host {
+	for {
+		list, err := s.opt.Cloud.Hosts(ctx)
+		s.metrics.countList(err)
+		s.trackCloud(err)
+		if err == nil || !clock.Sleep(ctx, listRetryDelay) {
+			return list
+		}
+	}
+}
+
 // writeHandover writes a record of the hosts with recent orders for the next
 // holder.
 func (s *session) writeHandover() {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
+	e, err := handoverEntry(handoverRecord{Holder: s.issuer.Holder, OrderAges: s.orderAges()})
+	if err == nil {
+		_, err = s.opt.Log.Append(ctx, fleetPartition, []logstore.Entry{e}, logstore.Condition{})
+	}
+	if err != nil {
+		s.opt.Logger.Info().Err(err).Msg("failed to write the handover record, the next holder has to wait before it sends orders")
+	}
+}
+
+// orderAges returns how long ago the last order for each host ended, for hosts
+// with a recent order. It is 0 if the outcome of the order is unknown.
+func (s *session) orderAges() map[string]time.Duration {
 	now := s.opt.Clock.Now()
-	h := handoverRecord{Holder: s.issuer.Holder, OrderAges: map[string]time.Duration{}}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]time.Duration{}
 	for host, at := range s.lastOrdered {
 		if age := now - at; age < s.opt.OrderSeparation {
-			h.OrderAges[host] = age
+			out[host] = age
 		}
 	}
 	for host := range s.pending {
-		h.OrderAges[host] = 0
-	}
-	s.mu.Unlock()
-	e, err := handoverEntry(h)
-	if err == nil {
-		_, err = s.opt.Log.Append(ctx, fleetPartition, []logstore.Entry{e}, logstore.Condition{})
-	}
-	if err != nil {
-		s.opt.Logger.Info().Err(err).Msg("failed to write the handover record, the next holder has to wait before it sends orders")
+		out[host] = 0
 	}
+	return out
 }
 
 // decideAndOrder makes one decision and carries it out. It reports whether the
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -79,7 +79,8 @@
 	arriving int
 	// cordoned counts the hosts with a cordoned worker.
 	cordoned int
-	// hostCapacity is the capacity of one host of the pool.
+	// hostCapacity is the capacity of one host of the pool, or of any host if the
+	// pool has none.
 	hostCapacity job.Resources
 }
 
@@ -173,6 +174,9 @@
 		}
 	}
 	for _, p := range d.pools {
+		if p.hostCapacity.CPU == 0 && len(d.Hosts) > 0 {
+			p.hostCapacity = d.Hosts[0].Capacity
+		}
 		p.required = d.requiredHosts(p)
 	}
 }
--- a/internal/fleet/decide_test.go
+++ b/internal/fleet/decide_test.go
@@ -97,6 +97,12 @@
 	}
 }
 
+func TestPoolWithoutHostsGetsSome(t *testing.T) {
+	g := NewWithT(t)
+	f := newViewBuilder().addPool("a", 0, 0, scheduler.Report{Waiting: capacityOf(2)}).addStandby(10)
+	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Move)).To(BeNumerically(">=", 2))
+}
+
 func TestForecastIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 2, 1, scheduler.Report{Used: capacityOf(1), ExpectedDemand: capacityOf(400)}).addStandby(30)
