--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -8,8 +8,14 @@
 	"greengagedeck/internal/worker"
 )
 
-// explainInterval is the least time between two checks why a step still waits.
-const explainInterval = time.Second
+const (
+	// explainInterval is the least time between two checks why a step still
+	// waits.
+	explainInterval = time.Second
+	// keptRunsInterval is the least time between two lines about the runs that
+	// are kept on a worker that does not answer.
+	keptRunsInterval = 2 * time.Second
+)
 
 // waitReason is why a step's tasks were not placed when that was last checked.
 type waitReason struct {
@@ -42,6 +48,24 @@
 		Int("priority", pg.job.Terms.Priority).Dur("slack", pg.slack(now)).Dur("waited", now-pg.job.arrived).Msg("tasks cannot be placed")
 }
 
+// logKeptRuns logs that the runs of a worker that does not answer count as
+// possibly active until its lease has expired, so that their tasks wait.
+func (c *Core) logKeptRuns(ws *worker.State, now time.Duration) {
+	if now < ws.LastAnswer+keptRunsInterval || now < ws.KeptRunsLoggedAt+keptRunsInterval {
+		return
+	}
+	ws.KeptRunsLoggedAt = now
+	unanswered := 0
+	for _, r := range ws.Runs {
+		if r.StartUnanswered {
+			unanswered++
+		}
+	}
+	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Bool("listed", ws.Listed).Int("runs", len(ws.Runs)).Int("unanswered_starts", unanswered).
+		Dur("silent", now-ws.LastAnswer).Dur("lease_remaining", ws.LeaseRemaining(now)).Dur("prior_lease_remaining", ws.PriorLeaseRemaining(now)).
+		Msg("runs of a worker that does not answer are kept until its lease expires")
+}
+
 // logPlaced logs that a run is in the log and its start will be sent.
 func (c *Core) logPlaced(j *trackedJob, r *worker.Run, ws *worker.State, now time.Duration) {
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -171,8 +171,12 @@
 func (c *Core) expireLeases(t Times) {
 	var expired []string
 	for id, ws := range c.workers {
-		if len(ws.Runs) > 0 && !reachable(ws) && ws.LeaseExpired(t.Now) {
+		switch {
+		case len(ws.Runs) == 0 || reachable(ws):
+		case ws.LeaseExpired(t.Now):
 			expired = append(expired, id)
+		default:
+			c.logKeptRuns(ws, t.Now)
 		}
 	}
 	slices.Sort(expired)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -175,6 +175,9 @@
 	UnansweredCalls int
 	// LastAnswer is when the worker last answered a call.
 	LastAnswer time.Duration
+	// KeptRunsLoggedAt is when it was last logged that the worker's runs are kept
+	// although it does not answer.
+	KeptRunsLoggedAt time.Duration
 }
 
 // NewState returns the state of a worker that has not been polled yet.
@@ -302,6 +305,12 @@
 	return time.Duration(s.leaseUntil-s.workerClock)*time.Millisecond - (now - s.workerClockAt)
 }
 
+// PriorLeaseRemaining returns how long leases that an earlier holder may have
+// granted can still last.
+func (s *State) PriorLeaseRemaining(now time.Duration) time.Duration {
+	return max(0, s.priorLeaseExpiry-now)
+}
+
 // LeaseExpired reports whether every lease that this incarnation may hold has
 // expired, so that no run ordered before is active there.
 func (s *State) LeaseExpired(now time.Duration) bool {
