Send no start, and so no lease, to a worker that does not answer

Callers saw accepted jobs that never went on, and tasks that last that never ran again, though workers had room.

Cause: a start without an answer is repeated, and each repetition extended the lease of its worker in the holder's state. If the worker was gone, the lease that has to expire before its tasks run elsewhere never did, and all of its runs were kept. Polls extended no lease of a silent worker; starts did. Change: StartOrder holds back every start while its worker does not answer.

--- a/internal/scheduler/lostworker_test.go
+++ b/internal/scheduler/lostworker_test.go
@@ -74,11 +74,11 @@
 
 	answer := errNoAnswer
 	for lost := now.Now; now.Now < lost+lostWorkerDeadline; now.Now += lostWorkerRetry {
-		if o, send := c.StartOrder(starts[0].Run, "a", now.Now, time.Second); send == scheduler.SendNow {
+		if o, send := c.StartOrder(starts[0].Run, "a", now.Now, simDutyLease); send == scheduler.SendNow {
 			c.StartAnswered(o, 0, answer, now)
 			answer = errNotConnected
 		}
-		c.PollFailed(c.Poll("a", now.Now, time.Second), errNotConnected, now)
+		c.PollFailed(c.Poll("a", now.Now, simDutyLease), errNotConnected, now)
 		if next := planStarts(g, c, now); len(next) > 0 {
 			g.Expect(next).To(ConsistOf(scheduler.PlannedStart{Run: job.RunID{Task: starts[0].Run.Task, Number: 2}, Worker: "b"}))
 			return
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -24,8 +24,8 @@
 const (
 	// SendNever means that the order is no longer wanted.
 	SendNever SendDecision = iota
-	// SendLater means that the order has to wait until this daemon may act
-	// again.
+	// SendLater means that the order has to wait until this daemon may act again
+	// and the worker answers.
 	SendLater
 	// SendNow means that the order may be sent.
 	SendNow
@@ -43,7 +43,9 @@
 	if run == nil || run.State != worker.RunOrdered || run.Stopping {
 		return StartOrder{}, SendNever
 	}
-	if remaining <= 0 || !ws.Fenced {
+	// A start extends the lease, which a worker that does not answer must not get:
+	// only once its lease has expired do its tasks run elsewhere.
+	if remaining <= 0 || !reachable(ws) {
 		return StartOrder{}, SendLater
 	}
 	run.StartSentAt = now
