Give a pool with stalled tasks a host before the pool with the largest shortage

Callers saw tasks that last wait for 7 to 18 s for a host.

Cause: free hosts go to the pool that is short of most hosts until its shortage is filled. A pool whose long-running task is at the limit of tasks per worker lacks one host and got none as long as another pool lacked more. Change: growPools first fills what pools need for tasks that no worker takes, then the rest by shortage. Figures: TestStalledTasksGetHostsBeforeLargerShortage fails before (b: 3 hosts, a: none) and passes now; all tests of internal/fleet pass.

--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -225,6 +225,12 @@
 	return max(required, d.params.MinHosts)
 }
 
+// hostsForStalled returns how many hosts a pool needs for tasks that no worker
+// takes, beside those that are arriving.
+func (d *decider) hostsForStalled(p *poolState) int {
+	return max(0, p.view.Report.HostsNeeded-p.arriving)
+}
+
 // minResources returns the element-wise minimum of a and b.
 func minResources(a, b job.Resources) job.Resources {
 	return job.Resources{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPU: min(a.GPU, b.GPU)}
--- a/internal/fleet/decide_test.go
+++ b/internal/fleet/decide_test.go
@@ -103,6 +103,21 @@
 	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Move)).To(BeNumerically(">=", 2))
 }
 
+// A pool with tasks that no worker takes must get a host before a pool that is
+// short of more hosts: its tasks waited for as long as that shortage lasted.
+func TestStalledTasksGetHostsBeforeLargerShortage(t *testing.T) {
+	g := NewWithT(t)
+	f := newViewBuilder().addPool("a", 4, 1, scheduler.Report{Used: capacityOf(1), LongRunning: capacityOf(1), HostsNeeded: 1}).
+		addPool("b", 2, 3, scheduler.Report{Used: capacityOf(2), Waiting: capacityOf(30)}).addStandby(3)
+	to := map[string]int{}
+	for _, a := range Decide(f.View, DefaultParams).Actions {
+		if a.Kind == Move {
+			to[a.To]++
+		}
+	}
+	g.Expect(to).To(Equal(map[string]int{"a": 1, "b": 2}))
+}
+
 func TestForecastIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	f := newViewBuilder().addPool("a", 2, 1, scheduler.Report{Used: capacityOf(1), ExpectedDemand: capacityOf(400)}).addStandby(30)
--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -6,8 +6,9 @@
 	"slices"
 )
 
-// growPools gives hosts to pools that need more. It first uncordons hosts of the
-// pool itself, then moves hosts from standby, then empty hosts of other pools.
+// growPools gives hosts to pools that need more. Hosts for tasks that no worker
+// takes come first: they would wait for as long as any pool has a larger
+// shortage.
 func (d *decider) growPools() {
 	pools := d.poolsBelowDemand()
 	if len(pools) == 0 {
@@ -15,27 +16,38 @@
 	}
 	movable := d.movableHosts()
 	for _, p := range pools {
-		d.uncordonHosts(p)
-		for p.hosts < p.required && len(movable) > 0 {
-			h := movable[0]
-			movable = movable[1:]
-			if d.hasAction[h.Name] {
-				continue
-			}
-			p.hosts++
-			d.addAction(Action{
-				Kind: Move, Host: h.Name, Worker: h.Worker, Pool: h.Pool, To: p.view.Name,
-				Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts-1),
-			})
+		movable = d.growPool(p, min(p.required, p.hosts+d.hostsForStalled(p)), movable)
+	}
+	for _, p := range pools {
+		movable = d.growPool(p, p.required, movable)
+	}
+}
+
+// growPool gives hosts to a pool until it has a number of them: first cordoned
+// hosts of the pool itself, then movable ones. It returns the hosts that are
+// still movable.
+func (d *decider) growPool(p *poolState, hosts int, movable []Host) []Host {
+	d.uncordonHosts(p, hosts)
+	for p.hosts < hosts && len(movable) > 0 {
+		h := movable[0]
+		movable = movable[1:]
+		if d.hasAction[h.Name] {
+			continue
 		}
+		p.hosts++
+		d.addAction(Action{
+			Kind: Move, Host: h.Name, Worker: h.Worker, Pool: h.Pool, To: p.view.Name,
+			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts-1),
+		})
 	}
+	return movable
 }
 
-// uncordonHosts uncordons workers of a pool until it has the hosts that it
-// needs. Hosts that await maintenance stay cordoned.
-func (d *decider) uncordonHosts(p *poolState) {
+// uncordonHosts uncordons workers of a pool until it has a number of hosts. Hosts
+// that await maintenance stay cordoned.
+func (d *decider) uncordonHosts(p *poolState, hosts int) {
 	for _, h := range d.Hosts {
-		if p.hosts >= p.required {
+		if p.hosts >= hosts {
 			return
 		}
 		if h.Pool != p.view.Name || !d.canOrder(h) || !d.workerLoads[h.Worker].Cordoned || d.awaitingMaintenance[h.Name] {
