Count a worker as listed when the list shows its next incarnation first

Callers saw tasks wait for a worker that is there, for up to one heartbeat after a takeover, longer when the list is not read.

Cause: a holder that adopts runs of a worker it has not seen takes the worker as not listed; when the list then shows a newer incarnation, the replaced state kept that, although the entry itself says that the worker is there. Change: updateWorker sets Listed for the new incarnation.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -29,7 +29,6 @@
 	maxDeadlyStarts = simCrashBudget + simStartBudget - 1
 )
 
-
 // crashPool drives the core of a pool with one job. Its workers do what the test
 // says.
 type crashPool struct {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -59,6 +59,7 @@
 		return
 	case l.Incarnation.StartedAt > ws.Incarnation.StartedAt:
 		c.workerRestarted(ws, l, t)
+		ws.Listed = true
 		return
 	}
 	if l.Draining && !ws.Draining {
