--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -203,6 +203,13 @@
 // FreeResources returns the resources that no run takes.
 func (s *State) FreeResources() job.Resources { return s.Capacity.Sub(s.Used) }
 
+// Overcommitted reports whether the runs take more than the capacity of any of
+// the resources that need names. A worker's capacity may shrink under its runs.
+func (s *State) Overcommitted(need job.Resources) bool {
+	free := s.FreeResources()
+	return need.CPU > 0 && free.CPU < 0 || need.MemoryMB > 0 && free.MemoryMB < 0 || need.GPU > 0 && free.GPU < 0
+}
+
 // AddRun adds a run and the resources it takes.
 func (s *State) AddRun(r *Run) {
 	s.Runs[r.ID] = r
