Give up a task that crashes the workers that start it

Callers saw a pool lose worker after worker, and their own jobs with them.

Cause: a run that ends because its worker is gone counts for nothing: only ends that a worker reports are attempts, and one that crashed reports none. So a task that crashes its worker was started again without end. Change: the holder counts with the job's progress how many workers crashed within 250 ms after a task had started on them. A task that is suspected starts where none has just started, and isolates its worker for as long, so that the second crash shows whether it is the cause; its job then fails, after the third crash where others may be the cause, after the fourth or fifth where the crash itself or the start is not certain. The count survives a takeover. Records stay readable for the code before.

--- /dev/null
+++ b/internal/job/crash.go
@@ -0,0 +1,97 @@
+package job
+
+import "slices"
+
+const (
+	// maxCrashes is the number of workers that may crash under a task before its
+	// job fails, if the task alone can be the cause of the last crash, and
+	// maxSuspectedCrashes that number if other tasks may be the cause too.
+	maxCrashes          = 2
+	maxSuspectedCrashes = 3
+	// maxPartlyCertainCrashes is that number if it is known for one worker, and
+	// maxPossibleCrashes if for none, that it crashed with the task on it.
+	maxPartlyCertainCrashes = 4
+	maxPossibleCrashes      = 5
+)
+
+// CrashCount is how many workers have crashed soon after a task had started on
+// them.
+type CrashCount struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	// Certain counts the workers that are known to have crashed with the task on
+	// them, and Possible the others.
+	Certain  int
+	Possible int
+}
+
+// isOf reports whether the count is that of a task.
+func (c *CrashCount) isOf(t TaskID) bool {
+	return c.Occurrence == t.Occurrence && c.Step == t.Step && c.Index == t.Index
+}
+
+// add counts a crash.
+func (c *CrashCount) add(reason EndReason) {
+	if reason == EndCrashPossible {
+		c.Possible++
+	} else {
+		c.Certain++
+	}
+}
+
+// total returns how many workers may have crashed.
+func (c *CrashCount) total() int { return c.Certain + c.Possible }
+
+// exhausted reports whether the task must not be started again after a crash.
+func (c *CrashCount) exhausted(reason EndReason) bool {
+	switch {
+	case c.total() >= maxPossibleCrashes || c.Certain >= maxSuspectedCrashes:
+		return true
+	case c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
+		return true
+	default:
+		return reason == EndCrashedWorker && c.Certain >= maxCrashes
+	}
+}
+
+// CrashCount returns how many workers may have crashed soon after a task had
+// started on them.
+func (j *Job) CrashCount(t TaskID) int {
+	for i := range j.Crashes {
+		if j.Crashes[i].isOf(t) {
+			return j.Crashes[i].total()
+		}
+	}
+	return 0
+}
+
+// HasCrashes reports whether workers may have crashed soon after a task of the
+// job had started on them.
+func (j *Job) HasCrashes() bool { return len(j.Crashes) > 0 }
+
+// recordCrash counts a crash of the run's worker. The job fails once its task may
+// not be started again.
+func (j *Job) recordCrash(r RunID, reason EndReason, now int64) {
+	c := j.crashCountOf(r.Task)
+	c.add(reason)
+	if c.exhausted(reason) && !j.Task(r.Task).Done && !j.Phase.Final() {
+		j.finish(Failed, now)
+	}
+}
+
+// crashCountOf returns the count of a task, which it adds if there is none.
+func (j *Job) crashCountOf(t TaskID) *CrashCount {
+	i := slices.IndexFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) })
+	if i < 0 {
+		i = len(j.Crashes)
+		j.Crashes = append(j.Crashes, CrashCount{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index})
+	}
+	return &j.Crashes[i]
+}
+
+// clearCrashes removes the count of a task.
+func (j *Job) clearCrashes(t TaskID) {
+	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) })
+}
--- /dev/null
+++ b/internal/job/crash_test.go
@@ -0,0 +1,39 @@
+package job
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// crashTask ends a new run of a job's first task with each of the reasons in turn.
+func crashTask(j *Job, reasons ...EndReason) {
+	for _, reason := range reasons {
+		if !j.Phase.Final() {
+			j.EndRun(j.Place(TaskID{Job: j.Spec.ID}, Location{}), reason, "", 1)
+		}
+	}
+}
+
+// A job must not be given up for workers that crashed under tasks of other jobs, and
+// must be given up once its own task has crashed too many.
+func TestJobFailsOnceItsTaskHasCrashedTooManyWorkers(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		reasons []EndReason
+		phase   Phase
+	}{
+		{[]EndReason{EndCrashedWorker}, Running},
+		{[]EndReason{EndCrashSuspected, EndCrashedWorker}, Failed},
+		{[]EndReason{EndCrashedWorker, EndCrashSuspected}, Running},
+		{[]EndReason{EndCrashSuspected, EndCrashSuspected, EndCrashSuspected}, Failed},
+		{[]EndReason{EndCrashPossible, EndCrashPossible, EndCrashPossible, EndCrashPossible}, Running},
+		{[]EndReason{EndCrashPossible, EndCrashPossible, EndCrashPossible, EndCrashPossible, EndCrashPossible}, Failed},
+		{[]EndReason{EndCrashPossible, EndCrashPossible, EndCrashPossible, EndCrashSuspected}, Failed},
+		{[]EndReason{EndWorkerLost, EndWorkerLost, EndWorkerLost, EndWorkerLost, EndWorkerLost, EndWorkerLost}, Running},
+	} {
+		j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 1}}}, Terms{MaxAttempts: 3})
+		crashTask(j, c.reasons...)
+		g.Expect(j.Phase).To(Equal(c.phase), "%v", c.reasons)
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -243,12 +243,15 @@
 		j.recordSuccess(r, now)
 	case EndFailed:
 		j.recordFailure(r, now)
+	case EndCrashPossible, EndCrashSuspected, EndCrashedWorker:
+		j.recordCrash(r, reason, now)
 	default:
 	}
 	return true
 }
 
 func (j *Job) recordSuccess(r RunID, now int64) {
+	j.clearCrashes(r.Task)
 	o := j.occurrence(r.Task.Occurrence)
 	p := &o.Steps[r.Task.Step]
 	s := j.Step(r.Task)
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -153,4 +153,7 @@
 	// EndedAt is when the job reached a final phase, in milliseconds since
 	// 1970.
 	EndedAt int64 `cbor:"4,keyasint,omitempty"`
+	// Crashes are the counts of the tasks under which workers have crashed and
+	// which are not done.
+	Crashes []CrashCount `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -72,4 +72,14 @@
 	// EndWorkerLost means that the run's worker is gone and cannot report how the
 	// run ended.
 	EndWorkerLost EndReason = "lost"
+	// EndCrashPossible means that the run's worker is gone or has restarted, and
+	// that the run may have started there shortly before.
+	EndCrashPossible EndReason = "crash-possible"
+	// EndCrashSuspected means that the run's worker crashed soon after the run
+	// had started there, as may have other runs, so that any of them may be the
+	// cause.
+	EndCrashSuspected EndReason = "crash-suspected"
+	// EndCrashedWorker means that the run's worker crashed soon after the run, and
+	// no other one, had started there.
+	EndCrashedWorker EndReason = "crashed-worker"
 )
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,10 @@
 	// Serving is set if the node runs a serving task, one that answers requests
 	// of its own users.
 	Serving bool
+	// Isolated marks a node that takes no further task for a while, and RecentStart
+	// one on which a task has started just now.
+	Isolated    bool
+	RecentStart bool
 	// BestEffortCPU is the CPU time that the node's best-effort tasks could
 	// use, in thousandths of a core.
 	BestEffortCPU int
@@ -46,6 +50,9 @@
 	AvoidNode string
 	// ExpectedEnd is when the task is expected to end.
 	ExpectedEnd time.Duration
+	// Suspect is set for a task that may crash its node. It is placed where no
+	// task has started just now, if it can, and isolates its node.
+	Suspect bool
 	// Serving is set for a task that answers requests of its own users.
 	// BestEffort is set for a task that uses only resources that other tasks
 	// leave free, DesiredCPU of them if it can.
@@ -60,7 +67,7 @@
 
 // feasible reports whether a node meets every requirement of the task.
 func (r Request) feasible(n *Node) bool {
-	return r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.belowNodeLimit(n)
+	return !n.Isolated && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.belowNodeLimit(n)
 }
 
 // hasLabel reports whether a node has the required label, if there is one.
@@ -84,15 +91,18 @@
 	// ReasonNodeLimit means that every node with the label already runs as many
 	// tasks of the step as MaxPerNode allows.
 	ReasonNodeLimit UnplacedReason = "every worker is at the step's limit of tasks per worker"
-	// ReasonNoResources means that no node below that limit has enough free
-	// resources.
+	// ReasonIsolated means that every node below that limit takes no further task
+	// because one that may crash it has just started there.
+	ReasonIsolated UnplacedReason = "every worker is isolated for a task that may crash it"
+	// ReasonNoResources means that no node below that limit that is not isolated
+	// has enough free resources.
 	ReasonNoResources UnplacedReason = "no worker has enough free resources"
 )
 
 // Explain returns why none of the nodes fits. For ReasonNoResources it also
 // returns the most free CPU time on any node that meets the other requirements.
 func Explain(nodes []*Node, r Request) (reason UnplacedReason, maxFreeCPU int) {
-	anyLabelled, anyBelowLimit := false, false
+	anyLabelled, anyBelowLimit, anyOpen := false, false, false
 	for _, n := range nodes {
 		if !r.hasLabel(n) {
 			continue
@@ -102,6 +112,10 @@
 			continue
 		}
 		anyBelowLimit = true
+		if n.Isolated {
+			continue
+		}
+		anyOpen = true
 		maxFreeCPU = max(maxFreeCPU, n.Free.CPU)
 	}
 	switch {
@@ -111,6 +125,8 @@
 		return ReasonNoLabel, 0
 	case !anyBelowLimit:
 		return ReasonNodeLimit, 0
+	case !anyOpen:
+		return ReasonIsolated, 0
 	default:
 		return ReasonNoResources, maxFreeCPU
 	}
@@ -164,6 +180,8 @@
 func (r Request) Reserve(n *Node) {
 	n.Free = n.Free.Sub(r.Resources)
 	n.Serving = n.Serving || r.Serving
+	n.Isolated = n.Isolated || r.Suspect
+	n.RecentStart = true
 	if r.BestEffort {
 		n.BestEffortCPU += r.DesiredCPU
 	}
@@ -175,9 +193,12 @@
 func (r Request) penalty(n *Node) int {
 	p := 0
 	if n.Avoid {
-		p += 8
+		p += 16
 	}
 	if r.AvoidNode == n.ID {
+		p += 8
+	}
+	if r.Suspect && n.RecentStart {
 		p += 4
 	}
 	// Best-effort tasks slow down serving tasks on the same node.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -329,6 +329,8 @@
 		s := j.Step(r.Task)
 		run := worker.NewRun(r, s, worker.RunOrdered, now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
+		run.Adopted = true
+		run.Suspect = j.CrashCount(r.Task) > 0
 		ws.AddRun(run)
 	})
 }
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -89,5 +89,8 @@
 	if t := j.Task(r.ID.Task); t != nil && t.Failures > 0 {
 		e.Int("failures", t.Failures).Int("most_failures", j.Terms.MaxAttempts)
 	}
+	if crashes := j.CrashCount(r.ID.Task); crashes > 0 {
+		e.Int("crashed_workers", crashes)
+	}
 	e.Msg("run ended")
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -155,6 +155,8 @@
 		BusyUntil:     ws.BusyUntil(now),
 		Serving:       ws.ServingRuns > 0,
 		BestEffortCPU: ws.BestEffortCPU,
+		Isolated:      ws.Isolated(now),
+		RecentStart:   ws.RecentStart(now),
 	}
 }
 
@@ -187,8 +189,8 @@
 	}
 	req := c.placementRequest(pg.job, pg.group)
 	req.ExpectedEnd = now + c.expectedDuration(pg.job.Spec.Steps[pg.group.Step])
-	if len(pg.job.avoidedWorkers) > 0 {
-		return c.placeAvoiding(b, pg, req, x, now)
+	if len(pg.job.avoidedWorkers) > 0 || pg.job.HasCrashes() {
+		return c.placeEach(b, pg, req, x, now)
 	}
 	nodes := x.ChooseGroup(req, len(pg.group.Waiting))
 	for i, n := range nodes {
@@ -197,19 +199,22 @@
 	return len(nodes) == len(pg.group.Waiting)
 }
 
-// placeAvoiding does what placeTasks does for a job with tasks that avoid the
-// worker on which they failed.
-func (c *Core) placeAvoiding(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
+// placeEach does what placeTasks does for a job with tasks that avoid the worker
+// on which they failed, or under which workers have crashed.
+func (c *Core) placeEach(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
+	all := true
 	for _, k := range pg.group.Waiting {
 		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
+		req.Suspect = pg.job.CrashCount(pg.task(k)) > 0
 		n := x.Choose(req)
 		if n == nil {
-			return false
+			all = false
+			continue
 		}
 		x.Reserve(req, n)
 		c.placeTask(b, pg, k, n, now)
 	}
-	return true
+	return all
 }
 
 // placeTask adds a run of a group's task with index k on a node.
@@ -258,7 +263,9 @@
 // addPlannedRun tracks a run that has to be logged before its start is sent.
 func (c *Core) addPlannedRun(b *Batch, j *trackedJob, r job.RunID, ws *worker.State, now time.Duration) {
 	s := j.Step(r.Task)
-	ws.AddRun(worker.NewRun(r, s, worker.RunPlanned, now, c.expectedDuration(s)))
+	run := worker.NewRun(r, s, worker.RunPlanned, now, c.expectedDuration(s))
+	run.Suspect = j.CrashCount(r.Task) > 0
+	ws.AddRun(run)
 	j.stalledSince = 0
 	b.starts = append(b.starts, plannedStart{run: r, worker: ws.Incarnation})
 	c.markDirty(j)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -135,6 +135,7 @@
 // addresses are reused only after their worker has ended.
 func (c *Core) addressReassigned(ws *worker.State, t Times) {
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers at the worker's address")
+	ws.MarkCrash(true)
 	for _, r := range sortedRuns(ws) {
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -74,6 +74,7 @@
 // ended, which the first poll of the new incarnation confirms.
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
+	ws.MarkCrash(true)
 	ws.ReplaceIncarnation(l, t.Now, c.longestLease())
 	c.applyCordon(ws)
 	c.needsPlan = true
@@ -100,6 +101,9 @@
 	if checkpoint == "" && reason != job.EndDone {
 		checkpoint = r.Checkpoint
 	}
+	if reason == job.EndWorkerLost && r.CrashReason != "" {
+		reason = r.CrashReason
+	}
 	before := j.Phase
 	if !j.EndRun(r.ID, reason, checkpoint, t.Wall) {
 		return
@@ -183,6 +187,9 @@
 	slices.Sort(expired)
 	for _, id := range expired {
 		ws := c.workers[id]
+		if !ws.Listed {
+			ws.MarkCrash(false)
+		}
 		for _, r := range sortedRuns(ws) {
 			if r.State == worker.RunPlanned {
 				continue
--- /dev/null
+++ b/internal/worker/crash.go
@@ -0,0 +1,69 @@
+package worker
+
+import (
+	"time"
+
+	"greengagedeck/internal/job"
+)
+
+// crashWindow is the time from the start of a task until its worker crashes, if
+// the task is the cause.
+const crashWindow = 250 * time.Millisecond
+
+// MarkCrash records that this incarnation has ended: the runs that may be the
+// cause get a CrashReason. Runs after whose start the worker answered for longer
+// than crashWindow are not the cause. A worker that was draining is taken to
+// have shut down. certain is set if the incarnation is known to have ended.
+func (s *State) MarkCrash(certain bool) {
+	if s.Draining {
+		return
+	}
+	var suspects []*Run
+	for _, r := range s.Runs {
+		if s.mayHaveCrashed(r) {
+			suspects = append(suspects, r)
+		}
+	}
+	for _, r := range suspects {
+		switch {
+		case !certain || r.State != RunConfirmed:
+			r.CrashReason = job.EndCrashPossible
+		case len(suspects) > 1:
+			r.CrashReason = job.EndCrashSuspected
+		default:
+			r.CrashReason = job.EndCrashedWorker
+		}
+	}
+}
+
+// mayHaveCrashed reports whether a run may be the cause of a crash of its worker.
+func (s *State) mayHaveCrashed(r *Run) bool {
+	switch {
+	case r.State == RunPlanned || r.CrashReason != "":
+		return false
+	case r.StartSentAt == 0:
+		// It is not known when an earlier holder started the run, but it was before
+		// this holder saw it at the worker.
+		return r.Adopted && r.LastReported == 0
+	default:
+		return s.LastAnswer < r.StartSentAt+crashWindow
+	}
+}
+
+// RecentStart reports whether a run was started less than crashWindow ago.
+func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
+
+// Isolated reports whether the worker takes no further task because a suspect
+// has started there less than crashWindow ago, or is about to. If the worker
+// crashes, the suspect is then the cause.
+func (s *State) Isolated(now time.Duration) bool {
+	if s.SuspectRuns == 0 {
+		return false
+	}
+	for _, r := range s.Runs {
+		if r.Suspect && (r.State != RunConfirmed || now < r.StateSince+crashWindow) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -54,6 +54,13 @@
 	ExpectedDuration time.Duration
 	// StartSentAt is when the last order to start the run was sent.
 	StartSentAt time.Duration
+	// Adopted is set for a run that an earlier holder of the pool planned.
+	Adopted bool
+	// Suspect is set for a run of a task under which a worker has crashed before.
+	Suspect bool
+	// CrashReason is how the run ended if its worker crashed soon after the start
+	// of the run, else empty.
+	CrashReason job.EndReason
 	// Stopping is set once the run is to be stopped.
 	Stopping bool
 	// StopReason is the reason for the stop, for display.
@@ -149,6 +156,10 @@
 	Used          job.Resources
 	ServingRuns   int
 	BestEffortCPU int
+	// SuspectRuns is how many of the runs are suspects.
+	SuspectRuns int
+	// lastRunAdded is when the last run was added.
+	lastRunAdded time.Duration
 	// busyUntil is when the last of the runs is expected to end.
 	busyUntil time.Duration
 	// CordonReason is why the worker takes no new tasks, or empty if it takes
@@ -219,6 +230,10 @@
 		s.ServingRuns++
 	}
 	s.BestEffortCPU += r.BestEffortCPU
+	if r.Suspect {
+		s.SuspectRuns++
+	}
+	s.lastRunAdded = max(s.lastRunAdded, r.StateSince)
 }
 
 // RemoveRun removes a run and frees its resources.
@@ -233,6 +248,9 @@
 		s.ServingRuns--
 	}
 	s.BestEffortCPU -= r.BestEffortCPU
+	if r.Suspect {
+		s.SuspectRuns--
+	}
 	if r.expectedEnd() < s.busyUntil {
 		return
 	}
