Keep the place of a task that is moved until it has started there

Of a step with a limit of tasks per worker, more tasks that last were stopped than had a worker to go to, and then waited.

Cause: an evacuation took a place from its own view of the workers for one plan, and there took resources but not one of the step's tasks per worker. Several stops of a plan shared a place, the next plan gave it away again before the stop was complete, and waiting tasks of the step took it in the same plan. Change: the holder remembers, in memory, the worker on which a task that is being moved has its place. Every plan counts it as taken until the task has started there, the worker takes no tasks any more or the task needs none. An evacuation leaves room for the tasks of the step that have to start and have no place. A task of a job that needs approval starts in its place only if that worker is approved.

--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -71,6 +71,12 @@
 	return a
 }
 
+// approved reports whether a worker has a valid approval.
+func (a *stepApprovals) approved(w job.Incarnation, now time.Duration) bool {
+	t, ok := a.tickets[w]
+	return ok && now+ticketMargin < t.expires
+}
+
 // approvedNodes returns the nodes with a valid approval for a group. Unless
 // they are enough, approval of further nodes is requested.
 func (c *Core) approvedNodes(pg pendingGroup, nodes []*placement.Node, now time.Duration) []*placement.Node {
@@ -78,8 +84,7 @@
 	a := c.approvalsOf(key)
 	var out []*placement.Node
 	for _, n := range nodes {
-		t, ok := a.tickets[c.workers[n.ID].Incarnation]
-		if ok && now+ticketMargin < t.expires {
+		if a.approved(c.workers[n.ID].Incarnation, now) {
 			out = append(out, n)
 		}
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -83,6 +83,11 @@
 	approvals        map[worker.StepKey]*stepApprovals
 	approvalRequests []ApprovalRequest
 
+	// places are the workers on which tasks that are being moved have a place, by
+	// task. A place counts as taken until its task has started, the worker takes no
+	// tasks any more, or the task no longer needs it.
+	places map[job.TaskID]string
+
 	// waiting are the tasks that wait.
 	waiting waitQueue
 	// dirty are the jobs whose last changes are in no batch.
@@ -160,6 +165,7 @@
 		durationRatios:   map[string]*durationRatio{},
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
+		places:           map[job.TaskID]string{},
 	}
 	c.earlierLeasesEnd = now + opt.DutyLease + c.longestLease()
 	return c
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -107,7 +107,8 @@
 	if c.fenced {
 		return
 	}
-	x := placement.NewIndex(c.withoutEjected(c.nodes(t.Now), t.Now))
+	x := placement.NewIndex(c.freeNodes(t.Now))
+	c.placeMoved(b, t.Now)
 	p := c.newPreemptor(t.Now)
 	for _, pg := range c.queue(t.Now) {
 		x := x
@@ -171,7 +172,7 @@
 		Resources:  s.ReservedResources(),
 		Label:      s.Label,
 		DataRack:   s.DataRack,
-		TaskCount:  func(id string) int { return c.workers[id].CountRuns(key) },
+		TaskCount:  func(id string) int { return c.countTasks(id, key) },
 		MaxPerNode: s.MaxPerWorker,
 		Serving:    s.TailLatencyTarget > 0,
 		BestEffort: s.BestEffort,
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -147,25 +147,65 @@
 }
 
 // evacuate stops runs on draining workers and on workers that were cordoned with
-// evacuate set, so that their tasks start on other workers with free resources.
+// evacuate set, and promises each of their tasks a place on another worker.
 // On cordoned workers it stops long-running tasks, within the MaxUnavailable of
 // each step; on draining workers it stops every run that would not end in time.
 func (c *Core) evacuate(t Times) {
-	var nodes []*placement.Node
-	for _, ws := range c.evacuating() {
-		if nodes == nil {
-			nodes = c.withoutEjected(c.nodes(t.Now), t.Now)
-		}
+	workers := c.evacuating()
+	if len(workers) == 0 {
+		return
+	}
+	e := &evacuation{core: c, now: t.Now, nodes: c.freeNodes(t.Now), seen: map[worker.StepKey]bool{}}
+	for _, ws := range workers {
 		for _, r := range sortedRuns(ws) {
 			j := c.jobs[r.ID.Task.Job]
 			if j == nil || r.Stopping || r.State != worker.RunConfirmed || j.Task(r.ID.Task) == nil {
 				continue
 			}
-			if c.shouldEvacuate(ws, j, r, t.Now) && c.reserve(j, r.ID.Task, nodes) {
+			if c.shouldEvacuate(ws, j, r, t.Now) && e.reserve(j, r.ID.Task) {
 				c.requestStop(ws, r, "its worker is draining or cordoned")
 			}
 		}
 	}
+	for _, inactive := range e.inactive {
+		delete(c.places, inactive)
+	}
+}
+
+// evacuation finds places for the tasks to be moved in one plan.
+type evacuation struct {
+	core  *Core
+	now   time.Duration
+	nodes []*placement.Node
+	// seen are the steps whose inactive tasks have been looked for, and inactive
+	// those of these tasks that hold a place for the evacuation only.
+	seen     map[worker.StepKey]bool
+	inactive []job.TaskID
+}
+
+// reserve promises a task a place that no inactive task of its step can take. It
+// reports whether there is one.
+func (e *evacuation) reserve(j *trackedJob, t job.TaskID) bool {
+	if key := worker.StepKeyOf(t); !e.seen[key] {
+		e.seen[key] = true
+		e.reserveForInactive(j, t)
+	}
+	return e.core.reserve(t, e.nodes, e.now)
+}
+
+// reserveForInactive reserves places for the tasks of a step that have to start
+// and have none.
+func (e *evacuation) reserveForInactive(j *trackedJob, t job.TaskID) {
+	for k := range j.Step(t).Count {
+		t.Index = k
+		if _, promised := e.core.places[t]; promised || !e.core.hasToStart(t) {
+			continue
+		}
+		if !e.core.reserve(t, e.nodes, e.now) {
+			return
+		}
+		e.inactive = append(e.inactive, t)
+	}
 }
 
 // evacuating returns the workers to evacuate. Draining ones come first: tasks
@@ -208,15 +248,3 @@
 		return s.LongRunning && c.mayMakeUnavailable(j, r.ID.Task)
 	}
 }
-
-// reserve reports whether some worker has the resources for a task now, and
-// reserves them for the rest of the plan.
-func (c *Core) reserve(j *trackedJob, t job.TaskID, nodes []*placement.Node) bool {
-	req := c.placementRequest(j, job.TaskGroup{Occurrence: t.Occurrence, Step: t.Step})
-	n := placement.Choose(nodes, req)
-	if n == nil {
-		return false
-	}
-	req.Reserve(n)
-	return true
-}
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -102,6 +103,14 @@
 	return stops
 }
 
+// end ends a run that was to be stopped.
+func (r *spreadRig) end(o scheduler.StopOrder) {
+	r.core.StopAnswered(o, r.now.Now.Milliseconds(), nil, r.now)
+	r.running[o.Worker] = slices.DeleteFunc(r.running[o.Worker], func(run job.RunID) bool { return run == o.Run })
+	rep := worker.Report{StartedAt: 1, Clock: r.now.Now.Milliseconds(), Ended: []worker.RunEnd{{Number: 1, Run: o.Run, Reason: job.EndStopped}}}
+	r.core.PollSucceeded(r.core.Poll(o.Worker, r.now.Now, time.Second), rep, r.now)
+}
+
 func (r *spreadRig) hostsNeeded() int { return r.core.Report(r.now.Now, time.Second).HostsNeeded }
 
 // Guards against two tasks of a step that are stopped for one place: a place taken by one
@@ -141,6 +150,62 @@
 	r.g.Expect(r.running["d"]).To(HaveLen(1))
 }
 
+// Guards against a place that goes to another task once the stop of the task it is for is
+// complete.
+func TestMovedTaskStartsInItsPlace(t *testing.T) {
+	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
+	r.plan()
+	r.list("d", 16000)
+	r.poll()
+	r.drain("a")
+	stops := r.plan()
+	r.g.Expect(stops).To(HaveLen(1))
+	r.end(stops[0])
+	r.drain("b")
+	r.g.Expect(r.plan()).To(BeEmpty(), "the place on worker d is for the task of worker a")
+	r.g.Expect(r.running["d"]).To(HaveLen(1))
+	r.g.Expect(r.running["d"][0].Task).To(Equal(stops[0].Run.Task))
+}
+
+// Guards against a place that is kept on a worker that takes no tasks any more, and against
+// a further task that is stopped for the place that the first one then needs.
+func TestStoppedTaskGetsOtherPlaceWhenItsPlaceIsLost(t *testing.T) {
+	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
+	r.plan()
+	r.list("d", 16000)
+	r.poll()
+	r.drain("a")
+	stops := r.plan()
+	r.g.Expect(stops).To(HaveLen(1))
+	r.drain("d")
+	r.list("e", 16000)
+	r.poll()
+	r.drain("b")
+	r.g.Expect(r.plan()).To(BeEmpty(), "the place on worker e is for the task of worker a")
+	r.end(stops[0])
+	r.plan()
+	r.g.Expect(r.running["e"]).To(HaveLen(1))
+	r.g.Expect(r.running["e"][0].Task).To(Equal(stops[0].Run.Task))
+}
+
+// Guards against a place that is kept for a task whose job is cancelled.
+func TestPlaceOfCancelledTaskIsFree(t *testing.T) {
+	r := newSpreadRig(t, 1, 16000, "a")
+	r.plan()
+	r.list("d", 16000)
+	r.poll()
+	r.drain("a")
+	r.g.Expect(r.plan()).To(HaveLen(1))
+	r.core.Cancel(longRunningJob, r.now)
+	r.core.Submit(&joblog.Submission{
+		Spec:       job.Spec{ID: "00000000000000bb", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 16000}}}},
+		Terms:      job.Terms{Entry: "e", Pool: simPool, MaxAttempts: 3},
+		AcceptedAt: r.now.Wall,
+	}, r.now)
+	r.plan()
+	r.g.Expect(r.running["d"]).To(HaveLen(1))
+}
+
 // Guards against tasks that wait without a host being asked for each: the step allows one on
 // each worker.
 func TestReportNeedsHostForEachTaskAtLimit(t *testing.T) {
