Ask for a host for each waiting task that a step's limit keeps off the others

A step with at most one task on each worker got one host after the other, each only once the one before had arrived.

Cause: the hosts that a pool needs for waiting tasks that last were counted by resources alone, so that all tasks of a step with a limit seemed to share one host. Change: the packing also counts, for each step, the tasks on each host that it fills.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -57,7 +57,7 @@
 // Report describes the pool. lead is how far ahead demand is forecast.
 func (c *Core) Report(now, lead time.Duration) Report {
 	var rep Report
-	var unplaced []job.Resources
+	var unplaced []taskGroup
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
 	for _, pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
@@ -66,7 +66,7 @@
 		switch pg.class(now) {
 		case classLongRunning:
 			rep.LongRunning = rep.LongRunning.Add(needed)
-			unplaced = append(unplaced, repeated(s.ReservedResources(), len(pg.group.Waiting))...)
+			unplaced = append(unplaced, taskGroup{count: len(pg.group.Waiting), need: s.ReservedResources(), maxPerHost: s.MaxPerWorker})
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
 		}
@@ -108,15 +108,6 @@
 	return false
 }
 
-// repeated returns n copies of r.
-func repeated(r job.Resources, n int) []job.Resources {
-	out := make([]job.Resources, n)
-	for i := range out {
-		out[i] = r
-	}
-	return out
-}
-
 // largestCapacity returns the capacity of the largest worker.
 func (c *Core) largestCapacity() job.Resources {
 	var largest job.Resources
@@ -128,17 +119,30 @@
 	return largest
 }
 
+// taskGroup is a number of equal tasks that wait, of which a host takes at most
+// maxPerHost, 0 for no limit.
+type taskGroup struct {
+	count      int
+	need       job.Resources
+	maxPerHost int
+}
+
 // hostsToFill returns how many empty hosts a first-fit packing of the tasks
 // uses. Tasks that fit on no host are not counted.
-func hostsToFill(tasks []job.Resources, host job.Resources) int {
+func hostsToFill(groups []taskGroup, host job.Resources) int {
 	var free []job.Resources
-	for _, t := range tasks {
-		at := slices.IndexFunc(free, t.FitsIn)
-		switch {
-		case at >= 0:
-			free[at] = free[at].Sub(t)
-		case t.FitsIn(host):
-			free = append(free, host.Sub(t))
+	for _, g := range groups {
+		if !g.need.FitsIn(host) {
+			continue
+		}
+		for at, left := 0, g.count; left > 0; at++ {
+			if at == len(free) {
+				free = append(free, host)
+			}
+			for n := 0; left > 0 && g.need.FitsIn(free[at]) && (g.maxPerHost == 0 || n < g.maxPerHost); n++ {
+				free[at] = free[at].Sub(g.need)
+				left--
+			}
 		}
 	}
 	return len(free)
