Add a model and tests of tasks that wait although there is room

Cause: the model checked safety and that jobs end once every worker is back, but not how long a task waits, and no worker was ever gone for good. Waits for a run that may still be active are listed apart, up to the end that their arithmetic gives. No product code changes; the tests fail.

--- /dev/null
+++ b/internal/scheduler/sim_liveness_test.go
@@ -0,0 +1,458 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/worker"
+)
+
+const (
+	// lostAfter is how long a task may have no active run, if there was room for it
+	// and nothing was disturbed for calmTime.
+	lostAfter = 9 * time.Second
+	calmTime  = 7 * time.Second
+	// roomFor is for how many tasks of the step there must be room.
+	roomFor = 2
+	// livenessInterval is the time between two checks.
+	livenessInterval = 100 * time.Millisecond
+	// untilCancelled is the duration of a long-running task that does not fail.
+	untilCancelled = 1000 * time.Hour
+)
+
+// lostTask is a violation of the liveness invariant LOST: a task that has no active
+// run although there is room for it.
+type lostTask struct {
+	idle time.Duration
+	text string
+}
+
+// liveness checks that tasks run again in time. Its caller marks disturbances.
+type liveness struct {
+	w *simWorld
+	// disturbedAt is when anything was last disturbed, and token the last holder.
+	disturbedAt time.Duration
+	token       int64
+	// activeAt is when a task last had an active run, or became known, and
+	// jobActiveAt when any task of a job had one or its next step's turn came.
+	activeAt    map[job.TaskID]time.Duration
+	jobActiveAt map[job.ID]time.Duration
+	stepsDone   map[job.ID]int
+	// noRoomAt is when there was last no room for a step.
+	noRoomAt map[worker.StepKey]time.Duration
+	cordoned map[string]bool
+	// steady is set if long-running tasks do not fail.
+	steady bool
+	// lost are the longest violations by cause, and waits the longest waits that
+	// would be violations if an earlier run could not still be active.
+	lost, waits map[string]lostTask
+}
+
+func newLiveness(w *simWorld) *liveness {
+	return &liveness{
+		w:           w,
+		activeAt:    map[job.TaskID]time.Duration{},
+		jobActiveAt: map[job.ID]time.Duration{},
+		stepsDone:   map[job.ID]int{},
+		noRoomAt:    map[worker.StepKey]time.Duration{},
+		cordoned:    map[string]bool{},
+		lost:        map[string]lostTask{},
+		waits:       map[string]lostTask{},
+	}
+}
+
+// run advances the virtual time and checks the invariant meanwhile.
+func (l *liveness) run(d time.Duration) {
+	for end := l.w.now + d; l.w.now < end; {
+		l.w.run(livenessInterval)
+		l.check()
+	}
+}
+
+// disturb records a disturbance now.
+func (l *liveness) disturb() { l.disturbedAt = l.w.now }
+
+// check checks the invariant for every job that was not cancelled.
+func (l *liveness) check() {
+	w := l.w
+	if l.disturbedNow() {
+		l.disturb()
+	}
+	l.noteActive()
+	calm := w.now-l.disturbedAt >= calmTime
+	for _, id := range w.ids {
+		if _, cancelled := w.cancelled[id]; cancelled {
+			continue
+		}
+		if w.specs[id].Steps[0].LongRunning {
+			l.checkLongRunning(id, calm)
+		} else {
+			l.checkJob(id, calm)
+		}
+	}
+}
+
+// disturbedNow reports whether calls are lost, the log or the list is frozen, a
+// worker is cut off, or no holder or a new one is in charge.
+func (l *liveness) disturbedNow() bool {
+	w := l.w
+	taken := w.token != l.token
+	l.token = w.token
+	return taken || w.lostRate+w.delayedRate+w.unansweredRate > 0 || w.logDown || w.frozenList != nil || !w.holder.active() ||
+		slices.ContainsFunc(w.workers, func(s *simWorker) bool { return s.partitioned }) ||
+		slices.ContainsFunc(w.superseded, func(h *simHolder) bool { return h.active() })
+}
+
+// noteActive records which tasks have an active run.
+func (l *liveness) noteActive() {
+	for _, s := range l.w.workers {
+		if !s.up {
+			continue
+		}
+		for t, r := range s.running {
+			l.activeAt[t] = l.w.now
+			l.jobActiveAt[t.Job] = l.w.now
+			if l.steady && r.step.LongRunning && !r.stopping {
+				r.endsAt = l.w.now + untilCancelled
+			}
+		}
+	}
+}
+
+// checkLongRunning checks each task of a long-running job.
+func (l *liveness) checkLongRunning(id job.ID, calm bool) {
+	room := l.roomLasted(worker.StepKey{Job: id})
+	for k := range l.w.specs[id].Steps[0].Count {
+		t := job.TaskID{Job: id, Index: k}
+		if l.activeAt[t] == 0 {
+			l.activeAt[t] = l.w.now
+		}
+		if idle := l.w.now - l.activeAt[t]; calm && room && idle >= lostAfter {
+			l.report(t, idle)
+		}
+	}
+}
+
+// checkJob checks that a job with a task whose turn has come has a run.
+func (l *liveness) checkJob(id job.ID, calm bool) {
+	spec := l.w.specs[id]
+	if slices.ContainsFunc(spec.Steps, func(s job.Step) bool { return s.Gang }) {
+		return
+	}
+	phase, known := l.w.holder.core.Lookup(id)
+	if known && phase.Final() {
+		return
+	}
+	next, done := l.nextTask(id)
+	if done == len(spec.Steps) {
+		return
+	}
+	if l.jobActiveAt[id] == 0 || done != l.stepsDone[id] {
+		l.stepsDone[id] = done
+		l.jobActiveAt[id] = l.w.now
+	}
+	room := l.roomLasted(worker.StepKeyOf(next))
+	if idle := l.w.now - l.jobActiveAt[id]; calm && room && idle >= lostAfter {
+		l.report(next, idle)
+	}
+}
+
+// nextTask returns the first task of a job that is not done, as far as the holder
+// knows, and how many steps are done.
+func (l *liveness) nextTask(id job.ID) (next job.TaskID, done int) {
+	found := false
+	for i, st := range l.w.specs[id].Steps {
+		all := true
+		for k := range st.Count {
+			t := job.TaskID{Job: id, Step: i, Index: k}
+			if scheduler.TaskDone(l.w.holder.core, t) {
+				continue
+			}
+			all = false
+			if !found {
+				next, found = t, true
+			}
+		}
+		if all {
+			done++
+		}
+	}
+	return next, done
+}
+
+// roomLasted reports whether there has been room for roomFor tasks of a step for
+// calmTime.
+func (l *liveness) roomLasted(k worker.StepKey) bool {
+	if l.noRoomAt[k] == 0 || l.room(k) < roomFor {
+		l.noRoomAt[k] = l.w.now
+	}
+	return l.w.now-l.noRoomAt[k] >= calmTime
+}
+
+// room returns for how many tasks of a step the workers in service have room, by
+// what runs there.
+func (l *liveness) room(k worker.StepKey) int {
+	step := l.w.specs[k.Job].Steps[k.Step]
+	n := 0
+	for _, s := range l.w.workers {
+		if !s.up || !s.listed || s.draining || s.partitioned || l.cordoned[s.id] || step.Label != "" && !slices.Contains(s.labels, step.Label) {
+			continue
+		}
+		free, ofStep := s.capacity, 0
+		for t, r := range s.running {
+			free = free.Sub(r.step.ReservedResources())
+			if worker.StepKeyOf(t) == k {
+				ofStep++
+			}
+		}
+		fits := 0
+		for need := step.ReservedResources(); fits < roomFor && need.FitsIn(free); fits++ {
+			free = free.Sub(need)
+		}
+		if step.MaxPerWorker > 0 {
+			fits = max(0, min(fits, step.MaxPerWorker-ofStep))
+		}
+		n += fits
+	}
+	return n
+}
+
+// report records a violation, or a wait that safety demands, the longest for each
+// cause.
+func (l *liveness) report(t job.TaskID, idle time.Duration) {
+	cause, detail, until := scheduler.WaitCause(l.w.holder.core, t, l.w.now)
+	into := l.lost
+	if l.w.now <= until {
+		into = l.waits
+	}
+	if idle <= into[cause].idle {
+		return
+	}
+	at := (l.w.now - time.Hour).Seconds()
+	text := fmt.Sprintf("%8.3f LOST %s inactive for %v, undisturbed for %v: %s", at, t, idle, l.w.now-l.disturbedAt, detail)
+	into[cause] = lostTask{idle, text}
+}
+
+// TestTasksRunAgainAfterFaults runs a pool through the faults of TestInvariantsUnderRandomFaults and
+// through workers that are gone for good or restart repeatedly, addresses that are
+// reused, lists that are frozen, and starts that are carried out late. No task may
+// wait while there is room for it.
+func TestTasksRunAgainAfterFaults(t *testing.T) {
+	lost, waits := newWaitSummary(), newWaitSummary()
+	for i := range *schedules {
+		seed := *scheduleSeed + uint64(i)
+		w := newSimWorld(t, seed, 4+int(seed%4))
+		l := newLiveness(w)
+		runLivenessSchedule(l)
+		if len(w.violations) > 0 {
+			t.Errorf("schedule %d: %d invariant violations, first:\n%s", seed, len(w.violations), w.violations[0])
+		}
+		lost.add(seed, l.lost)
+		waits.add(seed, l.waits)
+	}
+	t.Logf("waits for runs that may still be active:\n%s", waits)
+	if len(lost.count) > 0 {
+		t.Fatalf("tasks wait although there is room:\n%s", lost)
+	}
+}
+
+// waitSummary counts the schedules in which tasks waited and keeps the longest wait,
+// by cause.
+type waitSummary struct {
+	count map[string]int
+	worst map[string]lostTask
+}
+
+func newWaitSummary() waitSummary {
+	return waitSummary{count: map[string]int{}, worst: map[string]lostTask{}}
+}
+
+func (s waitSummary) add(seed uint64, found map[string]lostTask) {
+	for cause, v := range found {
+		s.count[cause]++
+		if v.idle > s.worst[cause].idle {
+			s.worst[cause] = lostTask{v.idle, fmt.Sprintf("schedule %d: %s", seed, v.text)}
+		}
+	}
+}
+
+// String lists the causes.
+func (s waitSummary) String() string {
+	var out strings.Builder
+	for _, cause := range slices.Sorted(maps.Keys(s.count)) {
+		fmt.Fprintf(&out, "in %d of %d schedules: %s, longest:\n  %s\n", s.count[cause], *schedules, cause, s.worst[cause].text)
+	}
+	return out.String()
+}
+
+// runLivenessSchedule causes bursts of faults, each followed by a calm time.
+func runLivenessSchedule(l *liveness) {
+	w := l.w
+	l.steady = w.rng.IntN(2) == 0
+	w.hostsUnseen = w.rng.IntN(2) == 0
+	w.takeOver()
+	for range 2 + w.rng.IntN(2) {
+		w.submit(w.longRunningSpec(), 3)
+	}
+	l.run(2 * time.Second)
+	for range 3 {
+		for range 2 + w.rng.IntN(5) {
+			l.randomFault()
+			l.run(time.Duration(100+w.rng.IntN(900)) * time.Millisecond)
+		}
+		l.endBurst()
+		l.run(time.Duration(16+w.rng.IntN(8)) * time.Second)
+	}
+}
+
+// longRunningSpec returns a job of long-running tasks, often with just enough
+// workers for the limit of its step.
+func (w *simWorld) longRunningSpec() job.Spec {
+	id := job.ID(fmt.Sprintf("%016x", w.rng.Uint64()))
+	st := job.Step{
+		Count: 1 + w.rng.IntN(len(w.workers)), Need: job.Resources{CPU: 300 + w.rng.IntN(1500), MemoryMB: 200 + w.rng.IntN(2000)},
+		LongRunning: true, MaxUnavailable: 1, MaxPerWorker: w.rng.IntN(3),
+	}
+	if w.rng.IntN(5) == 0 {
+		st.Label, st.Count = "a", 1+w.rng.IntN(2)
+	}
+	return job.Spec{ID: id, Payload: "text of " + string(id), Steps: []job.Step{st}}
+}
+
+// randomFault causes one fault, or submits or cancels a job.
+func (l *liveness) randomFault() {
+	w := l.w
+	s := w.workers[w.rng.IntN(len(w.workers))]
+	soon := func(least, spread int) time.Duration {
+		return time.Duration(least+w.rng.IntN(spread)) * time.Millisecond
+	}
+	switch w.rng.IntN(16) {
+	case 0:
+		w.submit(w.longRunningSpec(), 3)
+	case 1, 2:
+		w.submit(w.randomSpec(), 3)
+	case 3:
+		l.restartLater(s, 1+w.rng.IntN(3))
+	case 4, 5:
+		l.loseForGood(s)
+	case 6:
+		l.drain(s, soon(100, 4000))
+	case 7:
+		w.unansweredRate = w.rng.Float64()
+		w.after(soon(200, 1500), func() { w.unansweredRate = 0 })
+	case 8:
+		w.delayedRate, w.lostRate = 0.5*w.rng.Float64(), 0.3*w.rng.Float64()
+		w.after(soon(200, 1500), func() { w.delayedRate, w.lostRate = 0, 0 })
+	case 9:
+		w.takeOver()
+	case 10:
+		w.pauseHolder()
+	case 11:
+		w.killHolder()
+	case 12:
+		w.freezeList(soon(1000, 6000))
+	case 13:
+		l.cordon(s)
+	case 14:
+		s.partitioned = true
+		w.after(soon(500, 5000), func() { s.partitioned = false })
+	case 15:
+		// The worker is lost while starts are under way.
+		w.submit(w.longRunningSpec(), 3)
+		w.after(soon(10, 60), func() { l.loseForGood(s) })
+	}
+}
+
+// restartLater crashes a worker, which comes back, n times in a row.
+func (l *liveness) restartLater(s *simWorker, n int) {
+	if !s.up || n == 0 {
+		return
+	}
+	s.crash()
+	l.disturb()
+	l.w.after(time.Duration(100+l.w.rng.IntN(2000))*time.Millisecond, func() {
+		if s.addressReused || !s.listed {
+			return
+		}
+		l.disturb()
+		l.w.restartWorker(s)
+		l.w.after(time.Duration(100+l.w.rng.IntN(2000))*time.Millisecond, func() { l.restartLater(s, n-1) })
+	})
+}
+
+// loseForGood ends a worker without a word. It stays in the list for a while, and
+// another one may be listed in its place, sometimes at its address.
+func (l *liveness) loseForGood(s *simWorker) {
+	w := l.w
+	if !s.up {
+		return
+	}
+	s.crash()
+	l.disturb()
+	w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() {
+		s.listed = false
+		w.refreshLists()
+	})
+	if w.rng.IntN(4) == 0 {
+		return
+	}
+	w.after(time.Duration(500+w.rng.IntN(4000))*time.Millisecond, func() {
+		l.disturb()
+		s.addressReused = w.rng.IntN(2) == 0
+		fresh := &simWorker{
+			w: w, id: fmt.Sprintf("i-%d", len(w.workers)), address: s.address, startedAt: 1000,
+			clockRate: s.clockRate, capacity: s.capacity, labels: s.labels, listed: true,
+		}
+		fresh.boot()
+		w.workers = append(w.workers, fresh)
+		w.refreshLists()
+	})
+}
+
+// drain has a worker leave after a while.
+func (l *liveness) drain(s *simWorker, after time.Duration) {
+	if !s.up || s.draining {
+		return
+	}
+	s.draining = true
+	l.w.refreshLists()
+	l.disturb()
+	l.w.after(after, func() { l.loseForGood(s) })
+}
+
+// freezeList has the list show for a while what it shows now.
+func (w *simWorld) freezeList(d time.Duration) {
+	if w.frozenList != nil {
+		return
+	}
+	w.frozenList = w.listedWorkers()
+	w.after(d, func() { w.frozenList = nil })
+}
+
+// cordon cordons a worker, or uncordons it.
+func (l *liveness) cordon(s *simWorker) {
+	if h := l.w.holder; h.active() && s.up && s.listed {
+		l.cordoned[s.id] = true
+		h.core.Cordon(s.id, "test", l.w.rng.IntN(2) == 0)
+	}
+}
+
+// endBurst ends the faults that last, except for workers that are gone.
+func (l *liveness) endBurst() {
+	w := l.w
+	w.lostRate, w.delayedRate, w.unansweredRate, w.logDown = 0, 0, 0, false
+	for _, s := range w.workers {
+		s.partitioned = false
+	}
+	for _, h := range w.superseded {
+		h.dead = true
+	}
+	w.superseded = nil
+	l.disturb()
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -87,6 +87,10 @@
 	lostRate, delayedRate, unansweredRate float64
 	// logDown is set while the log answers no calls.
 	logDown bool
+	// frozenList is what the list of workers shows while it is frozen, and
+	// hostsUnseen is set if nobody sees which hosts are down.
+	frozenList  []worker.Listing
+	hostsUnseen bool
 	// lastFault is when a fault was last active.
 	lastFault time.Duration
 	// violations are the invariants found broken. Each begins with the kind:
@@ -583,13 +587,21 @@
 	if !h.active() {
 		return
 	}
+	h.core.ReplaceWorkers(h.w.listedWorkers(), h.w.times())
+}
+
+// listedWorkers returns what the platform's list of workers shows.
+func (w *simWorld) listedWorkers() []worker.Listing {
+	if w.frozenList != nil {
+		return w.frozenList
+	}
 	var listed []worker.Listing
-	for _, s := range h.w.workers {
+	for _, s := range w.workers {
 		if s.listed {
 			listed = append(listed, s.listing())
 		}
 	}
-	h.core.ReplaceWorkers(listed, h.w.times())
+	return listed
 }
 
 // step does what the Runner's loops do.
@@ -682,6 +694,8 @@
 	roll := w.rng.Float64()
 	startedAt := s.startedAt
 	switch {
+	case s.addressReused:
+		deliver(worker.ErrWorkerReplaced)
 	case s.partitioned || !s.up || roll < w.lostRate:
 		giveUp()
 	case roll < w.lostRate+w.delayedRate:
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -27,6 +27,8 @@
 	partitioned bool
 	draining    bool
 	listed      bool
+	// addressReused is set once another worker answers at the address.
+	addressReused bool
 
 	token        int64
 	leaseUntil   int64
