Move a task whose start was never sent off a silent worker at once

Callers would see tasks wait 5 s for a worker that has just gone although nobody ever asked it to start them.

Change: a plan ends the runs on a silent worker whose start this holder never sent.

--- a/internal/scheduler/lostworker_test.go
+++ b/internal/scheduler/lostworker_test.go
@@ -86,3 +86,19 @@
 	}
 	t.Fatalf("task not started on worker b within %v", lostWorkerDeadline)
 }
+
+// A start that was never sent must not wait for the lease of a lost worker: its task
+// can run elsewhere at once.
+func TestUnsentStartOnLostWorkerMovesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := scheduler.Times{Now: 2 * time.Hour, Wall: 1_700_000_000_000}
+	c := newLostWorkerCore(now)
+	starts := planStarts(g, c, now)
+	g.Expect(starts).To(HaveLen(1))
+	listWorkers(c, now, "b")
+	c.PollFailed(c.Poll("a", now.Now, simDutyLease), errNotConnected, now)
+	next := planStarts(g, c, now)
+	g.Expect(next).To(ConsistOf(scheduler.PlannedStart{Run: job.RunID{Task: starts[0].Run.Task, Number: 2}, Worker: "b"}))
+	_, send := c.StartOrder(starts[0].Run, "a", now.Now, simDutyLease)
+	g.Expect(send).To(Equal(scheduler.SendNever))
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -181,6 +181,7 @@
 		case ws.LeaseExpired(t.Now):
 			expired = append(expired, id)
 		default:
+			c.dropUnsent(ws, t)
 			c.logKeptRuns(ws, t.Now)
 		}
 	}
@@ -201,6 +202,20 @@
 	}
 }
 
+// dropUnsent ends the runs on a silent worker whose start was never sent, so that
+// their tasks need not wait for its lease. Runs of earlier holders are on a worker
+// that has not seen this holder's token.
+func (c *Core) dropUnsent(ws *worker.State, t Times) {
+	if !ws.Fenced || ws.UnansweredCalls == 0 {
+		return
+	}
+	for _, r := range sortedRuns(ws) {
+		if r.State == worker.RunOrdered && r.StartSentAt == 0 && !r.StartUnanswered {
+			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		}
+	}
+}
+
 // reachable reports whether a worker answered its last call.
 func reachable(ws *worker.State) bool {
 	return ws.Address != "" && ws.UnansweredCalls == 0 && ws.Fenced
