Poll an idle worker again when it restarts or is listed again

Callers saw tasks wait with 4 or 5 workers listed and fewer taking tasks; a worker could be out of use until its pool had another holder.

Cause: the poller of an idle worker sleeps until an order wakes it. A restart under the same ID, or an entry that left the list and came back, makes the worker one that has to be polled before it takes tasks; nothing woke the poller, so it took none, so nothing ever did. Change: each change of the list wakes the pollers of workers that have not answered this holder yet, and of those that are gone.

--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -185,6 +185,13 @@
 	for id := range r.core.workers {
 		r.agent(ctx, id)
 	}
+	for id, a := range r.agents {
+		// The agent of an idle worker sleeps. It has to poll the next incarnation,
+		// and to end with its worker.
+		if ws := r.core.workers[id]; ws == nil || !ws.Fenced {
+			notify(a.wake)
+		}
+	}
 }
 
 // agent returns the agent of a worker and starts it if there is none. It must
