Filter approved workers in the request instead of in a second index

Callers of a pool with and without approvals could lose their daemon, or have tasks share a worker that is too small.

Cause: a group that needs approval was placed through an index of its own over the same nodes. Each node keeps its position in the index, so the second one overwrote the positions of the first, whose next reservation took away another node or panicked. Change: approval is one of the requirements of a request, there is one index a plan; copies of overdue runs now need approval as well.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,6 +42,9 @@
 	Resources job.Resources
 	Label     string
 	DataRack  string
+	// Approved reports whether a node may run the task. If it is nil, every node
+	// may.
+	Approved func(node string) bool
 	// TaskCount returns how many tasks of the step a node has, and MaxPerNode
 	// limits that number, 0 for no limit.
 	TaskCount  func(node string) int
@@ -67,9 +70,12 @@
 
 // feasible reports whether a node meets every requirement of the task.
 func (r Request) feasible(n *Node) bool {
-	return !n.Isolated && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.belowNodeLimit(n)
+	return !n.Isolated && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.approved(n) && r.belowNodeLimit(n)
 }
 
+// approved reports whether a node may run the task.
+func (r Request) approved(n *Node) bool { return r.Approved == nil || r.Approved(n.ID) }
+
 // hasLabel reports whether a node has the required label, if there is one.
 func (r Request) hasLabel(n *Node) bool { return r.Label == "" || slices.Contains(n.Labels, r.Label) }
 
@@ -88,6 +94,8 @@
 	ReasonNoNodes UnplacedReason = "no worker accepts tasks"
 	// ReasonNoLabel means that no node has the required label.
 	ReasonNoLabel UnplacedReason = "no worker has the required label"
+	// ReasonNotApproved means that no node with the label may run the task.
+	ReasonNotApproved UnplacedReason = "no worker is approved for the step"
 	// ReasonNodeLimit means that every node with the label already runs as many
 	// tasks of the step as MaxPerNode allows.
 	ReasonNodeLimit UnplacedReason = "every worker is at the step's limit of tasks per worker"
@@ -102,12 +110,16 @@
 // Explain returns why none of the nodes fits. For ReasonNoResources it also
 // returns the most free CPU time on any node that meets the other requirements.
 func Explain(nodes []*Node, r Request) (reason UnplacedReason, maxFreeCPU int) {
-	anyLabelled, anyBelowLimit, anyOpen := false, false, false
+	anyLabelled, anyApproved, anyBelowLimit, anyOpen := false, false, false, false
 	for _, n := range nodes {
 		if !r.hasLabel(n) {
 			continue
 		}
 		anyLabelled = true
+		if !r.approved(n) {
+			continue
+		}
+		anyApproved = true
 		if !r.belowNodeLimit(n) {
 			continue
 		}
@@ -123,6 +135,8 @@
 		return ReasonNoNodes, 0
 	case !anyLabelled:
 		return ReasonNoLabel, 0
+	case !anyApproved:
+		return ReasonNotApproved, 0
 	case !anyBelowLimit:
 		return ReasonNodeLimit, 0
 	case !anyOpen:
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -77,21 +77,32 @@
 	return ok && now+ticketMargin < t.expires
 }
 
-// approvedNodes returns the nodes with a valid approval for a group. Unless
-// they are enough, approval of further nodes is requested.
-func (c *Core) approvedNodes(pg pendingGroup, nodes []*placement.Node, now time.Duration) []*placement.Node {
+// approvedRequest returns the requirements of one task of a group, which include
+// the approval of its worker if the step needs one.
+func (c *Core) approvedRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
+	req := c.placementRequest(j, g)
+	if j.Terms.Approval == nil {
+		return req
+	}
+	a := c.approvalsOf(worker.StepKey{Job: j.Spec.ID, Occurrence: g.Occurrence, Step: g.Step})
+	req.Approved = func(id string) bool { return a.approved(c.workers[id].Incarnation, now) }
+	return req
+}
+
+// requestMissingApprovals requests approval of further nodes unless enough for a
+// group are approved.
+func (c *Core) requestMissingApprovals(pg pendingGroup, nodes []*placement.Node, now time.Duration) {
 	key := worker.StepKey{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step}
 	a := c.approvalsOf(key)
-	var out []*placement.Node
+	approved := 0
 	for _, n := range nodes {
 		if a.approved(c.workers[n.ID].Incarnation, now) {
-			out = append(out, n)
+			approved++
 		}
 	}
-	if len(out) < len(pg.group.Waiting) {
+	if approved < len(pg.group.Waiting) {
 		c.requestApprovals(pg, key, a, nodes, now)
 	}
-	return out
 }
 
 // requestApprovals queues an approval request for workers that might take the
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -33,7 +33,7 @@
 	if seen && now < last.at+explainInterval {
 		return
 	}
-	req := c.placementRequest(pg.job, pg.group)
+	req := c.approvedRequest(pg.job, pg.group, now)
 	reason, maxFreeCPU := placement.Explain(nodes, req)
 	if pg.job.waitReasons == nil {
 		pg.job.waitReasons = map[int]waitReason{}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -230,7 +230,7 @@
 	if ws == nil || ws.Runs[r] == nil || !c.overdue(ws.Runs[r], now) {
 		return
 	}
-	req := c.placementRequest(j, job.TaskGroup{Occurrence: r.Task.Occurrence, Step: r.Task.Step})
+	req := c.approvedRequest(j, job.TaskGroup{Occurrence: r.Task.Occurrence, Step: r.Task.Step}, now)
 	req.AvoidNode = original
 	req.ExpectedEnd = now + c.expectedDuration(s)
 	n := x.Choose(req)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -111,9 +111,8 @@
 	c.placeMoved(b, t.Now)
 	p := c.newPreemptor(t.Now)
 	for _, pg := range c.queue(t.Now) {
-		x := x
 		if pg.job.Terms.Approval != nil {
-			x = placement.NewIndex(c.approvedNodes(pg, x.Nodes(), t.Now))
+			c.requestMissingApprovals(pg, x.Nodes(), t.Now)
 		}
 		if pg.job.Spec.Steps[pg.group.Step].Gang {
 			if !c.placeGang(b, pg, x, t.Now) {
@@ -188,7 +187,7 @@
 	if !x.MayFit(pg.job.Spec.Steps[pg.group.Step].ReservedResources()) {
 		return false
 	}
-	req := c.placementRequest(pg.job, pg.group)
+	req := c.approvedRequest(pg.job, pg.group, now)
 	req.ExpectedEnd = now + c.expectedDuration(pg.job.Spec.Steps[pg.group.Step])
 	if len(pg.job.avoidedWorkers) > 0 || pg.job.HasCrashes() {
 		return c.placeEach(b, pg, req, x, now)
@@ -227,7 +226,7 @@
 // placeGang places all tasks of a gang or none. It reports whether it placed
 // them.
 func (c *Core) placeGang(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
-	req := c.placementRequest(pg.job, pg.group)
+	req := c.approvedRequest(pg.job, pg.group, now)
 	s := pg.job.Spec.Steps[pg.group.Step]
 	req.ExpectedEnd = now + c.expectedDuration(s)
 	chosen := placement.ChooseGang(x.Nodes(), req, s.Count, s.SameRack)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -76,7 +76,7 @@
 // group loses the least work, with the runs to stop there, or nil when there is
 // none.
 func (p *preemptor) cheapest(pg pendingGroup, nodes []*placement.Node) (string, []*worker.Run) {
-	req := p.core.placementRequest(pg.job, pg.group)
+	req := p.core.approvedRequest(pg.job, pg.group, p.now)
 	var best []*worker.Run
 	var workerID string
 	for _, n := range nodes {
