Ask for approval of further workers when the approved ones have no room

Callers would see tasks wait until tickets run out, with free workers beside.

Cause: approved workers counted as places, with room or without, so that nobody else was asked once there were as many of them as waiting tasks. Change: only approved workers that a task of the group fits on count.

--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -79,7 +79,7 @@
 	}
 	for b := x.bucketOf(r.Resources.CPU); b < indexBuckets; b++ {
 		for _, n := range x.buckets[b] {
-			if r.feasible(n) {
+			if r.Feasible(n) {
 				f(n)
 			}
 		}
@@ -144,7 +144,7 @@
 // updateBest restores the order after a reservation on the best node, and drops
 // that node if no further task fits on it.
 func (c *candidates) updateBest() {
-	if c.request.feasible(c.nodes[0]) {
+	if c.request.Feasible(c.nodes[0]) {
 		heap.Fix(c, 0)
 		return
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,8 +68,8 @@
 // that a task adds to them.
 const busyTimeStep = 200 * time.Millisecond
 
-// feasible reports whether a node meets every requirement of the task.
-func (r Request) feasible(n *Node) bool {
+// Feasible reports whether a node meets every requirement of the task.
+func (r Request) Feasible(n *Node) bool {
 	return !n.Isolated && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.approved(n) && r.belowNodeLimit(n)
 }
 
@@ -154,7 +154,7 @@
 func Choose(nodes []*Node, r Request) *Node {
 	var best *Node
 	for _, n := range nodes {
-		if !r.feasible(n) {
+		if !r.Feasible(n) {
 			continue
 		}
 		if best == nil || r.compare(n, best) < 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -107,7 +107,7 @@
 			r := request(rapid.IntRange(0, 2000).Draw(rt, "request"))
 			n := Choose(nodes, r)
 			for _, other := range nodes {
-				if n == nil && r.feasible(other) {
+				if n == nil && r.Feasible(other) {
 					rt.Fatalf("no node chosen, but %s fits", other.ID)
 				}
 			}
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -89,19 +89,19 @@
 	return req
 }
 
-// requestMissingApprovals requests approval of further nodes unless enough for a
-// group are approved.
+// requestMissingApprovals requests approval of further nodes unless enough that
+// have room for a task of the group are approved.
 func (c *Core) requestMissingApprovals(pg pendingGroup, nodes []*placement.Node, now time.Duration) {
-	key := worker.StepKey{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step}
-	a := c.approvalsOf(key)
-	approved := 0
+	req := c.approvedRequest(pg.job, pg.group, now)
+	open := 0
 	for _, n := range nodes {
-		if a.approved(c.workers[n.ID].Incarnation, now) {
-			approved++
+		if req.Feasible(n) {
+			open++
 		}
 	}
-	if approved < len(pg.group.Waiting) {
-		c.requestApprovals(pg, key, a, nodes, now)
+	if open < len(pg.group.Waiting) {
+		key := worker.StepKey{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step}
+		c.requestApprovals(pg, key, c.approvalsOf(key), nodes, now)
 	}
 }
 
