Place a task elsewhere after its worker rejected the start

Callers would see a task wait beside free workers, as long as one worker answers polls and rejects starts.

Cause: a rejected start ended the run as lost, the choice of a worker is deterministic and nothing had changed, so that the next plan chose the same one. Change: after a rejection for health, room or form the task avoids that worker, as after a failure. Figures: TestTaskIsPlacedElsewhereAfterRejectedStarts fails before and passes now.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -120,8 +120,13 @@
 	if c.checkFenced(rejection) {
 		return
 	}
-	if rejection.Reason == worker.ReasonInvalidTicket {
+	switch rejection.Reason {
+	case worker.ReasonInvalidTicket:
 		c.expireTicket(r.ID.Task, ws.Incarnation)
+	case worker.ReasonUnhealthy, worker.ReasonNoResources, worker.ReasonInvalid:
+		if j := c.jobs[r.ID.Task.Job]; j != nil {
+			j.avoidWorker(r.ID.Task, ws.Incarnation.ID)
+		}
 	}
 	if r.StartUnanswered {
 		c.requestStop(ws, r, "start rejected after an earlier start got no answer")
