Let tasks that last and stalled jobs use ejected workers when no other fits

Callers saw a task that lasts wait up to 16 s for a worker that was there.

Cause: an ejected worker was left out of placement as long as no more than a third of the pool is ejected, also where only it has the label, or a place under the limit of a step. Tasks that last fail now and then and never count as success, so two such jobs keep ejecting one worker. Change: ejected workers stay in placement and are the last choice of tasks without a limit of attempts and of jobs that are stalled.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,8 +20,10 @@
 	// BusyUntil is when the last of the node's runs is expected to end, by the
 	// same clock as Request.ExpectedEnd.
 	BusyUntil time.Duration
-	// Avoid marks a node to use only when no other fits.
-	Avoid bool
+	// Avoid marks a node to use only when no other fits, and Ejected one that only
+	// tasks with AllowEjected use, and then only when no other fits.
+	Avoid   bool
+	Ejected bool
 	// Serving is set if the node runs a serving task, one that answers requests
 	// of its own users.
 	Serving bool
@@ -53,6 +55,8 @@
 	AvoidNode string
 	// ExpectedEnd is when the task is expected to end.
 	ExpectedEnd time.Duration
+	// AllowEjected is set for a task that may fail any number of times.
+	AllowEjected bool
 	// Suspect is set for a task that may crash its node. It is placed where no
 	// task has started just now, if it can, and isolates its node.
 	Suspect bool
@@ -70,7 +74,7 @@
 
 // Feasible reports whether a node meets every requirement of the task.
 func (r Request) Feasible(n *Node) bool {
-	return !n.Isolated && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.approved(n) && r.belowNodeLimit(n)
+	return !n.Isolated && (!n.Ejected || r.AllowEjected) && r.Resources.FitsIn(n.Free) && r.hasLabel(n) && r.approved(n) && r.belowNodeLimit(n)
 }
 
 // approved reports whether a node may run the task.
@@ -99,11 +103,11 @@
 	// ReasonNodeLimit means that every node with the label already runs as many
 	// tasks of the step as MaxPerNode allows.
 	ReasonNodeLimit UnplacedReason = "every worker is at the step's limit of tasks per worker"
-	// ReasonIsolated means that every node below that limit takes no further task
-	// because one that may crash it has just started there.
-	ReasonIsolated UnplacedReason = "every worker is isolated for a task that may crash it"
-	// ReasonNoResources means that no node below that limit that is not isolated
-	// has enough free resources.
+	// ReasonIsolated means that every node below that limit is ejected, or takes no
+	// further task because one that may crash it has just started there.
+	ReasonIsolated UnplacedReason = "every worker is ejected, or isolated for a task that may crash it"
+	// ReasonNoResources means that no other node below that limit has enough free
+	// resources.
 	ReasonNoResources UnplacedReason = "no worker has enough free resources"
 )
 
@@ -124,7 +128,7 @@
 			continue
 		}
 		anyBelowLimit = true
-		if n.Isolated {
+		if n.Isolated || n.Ejected && !r.AllowEjected {
 			continue
 		}
 		anyOpen = true
@@ -206,7 +210,7 @@
 // weight exceeds the sum of all smaller ones, so that the worst reason decides.
 func (r Request) penalty(n *Node) int {
 	p := 0
-	if n.Avoid {
+	if n.Avoid || n.Ejected {
 		p += 16
 	}
 	if r.AvoidNode == n.ID {
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -78,9 +78,11 @@
 }
 
 // approvedRequest returns the requirements of one task of a group, which include
-// the approval of its worker if the step needs one.
+// the approval of its worker if the step needs one. A stalled job may use ejected
+// workers.
 func (c *Core) approvedRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
 	req := c.placementRequest(j, g)
+	req.AllowEjected = req.AllowEjected || j.stalled(now)
 	if j.Terms.Approval == nil {
 		return req
 	}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -136,21 +136,19 @@
 	return h != nil && (h.stalled || now < h.ejectedUntil)
 }
 
-// withoutEjected leaves out ejected workers. Where more than maxEjectedShare
-// are ejected, they are only avoided.
-func (c *Core) withoutEjected(nodes []*placement.Node, now time.Duration) []*placement.Node {
-	out := make([]*placement.Node, 0, len(nodes))
+// markEjected marks ejected workers. Where more than maxEjectedShare are ejected,
+// they are only avoided.
+func (c *Core) markEjected(nodes []*placement.Node, now time.Duration) {
+	var ejected []*placement.Node
 	for _, n := range nodes {
 		if c.ejected(n.ID, now) {
-			n.Avoid = true
-		} else {
-			out = append(out, n)
+			ejected = append(ejected, n)
 		}
 	}
-	if float64(len(nodes)-len(out)) > maxEjectedShare*float64(len(nodes)) {
-		return nodes
+	avoid := float64(len(ejected)) > maxEjectedShare*float64(len(nodes))
+	for _, n := range ejected {
+		n.Avoid, n.Ejected = avoid, !avoid
 	}
-	return out
 }
 
 // overdue reports whether a run takes much longer than expected.
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -13,7 +13,8 @@
 // freeNodes returns the workers that get new tasks, without the places on them
 // that are promised. They are valid until the next call.
 func (c *Core) freeNodes(now time.Duration) []*placement.Node {
-	nodes := c.withoutEjected(c.nodes(now), now)
+	nodes := c.nodes(now)
+	c.markEjected(nodes, now)
 	promised := c.places
 	c.places = map[job.TaskID]string{}
 	for _, t := range sortedTasks(promised) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -178,6 +178,8 @@
 		Serving:    s.TailLatencyTarget > 0,
 		BestEffort: s.BestEffort,
 		DesiredCPU: s.Need.CPU,
+
+		AllowEjected: s.LongRunning,
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -101,13 +101,19 @@
 // tasks: what the pool has free in total may be on workers that take no tasks.
 func (c *Core) hasStalledJob(now time.Duration) bool {
 	for _, j := range c.openJobs {
-		if j.stalledSince > 0 && !j.Phase.Final() && now-j.stalledSince >= stalledAfter {
+		if !j.Phase.Final() && j.stalled(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// stalled reports whether the job has had no active run for stalledAfter although
+// some of its tasks wait.
+func (j *trackedJob) stalled(now time.Duration) bool {
+	return j.stalledSince > 0 && now-j.stalledSince >= stalledAfter
+}
+
 // largestCapacity returns the capacity of the largest worker.
 func (c *Core) largestCapacity() job.Resources {
 	var largest job.Resources
