Isolate only tasks under which a worker has certainly crashed

Cause: after a takeover all runs of a worker that is gone count as possible crashes, since it is not known which of them had started; each was then started on a worker of its own for 250 ms, one after the other. Change: a task counts as suspect once one crash is certain.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -67,6 +67,12 @@
 	return 0
 }
 
+// Suspect reports whether a worker is known to have crashed soon after a task had
+// started on it.
+func (j *Job) Suspect(t TaskID) bool {
+	return slices.ContainsFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) && c.Certain > 0 })
+}
+
 // HasCrashes reports whether workers may have crashed soon after a task of the
 // job had started on them.
 func (j *Job) HasCrashes() bool { return len(j.Crashes) > 0 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -336,7 +336,7 @@
 		run := worker.NewRun(r, s, worker.RunOrdered, now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
 		run.Adopted = true
-		run.Suspect = j.CrashCount(r.Task) > 0
+		run.Suspect = j.Suspect(r.Task)
 		ws.AddRun(run)
 	})
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -207,7 +207,7 @@
 	all := true
 	for _, k := range pg.group.Waiting {
 		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
-		req.Suspect = pg.job.CrashCount(pg.task(k)) > 0
+		req.Suspect = pg.job.Suspect(pg.task(k))
 		n := x.Choose(req)
 		if n == nil {
 			all = false
@@ -266,7 +266,7 @@
 func (c *Core) addPlannedRun(b *Batch, j *trackedJob, r job.RunID, ws *worker.State, now time.Duration) {
 	s := j.Step(r.Task)
 	run := worker.NewRun(r, s, worker.RunPlanned, now, c.expectedDuration(s))
-	run.Suspect = j.CrashCount(r.Task) > 0
+	run.Suspect = j.Suspect(r.Task)
 	ws.AddRun(run)
 	j.stalledSince = 0
 	b.starts = append(b.starts, plannedStart{run: r, worker: ws.Incarnation})
