Ask for no host for tasks that the next plan may place

Callers do not see it; pools got hosts that they did not need.

Cause: the report of a pool counts every waiting task that lasts, also in the moment between its submission and the first plan, so that a step of 8 tasks could have 8 hosts moved beside 8 free workers. Change: tasks count once a plan has found no worker for them since their job changed.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -133,6 +133,9 @@
 	// version counts the changes of the job. batchedVersion is the last version
 	// in a batch, and committedVersion the last in the log.
 	version, batchedVersion, committedVersion int
+	// unplacedVersion is the version of which a plan last found no worker for some
+	// of the job's tasks, or -1.
+	unplacedVersion int
 	// loggedPhase is the phase that the log holds.
 	loggedPhase job.Phase
 	// lastPreemption is when runs were last preempted for the job.
@@ -306,6 +309,8 @@
 		sequence:    c.submitted,
 		objective:   objective(&s.Spec, s.Terms),
 		speculative: slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.Speculative }),
+
+		unplacedVersion: -1,
 	}
 }
 
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -29,6 +29,7 @@
 	if pg.job.stalledSince == 0 && !pg.job.HasActiveRuns() {
 		pg.job.stalledSince = now
 	}
+	pg.job.unplacedVersion = pg.job.version
 	last, seen := pg.job.waitReasons[pg.group.Step]
 	if seen && now < last.at+explainInterval {
 		return
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -66,6 +66,10 @@
 		switch pg.class(now) {
 		case classLongRunning:
 			rep.LongRunning = rep.LongRunning.Add(needed)
+			if pg.job.unplacedVersion != pg.job.version {
+				// The next plan may place them.
+				continue
+			}
 			unplaced = append(unplaced, taskGroup{count: len(pg.group.Waiting), need: s.ReservedResources(), maxPerHost: s.MaxPerWorker})
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
