Split the model of a pool into world, checks and holder

Change: the checks of the invariants and the simulated holder have files of their own; no line of them changed.

--- /dev/null
+++ b/internal/scheduler/simholder_test.go
@@ -0,0 +1,348 @@
+package scheduler_test
+
+import (
+	"cmp"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/verdict"
+	"greengagedeck/internal/worker"
+)
+
+// simHolder simulates a daemon that holds the pool: it does for a Core what the
+// Runner does, in virtual time.
+type simHolder struct {
+	w         *simWorld
+	core      *scheduler.Core
+	token     int64
+	heldSince time.Duration
+	// renewedAt is when its duty was last renewed. It is not renewed any more once
+	// another daemon has claimed the pool.
+	renewedAt     time.Duration
+	paused        bool
+	dead          bool
+	appliedIntake int
+	planning      bool
+	plannedAt     time.Duration
+	listedAt      time.Duration
+	listReadAt    time.Duration
+	polling       map[string]bool
+	lastPoll      map[string]time.Duration
+	runWorkers    map[job.RunID]string
+}
+
+// takeOver makes a new daemon the holder, as if it had claimed the duty. The
+// previous holder continues as a superseded one unless it is dead.
+func (w *simWorld) takeOver() {
+	if w.logDown {
+		w.after(100*time.Millisecond, w.takeOver)
+		return
+	}
+	if w.holder != nil && !w.holder.dead {
+		w.superseded = append(w.superseded, w.holder)
+	}
+	w.token++
+	w.epoch = w.token
+	h := &simHolder{
+		w:          w,
+		token:      w.token,
+		heldSince:  w.now,
+		renewedAt:  w.now,
+		polling:    map[string]bool{},
+		lastPoll:   map[string]time.Duration{},
+		runWorkers: map[job.RunID]string{},
+		core: scheduler.NewCore(scheduler.Options{
+			Pool:            simPool,
+			Token:           w.token,
+			Lease:           simLease,
+			MaxLease:        simMaxLease,
+			StopTimeout:     simStopTimeout,
+			DutyLease:       simDutyLease,
+			StatusRetention: time.Hour,
+			Logger:          w.logger(),
+		}, w.now),
+	}
+	var records []joblog.ProgressRecord
+	for _, key := range sortedKeys(w.progress) {
+		rec, ok, err := joblog.DecodeProgress(logstore.Record{Key: key, Value: w.progress[key]})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if ok {
+			records = append(records, rec)
+		}
+	}
+	h.core.Restore(records, w.times())
+	w.holder = h
+	h.applyIntake()
+	h.readList()
+}
+
+// logger returns the holders' logger, which writes only with -trace-holders.
+func (w *simWorld) logger() zerolog.Logger {
+	if !*traceHolders {
+		return zerolog.Nop()
+	}
+	token := w.token
+	return zerolog.New(os.Stdout).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Float64("at", (w.now-time.Hour).Seconds()).Int64("token", token)
+	}))
+}
+
+func sortedKeys(m map[string][]byte) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (h *simHolder) active() bool { return !h.paused && !h.dead }
+
+func (h *simHolder) remaining() time.Duration {
+	if h.w.holder == h && h.active() && !h.w.logDown {
+		h.renewedAt = h.w.now
+	}
+	return max(0, h.renewedAt+simDutyLease-h.w.now)
+}
+
+func (h *simHolder) applyIntake() {
+	if !h.active() {
+		return
+	}
+	h.core.ApplyIntake(h.w.intake[h.appliedIntake:], h.w.times())
+	h.appliedIntake = len(h.w.intake)
+}
+
+func (h *simHolder) readList() {
+	if !h.active() || h.w.listDown {
+		return
+	}
+	h.listReadAt = h.w.now
+	h.core.ReplaceWorkers(h.w.listedWorkers(), h.w.times())
+}
+
+// listedWorkers returns what the platform's list of workers shows.
+func (w *simWorld) listedWorkers() []worker.Listing {
+	if w.frozenList != nil {
+		return w.frozenList
+	}
+	var listed []worker.Listing
+	for _, s := range w.workers {
+		if s.listed && s.replacedBy == nil {
+			listed = append(listed, s.listing())
+		}
+	}
+	return listed
+}
+
+// step does what the Runner's loops do.
+func (h *simHolder) step() {
+	if !h.active() {
+		return
+	}
+	if h.appliedIntake < len(h.w.intake) && h.w.rng.IntN(20) == 0 {
+		h.applyIntake()
+	}
+	if h.w.now-h.listedAt > simListInterval {
+		h.listedAt = h.w.now
+		h.readList()
+	}
+	if !h.planning && (h.core.NeedsPlan() || h.w.now-h.plannedAt > 250*time.Millisecond) {
+		h.plan()
+	}
+	h.sendStops()
+	for _, s := range h.w.workers {
+		h.maybePoll(s)
+	}
+}
+
+func (h *simHolder) plan() {
+	h.plannedAt = h.w.now
+	b, err := h.core.Plan(h.w.times())
+	if err != nil {
+		h.w.t.Fatal(err)
+	}
+	for _, s := range scheduler.BatchStarts(b) {
+		h.runWorkers[s.Run] = s.Worker
+	}
+	h.planning = true
+	h.w.after(h.w.networkDelay(), func() { h.logBatch(b) })
+}
+
+// logBatch logs a batch as the journal does: it retries appends without an answer.
+func (h *simHolder) logBatch(b *scheduler.Batch) {
+	if h.dead {
+		return
+	}
+	if h.paused || h.w.logDown {
+		h.w.after(50*time.Millisecond, func() { h.logBatch(b) })
+		return
+	}
+	if h.token < h.w.epoch {
+		// The log rejects all further appends of an earlier holder.
+		h.dead = true
+		return
+	}
+	for _, e := range b.Progress {
+		if len(e.Value) == 0 {
+			delete(h.w.progress, e.Key)
+		} else {
+			h.w.progress[e.Key] = e.Value
+		}
+	}
+	if h.w.rng.Float64() < h.w.unansweredRate {
+		h.w.after(200*time.Millisecond, func() { h.logBatch(b) })
+		return
+	}
+	h.w.after(h.w.networkDelay(), func() { h.committed(b) })
+}
+
+func (h *simHolder) committed(b *scheduler.Batch) {
+	if h.dead {
+		return
+	}
+	if h.paused {
+		h.w.after(50*time.Millisecond, func() { h.committed(b) })
+		return
+	}
+	h.planning = false
+	for _, run := range h.core.Committed(b, h.w.times()) {
+		h.start(run)
+	}
+}
+
+// call sends an order over the faulty network. do carries it out at the worker
+// and returns the answer. answer receives it, or a timeout error if there is none.
+func (h *simHolder) call(s *simWorker, do func() error, answer func(err error)) {
+	w := h.w
+	timeout := verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer")
+	deliver := func(err error) {
+		w.after(w.networkDelay(), func() { h.runWhenActive(func() { answer(err) }) })
+	}
+	giveUp := func() {
+		w.after(simCallTimeout, func() { h.runWhenActive(func() { answer(timeout) }) })
+	}
+	roll := w.rng.Float64()
+	startedAt := s.startedAt
+	switch {
+	case s.addressReused || s.addressTaken():
+		deliver(worker.ErrWorkerReplaced)
+	case s.partitioned || !s.up || roll < w.lostRate:
+		giveUp()
+	case roll < w.lostRate+w.delayedRate:
+		giveUp()
+		w.after(time.Duration(2000+w.rng.IntN(10000))*time.Millisecond, func() {
+			// A delayed order is lost when the worker restarts.
+			if s.up && s.startedAt == startedAt {
+				_ = do()
+			}
+		})
+	case roll < w.lostRate+w.delayedRate+w.unansweredRate:
+		giveUp()
+		w.after(w.networkDelay(), func() {
+			if s.up {
+				_ = do()
+			}
+		})
+	default:
+		w.after(w.networkDelay(), func() {
+			if !s.up || s.partitioned {
+				giveUp()
+				return
+			}
+			err := do()
+			if !s.up {
+				// The order crashed the worker before it answered.
+				giveUp()
+				return
+			}
+			deliver(err)
+		})
+	}
+}
+
+// runWhenActive calls do as soon as the holder is not paused, unless it is dead.
+func (h *simHolder) runWhenActive(do func()) {
+	switch {
+	case h.dead:
+	case h.paused:
+		h.w.after(50*time.Millisecond, func() { h.runWhenActive(do) })
+	default:
+		do()
+	}
+}
+
+func (h *simHolder) worker(id string) *simWorker {
+	for _, s := range h.w.workers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func (h *simHolder) start(run job.RunID) {
+	s := h.worker(h.runWorkers[run])
+	retry := func() { h.w.after(50*time.Millisecond, func() { h.runWhenActive(func() { h.start(run) }) }) }
+	o, send := h.core.StartOrder(run, s.id, h.w.now, h.remaining())
+	if send == scheduler.SendLater {
+		retry()
+	}
+	if send != scheduler.SendNow {
+		return
+	}
+	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
+	h.call(s, func() error { return s.startFrom(origin, o.Order) }, func(err error) {
+		if h.core.StartAnswered(o, s.clock(), err, h.w.times()) {
+			retry()
+		}
+	})
+}
+
+func (h *simHolder) sendStops() {
+	stops := h.core.StopOrders()
+	slices.SortFunc(stops, func(a, b scheduler.StopOrder) int {
+		return cmp.Compare(a.Run.Task.String(), b.Run.Task.String())
+	})
+	for _, stop := range stops {
+		s := h.worker(stop.Worker)
+		h.call(s, func() error { return s.stop(stop.Run, stop.Token) }, func(err error) {
+			h.core.StopAnswered(stop, s.clock(), err, h.w.times())
+		})
+	}
+}
+
+func (h *simHolder) maybePoll(s *simWorker) {
+	if h.polling[s.id] {
+		return
+	}
+	at, ok := h.core.NextPoll(s.id, h.lastPoll[s.id])
+	if !ok || at > h.w.now {
+		return
+	}
+	h.polling[s.id] = true
+	p := h.core.Poll(s.id, h.w.now, h.remaining())
+	var rep worker.Report
+	do := func() (err error) {
+		rep, err = s.poll(p.Request)
+		return err
+	}
+	h.call(s, do, func(err error) {
+		h.polling[s.id] = false
+		h.lastPoll[s.id] = h.w.now
+		if err != nil {
+			h.core.PollFailed(p, err, h.w.times())
+			return
+		}
+		h.core.PollSucceeded(p, rep, h.w.times())
+	})
+}
