Clear a task of the crashes under it once a worker has survived its start

Callers would have seen jobs that last shown as failed for crashes of workers long apart, or for crashes seconds after the start.

Cause: counts were kept until the task was done, which a task that lasts never is; a crash up to a second after the start was put down to the task, since a poll waits for a second and the start was the last answer; a run that came up on the next incarnation of its worker kept the blame for the one before. Change: a poll that finds the run 250 ms after its start clears task and run; polls of a worker with a suspect wait no longer than that; counts of done tasks leave the record, whose entries are keyed so that they can grow.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -14,17 +14,16 @@
 	maxPossibleCrashes      = 5
 )
 
-// CrashCount is how many workers have crashed soon after a task had started on
-// them.
+// CrashCount is how many workers in a row have crashed soon after a task had
+// started on them.
 type CrashCount struct {
-	_          struct{} `cbor:",toarray"`
-	Occurrence int
-	Step       int
-	Index      int
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	Index      int `cbor:"3,keyasint,omitempty"`
 	// Certain counts the workers that are known to have crashed with the task on
 	// them, and Possible the others.
-	Certain  int
-	Possible int
+	Certain  int `cbor:"4,keyasint,omitempty"`
+	Possible int `cbor:"5,keyasint,omitempty"`
 }
 
 // isOf reports whether the count is that of a task.
@@ -80,9 +79,12 @@
 // recordCrash counts a crash of the run's worker. The job fails once its task may
 // not be started again.
 func (j *Job) recordCrash(r RunID, reason EndReason, now int64) {
+	if j.Task(r.Task).Done {
+		return
+	}
 	c := j.crashCountOf(r.Task)
 	c.add(reason)
-	if c.exhausted(reason) && !j.Task(r.Task).Done && !j.Phase.Final() {
+	if c.exhausted(reason) && !j.Phase.Final() {
 		j.finish(Failed, now)
 	}
 }
@@ -97,7 +99,18 @@
 	return &j.Crashes[i]
 }
 
-// clearCrashes removes the count of a task.
-func (j *Job) clearCrashes(t TaskID) {
+// Survived records that a worker has survived the start of a task, which is then
+// not the cause of earlier crashes. It reports whether there were any.
+func (j *Job) Survived(t TaskID) bool {
+	before := len(j.Crashes)
 	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) })
+	return len(j.Crashes) < before
+}
+
+// pruneCrashes removes the counts of tasks that are done or no longer known.
+func (j *Job) pruneCrashes() {
+	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool {
+		task := j.Task(TaskID{Job: j.Spec.ID, Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
+		return task == nil || task.Done
+	})
 }
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -37,3 +37,30 @@
 		g.Expect(j.Phase).To(Equal(c.phase), "%v", c.reasons)
 	}
 }
+
+// A task whose worker survives its start must not be given up for crashes that it had
+// before: a task that lasts would collect them over its life.
+func TestSurvivedStartClearsCrashes(t *testing.T) {
+	g := NewWithT(t)
+	j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 2, LongRunning: true}}}, Terms{MaxAttempts: 3})
+	crashTask(j, EndCrashedWorker)
+	task := TaskID{Job: j.Spec.ID}
+	g.Expect(j.Suspect(task)).To(BeTrue())
+	g.Expect(j.Survived(task)).To(BeTrue())
+	g.Expect(j.Survived(task)).To(BeFalse())
+	crashTask(j, EndCrashedWorker)
+	g.Expect(j.Phase).To(Equal(Running))
+	g.Expect(j.CrashCount(TaskID{Job: j.Spec.ID, Index: 1})).To(BeZero())
+}
+
+// Counts of tasks that are done must leave the record of a job.
+func TestDoneTaskHasNoCrashes(t *testing.T) {
+	g := NewWithT(t)
+	j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 2, Speculative: true}}}, Terms{MaxAttempts: 3})
+	task := TaskID{Job: j.Spec.ID}
+	copied := j.Place(task, Location{})
+	crashTask(j, EndCrashedWorker, EndDone)
+	g.Expect(j.HasCrashes()).To(BeFalse())
+	j.EndRun(copied, EndCrashedWorker, "", 1)
+	g.Expect(j.HasCrashes()).To(BeFalse())
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -251,7 +251,6 @@
 }
 
 func (j *Job) recordSuccess(r RunID, now int64) {
-	j.clearCrashes(r.Task)
 	o := j.occurrence(r.Task.Occurrence)
 	p := &o.Steps[r.Task.Step]
 	s := j.Step(r.Task)
@@ -268,6 +267,7 @@
 		p.Tasks[r.Task.Index].Done = true
 		p.Done++
 	}
+	j.pruneCrashes()
 	if !o.allDone() || j.Phase.Final() {
 		return
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -204,19 +204,17 @@
 // placeEach does what placeTasks does for a job with tasks that avoid the worker
 // on which they failed, or under which workers have crashed.
 func (c *Core) placeEach(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
-	all := true
 	for _, k := range pg.group.Waiting {
 		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
 		req.Suspect = pg.job.Suspect(pg.task(k))
 		n := x.Choose(req)
 		if n == nil {
-			all = false
-			continue
+			return false
 		}
 		x.Reserve(req, n)
 		c.placeTask(b, pg, k, n, now)
 	}
-	return all
+	return true
 }
 
 // placeTask adds a run of a group's task with index k on a node.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -96,6 +96,11 @@
 		default:
 			p.Request.Wait = pollWait
 		}
+		if rest := ws.IsolatedFor(now); rest > 0 {
+			// If the worker crashes later, its last answer shows that the suspect is
+			// not the cause.
+			p.Request.Wait = min(p.Request.Wait, rest)
+		}
 	}
 	return p
 }
@@ -208,6 +213,7 @@
 			ws.SetRunState(r, worker.RunConfirmed, now)
 		}
 		r.LastReported = sent
+		c.recordSurvival(ws, r)
 		r.ProgressPercent = row.ProgressPercent
 		r.Measurement = row.Measurement
 		if row.Checkpoint != "" {
@@ -217,6 +223,20 @@
 	return active
 }
 
+// recordSurvival clears what a run was suspected of, once its worker has survived
+// its start.
+func (c *Core) recordSurvival(ws *worker.State, r *worker.Run) {
+	if !ws.Survived(r) {
+		return
+	}
+	r.CrashReason = ""
+	j := c.jobs[r.ID.Task.Job]
+	if j != nil && j.HasCrashes() && j.Survived(r.ID.Task) {
+		ws.Acquit(r)
+		c.markDirty(j)
+	}
+}
+
 // stopUnknownRun tracks and stops a run that is on a worker without being in
 // the log.
 func (c *Core) stopUnknownRun(ws *worker.State, row worker.RunStatus, now time.Duration) *worker.Run {
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -39,7 +39,7 @@
 // mayHaveCrashed reports whether a run may be the cause of a crash of its worker.
 func (s *State) mayHaveCrashed(r *Run) bool {
 	switch {
-	case r.State == RunPlanned || r.CrashReason != "":
+	case r.State == RunPlanned:
 		return false
 	case r.StartSentAt == 0:
 		// It is not known when an earlier holder started the run, but it was before
@@ -50,6 +50,39 @@
 	}
 }
 
+// Survived reports whether the worker answered a poll for longer than crashWindow
+// after it had started a run, going by the last poll that found the run there. A
+// run of an earlier holder or incarnation had started before the first answer.
+func (s *State) Survived(r *Run) bool {
+	started := r.StartSentAt
+	if started == 0 {
+		started = s.FencedAt
+	}
+	return r.LastReported >= started+crashWindow
+}
+
+// Acquit records that a run is no suspect any more.
+func (s *State) Acquit(r *Run) {
+	if r.Suspect {
+		r.Suspect = false
+		s.SuspectRuns--
+	}
+}
+
+// IsolatedFor returns how long the worker remains isolated if its runs go on.
+func (s *State) IsolatedFor(now time.Duration) time.Duration {
+	var rest time.Duration
+	if s.SuspectRuns == 0 {
+		return 0
+	}
+	for _, r := range s.Runs {
+		if r.Suspect && r.State == RunConfirmed {
+			rest = max(rest, r.StateSince+crashWindow-now)
+		}
+	}
+	return rest
+}
+
 // RecentStart reports whether a run was started less than crashWindow ago.
 func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
 
