Give up no task for idle workers that were gone before its starts were sent

Cause: idle workers are not polled, so a holder starts tasks on workers that have been gone for seconds. A start without an answer there, with another worker at the address 5 ms later, counted as a possible crash under the task; five in a row, one plan after the other, gave its job up. Change: such a start counts as unverified and no crash, unless the worker answered a call less than 250 ms before it. From then on starts of the task are sent only to workers that have just answered a poll, so that an unanswered one counts as a crash; that bounds a deadly task that never lets its worker answer. The test driver polls a worker that a start waits for, as the runner does; what it asserts is unchanged.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -24,6 +24,9 @@
 	// them, and Possible the others.
 	Certain  int `cbor:"4,keyasint,omitempty"`
 	Possible int `cbor:"5,keyasint,omitempty"`
+	// Unverified is set if a start of the task was sent to a worker that may have
+	// been gone before.
+	Unverified bool `cbor:"6,keyasint,omitempty"`
 }
 
 // isOf reports whether the count is that of a task.
@@ -33,19 +36,30 @@
 
 // add counts a crash.
 func (c *CrashCount) add(reason EndReason) {
-	if reason == EndCrashPossible {
+	switch reason {
+	case EndStartUnverified:
+		c.Unverified = true
+	case EndCrashPossible:
 		c.Possible++
-	} else {
+	default:
 		c.Certain++
 	}
 }
 
 // total returns how many workers may have crashed.
-func (c *CrashCount) total() int { return c.Certain + c.Possible }
+func (c *CrashCount) total() int {
+	n := c.Certain + c.Possible
+	if c.Unverified {
+		n++
+	}
+	return n
+}
 
 // exhausted reports whether the task must not be started again after a crash.
 func (c *CrashCount) exhausted(reason EndReason) bool {
 	switch {
+	case reason == EndStartUnverified:
+		return false
 	case c.total() >= maxPossibleCrashes || c.Certain >= maxSuspectedCrashes:
 		return true
 	case c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -243,7 +243,7 @@
 		j.recordSuccess(r, now)
 	case EndFailed:
 		j.recordFailure(r, now)
-	case EndCrashPossible, EndCrashSuspected, EndCrashedWorker:
+	case EndStartUnverified, EndCrashPossible, EndCrashSuspected, EndCrashedWorker:
 		j.recordCrash(r, reason, now)
 	default:
 	}
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -72,6 +72,9 @@
 	// EndWorkerLost means that the run's worker is gone and cannot report how the
 	// run ended.
 	EndWorkerLost EndReason = "lost"
+	// EndStartUnverified means that the run's worker is gone or has restarted, and
+	// that it may have been before the run's start was sent, which got no answer.
+	EndStartUnverified EndReason = "start-unverified"
 	// EndCrashPossible means that the run's worker is gone or has restarted, and
 	// that the run may have started there shortly before.
 	EndCrashPossible EndReason = "crash-possible"
--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -37,8 +37,14 @@
 	r.mu.Lock()
 	s, send := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
 	r.mu.Unlock()
-	if send != SendNow {
-		return send == SendLater
+	switch send {
+	case SendNever:
+		return false
+	case SendLater:
+		// The agent of an idle worker sleeps.
+		notify(a.wake)
+		return true
+	default:
 	}
 	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
 	r.metrics.startAnswered(err)
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -175,7 +175,7 @@
 	p.pollWorkers()
 	var started *crashWorker
 	for _, s := range p.plan() {
-		o, send := p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+		o, send := p.startOrder(s)
 		p.g.Expect(send).To(Equal(scheduler.SendNow))
 		started = p.worker(s.Worker)
 		started.runs = append(started.runs, s.Run)
@@ -184,6 +184,17 @@
 	return started
 }
 
+// startOrder returns the order of a start. Its worker is polled first if the core
+// waits for its answer, as the runner does.
+func (p *crashPool) startOrder(s scheduler.PlannedStart) (scheduler.StartOrder, scheduler.SendDecision) {
+	o, send := p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+	if send != scheduler.SendLater {
+		return o, send
+	}
+	p.poll(p.worker(s.Worker))
+	return p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+}
+
 // awaitStart returns the worker that starts the task next, or nil if the task is
 // not started.
 func (p *crashPool) awaitStart() *crashWorker {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -25,7 +25,7 @@
 	// SendNever means that the order is no longer wanted.
 	SendNever SendDecision = iota
 	// SendLater means that the order has to wait until this daemon may act again
-	// and the worker answers.
+	// and the worker answers a poll.
 	SendLater
 	// SendNow means that the order may be sent.
 	SendNow
@@ -53,7 +53,10 @@
 		c.requestStop(ws, run, "its worker's capacity has shrunk")
 		return StartOrder{}, SendNever
 	}
-	run.StartSentAt = now
+	if run.AwaitsAnswer() && !ws.AnsweredRecently(now) {
+		return StartOrder{}, SendLater
+	}
+	ws.StartSent(run, now)
 	return StartOrder{
 		Worker:    workerID,
 		Target:    ws.Target(),
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -265,6 +265,7 @@
 	s := j.Step(r.Task)
 	run := worker.NewRun(r, s, worker.RunPlanned, now, c.expectedDuration(s))
 	run.Suspect = j.Suspect(r.Task)
+	run.Verified = j.CrashCount(r.Task) > 0
 	ws.AddRun(run)
 	j.stalledSince = 0
 	b.starts = append(b.starts, plannedStart{run: r, worker: ws.Incarnation})
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -73,6 +73,16 @@
 	return false
 }
 
+// awaitsAnswer reports whether a run waits for the worker's next answer to start.
+func awaitsAnswer(ws *worker.State) bool {
+	for _, r := range ws.Runs {
+		if r.AwaitsAnswer() {
+			return true
+		}
+	}
+	return false
+}
+
 // Poll returns the poll to send to a worker. remaining is how long this daemon
 // may still act for the pool; when none is left, no lease is extended.
 func (c *Core) Poll(id string, now, remaining time.Duration) Poll {
@@ -91,6 +101,7 @@
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		switch {
 		case ws.LastEndSeen > ws.LastEndLogged:
+		case awaitsAnswer(ws):
 		case runsMixedTasks(ws):
 			p.Request.Wait = mixedPollWait
 		default:
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -26,7 +26,9 @@
 	}
 	for _, r := range suspects {
 		switch {
-		case !certain || r.State != RunConfirmed:
+		case !upAtStart(r):
+			r.CrashReason = job.EndStartUnverified
+		case !certain || r.State != RunConfirmed && !r.Verified:
 			r.CrashReason = job.EndCrashPossible
 		case len(suspects) > 1:
 			r.CrashReason = job.EndCrashSuspected
@@ -50,6 +52,29 @@
 	}
 }
 
+// upAtStart reports whether the worker of a run was up when the run was started, as
+// far as this holder can tell: of starts that an earlier one sent it knows nothing.
+func upAtStart(r *Run) bool {
+	return r.State == RunConfirmed || r.SentWhileUp || r.StartSentAt == 0
+}
+
+// StartSent records that a start of a run is sent.
+func (s *State) StartSent(r *Run, now time.Duration) {
+	r.StartSentAt = now
+	r.SentWhileUp = r.SentWhileUp || s.AnsweredRecently(now)
+}
+
+// AnsweredRecently reports whether the worker answered a call less than crashWindow
+// ago. One that did not may be gone without having been missed, since idle workers
+// are not polled.
+func (s *State) AnsweredRecently(now time.Duration) bool { return now < s.LastAnswer+crashWindow }
+
+// AwaitsAnswer reports whether a run waits for its worker to answer a poll before
+// its start is sent.
+func (r *Run) AwaitsAnswer() bool {
+	return r.Verified && r.State == RunOrdered && r.StartSentAt == 0
+}
+
 // Survived reports whether the worker answered a poll for longer than crashWindow
 // after it had started a run, going by the last poll that found the run there. A
 // run of an earlier holder or incarnation had started before the first answer.
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -58,6 +58,12 @@
 	Adopted bool
 	// Suspect is set for a run of a task under which a worker has crashed before.
 	Suspect bool
+	// Verified is set for a run that is started only on a worker that has just
+	// answered, since workers may have crashed under its task before.
+	Verified bool
+	// SentWhileUp is set if the worker had answered shortly before a start of the
+	// run was sent.
+	SentWhileUp bool
 	// CrashReason is how the run ended if its worker crashed soon after the start
 	// of the run, else empty.
 	CrashReason job.EndReason
