Ask for hosts for tasks of a pool without workers

Callers saw tasks that last wait for ever in a pool whose workers were all gone while the platform still listed its hosts.

Cause: the report told a number of hosts, computed by the holder of the pool from the size of its largest worker. Without workers that size is unknown and the number was 0. Such a pool counted as half used as well, so that a stalled job asked for no host either. HostsNeeded stays for earlier releases; without workers it is what the limits alone call for. A host with room for such a task is not cordoned. Earlier releases skip the new field, and reports without it are used as before.

--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -72,8 +72,9 @@
 	// hosts counts the hosts that run tasks or are on their way, without the
 	// cordoned ones.
 	hosts int
-	// required is how many hosts the pool needs.
-	required int
+	// required is how many hosts the pool needs, and requiredAny how many of them
+	// whatever tasks they can take.
+	required, requiredAny int
 	// arriving counts those of hosts whose workers do not take tasks yet but will
 	// soon.
 	arriving int
@@ -177,7 +178,11 @@
 		if p.hostCapacity.CPU == 0 && len(d.Hosts) > 0 {
 			p.hostCapacity = d.Hosts[0].Capacity
 		}
-		p.required = d.requiredHosts(p)
+		p.requiredAny = d.requiredHosts(p)
+		p.required = p.requiredAny
+		if n := d.hostsForUnplaced(p); n > 0 {
+			p.required = max(p.required, p.hosts+n)
+		}
 	}
 }
 
@@ -204,9 +209,9 @@
 	return d.Arriving[h.Name] && (!known || l.Joining)
 }
 
-// requiredHosts returns how many hosts a pool needs: enough for what runs and
-// waits now, and for what callers are forecast to submit by the time a moved
-// host would run tasks.
+// requiredHosts returns how many hosts a pool needs, whatever tasks they can take:
+// enough for what runs and waits now, and for what callers are forecast to submit
+// by the time a moved host would run tasks.
 func (d *decider) requiredHosts(p *poolState) int {
 	if p.view.Standby || !p.view.HasReport || p.hostCapacity.CPU == 0 {
 		return p.hosts
@@ -218,7 +223,7 @@
 	now := scaleResources(current, d.params.Headroom)
 	forecast := scaleResources(minResources(r.ExpectedDemand, scaleResources(current, d.params.MaxForecastRatio).Add(reserve)), d.params.Headroom)
 	required := max(hostsForResources(now.Add(r.LongRunning).Add(reserve), p.hostCapacity), hostsForResources(forecast.Add(r.LongRunning).Add(reserve), p.hostCapacity))
-	if r.HostsNeeded > 0 {
+	if len(r.Unplaced) == 0 && r.HostsNeeded > 0 {
 		// Free resources that are spread over many hosts do not fit a large task.
 		required = max(required, p.hosts+r.HostsNeeded-p.arriving)
 	}
@@ -226,7 +231,7 @@
 }
 
 // hostsForStalled returns how many hosts a pool needs for tasks that no worker
-// takes, beside those that are arriving.
+// takes and that its report does not describe, beside those that are arriving.
 func (d *decider) hostsForStalled(p *poolState) int {
 	return max(0, p.view.Report.HostsNeeded-p.arriving)
 }
--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -16,10 +16,10 @@
 	}
 	movable := d.movableHosts()
 	for _, p := range pools {
-		movable = d.growPool(p, min(p.required, p.hosts+d.hostsForStalled(p)), movable)
+		movable = d.growForUnplaced(p, movable)
 	}
 	for _, p := range pools {
-		movable = d.growPool(p, p.required, movable)
+		movable = d.growPool(p, p.requiredAny, movable)
 	}
 }
 
@@ -34,31 +34,20 @@
 		if d.hasAction[h.Name] {
 			continue
 		}
-		p.hosts++
-		d.addAction(Action{
-			Kind: Move, Host: h.Name, Worker: h.Worker, Pool: h.Pool, To: p.view.Name,
-			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts-1),
-		})
+		d.moveHost(p, h)
 	}
 	return movable
 }
 
-// uncordonHosts uncordons workers of a pool until it has a number of hosts. Hosts
-// that await maintenance stay cordoned.
+// uncordonHosts uncordons workers of a pool until it has a number of hosts.
 func (d *decider) uncordonHosts(p *poolState, hosts int) {
 	for _, h := range d.Hosts {
 		if p.hosts >= hosts {
 			return
 		}
-		if h.Pool != p.view.Name || !d.canOrder(h) || !d.workerLoads[h.Worker].Cordoned || d.awaitingMaintenance[h.Name] {
-			continue
+		if h.Pool == p.view.Name && d.canUncordon(h) {
+			d.uncordonHost(p, h)
 		}
-		p.hosts++
-		p.cordoned--
-		d.addAction(Action{
-			Kind: Uncordon, Host: h.Name, Worker: h.Worker, Pool: h.Pool,
-			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts-1),
-		})
 	}
 }
 
@@ -133,12 +122,13 @@
 }
 
 // cordonCandidates returns the hosts of a pool that may be cordoned to shrink it,
-// those expected to be empty soonest first. Hosts with long-running tasks are left out.
+// those expected to be empty soonest first. Hosts with long-running tasks, or with
+// room for tasks that wait, are left out.
 func (d *decider) cordonCandidates(p *poolState) []Host {
 	var out []Host
 	for _, h := range d.Hosts {
 		l := d.workerLoads[h.Worker]
-		if h.Pool == p.view.Name && d.canOrder(h) && l.ID != "" && !l.Cordoned && l.LongRunning == 0 {
+		if h.Pool == p.view.Name && d.canOrder(h) && l.ID != "" && !l.Cordoned && l.LongRunning == 0 && !d.takesUnplaced(p, h) {
 			out = append(out, h)
 		}
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -50,14 +50,19 @@
 	Workers        []WorkerLoad  `cbor:"7,keyasint"`
 	// HostsNeeded is how many hosts would be filled by the long-running tasks
 	// that wait because no worker has the resources for them. It is at least
-	// one when another job is stalled because no worker takes its tasks.
+	// one when another job is stalled because no worker takes its tasks. It is
+	// for readers that do not know Unplaced.
 	HostsNeeded int `cbor:"8,keyasint,omitempty"`
+	// Unplaced describes the tasks for which HostsNeeded asks: all long-running
+	// ones, and one of each kind that a stalled job waits with. There are at most
+	// maxUnplacedGroups groups.
+	Unplaced []UnplacedTasks `cbor:"9,keyasint,omitempty"`
 }
 
 // Report describes the pool. lead is how far ahead demand is forecast.
 func (c *Core) Report(now, lead time.Duration) Report {
 	var rep Report
-	var unplaced []taskGroup
+	var longRunning, stalled []UnplacedTasks
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
 	for _, pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
@@ -70,92 +75,28 @@
 				// The next plan may place them.
 				continue
 			}
-			unplaced = append(unplaced, taskGroup{count: len(pg.group.Waiting), need: s.ReservedResources(), maxPerHost: s.MaxPerWorker})
+			longRunning = addUnplaced(longRunning, unplacedTasks(s, len(pg.group.Waiting)))
+			continue
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
 		}
+		if pg.job.stalled(now) {
+			stalled = addKind(stalled, unplacedTasks(s, 1))
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		rep.Workers = append(rep.Workers, c.workerLoad(id, &rep, now))
 	}
-	rep.HostsNeeded = hostsToFill(unplaced, c.largestCapacity())
-	if rep.HostsNeeded == 0 && !c.halfUsed(rep.Used) && c.hasStalledJob(now) {
-		rep.HostsNeeded = 1
-	}
-	return rep
-}
-
-// stalledAfter is how long a job may have no active run, with tasks that find
-// no worker, before it counts as stalled.
-const stalledAfter = 2 * time.Second
-
-// halfUsed reports whether half of the pool's processors are in use. Waiting
-// tasks are then served by the hosts that the pool's demand calls for.
-func (c *Core) halfUsed(used job.Resources) bool {
-	var capacity job.Resources
-	for _, ws := range c.workers {
-		if ws.Listed {
-			capacity = capacity.Add(ws.Capacity)
-		}
-	}
-	return 2*used.CPU >= capacity.CPU
-}
-
-// hasStalledJob reports whether a job is stalled because no worker takes its
-// tasks: what the pool has free in total may be on workers that take no tasks.
-func (c *Core) hasStalledJob(now time.Duration) bool {
-	for _, j := range c.openJobs {
-		if !j.Phase.Final() && j.stalled(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// stalled reports whether the job has had no active run for stalledAfter although
-// some of its tasks wait.
-func (j *trackedJob) stalled(now time.Duration) bool {
-	return j.stalledSince > 0 && now-j.stalledSince >= stalledAfter
-}
-
-// largestCapacity returns the capacity of the largest worker.
-func (c *Core) largestCapacity() job.Resources {
-	var largest job.Resources
-	for _, ws := range c.workers {
-		if largest.FitsIn(ws.Capacity) {
-			largest = ws.Capacity
-		}
-	}
-	return largest
-}
-
-// taskGroup is a number of equal tasks that wait, of which a host takes at most
-// maxPerHost, 0 for no limit.
-type taskGroup struct {
-	count      int
-	need       job.Resources
-	maxPerHost int
-}
-
-// hostsToFill returns how many empty hosts a first-fit packing of the tasks
-// uses. Tasks that fit on no host are not counted.
-func hostsToFill(groups []taskGroup, host job.Resources) int {
-	var free []job.Resources
-	for _, g := range groups {
-		if !g.need.FitsIn(host) {
-			continue
-		}
-		for at, left := 0, g.count; left > 0; at++ {
-			if at == len(free) {
-				free = append(free, host)
-			}
-			for n := 0; left > 0 && g.need.FitsIn(free[at]) && (g.maxPerHost == 0 || n < g.maxPerHost); n++ {
-				free[at] = free[at].Sub(g.need)
-				left--
-			}
+	rep.HostsNeeded = hostsToFill(longRunning, c.assumedHostCapacity())
+	rep.Unplaced = longRunning
+	if !c.halfUsed(rep.Used) {
+		rep.Unplaced = append(rep.Unplaced, stalled...)
+		if rep.HostsNeeded == 0 && c.hasStalledJob(now) {
+			rep.HostsNeeded = 1
 		}
 	}
-	return len(free)
+	rep.Unplaced = rep.Unplaced[:min(len(rep.Unplaced), maxUnplacedGroups)]
+	return rep
 }
 
 // workerLoad describes one worker and adds its runs to the report.
--- a/internal/scheduler/spread_open_test.go
+++ b/internal/scheduler/spread_open_test.go
@@ -6,13 +6,6 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against tasks that wait in a pool without workers and for which no host is asked for.
-func TestReportNeedsHostsInPoolWithoutWorkers(t *testing.T) {
-	r := newSpreadRig(t, 2, 1000)
-	r.plan()
-	r.g.Expect(r.hostsNeeded()).To(BeNumerically(">", 0))
-}
-
 // Guards against a task that waits for a host larger than those that its pool has left, and
 // for which no host is asked for.
 func TestReportNeedsHostForTaskLargerThanWorkers(t *testing.T) {
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -225,3 +225,10 @@
 	r.plan()
 	r.g.Expect(r.hostsNeeded()).To(Equal(1))
 }
+
+// Guards against tasks that wait in a pool without workers and for which no host is asked for.
+func TestReportNeedsHostsInPoolWithoutWorkers(t *testing.T) {
+	r := newSpreadRig(t, 2, 1000)
+	r.plan()
+	r.g.Expect(r.hostsNeeded()).To(BeNumerically(">", 0))
+}
