Ask for hosts for tasks larger than the workers that are left

Callers saw a task that lasts wait for ever once the last worker of its size had left, with hosts of that size in standby.

Cause: tasks larger than the largest worker of the moment counted as tasks that fit on no host. A task that fits on no host of the fleet gets none.

--- a/internal/fleet/unplaced_test.go
+++ b/internal/fleet/unplaced_test.go
@@ -54,3 +54,33 @@
 	f.Pools[1].Report.Unplaced = nil
 	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Cordon)).To(BeNumerically(">", 0))
 }
+
+// Guards against hosts that are too small for the tasks that wait, whether they are moved or
+// count because they are on their way.
+func TestPoolGetsHostsLargeEnoughForUnplacedTasks(t *testing.T) {
+	g := NewWithT(t)
+	large := job.Resources{CPU: 8000}
+	f := newViewBuilder().addPool("a", 4, 1, scheduler.Report{
+		Used: capacityOf(1), LongRunning: capacityOf(1), HostsNeeded: 2,
+		Unplaced: []scheduler.UnplacedTasks{{Count: 2, Need: large, MaxPerHost: 1}},
+	}).addStandby(8)
+	for i := range f.Hosts {
+		f.Hosts[i].Capacity = job.Resources{CPU: 4000, MemoryMB: 32000}
+	}
+	f.Hosts[3].State, f.Hosts[3].Worker = HostMoving, ""
+	f.Hosts[6].Capacity, f.Hosts[9].Capacity = testCapacity, testCapacity
+	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(Equal([]string{"m-spare-2", "m-spare-5"}))
+
+	f.Hosts[3].Capacity = testCapacity
+	f.Pools[1].Report.Used, f.Pools[1].Report.LongRunning = job.Resources{}, job.Resources{}
+	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(Equal([]string{"m-spare-2"}), "one large host is arriving")
+}
+
+// Guards against hosts for tasks that fit on none.
+func TestPoolGetsNoHostForTaskThatFitsOnNone(t *testing.T) {
+	g := NewWithT(t)
+	f := newViewBuilder().addPool("a", 4, 1, scheduler.Report{
+		HostsNeeded: 1, Unplaced: []scheduler.UnplacedTasks{{Count: 1, Need: job.Resources{CPU: 64000}}},
+	}).addStandby(8)
+	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(BeEmpty())
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -65,6 +65,9 @@
 	restoredProgress map[job.ID]*job.Progress
 
 	workers map[string]*worker.State
+	// largestCapacity is the capacity of the largest worker that the pool has had
+	// since it was taken over, or zero.
+	largestCapacity job.Resources
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
--- a/internal/scheduler/unplaced.go
+++ b/internal/scheduler/unplaced.go
@@ -64,18 +64,19 @@
 var unknownCapacity = job.Resources{CPU: math.MaxInt, MemoryMB: math.MaxInt, GPU: math.MaxInt}
 
 // assumedHostCapacity returns the capacity that a further host is assumed to have:
-// that of the largest worker.
+// that of the largest worker that the pool has had.
 func (c *Core) assumedHostCapacity() job.Resources {
-	if len(c.workers) == 0 {
+	if c.largestCapacity == (job.Resources{}) {
 		return unknownCapacity
 	}
-	var largest job.Resources
-	for _, ws := range c.workers {
-		if largest.FitsIn(ws.Capacity) {
-			largest = ws.Capacity
-		}
+	return c.largestCapacity
+}
+
+// recordCapacity updates largestCapacity with the capacity of a worker.
+func (c *Core) recordCapacity(r job.Resources) {
+	if c.largestCapacity.FitsIn(r) {
+		c.largestCapacity = r
 	}
-	return largest
 }
 
 // hostsToFill returns how many empty hosts a first-fit packing of the tasks
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -17,6 +17,7 @@
 			removed = append(removed, l.Incarnation.ID)
 			continue
 		}
+		c.recordCapacity(l.Capacity)
 		c.updateWorker(l, t)
 	}
 	for _, id := range removed {
