Give a pool hosts with the label that its waiting tasks require

Callers saw tasks with a required label wait while hosts without it were moved to their pool one pair after the other; with no host of that label the whole standby pool went.

Cause: the report told how many hosts are needed and not which, so that the fleet's holder took the first in its list, and counted every arriving host as one for the tasks. Change: groups of tasks that no worker takes carry the required label, hosts of the fleet their labels, and tasks are counted only on hosts that have it. Hosts that are needed anyway are filled first. The simulated hosts of growth_test.go have their rack as label in the list of hosts, as on the platform.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,8 @@
 	State HostState
 	Zone  string
 	Rack  string
+	// Labels are the host's labels, which its workers have too. They include Rack.
+	Labels []string
 	// Capacity is the host's total resources.
 	Capacity job.Resources
 	// Worker is the ID of the worker on the host. It is empty in standby.
--- a/internal/fleet/growth_open_test.go
+++ b/internal/fleet/growth_open_test.go
@@ -35,17 +35,6 @@
 	s.g.Expect(w.Started).To(HaveLen(6), strings.Join(s.decisions, "\n"))
 }
 
-// Guards against a task with a required label that gets hosts without that label.
-func TestPoolGetsHostWithRequiredLabel(t *testing.T) {
-	step := spreadStep(2)
-	step.Label = "rack-2"
-	s := newGrowthSim(t, 5, 6, step)
-	s.addHost("m-labelled", standbyPool, "rack-2")
-	s.addHost("m-labelled-2", standbyPool, "rack-2")
-	took := s.runUntil(30*time.Second, s.allRunning)
-	s.g.Expect(took).To(BeNumerically("<=", growthMove+growthJoin+2*growthStep), strings.Join(s.decisions, "\n"))
-}
-
 // Guards against a pool that gets a host only after its task has ended with a worker
 // that said long before that it would leave.
 func TestPoolGetsHostBeforeDrainingWorkerLeaves(t *testing.T) {
--- a/internal/fleet/growth_test.go
+++ b/internal/fleet/growth_test.go
@@ -91,7 +91,7 @@
 }
 
 func (s *growthSim) addHost(name, pool, rack string) *growthHost {
-	h := &growthHost{Host: Host{Name: name, Pool: pool, Rack: rack, Capacity: testCapacity}}
+	h := &growthHost{Host: Host{Name: name, Pool: pool, Rack: rack, Labels: []string{rack}, Capacity: testCapacity}}
 	s.hosts = append(s.hosts, h)
 	h.boot()
 	return h
@@ -160,7 +160,7 @@
 	for _, h := range s.serving() {
 		list = append(list, worker.Listing{
 			Incarnation: job.Incarnation{ID: h.Worker, StartedAt: 1}, Address: h.Worker, Pool: growthPool, Host: h.Name, Rack: h.Rack,
-			Labels: []string{h.Rack}, Capacity: h.Capacity, Draining: h.draining, Clock: s.now.Milliseconds(),
+			Labels: h.Labels, Capacity: h.Capacity, Draining: h.draining, Clock: s.now.Milliseconds(),
 		})
 	}
 	known := map[string]bool{}
@@ -383,3 +383,14 @@
 	took := s.runUntil(30*time.Second, s.allRunning)
 	s.g.Expect(took).To(BeNumerically("<=", growthMove+growthJoin+2*growthStep), strings.Join(s.decisions, "\n"))
 }
+
+// Guards against a task with a required label that gets hosts without that label.
+func TestPoolGetsHostWithRequiredLabel(t *testing.T) {
+	step := spreadStep(2)
+	step.Label = "rack-2"
+	s := newGrowthSim(t, 5, 6, step)
+	s.addHost("m-labelled", standbyPool, "rack-2")
+	s.addHost("m-labelled-2", standbyPool, "rack-2")
+	took := s.runUntil(30*time.Second, s.allRunning)
+	s.g.Expect(took).To(BeNumerically("<=", growthMove+growthJoin+2*growthStep), strings.Join(s.decisions, "\n"))
+}
--- a/internal/fleet/unplaced.go
+++ b/internal/fleet/unplaced.go
@@ -13,23 +13,41 @@
 type hostSpace struct {
 	Host
 	free job.Resources
-	// needed is set once a task is counted there.
+	// needed is set for a host that arrives, and once a task is counted there.
 	needed bool
 }
 
-// countTasks counts groups of waiting tasks on hosts, each task on the first host
-// that has room for it. Tasks that fit on none are left out.
+// countTasks counts groups of waiting tasks on hosts: each task on the first host
+// that has room for it, hosts that are needed anyway first. Tasks that fit on none
+// are left out.
 func countTasks(groups []scheduler.UnplacedTasks, hosts []hostSpace) {
 	for _, g := range groups {
 		left := g.Count
-		for i := range hosts {
-			left -= hosts[i].take(g, left)
+		for _, h := range neededFirst(hosts) {
+			left -= h.take(g, left)
 		}
 	}
 }
 
-// take counts up to limit tasks of a group on the host and returns their number.
+// neededFirst returns the hosts in their order, those that are needed first.
+func neededFirst(hosts []hostSpace) []*hostSpace {
+	var needed, others []*hostSpace
+	for i := range hosts {
+		if hosts[i].needed {
+			needed = append(needed, &hosts[i])
+		} else {
+			others = append(others, &hosts[i])
+		}
+	}
+	return append(needed, others...)
+}
+
+// take counts up to limit tasks of a group on the host and returns their number,
+// 0 without the label that they require.
 func (h *hostSpace) take(g scheduler.UnplacedTasks, limit int) int {
+	if g.Label != "" && !slices.Contains(h.Labels, g.Label) {
+		return 0
+	}
 	if g.MaxPerHost > 0 {
 		limit = min(limit, g.MaxPerHost)
 	}
@@ -73,7 +91,7 @@
 	var out []hostSpace
 	for _, h := range d.Hosts {
 		if h.Pool == p.view.Name && h.State != HostDown && d.isArriving(h) && !d.workerLoads[h.Worker].Cordoned {
-			out = append(out, hostSpace{Host: h, free: h.Capacity})
+			out = append(out, hostSpace{Host: h, free: h.Capacity, needed: true})
 		}
 	}
 	return out
--- a/internal/fleet/unplaced_test.go
+++ b/internal/fleet/unplaced_test.go
@@ -84,3 +84,29 @@
 	}).addStandby(8)
 	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(BeEmpty())
 }
+
+// Guards against hosts for a label that none has, and against tasks without a label that
+// wait for hosts beside labelled ones with room.
+func TestUnplacedTasksWithLabelsGetFittingHosts(t *testing.T) {
+	g := NewWithT(t)
+	need := job.Resources{CPU: 1000}
+	f := newViewBuilder().addPool("a", 4, 1, scheduler.Report{HostsNeeded: 1, Unplaced: []scheduler.UnplacedTasks{
+		{Count: 3, Need: need, MaxPerHost: 1, Label: "gone"},
+		{Count: 1, Need: need, MaxPerHost: 1, Label: "large"},
+		{Count: 1, Need: need, MaxPerHost: 1},
+	}}).addStandby(8)
+	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(Equal([]string{"m-spare-0"}), "no host is large")
+	f.Hosts[9].Labels = []string{"large", "rack-2"}
+	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(ConsistOf("m-spare-5"))
+}
+
+// Guards against a pool that gets one host after the other for tasks whose label none has.
+func TestPoolGetsNoHostsForUnknownLabel(t *testing.T) {
+	step := spreadStep(2)
+	step.Label = "rack-9"
+	s := newGrowthSim(t, 5, 6, step)
+	s.run(30 * time.Second)
+	for _, d := range s.decisions {
+		s.g.Expect(d).NotTo(ContainSubstring(`to="a"`))
+	}
+}
--- a/internal/scheduler/unplaced.go
+++ b/internal/scheduler/unplaced.go
@@ -18,16 +18,18 @@
 	Need  job.Resources `cbor:"2,keyasint"`
 	// MaxPerHost limits the number of these tasks on one host, 0 for no limit.
 	MaxPerHost int `cbor:"3,keyasint,omitempty"`
+	// Label, if set, is a label that the host must have.
+	Label string `cbor:"4,keyasint,omitempty"`
 }
 
 // unplacedTasks returns the group of count tasks of a step.
 func unplacedTasks(s job.Step, count int) UnplacedTasks {
-	return UnplacedTasks{Count: count, Need: s.ReservedResources(), MaxPerHost: s.MaxPerWorker}
+	return UnplacedTasks{Count: count, Need: s.ReservedResources(), MaxPerHost: s.MaxPerWorker, Label: s.Label}
 }
 
 // sameKind reports whether the tasks of two groups need the same of a host.
 func (u UnplacedTasks) sameKind(o UnplacedTasks) bool {
-	return u.Need == o.Need
+	return u.Need == o.Need && u.Label == o.Label
 }
 
 // spread returns the number of hosts that MaxPerHost alone calls for, 0 for no
