Count no crash under a task whose start was rejected since its worker is replaced

Callers would see jobs shown as failed although no worker had started their task.

Cause: a start that another worker rejects at the address ends the run as one of a worker that crashed, also if it is the first start that was sent for the run. Change: such a run ends before its worker counts as crashed; an earlier start that got no answer still counts.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -96,6 +96,10 @@
 		}
 		return false
 	case errors.Is(err, worker.ErrWorkerReplaced):
+		if !r.StartUnanswered {
+			// No worker has started the run, so no crash is its fault.
+			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		}
 		c.addressReassigned(ws, t)
 		return false
 	case errors.As(err, &rejection):
--- a/internal/scheduler/unverified_test.go
+++ b/internal/scheduler/unverified_test.go
@@ -113,3 +113,25 @@
 	poll := p.core.Poll(starts[0].Worker, p.now.Now, time.Second)
 	p.g.Expect(poll.Request.Wait).To(BeZero())
 }
+// Guards against a job that is given up although no worker has ever started its task:
+// each start was rejected since another worker answers at the address.
+func TestStartsRejectedByReplacedWorkersFailNoJob(t *testing.T) {
+	p := newCrashPool(t)
+	for round := range crashRounds {
+		p.wait(crashTick)
+		p.list()
+		p.pollWorkers()
+		starts := p.plan()
+		if phase, _ := p.core.Lookup(crashJob); phase.Final() {
+			t.Fatalf("job %v after %d starts that were rejected, none was carried out", phase, round)
+		}
+		p.g.Expect(starts).To(HaveLen(1))
+		o, send := p.core.StartOrder(starts[0].Run, starts[0].Worker, p.now.Now, time.Second)
+		p.g.Expect(send).To(Equal(scheduler.SendNow))
+		p.core.StartAnswered(o, 0, worker.ErrWorkerReplaced, p.now)
+		p.workers = nil
+		p.addWorker(fmt.Sprint("a", round), "a")
+	}
+	phase, _ := p.core.Lookup(crashJob)
+	p.g.Expect(phase).To(Equal(job.Running))
+}
