Start no copy of a task under which workers may have crashed

Callers see a deadly task with copies crash one worker more than it may.

Cause: a copy of an overdue run was held back only if a crash was certain. A run whose worker crashed is overdue before the lease of the silent worker expires, so that the copy crashed a further worker while the crash under the run beside it was not counted yet. Change: a task with any counted crash, certain or possible, gets no copy. Figures: TestTaskWithPossibleCrashGetsNoCopyWhileItsWorkerIsSilent fails before (1 copy) and passes now; its counterpart without a crash passes before and after.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -216,11 +216,12 @@
 }
 
 // placeCopy starts a second run beside r if r is overdue and another worker
-// takes it.
+// takes it. A task under which workers may have crashed gets none: until the lease
+// of a silent worker expires, a crash under r is not counted.
 func (c *Core) placeCopy(b *Batch, j *trackedJob, r job.RunID, x *placement.Index, now time.Duration) {
 	s := j.Step(r.Task)
 	task := j.Task(r.Task)
-	if !s.Speculative || s.Gang || len(task.Runs) != 1 || j.Suspect(r.Task) {
+	if !s.Speculative || s.Gang || len(task.Runs) != 1 || j.CrashCount(r.Task) > 0 {
 		return
 	}
 	original := task.Runs[0].At.Worker.ID
--- /dev/null
+++ b/internal/scheduler/suspect_test.go
@@ -0,0 +1,64 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// copyEstimate is the estimate of a speculative task in these tests, and
+	// copyTime how long a run of it has to be silent at most to get a copy.
+	copyEstimate = 100 * time.Millisecond
+	copyTime     = 2 * time.Second
+)
+
+// newCopyPool returns a pool of two workers with a job of one speculative task.
+func newCopyPool(t *testing.T) *crashPool {
+	p := newCrashPool(t)
+	p.sub.Spec.Steps[0].Speculative = true
+	p.sub.Spec.Steps[0].Estimate = copyEstimate
+	p.addWorker("b", "b")
+	p.takeOver()
+	return p
+}
+
+// crashUnseen crashes the worker, which then restarts, and replaces the holder
+// before it learns of that. The next one cannot tell whether the task had started.
+func (p *crashPool) crashUnseen(w *crashWorker) {
+	w.crash()
+	p.wait(simRestartTime)
+	p.restart(w)
+	p.takeOver()
+}
+
+// ticks lets d pass and returns how many ticks had a start.
+func (p *crashPool) ticks(d time.Duration) int {
+	starts := 0
+	for range int(d / crashTick) {
+		if p.tick() != nil {
+			starts++
+		}
+	}
+	return starts
+}
+
+// Guards against a copy of a deadly task that crashes one more worker before the
+// crash under the run beside it is counted.
+func TestTaskWithPossibleCrashGetsNoCopyWhileItsWorkerIsSilent(t *testing.T) {
+	p := newCopyPool(t)
+	w := p.awaitStart()
+	p.crashUnseen(w)
+	w = p.awaitStart()
+	p.g.Expect(w).NotTo(BeNil(), "the task is started again")
+	w.crash()
+	p.g.Expect(p.ticks(copyTime)).To(BeZero(), "copies beside the silent run")
+}
+
+// Guards the test above against a pool that makes no copies at all.
+func TestTaskWithoutCrashGetsCopyWhileItsWorkerIsSilent(t *testing.T) {
+	p := newCopyPool(t)
+	p.awaitStart().crash()
+	p.g.Expect(p.ticks(copyTime)).To(Equal(1), "copies beside the silent run")
+}
