Count a crash under a run that a new holder found on the worker just before

Callers see a deadly task crash one worker more than it may after takeovers.

Cause: a new holder does not know when a run of an earlier one started, and took a run that its first poll listed for one that had been there for long. If the worker crashed within 250 ms of that poll the run ended as lost, not counted. Change: such a run may have started up to the first answer, as Survived already had it; mayHaveCrashed and Survived share that moment now. Figures: TestMarkCrashBlamesAdoptedRunThatFirstAnswerListed fails before (no reason) and passes now.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -41,26 +41,27 @@
 	switch {
 	case r.State == RunPlanned:
 		return false
-	case r.StartSentAt == 0:
-		// It is not known when an earlier holder started the run, but it was before
-		// this holder saw it at the worker.
-		return r.Adopted && r.LastReported == 0
+	case r.StartSentAt == 0 && !r.Adopted:
+		return false
 	default:
-		return s.LastAnswer < r.StartSentAt+crashWindow
+		return r.LastReported == 0 && r.Adopted || s.LastAnswer < s.latestStart(r)+crashWindow
 	}
 }
 
-// Survived reports whether the worker answered a poll for longer than crashWindow
-// after it had started a run, going by the last poll that found the run there. A
-// run of an earlier holder or incarnation had started before the first answer.
-func (s *State) Survived(r *Run) bool {
-	started := r.StartSentAt
-	if started == 0 {
-		started = s.FencedAt
+// latestStart returns the latest moment at which the worker may have started a run.
+// It is not known when an earlier holder or incarnation started one, but it was
+// before the incarnation's first answer to this holder.
+func (s *State) latestStart(r *Run) time.Duration {
+	if r.StartSentAt > 0 {
+		return r.StartSentAt
 	}
-	return r.LastReported >= started+crashWindow
+	return s.FencedAt
 }
 
+// Survived reports whether the worker answered a poll for longer than crashWindow
+// after it had started a run, going by the last poll that found the run there.
+func (s *State) Survived(r *Run) bool { return r.LastReported >= s.latestStart(r)+crashWindow }
+
 // Acquit records that a run is no suspect any more.
 func (s *State) Acquit(r *Run) {
 	if r.Suspect {
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -50,3 +50,25 @@
 	s.MarkCrash(false)
 	g.Expect(recent.CrashReason).To(Equal(job.EndCrashPossible))
 }
+
+// A run that an earlier holder had just started must be blamed for a crash, also if
+// this holder's first poll still found it there.
+func TestMarkCrashBlamesAdoptedRunThatFirstAnswerListed(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		lastAnswer time.Duration
+		reason     job.EndReason
+	}{
+		{time.Second, job.EndCrashedWorker},
+		{time.Second + crashWindow - time.Millisecond, job.EndCrashedWorker},
+		{time.Second + crashWindow, ""},
+	} {
+		s := newTestState()
+		r := newTestRun(1)
+		r.State, r.Adopted, r.LastReported = RunConfirmed, true, time.Second
+		s.AddRun(r)
+		s.FencedAt, s.LastAnswer = time.Second, c.lastAnswer
+		s.MarkCrash(true)
+		g.Expect(r.CrashReason).To(Equal(c.reason), "last answer at %v", c.lastAnswer)
+	}
+}
