--- a/internal/scheduler/unverified_test.go
+++ b/internal/scheduler/unverified_test.go
@@ -113,6 +113,7 @@
 	poll := p.core.Poll(starts[0].Worker, p.now.Now, time.Second)
 	p.g.Expect(poll.Request.Wait).To(BeZero())
 }
+
 // Guards against a job that is given up although no worker has ever started its task:
 // each start was rejected since another worker answers at the address.
 func TestStartsRejectedByReplacedWorkersFailNoJob(t *testing.T) {
