Count a crash that is learnt of after the leases of its worker have expired

Callers would see one task crash worker after worker where entries of workers outlive their leases: heartbeats far apart, or a list that cannot be read for seconds.

Cause: when leases expired while the worker was listed, nobody could tell whether it had crashed, its runs ended as lost, and the restart or removal that followed found no run to count the crash for. Change: the runs that may be the cause are kept with the worker until it answers as the same incarnation, which clears them, or restarts, leaves the list or loses its address, which counts a crash for each. A takeover still forgets them.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -90,13 +90,14 @@
 // job had started on them.
 func (j *Job) HasCrashes() bool { return len(j.Crashes) > 0 }
 
-// recordCrash counts a crash of the run's worker. The job fails once its task may
-// not be started again.
-func (j *Job) recordCrash(r RunID, reason EndReason, now int64) {
-	if j.Task(r.Task).Done {
+// CountCrash counts a crash of a worker on which a task had been started. The job
+// fails once the task may not be started again. now is the time of day in
+// milliseconds since 1970.
+func (j *Job) CountCrash(t TaskID, reason EndReason, now int64) {
+	if task := j.Task(t); task == nil || task.Done {
 		return
 	}
-	c := j.crashCountOf(r.Task)
+	c := j.crashCountOf(t)
 	c.add(reason)
 	if c.exhausted(reason) && !j.Phase.Final() {
 		j.finish(Failed, now)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -244,7 +244,7 @@
 	case EndFailed:
 		j.recordFailure(r, now)
 	case EndStartUnverified, EndCrashPossible, EndCrashSuspected, EndCrashedWorker:
-		j.recordCrash(r, reason, now)
+		j.CountCrash(r.Task, reason, now)
 	default:
 	}
 	return true
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -262,6 +262,24 @@
 	})
 }
 
+// Guards against a crash that does not count because the lease of its worker lapses
+// while the worker is still listed: its entry is kept for longer (heartbeats are
+// far apart, or the list cannot be read for seconds), and it starts again under its
+// ID only then.
+func TestDeadlyTaskGoesOnAfterLeasesLapseWhileWorkerIsListed(t *testing.T) {
+	p := newCrashPool(t)
+	p.crashUntilGivenUp(func(_ int, w *crashWorker) {
+		p.pollWorkers()
+		for range int((simLease + simRestartTime) / crashTick) {
+			p.wait(crashTick)
+			p.pollWorkers()
+			p.plan()
+		}
+		p.restart(w)
+		p.list()
+	})
+}
+
 // Guards against a crash that does not count because the list shows the next
 // incarnation before a poll does.
 func TestDeadlyTaskGoesOnAfterCrashesLearntFromList(t *testing.T) {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -152,6 +152,7 @@
 func (c *Core) addressReassigned(ws *worker.State, t Times) {
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers at the worker's address")
 	ws.MarkCrash(true)
+	c.countLapsed(ws, t)
 	for _, r := range sortedRuns(ws) {
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 	}
@@ -177,6 +178,7 @@
 		c.needsPlan = true
 	}
 	ws.RecordAnswer(report.Clock, t.Now)
+	ws.Lapsed = nil
 	ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
 	firstAnswer := !ws.Fenced
 	if firstAnswer {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -23,6 +23,8 @@
 	for _, id := range removed {
 		if ws := c.workers[id]; ws != nil && ws.Listed {
 			ws.Listed = false
+			ws.MarkLapsed()
+			c.countLapsed(ws, t)
 			c.opt.Logger.Info().Str("worker", id).Int("runs", len(ws.Runs)).Msg("worker is no longer listed")
 			c.dropIdle(id)
 		}
@@ -76,6 +78,7 @@
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
 	ws.MarkCrash(true)
+	c.countLapsed(ws, t)
 	ws.ReplaceIncarnation(l, t.Now, c.longestLease())
 	c.applyCordon(ws)
 	c.needsPlan = true
@@ -124,15 +127,42 @@
 		j.avoidWorker(r.ID.Task, ws.Incarnation.ID)
 	}
 	c.markDirty(j)
-	if j.Phase != before && j.Phase.Final() {
-		c.jobDurations = append(c.jobDurations, t.Now-j.arrived)
-		c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("phase", j.Phase).Dur("after", t.Now-j.arrived).Dur("objective", j.objective).Msg("job ended")
-	}
+	c.recordJobEnd(j, before, t)
 	if j.Phase.Final() || reason == job.EndDone && j.mayHaveOtherRuns(r.ID.Task) {
 		c.stopRedundant(j)
 	}
 }
 
+// recordJobEnd records that a job has ended if it had not in the phase before.
+func (c *Core) recordJobEnd(j *trackedJob, before job.Phase, t Times) {
+	if j.Phase == before || !j.Phase.Final() {
+		return
+	}
+	c.jobDurations = append(c.jobDurations, t.Now-j.arrived)
+	c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("phase", j.Phase).Dur("after", t.Now-j.arrived).Dur("objective", j.objective).Msg("job ended")
+}
+
+// countLapsed counts the crash of a worker for the runs whose leases had expired
+// before the crash was known.
+func (c *Core) countLapsed(ws *worker.State, t Times) {
+	for _, r := range ws.Lapsed {
+		j := c.jobs[r.ID.Task.Job]
+		if j == nil || r.CrashReason == "" {
+			continue
+		}
+		before := j.Phase
+		j.CountCrash(r.ID.Task, r.CrashReason, t.Wall)
+		c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("how", string(r.CrashReason)).
+			Int("crashed_workers", j.CrashCount(r.ID.Task)).Msg("worker of a lapsed run has crashed")
+		c.markDirty(j)
+		c.recordJobEnd(j, before, t)
+		if j.Phase.Final() {
+			c.stopRedundant(j)
+		}
+	}
+	ws.Lapsed = nil
+}
+
 // mayHaveOtherRuns reports whether further runs may do the same work as one of a
 // task.
 func (j *trackedJob) mayHaveOtherRuns(t job.TaskID) bool {
@@ -189,7 +219,10 @@
 	slices.Sort(expired)
 	for _, id := range expired {
 		ws := c.workers[id]
-		if !ws.Listed {
+		if ws.Listed {
+			// Whether it has crashed shows when it answers again, restarts or leaves.
+			ws.KeepLapsed()
+		} else {
 			ws.MarkCrash(false)
 		}
 		for _, r := range sortedRuns(ws) {
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -15,15 +16,32 @@
 // than crashWindow are not the cause. A worker that was draining is taken to
 // have shut down. certain is set if the incarnation is known to have ended.
 func (s *State) MarkCrash(certain bool) {
-	if s.Draining {
-		return
-	}
-	var suspects []*Run
+	s.markCrash(slices.Concat(s.Lapsed, s.suspects()), certain)
+}
+
+// MarkLapsed does what MarkCrash does for the runs in Lapsed only.
+func (s *State) MarkLapsed() { s.markCrash(s.Lapsed, false) }
+
+// KeepLapsed adds to Lapsed the runs whose leases expire now and that may be the
+// cause if this incarnation has ended.
+func (s *State) KeepLapsed() { s.Lapsed = append(s.Lapsed, s.suspects()...) }
+
+// suspects returns the runs that may be the cause if this incarnation has ended.
+func (s *State) suspects() []*Run {
+	var out []*Run
 	for _, r := range s.Runs {
 		if s.mayHaveCrashed(r) {
-			suspects = append(suspects, r)
+			out = append(out, r)
 		}
 	}
+	return out
+}
+
+// markCrash sets the CrashReason of the runs that may be the cause of a crash.
+func (s *State) markCrash(suspects []*Run, certain bool) {
+	if s.Draining {
+		return
+	}
 	for _, r := range suspects {
 		switch {
 		case !upAtStart(r):
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -192,6 +192,9 @@
 	UnansweredCalls int
 	// LastAnswer is when the worker last answered a call.
 	LastAnswer time.Duration
+	// Lapsed are runs that may be the cause if this incarnation has ended: their
+	// leases expired while the worker was silent and listed.
+	Lapsed []*Run
 	// KeptRunsLoggedAt is when it was last logged that the worker's runs are kept
 	// although it does not answer.
 	KeptRunsLoggedAt time.Duration
