Add deadly tasks and shrinking capacities to the soak of real daemons

Cause: a task that crashes each worker that starts it, and a worker whose capacity shrinks while it runs, occurred only in the model of the scheduler; no run of real daemons had either. Change: one job in 40 of the soak has a task that crashes its worker, at once or within 100 ms. The worker breaks off its connections, leaves the list after three heartbeats and is back after 1.5 to 4.5 s, under its ID or a new one, at its address or another. Capacities shrink to 10 to 70 % for 2 to 10 s and show in the entries. Stops take up to 150 ms. Jobs are larger, and the pool's workers do not guard their capacity, so that starts can break LIMIT. The checker judges, whoever gave the order: the third start of a deadly task after three crashes, a start over the most capacity of the last 3.7 s, a start over a second after the job was shown as failed, and a job shown as failed without a deadly task or with fewer than two crashes. Jobs with a deadly task must end as failed. The four checks have tests of their own.

--- /dev/null
+++ b/standin/jobsim/checker_test.go
@@ -0,0 +1,71 @@
+package jobsim
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/job"
+)
+
+var testTask = job.TaskID{Job: "00000000000000aa"}
+
+// Guards against a soak that passes although a deadly task is started without end.
+func TestCheckerLimitsStartsAfterCrashes(t *testing.T) {
+	g := NewWithT(t)
+	c := NewRunChecker()
+	c.MarkDeadly(testTask)
+	for range crashBudget + startBudget - 1 {
+		c.start(testTask, "w0")
+		c.workerCrashed("w0", []job.TaskID{testTask})
+	}
+	g.Expect(c.Violations()).To(BeEmpty())
+	c.start(testTask, "w0")
+	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("BUDGET")))
+}
+
+// Guards against a soak that passes although innocent jobs are given up, or deadly
+// ones without the crashes that allow it.
+func TestCheckerRejectsFailedJobsWithoutCrashes(t *testing.T) {
+	g := NewWithT(t)
+	c := NewRunChecker()
+	c.ShownFailed("00000000000000bb")
+	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("has no deadly task")))
+	c = NewRunChecker()
+	c.MarkDeadly(testTask)
+	c.workerCrashed("w0", []job.TaskID{testTask})
+	c.ShownFailed(testTask.Job)
+	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("after 1 crashes")))
+}
+
+// Guards against a soak that passes although a job that was given up starts again.
+func TestCheckerRejectsStartsOfFailedJobs(t *testing.T) {
+	g := NewWithT(t)
+	c := NewRunChecker()
+	c.shownFailed[testTask.Job] = time.Now()
+	c.start(testTask, "w0")
+	g.Expect(c.Violations()).To(BeEmpty())
+	c.end(testTask, "w0")
+	c.shownFailed[testTask.Job] = time.Now().Add(-failedStartGrace - time.Millisecond)
+	c.start(testTask, "w0")
+	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("was shown as failed")))
+}
+
+// Guards against a soak that passes although a worker is filled beyond the capacity
+// that it has had for long, and against one that judges a shrink too soon.
+func TestCheckerJudgesShrunkCapacityAfterGrace(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	c := NewRunChecker()
+	c.Submitted(testTask.Job, []job.Resources{{CPU: 5000, MemoryMB: 100}})
+	half := job.Resources{CPU: fullCapacity.CPU / 2, MemoryMB: fullCapacity.MemoryMB / 2}
+	w := &Worker{checker: c, capacities: []capacityChange{{capacity: fullCapacity}, {now.Add(-capacityGrace + time.Second), half}}}
+	g.Expect(w.countedCapacity(now)).To(Equal(fullCapacity))
+	w.checkCapacity(testTask)
+	g.Expect(c.Violations()).To(BeEmpty())
+	w.capacities[1].at = now.Add(-capacityGrace - time.Millisecond)
+	g.Expect(w.countedCapacity(now)).To(Equal(half))
+	w.checkCapacity(testTask)
+	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("LIMIT")))
+}
--- /dev/null
+++ b/standin/jobsim/crash_checker.go
@@ -0,0 +1,120 @@
+package jobsim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"greengagedeck/internal/job"
+)
+
+const (
+	// crashBudget is how many workers may crash under a deadly task before its
+	// starts count, and startBudget the number of the first start after them that
+	// is a violation. It is one whoever gave the order, which is stricter than a
+	// limit for daemons in touch with the store and the workers.
+	crashBudget = 3
+	startBudget = 3
+	// crashesToGiveUp is how many workers have to have crashed while a task ran
+	// there for its job to be shown as failed.
+	crashesToGiveUp = 2
+	// failedStartGrace is how long after a job was shown as failed a start of its
+	// tasks may still be on its way.
+	failedStartGrace = time.Second
+)
+
+// MarkDeadly makes a task crash each worker that starts it.
+func (c *RunChecker) MarkDeadly(t job.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadly[t.Job] = t
+}
+
+// Deadly reports whether a job has a deadly task.
+func (c *RunChecker) Deadly(id job.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.deadly[id]
+	return ok
+}
+
+func (c *RunChecker) isDeadly(t job.TaskID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadly[t.Job] == t
+}
+
+// workerCrashed records that a worker crashed with tasks on it.
+func (c *RunChecker) workerCrashed(worker string, tasks []job.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range tasks {
+		c.crashes[t]++
+		if c.running[t] == worker {
+			delete(c.running, t)
+		}
+	}
+}
+
+// checkCrashBudget counts the start of a deadly task. It must be called with mu
+// held.
+func (c *RunChecker) checkCrashBudget(t job.TaskID, worker string) {
+	if c.deadly[t.Job] != t || c.crashes[t] < crashBudget {
+		return
+	}
+	c.excessStarts[t]++
+	if c.excessStarts[t] >= startBudget {
+		c.addViolation("BUDGET: start %d of %s, on %s, after %d workers crashed under it", c.excessStarts[t], t, worker, crashBudget)
+	}
+}
+
+// checkStartAfterFailure checks that a job that is shown as failed starts no
+// more. It must be called with mu held.
+func (c *RunChecker) checkStartAfterFailure(t job.TaskID, worker string) {
+	shown, ok := c.shownFailed[t.Job]
+	if ok && time.Since(shown) > failedStartGrace {
+		c.addViolation("%s starts on %s %v after its job was shown as failed", t, worker, time.Since(shown))
+	}
+}
+
+// ShownFailed records that a job was shown as failed. Only a task under which
+// workers crashed allows that: no task of the simulation fails otherwise.
+func (c *RunChecker) ShownFailed(id job.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.shownFailed[id]; ok {
+		return
+	}
+	c.shownFailed[id] = time.Now()
+	if _, deadly := c.deadly[id]; !deadly {
+		c.addViolation("job %s is shown as failed, it has no deadly task; at most %d workers crashed under one of its tasks", id, c.mostCrashes(id))
+		return
+	}
+	if crashes := c.mostCrashes(id); crashes < crashesToGiveUp {
+		c.addViolation("job %s is shown as failed after %d crashes", id, crashes)
+	}
+}
+
+// mostCrashes returns the highest number of crashes under a task of a job. It
+// must be called with mu held.
+func (c *RunChecker) mostCrashes(id job.ID) int {
+	most := 0
+	for t, crashes := range c.crashes {
+		if t.Job == id {
+			most = max(most, crashes)
+		}
+	}
+	return most
+}
+
+// Summary tells how much of what the checker looks for has occurred.
+func (c *RunChecker) Summary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var crashes []int
+	for _, t := range c.deadly {
+		crashes = append(crashes, c.crashes[t])
+	}
+	slices.Sort(crashes)
+	return fmt.Sprintf("crashes under each of %d deadly tasks: %v; %d starts on workers that had shrunk", len(c.deadly), crashes, c.startsOnShrunk)
+}
--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -3,61 +3,135 @@
 import (
 	"fmt"
 	"sync"
+	"time"
+
+	"greengagedeck/internal/job"
 )
 
-// RunChecker records the runs on all workers and detects two violations: a task
-// that runs twice at the same time, and a task that starts after its success was
-// acknowledged.
+// RunChecker records the runs on all workers and detects violations: a task that
+// runs twice at the same time, a task that starts after its success was
+// acknowledged, a start that brings a worker over its capacity, and what
+// crash_checker.go lists for tasks that crash their workers.
 type RunChecker struct {
 	mu sync.Mutex
 	// running maps each running task to its worker.
-	running map[string]string
+	running map[job.TaskID]string
 	// acknowledged holds the tasks whose success was acknowledged.
-	acknowledged map[string]bool
+	acknowledged map[job.TaskID]bool
 	// started counts run starts by job.
-	started    map[string]int
+	started map[job.ID]int
+	// needs holds what the tasks of each step of a job take.
+	needs      map[job.ID][]job.Resources
 	violations []string
+
+	// deadly maps each job with a deadly task to that task.
+	deadly map[job.ID]job.TaskID
+	// crashes counts, by task, the workers that crashed while it ran there, and
+	// excessStarts the starts of a deadly task after crashBudget crashes.
+	crashes      map[job.TaskID]int
+	excessStarts map[job.TaskID]int
+	// shownFailed is when a job was first shown as failed.
+	shownFailed map[job.ID]time.Time
+	// startsOnShrunk counts the starts on workers whose capacity has shrunk.
+	startsOnShrunk int
 }
 
 // NewRunChecker returns a checker that has recorded no runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[string]string{}, acknowledged: map[string]bool{}, started: map[string]int{}}
+	return &RunChecker{
+		running:      map[job.TaskID]string{},
+		acknowledged: map[job.TaskID]bool{},
+		started:      map[job.ID]int{},
+		needs:        map[job.ID][]job.Resources{},
+		deadly:       map[job.ID]job.TaskID{},
+		crashes:      map[job.TaskID]int{},
+		excessStarts: map[job.TaskID]int{},
+		shownFailed:  map[job.ID]time.Time{},
+	}
+}
+
+// Submitted records what the tasks of each step of a job take, before the job is
+// submitted.
+func (c *RunChecker) Submitted(id job.ID, needs []job.Resources) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.needs[id] = needs
 }
 
-func (c *RunChecker) start(task, job, worker string) {
+// need returns what a task takes, zero if its job was not submitted.
+func (c *RunChecker) need(t job.TaskID) job.Resources {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at, ok := c.running[task]; ok {
-		c.violations = append(c.violations, fmt.Sprintf("%s starts on %s while it runs on %s", task, worker, at))
+	if steps := c.needs[t.Job]; t.Step < len(steps) {
+		return steps[t.Step]
 	}
-	if c.acknowledged[task] {
-		c.violations = append(c.violations, fmt.Sprintf("%s starts on %s after its success was acknowledged", task, worker))
+	return job.Resources{}
+}
+
+func (c *RunChecker) start(t job.TaskID, worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, ok := c.running[t]; ok {
+		c.addViolation("%s starts on %s while it runs on %s", t, worker, at)
+	}
+	if c.acknowledged[t] {
+		c.addViolation("%s starts on %s after its success was acknowledged", t, worker)
 	}
-	c.running[task] = worker
-	c.started[job]++
+	c.checkCrashBudget(t, worker)
+	c.checkStartAfterFailure(t, worker)
+	c.running[t] = worker
+	c.started[t.Job]++
 }
 
-func (c *RunChecker) end(task, worker string) {
+// checkCapacity checks what the runs on a worker take after a start against the
+// capacity that counts. It is told whether that exceeds the present capacity.
+func (c *RunChecker) checkCapacity(t job.TaskID, worker string, used, counted job.Resources, shrunk bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.running[task] == worker {
-		delete(c.running, task)
+	if shrunk {
+		c.startsOnShrunk++
+	}
+	if !used.FitsIn(counted) {
+		c.addViolation("LIMIT: the start of %s on %s brings it to %+v, its capacity is %+v", t, worker, used, counted)
 	}
 }
 
-func (c *RunChecker) acknowledge(task string) {
+func (c *RunChecker) end(t job.TaskID, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.acknowledged[task] = true
+	if c.running[t] == worker {
+		delete(c.running, t)
+	}
+}
+
+func (c *RunChecker) acknowledge(t job.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acknowledged[t] = true
 }
 
 // Started returns how many runs of a job were started.
-func (c *RunChecker) Started(job string) int {
+func (c *RunChecker) Started(id job.ID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started[id]
+}
+
+// report records a violation that a worker detected.
+func (c *RunChecker) report(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.started[job]
+	c.addViolation(format, args...)
 }
 
+// addViolation records a violation with its time. It must be called with mu held.
+func (c *RunChecker) addViolation(format string, args ...any) {
+	c.violations = append(c.violations, time.Now().UTC().Format(timeFormat)+" "+fmt.Sprintf(format, args...))
+}
+
+// timeFormat is that of the daemons' logs.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
 // Violations describes every violation that was detected.
 func (c *RunChecker) Violations() []string {
 	c.mu.Lock()
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"greengagedeck/internal/job"
 	"greengagedeck/internal/logstore/logtest"
 )
 
@@ -30,6 +32,13 @@
 	// completionTimeout bounds the wait for accepted jobs after the last fault. It
 	// only ends a test that hangs.
 	completionTimeout = 2 * time.Minute
+	// jobsPerDeadlyJob is one in how many jobs has a deadly task.
+	jobsPerDeadlyJob = 40
+	// minShrunkPercent and maxShrunkPercent bound what is left of a capacity that
+	// shrinks.
+	minShrunkPercent, maxShrunkPercent = 10, 70
+	// taskDurationLimit bounds the run time of a task.
+	taskDurationLimit = 420 * time.Millisecond
 )
 
 // soak is a small deployment of real daemons.
@@ -42,8 +51,8 @@
 	client  *fasthttp.Client
 
 	mu       sync.Mutex
-	accepted []string
-	rejected []string
+	accepted []job.ID
+	rejected []job.ID
 }
 
 func newSoak(t *testing.T) *soak {
@@ -51,17 +60,17 @@
 	store, err := StartStore()
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
-	// close reads the logs, so it must run before the cleanup of TempDir removes
+	// close reads the logs, so it must run before the cleanup of the directory removes
 	// them: cleanups run in reverse order.
-	dir := t.TempDir()
+	dir := t.ArtifactDir()
 	t.Cleanup(func() { s.close(t) })
 	g.Expect(store.Put("op", "config", map[string]any{
 		"version":  1,
 		"routes":   []any{map[string]any{"name": "r", "host": soakHost, "pathPrefix": "/q/", "service": "p", "maxAttempts": 3}},
-		"services": []any{map[string]any{"name": "p", "admissionCheck": true}},
+		"services": []any{map[string]any{"name": "p", "admissionCheck": false}},
 	})).To(Succeed())
 	for i := range soakWorkers {
-		w, err := StartWorker(fmt.Sprintf("w%d", i), "p", store, s.checker)
+		w, err := StartWorker(fmt.Sprintf("w%d", i), "p", store, s.checker, *soakSeed<<8|uint64(i))
 		g.Expect(err).NotTo(HaveOccurred())
 		s.workers = append(s.workers, w)
 	}
@@ -113,11 +122,11 @@
 
 // submit tries up to 12 times to submit a job. The job counts as rejected only when
 // every attempt got status 503 or 429, so that none can have been accepted.
-func (s *soak) submit(r *rand.Rand, id string) {
-	body := fmt.Appendf(nil, `{"spec":"%d","steps":[{"count":%d,"cpu":500,"taskMemoryMb":64},{"count":1,"cpu":1000,"after":[0]}]}`, 20+r.IntN(400), 1+r.IntN(3))
+func (s *soak) submit(r *rand.Rand, id job.ID) {
+	body := s.prepareJob(r, id)
 	mayBeAccepted := false
 	for range 12 {
-		status, _ := s.call(s.daemons[r.IntN(len(s.daemons))], fasthttp.MethodPost, "/q/"+id, body)
+		status, _ := s.call(s.daemons[r.IntN(len(s.daemons))], fasthttp.MethodPost, "/q/"+string(id), body)
 		switch status {
 		case fasthttp.StatusOK:
 			s.mu.Lock()
@@ -150,7 +159,7 @@
 		case <-time.After(time.Duration(20+r.IntN(80)) * time.Millisecond):
 		}
 		jobRand := rand.New(rand.NewPCG(seed, 1000+n))
-		jobs.Go(func() { s.submit(jobRand, fmt.Sprintf("%016x", seed<<32|n)) })
+		jobs.Go(func() { s.submit(jobRand, job.ID(fmt.Sprintf("%016x", seed<<32|n))) })
 	}
 }
 
@@ -194,45 +203,45 @@
 }
 
 // jobState returns a job's state, or "" when no daemon returns it.
-func (s *soak) jobState(id string) string {
+func (s *soak) jobState(id job.ID) string {
 	for _, d := range s.daemons {
-		status, body := s.call(d, fasthttp.MethodGet, "/q/"+id, nil)
+		status, body := s.call(d, fasthttp.MethodGet, "/q/"+string(id), nil)
 		var a struct {
 			State string `json:"state"`
 		}
 		if status == fasthttp.StatusOK && json.Unmarshal(body, &a) == nil {
+			if a.State == stateFailed {
+				s.checker.ShownFailed(id)
+			}
 			return a.State
 		}
 	}
 	return ""
 }
 
-// awaitCompletion waits until every accepted job is completed. It returns the jobs
-// that are still incomplete after completionTimeout.
-func (s *soak) awaitCompletion() []string {
-	incomplete := append([]string(nil), s.accepted...)
-	for end := time.Now().Add(completionTimeout); len(incomplete) > 0 && time.Now().Before(end); {
-		var remaining []string
-		for _, id := range incomplete {
-			if st := s.jobState(id); st != "completed" {
-				remaining = append(remaining, id+" "+st)
-			}
-		}
-		if len(remaining) == 0 {
-			return nil
-		}
-		for i := range remaining {
-			remaining[i] = remaining[i][:16]
-		}
-		incomplete = remaining
+// awaitEnds waits until every accepted job has ended, the jobs with a deadly task as
+// failed. It returns the jobs that have not after completionTimeout.
+func (s *soak) awaitEnds() []job.ID {
+	waiting := slices.Clone(s.accepted)
+	for end := time.Now().Add(completionTimeout); len(waiting) > 0 && time.Now().Before(end); {
+		waiting = slices.DeleteFunc(waiting, s.hasEnded)
 		time.Sleep(200 * time.Millisecond)
 	}
-	return incomplete
+	return waiting
+}
+
+// hasEnded reports whether a job has ended as it should, or as failed, which the
+// checker judges.
+func (s *soak) hasEnded(id job.ID) bool {
+	state := s.jobState(id)
+	return state == stateFailed || state == stateCompleted && !s.checker.Deadly(id)
 }
 
-// Injects faults into daemons, workers and the store under load. Every accepted job
-// must complete, no rejected job may run, and no task may run twice at the same time
-// or again after its success was acknowledged.
+// Injects faults into daemons, workers and the store under load, while capacities
+// shrink and grow and some jobs have a task that crashes its workers. Every other
+// accepted job must complete, no rejected job may run, and no task may run twice at
+// the same time or again after its success was acknowledged. A deadly task must be
+// given up, and no start may bring a worker over its capacity.
 func TestSoakOfDaemonsWorkersAndStore(t *testing.T) {
 	t.Logf("seed %d", *soakSeed)
 	s := newSoak(t)
@@ -240,16 +249,19 @@
 	done := make(chan struct{})
 	var load sync.WaitGroup
 	load.Go(func() { s.submitJobs(*soakSeed, done) })
+	load.Go(func() { s.changeCapacities(*soakSeed, done) })
+	load.Go(func() { s.watchDeadlyJobs(done) })
 	time.Sleep(2 * time.Second)
 	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
-		t.Log(s.injectFault(r))
+		at := time.Now().UTC().Format(timeFormat)
+		t.Log(at, s.injectFault(r))
 		time.Sleep(time.Duration(200+r.IntN(1200)) * time.Millisecond)
 	}
 	close(done)
 	load.Wait()
-	incomplete := s.awaitCompletion()
-	t.Logf("%d accepted, %d rejected", len(s.accepted), len(s.rejected))
-	s.g.Expect(incomplete).To(BeEmpty(), "accepted jobs that are not completed")
+	notEnded := s.awaitEnds()
+	t.Logf("%d accepted, %d rejected; %s", len(s.accepted), len(s.rejected), s.checker.Summary())
+	s.g.Expect(notEnded).To(BeEmpty(), "accepted jobs that have not ended")
 	s.g.Expect(s.checker.Violations()).To(BeEmpty())
 	for _, id := range s.rejected {
 		s.g.Expect(s.checker.Started(id)).To(BeZero(), "%s was rejected", id)
--- a/standin/jobsim/store.go
+++ b/standin/jobsim/store.go
@@ -21,6 +21,12 @@
 // of each key. All topics of the store are compacted.
 const keyedPrefix = "keyed."
 
+// anyLoopbackAddress is an address with a free port.
+const anyLoopbackAddress = "127.0.0.1:0"
+
+// workersTopic holds the list of workers.
+const workersTopic = "servers"
+
 // Store serves an in-memory log over HTTP.
 type Store struct {
 	Log    *logtest.Log
@@ -46,7 +52,7 @@
 func (s *Store) Close() error { return s.server.Shutdown() }
 
 func listen(s *fasthttp.Server) (addr string, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", anyLoopbackAddress)
 	if err != nil {
 		return "", err
 	}
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"greengagedeck/internal/job"
 )
 
 const (
@@ -18,29 +22,44 @@
 	tickInterval = 10 * time.Millisecond
 	// maxLease is the longest lease that a worker grants.
 	maxLease = 6 * time.Second
-	// cpuCapacity and memoryCapacityMB are the resources of a worker.
-	cpuCapacity, memoryCapacityMB = 8000, 8192
+	// maxStopTime is the longest time that a run takes to stop.
+	maxStopTime = 150 * time.Millisecond
 )
 
-// Worker simulates running tasks. A task's spec is its run time in milliseconds.
+// Worker simulates running tasks. A task's spec is its run time in milliseconds. It
+// starts every task that it is told to start, whatever its capacity.
 type Worker struct {
-	id      string
+	name    string
 	pool    string
 	store   *Store
 	checker *RunChecker
-	server  *fasthttp.Server
 	stop    chan struct{}
 
-	mu        sync.Mutex
-	addr      string
+	mu   sync.Mutex
+	rand *rand.Rand
+	// id is the name until the worker comes back with a new one after a crash.
+	id           string
+	replacements int
+	addr         string
+	server       *fasthttp.Server
+	listener     *crashListener
+	// up is unset from a crash until backAt.
+	up     bool
+	backAt time.Time
+	// silentEntries holds when to remove the entries of crashed incarnations from
+	// the list, by ID.
+	silentEntries map[string]time.Time
+	// capacities is the course of the capacity, the present one last.
+	capacities []capacityChange
+
 	startTime time.Time
 	token     int64
 	// leaseEnd is when the lease expires on the worker's own clock, the time since
 	// startTime.
 	leaseEnd time.Duration
-	running  map[string]*run
+	running  map[job.TaskID]*run
 	// newestRun is the highest number of an ended or stopped run, by task.
-	newestRun map[string]int
+	newestRun map[job.TaskID]int
 	ended     []endedRun
 	// lastEnd is the sequence number of the last ended run.
 	lastEnd int64
@@ -49,26 +68,34 @@
 type run struct {
 	number int
 	endsAt time.Time
+	// stopping is set once the run was told to stop, which it has at endsAt.
+	stopping bool
+	// crashesAt is when the run crashes its worker, or zero.
+	crashesAt time.Time
 }
 
 // endedRun is a run that has ended and whose end is not acknowledged yet.
 type endedRun struct {
 	sequence int64
-	task     string
+	task     job.TaskID
 	run      int
 	reason   string
 }
 
-// StartWorker starts a worker of a pool.
-func StartWorker(id, pool string, s *Store, checker *RunChecker) (*Worker, error) {
-	w := &Worker{id: id, pool: pool, store: s, checker: checker, stop: make(chan struct{})}
+// StartWorker starts a worker of a pool. seed determines what the worker does at
+// random.
+func StartWorker(name, pool string, s *Store, checker *RunChecker, seed uint64) (*Worker, error) {
+	w := &Worker{
+		name: name, id: name, pool: pool, store: s, checker: checker, stop: make(chan struct{}),
+		rand:          rand.New(rand.NewPCG(seed, 1)),
+		silentEntries: map[string]time.Time{},
+		capacities:    []capacityChange{{capacity: fullCapacity}},
+		up:            true,
+	}
 	w.reset()
-	w.server = &fasthttp.Server{Handler: w.handle, CloseOnShutdown: true}
-	addr, err := listen(w.server)
-	if err != nil {
+	if err := w.serve(anyLoopbackAddress); err != nil {
 		return nil, err
 	}
-	w.addr = addr
 	go w.loop()
 	return w, nil
 }
@@ -76,24 +103,28 @@
 // Close stops the worker.
 func (w *Worker) Close() error {
 	close(w.stop)
-	return w.server.Shutdown()
+	w.mu.Lock()
+	server := w.server
+	w.mu.Unlock()
+	return server.Shutdown()
 }
 
 // Restart simulates a restart of the worker: all runs end and all state is lost. ID
-// and address stay the same.
+// and address stay the same. It has no effect on a worker that is down.
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for t := range w.running {
-		w.checker.end(t, w.id)
+	if !w.up {
+		return
 	}
+	w.checker.workerCrashed(w.id, slices.Collect(maps.Keys(w.running)))
 	w.reset()
 }
 
 func (w *Worker) reset() {
 	w.startTime = time.Now()
 	w.token, w.leaseEnd, w.lastEnd, w.ended = 0, 0, 0, nil
-	w.running, w.newestRun = map[string]*run{}, map[string]int{}
+	w.running, w.newestRun = map[job.TaskID]*run{}, map[job.TaskID]int{}
 }
 
 // loop publishes heartbeats and ends due runs until the worker is closed.
@@ -106,6 +137,10 @@
 		case <-w.stop:
 			return
 		case now := <-ticker.C:
+			w.removeSilentEntries(now)
+			if !w.awaitReturn(now) {
+				continue
+			}
 			if now.Sub(lastHeartbeat) > heartbeatInterval {
 				lastHeartbeat = now
 				w.publishHeartbeat()
@@ -118,14 +153,25 @@
 func (w *Worker) publishHeartbeat() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.up {
+		return
+	}
+	capacity := w.capacity()
 	// The in-memory log accepts every record.
-	_ = w.store.Put("servers", w.id, map[string]any{
+	_ = w.store.Put(workersTopic, w.id, map[string]any{
 		"service": w.pool, "address": w.addr, "zone": "a", "version": "1", "slots": 1, "coldRemainingMs": 0, "sequence": 1,
-		"state": "ready", "born": w.startTime.UnixMilli(), "labels": []string{"kind", "rack"}, "machine": w.id, "clockMs": w.clock().Milliseconds(),
-		"capacity": map[string]int{"cpu": cpuCapacity, "taskMemoryMb": memoryCapacityMB},
+		"state": "ready", "born": w.startTime.UnixMilli(), "labels": []string{"kind", "rack"}, "machine": w.name, "clockMs": w.clock().Milliseconds(),
+		"capacity": map[string]int{"cpu": capacity.CPU, "taskMemoryMb": capacity.MemoryMB},
 	})
 }
 
+// currentID returns the worker's ID.
+func (w *Worker) currentID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
 func (w *Worker) clock() time.Duration { return time.Since(w.startTime) }
 
 func (w *Worker) endDueRuns(now time.Time) {
@@ -136,13 +182,19 @@
 		switch {
 		case expired:
 			w.endRun(t, r, "lapsed")
-		case now.After(r.endsAt):
+		case !r.crashesAt.IsZero() && now.After(r.crashesAt):
+			w.crash()
+			return
+		case now.Before(r.endsAt):
+		case r.stopping:
+			w.endRun(t, r, "stopped")
+		case r.crashesAt.IsZero():
 			w.endRun(t, r, "done")
 		}
 	}
 }
 
-func (w *Worker) endRun(task string, r *run, reason string) {
+func (w *Worker) endRun(task job.TaskID, r *run, reason string) {
 	delete(w.running, task)
 	w.newestRun[task] = max(w.newestRun[task], r.number)
 	w.lastEnd++
@@ -167,16 +219,21 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if string(ctx.Request.Header.Peek("X-Expect-Instance")) != w.id {
+	task, err := job.ParseTaskID(req.Task)
+	if err != nil && req.Task != "" {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if string(ctx.Request.Header.Peek("X-Expect-Instance")) != w.currentID() {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
 	body := map[string]any{}
 	switch string(ctx.Path()) {
 	case "/v1/run-start":
-		body["reason"] = w.startRun(req)
+		body["reason"] = w.startRun(task, req)
 	case "/v1/run-stop":
-		body["reason"] = w.stopRun(req)
+		body["reason"] = w.stopRun(task, req)
 	case "/v1/hold":
 		body = w.poll(req)
 	}
@@ -207,40 +264,51 @@
 }
 
 // startRun starts a run. It returns the reason when it rejects the request, or "".
-func (w *Worker) startRun(req request) string {
+func (w *Worker) startRun(task job.TaskID, req request) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := w.running[req.Task]
+	r := w.running[task]
 	switch {
+	case !w.up:
+		// The connection of the request is broken off.
+		return ""
 	case !w.renewLease(req):
 		return "fence"
 	case time.Duration(req.UntilMs)*time.Millisecond <= w.clock():
 		return "late"
 	case r != nil && r.number == req.Run:
 		return ""
-	case r != nil || req.Run <= w.newestRun[req.Task]:
+	case r != nil || req.Run <= w.newestRun[task]:
 		return "old"
 	}
 	ms, err := strconv.Atoi(req.Spec)
 	if err != nil {
 		ms = 0
 	}
-	w.running[req.Task] = &run{req.Run, time.Now().Add(time.Duration(ms) * time.Millisecond)}
-	job, _, _ := strings.Cut(req.Task, ".")
-	w.checker.start(req.Task, job, w.id)
+	w.checkCapacity(task)
+	r = &run{number: req.Run, endsAt: time.Now().Add(time.Duration(ms) * time.Millisecond)}
+	w.running[task] = r
+	w.checker.start(task, w.id)
+	if w.checker.isDeadly(task) {
+		w.crashAfterStart(r)
+	}
 	return ""
 }
 
-// stopRun stops a run. It returns the reason when it rejects the request, or "".
-func (w *Worker) stopRun(req request) string {
+// stopRun has a run stop. It returns the reason when it rejects the request, or "".
+func (w *Worker) stopRun(task job.TaskID, req request) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.renewLease(req) {
+	switch {
+	case !w.up:
+		return ""
+	case !w.renewLease(req):
 		return "fence"
 	}
-	w.newestRun[req.Task] = max(w.newestRun[req.Task], req.Run)
-	if r := w.running[req.Task]; r != nil && r.number <= req.Run {
-		w.endRun(req.Task, r, "stopped")
+	w.newestRun[task] = max(w.newestRun[task], req.Run)
+	if r := w.running[task]; r != nil && r.number <= req.Run && !r.stopping {
+		r.stopping = true
+		r.endsAt = time.Now().Add(time.Duration(w.rand.Int64N(int64(maxStopTime))))
 	}
 	return ""
 }
@@ -250,7 +318,10 @@
 func (w *Worker) poll(req request) map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.renewLease(req) {
+	switch {
+	case !w.up:
+		return map[string]any{}
+	case !w.renewLease(req):
 		return map[string]any{"reason": "fence"}
 	}
 	for len(w.ended) > 0 && w.ended[0].sequence <= req.Acknowledged {
@@ -260,17 +331,17 @@
 		w.ended = w.ended[1:]
 	}
 	startTime := w.startTime
-	for until := time.Now().Add(time.Duration(req.WaitMs) * time.Millisecond); len(w.ended) == 0 && time.Now().Before(until) && w.startTime.Equal(startTime); {
+	for until := time.Now().Add(time.Duration(req.WaitMs) * time.Millisecond); len(w.ended) == 0 && time.Now().Before(until) && w.up && w.startTime.Equal(startTime); {
 		w.mu.Unlock()
 		time.Sleep(tickInterval)
 		w.mu.Lock()
 	}
 	running, ended := [][]any{}, [][]any{}
 	for t, r := range w.running {
-		running = append(running, []any{t, r.number, "", 100, 0})
+		running = append(running, []any{t.String(), r.number, "", 100, 0})
 	}
 	for _, e := range w.ended {
-		ended = append(ended, []any{e.sequence, e.task, e.run, e.reason, ""})
+		ended = append(ended, []any{e.sequence, e.task.String(), e.run, e.reason, ""})
 	}
 	return map[string]any{"born": w.startTime.UnixMilli(), "running": running, "ended": ended}
 }
