Send no start while the list of workers has not been read for 2.5 s

A worker that had shrunk while the platform's store was away was filled by the capacity that it had before, as soon as the store was back.

Cause: the first plan after an outage is made, logged and sent before the next read of the list, so that its starts use a capacity of up to 6 s ago. Change: the core keeps when the list was last read; `StartOrder` holds starts back until it is no older than 2.5 s, and then looks at the capacity again as for any shrink. The registry passes on reads without a change too. `scriptedPool.advance` reads the list at each step, as the registry does; before, it read it once and never again.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -64,6 +64,22 @@
 	p.g.Expect(len(p.orders(starts))).To(BeNumerically("<=", 1), "starts sent to a worker with room for one task")
 }
 
+// Guards against a start that is sent with a capacity of long ago, when the list of
+// workers could not be read.
+func TestStartWaitsForCurrentList(t *testing.T) {
+	p := newCorePool(t, 4)
+	p.pollWorkers()
+	starts := p.plan()
+	p.g.Expect(starts).To(HaveLen(4))
+	for range int(simContactTime / crashTick) {
+		p.wait(crashTick)
+		p.pollWorkers()
+	}
+	p.g.Expect(p.orders(starts)).To(BeEmpty(), "the list was not read for long")
+	p.shrinkTo(1)
+	p.g.Expect(len(p.orders(starts))).To(BeNumerically("<=", 1), "starts sent to a worker with room for one task")
+}
+
 // Guards against a start that got no answer and is sent again long after the worker
 // has shrunk.
 func TestStartWithoutAnswerIsSentAgainLongAfterShrink(t *testing.T) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -65,6 +65,8 @@
 	restoredProgress map[job.ID]*job.Progress
 
 	workers map[string]*worker.State
+	// listReadAt is when the list of workers was last read.
+	listReadAt time.Duration
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -106,11 +106,12 @@
 
 func noAnswer() error { return verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer") }
 
-// advance makes plans, sends orders and polls the workers for d.
+// advance reads the list, makes plans, sends orders and polls the workers for d.
 func (p *scriptedPool) advance(d time.Duration) {
 	for end := p.now.Now + d; p.now.Now < end; {
 		p.now.Now += scriptTick
 		p.now.Wall += scriptTick.Milliseconds()
+		p.list()
 		p.poll()
 		b, err := p.c.Plan(p.now)
 		p.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -24,8 +24,8 @@
 const (
 	// SendNever means that the order is no longer wanted.
 	SendNever SendDecision = iota
-	// SendLater means that the order has to wait until this daemon may act again
-	// and the worker answers.
+	// SendLater means that the order has to wait until this daemon may act again,
+	// the worker answers and the list of workers has been read.
 	SendLater
 	// SendNow means that the order may be sent.
 	SendNow
@@ -45,7 +45,7 @@
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
 	// only once its lease has expired do its tasks run elsewhere.
-	if remaining <= 0 || !reachable(ws) {
+	if remaining <= 0 || !reachable(ws) || now-c.listReadAt > maxListAge {
 		return StartOrder{}, SendLater
 	}
 	if ws.Overcommitted(run.Resources) {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -3,15 +3,21 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
 
-// UpdateWorkers applies changed entries of the platform's list of workers, and
-// removes the workers that are no longer listed. Entries of other pools count
-// as removed here.
+// maxListAge is how old the list of workers may be for a start to be sent. A worker
+// whose capacity has shrunk must not be filled by the one that it had before.
+const maxListAge = 2500 * time.Millisecond
+
+// UpdateWorkers applies a read of the platform's list of workers: its changed
+// entries, of which there may be none, and the removal of workers that are no longer
+// listed. Entries of other pools count as removed here.
 func (c *Core) UpdateWorkers(listed []worker.Listing, removed []string, t Times) {
+	c.listReadAt = t.Now
 	for _, l := range listed {
 		if l.Pool != c.opt.Pool {
 			removed = append(removed, l.Incarnation.ID)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -20,7 +20,7 @@
 	registryRetry = 200 * time.Millisecond
 )
 
-// ListChange is the result of a read of the worker list.
+// ListChange is the result of a read of the worker list. It may hold no change.
 type ListChange struct {
 	// Full is set if Listed is the complete list.
 	Full    bool
@@ -66,8 +66,8 @@
 	}
 }
 
-// Watch calls fn with the complete list and then with every change, in order,
-// until the returned function is called. fn must not block.
+// Watch calls fn with the complete list and then with the result of every read,
+// in order, until the returned function is called. fn must not block.
 func (r *Registry) Watch(fn func(ListChange)) (stop func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -166,9 +166,6 @@
 			c.Removed = append(c.Removed, id)
 		}
 	}
-	if !c.Full && len(c.Listed)+len(c.Removed) == 0 {
-		return
-	}
 	for _, fn := range r.watchers {
 		fn(c)
 	}
