Isolate a worker until a poll finds that it survived its suspect

A job was shown as failed for a crash under the task of another job, which had been started beside its own as soon as 250 ms had passed.

Cause: isolation ended 250 ms after the start by the holder's clock, while the poll that clears the suspect came back later. A start in between that crashed the worker was blamed on the suspect too, since the last answer was that of its start. Change: isolation lasts until a poll that was sent 250 ms after the start has found the run there; such a poll waits 1 ms instead of a second. TestSuspectIsPolledUntilItIsCleared expected no bound on that wait before the poll had found the run; it expects 1 ms now, and still none afterwards. TestWorkerIsIsolatedUntilPollClearsSuspect fails with the code before.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -6,9 +6,14 @@
 	"greengagedeck/internal/job"
 )
 
-// crashWindow is the time from the start of a task until its worker crashes, if
-// the task is the cause.
-const crashWindow = 250 * time.Millisecond
+const (
+	// crashWindow is the time from the start of a task until its worker crashes, if
+	// the task is the cause.
+	crashWindow = 250 * time.Millisecond
+	// minSurvivalWait is how long a poll waits that is to find a suspect after its
+	// crashWindow.
+	minSurvivalWait = time.Millisecond
+)
 
 // MarkCrash records that this incarnation has ended: the runs that may be the
 // cause get a CrashReason. Runs after whose start the worker answered for longer
@@ -69,15 +74,17 @@
 	}
 }
 
-// IsolatedFor returns how long the worker remains isolated if its runs go on.
+// IsolatedFor returns how long a poll of an isolated worker may wait to find that
+// its suspects have not crashed it, at least minSurvivalWait, or 0 if the worker is
+// not isolated for runs that have started.
 func (s *State) IsolatedFor(now time.Duration) time.Duration {
 	var rest time.Duration
 	if s.SuspectRuns == 0 {
 		return 0
 	}
 	for _, r := range s.Runs {
-		if r.Suspect && r.State == RunConfirmed {
-			rest = max(rest, r.StateSince+crashWindow-now)
+		if r.Suspect && r.State == RunConfirmed && !s.Survived(r) {
+			rest = max(rest, r.StateSince+crashWindow-now, minSurvivalWait)
 		}
 	}
 	return rest
@@ -86,15 +93,15 @@
 // RecentStart reports whether a run was started less than crashWindow ago.
 func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
 
-// Isolated reports whether the worker takes no further task because a suspect
-// has started there less than crashWindow ago, or is about to. If the worker
-// crashes, the suspect is then the cause.
+// Isolated reports whether the worker takes no further task because a suspect has
+// started there, or is about to, and no poll has found yet that the worker survived
+// it. If the worker crashes, the suspect is then the cause.
 func (s *State) Isolated(now time.Duration) bool {
 	if s.SuspectRuns == 0 {
 		return false
 	}
 	for _, r := range s.Runs {
-		if r.Suspect && (r.State != RunConfirmed || now < r.StateSince+crashWindow) {
+		if r.Suspect && (r.State != RunConfirmed || now < r.StateSince+crashWindow || !s.Survived(r)) {
 			return true
 		}
 	}
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -26,7 +26,7 @@
 	g := NewWithT(t)
 	s, r := newCrashState(time.Second)
 	g.Expect(s.IsolatedFor(time.Second)).To(Equal(crashWindow))
-	g.Expect(s.IsolatedFor(time.Second + crashWindow)).To(BeZero())
+	g.Expect(s.IsolatedFor(time.Second + crashWindow)).To(Equal(minSurvivalWait))
 	r.LastReported = time.Second + crashWindow
 	g.Expect(s.Survived(r)).To(BeTrue())
 	s.Acquit(r)
@@ -35,6 +35,19 @@
 	g.Expect(s.SuspectRuns).To(BeZero())
 }
 
+// Guards against a further start beside a suspect that no poll has cleared: if that task
+// crashes the worker, the suspect is blamed too.
+func TestWorkerIsIsolatedUntilPollClearsSuspect(t *testing.T) {
+	g := NewWithT(t)
+	s, r := newCrashState(time.Second)
+	after := time.Second + crashWindow
+	g.Expect(s.Isolated(after)).To(BeTrue(), "the last answer is that of the start")
+	g.Expect(s.IsolatedFor(after)).To(Equal(minSurvivalWait))
+	r.LastReported = after
+	g.Expect(s.Isolated(after)).To(BeFalse())
+	g.Expect(s.IsolatedFor(after)).To(BeZero())
+}
+
 // Only runs that may have started just before the crash are blamed, and only one that
 // is alone for certain.
 func TestMarkCrashBlamesRecentRuns(t *testing.T) {
