--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -68,6 +68,8 @@
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
+	// listReadAt is when the list of workers was last read.
+	listReadAt time.Duration
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
--- a/internal/scheduler/unverified_test.go
+++ b/internal/scheduler/unverified_test.go
@@ -31,6 +31,7 @@
 	p.list()
 	p.pollWorkers()
 	p.wait(idleTime)
+	p.list()
 	return p
 }
 
