Isolate tasks under which two workers may have crashed

Callers see a job given up because its task was placed beside a deadly one of another job again and again.

Cause: only a task with a certain crash starts alone. The start of a task whose worker is crashed by the start beside it gets no answer, which counts as a possible crash; both are placed together again by the next plan, up to the limit of possible crashes. Change: a task is a suspect from two possible crashes on. One is not enough: after a takeover each task of a worker that is gone has one. Figures: TestTasksWithTwoPossibleCrashesStartApart (2 starts in one plan) and TestTaskIsSuspectAfterOneCertainOrTwoPossibleCrashes fail before and pass now.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -12,6 +12,10 @@
 	// maxPossibleCrashes if for none, that it crashed with the task on it.
 	maxPartlyCertainCrashes = 4
 	maxPossibleCrashes      = 5
+	// minPossibleCrashes is the number of workers that may have crashed under a task
+	// from which on the task is a suspect if none is known to have. With one it is not:
+	// after a takeover that holds for each task of a worker that is gone.
+	minPossibleCrashes = 2
 )
 
 // CrashCount is how many workers in a row have crashed soon after a task had
@@ -43,6 +47,10 @@
 // total returns how many workers may have crashed.
 func (c *CrashCount) total() int { return c.Certain + c.Possible }
 
+// suspect reports whether the task has to start where it alone can be the cause of
+// a crash.
+func (c *CrashCount) suspect() bool { return c.Certain > 0 || c.Possible >= minPossibleCrashes }
+
 // exhausted reports whether the task must not be started again after a crash.
 func (c *CrashCount) exhausted(reason EndReason) bool {
 	switch {
@@ -67,9 +75,9 @@
 }
 
 // Suspect reports whether a worker is known to have crashed soon after a task had
-// started on it.
+// started on it, or several workers may have.
 func (j *Job) Suspect(t TaskID) bool {
-	return slices.ContainsFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) && c.Certain > 0 })
+	return slices.ContainsFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) && c.suspect() })
 }
 
 // HasCrashes reports whether workers may have crashed soon after a task of the
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -64,3 +64,22 @@
 	j.EndRun(copied, EndCrashedWorker, "", 1)
 	g.Expect(j.HasCrashes()).To(BeFalse())
 }
+
+// A task under which several workers may have crashed must start alone: else it is
+// blamed for crashes of the tasks beside it until its job fails.
+func TestTaskIsSuspectAfterOneCertainOrTwoPossibleCrashes(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		reasons []EndReason
+		suspect bool
+	}{
+		{[]EndReason{EndWorkerLost, EndWorkerLost}, false},
+		{[]EndReason{EndCrashPossible}, false},
+		{[]EndReason{EndCrashPossible, EndCrashPossible}, true},
+		{[]EndReason{EndCrashSuspected}, true},
+	} {
+		j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 1}}}, Terms{MaxAttempts: 3})
+		crashTask(j, c.reasons...)
+		g.Expect(j.Suspect(TaskID{Job: j.Spec.ID})).To(Equal(c.suspect), "%v", c.reasons)
+	}
+}
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -62,3 +62,15 @@
 	p.awaitStart().crash()
 	p.g.Expect(p.ticks(copyTime)).To(Equal(1), "copies beside the silent run")
 }
+
+// Guards against an innocent job that is given up because its task always starts
+// together with a deadly one, whose crash keeps its start from being answered.
+func TestTasksWithTwoPossibleCrashesStartApart(t *testing.T) {
+	p := newCorePool(t, 2)
+	for range 2 {
+		p.crashUnseen(p.awaitStart())
+	}
+	p.pollWorkers()
+	p.pollWorkers()
+	p.g.Expect(p.plan()).To(HaveLen(1), "starts in one plan")
+}
