Send the start of a suspect only after its worker has answered

Callers see a job given up for workers that had crashed before its starts were sent.

Cause: a worker is silent for a call's timeout before its holder notices, and an idle one is not polled at all. A start that is sent meanwhile gets no answer and counted as a possible crash of its task. A worker that does not answer loses the run, which was never sent and counts for nothing.

--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -37,6 +37,10 @@
 	r.mu.Lock()
 	s, send := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
 	r.mu.Unlock()
+	if send == SendLater {
+		// The start may wait for an answer of a worker that is not polled while idle.
+		notify(a.wake)
+	}
 	if send != SendNow {
 		return send == SendLater
 	}
--- a/internal/scheduler/agent_test.go
+++ b/internal/scheduler/agent_test.go
@@ -12,6 +12,7 @@
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/worker"
 )
 
@@ -95,3 +96,30 @@
 		return len(r.agents)
 	}, agentPatience).Should(BeZero())
 }
+
+// orderSuspect adds a run of a suspect to worker a that is ordered and not sent yet.
+func orderSuspect(r *Runner) job.RunID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spec := job.Spec{ID: "00000000000000aa", Steps: []job.Step{{Count: 1}}}
+	j := r.core.submit(&joblog.Submission{Spec: spec, Terms: job.Terms{Pool: "p"}}, r.times())
+	ws := r.core.workers["a"]
+	id := j.Place(job.TaskID{Job: spec.ID}, locationOf(ws))
+	run := worker.NewRun(id, spec.Steps[0], worker.RunOrdered, r.times().Now, time.Second)
+	run.Suspect = true
+	ws.AddRun(run)
+	return id
+}
+
+// An idle worker whose answer the start of a suspect waits for must be polled: its
+// poller sleeps until an order wakes it, and no order would be sent.
+func TestIdleWorkerIsPolledForStartThatWaitsForItsAnswer(t *testing.T) {
+	g := NewWithT(t)
+	p := &pollCounter{}
+	r, ctx, _ := newIdleWorker(t, p)
+	run := orderSuspect(r)
+	before := p.polls.Load()
+	g.Consistently(p.polls.Load, pollGap+pollGap/2).Should(Equal(before), "the poller sleeps")
+	g.Expect(r.sendStart(ctx, r.agents["a"], run)).To(BeTrue(), "the start is to be sent later")
+	g.Eventually(p.polls.Load, agentPatience).Should(BeNumerically(">", before))
+}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -176,6 +176,11 @@
 	var started *crashWorker
 	for _, s := range p.plan() {
 		o, send := p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+		if send == scheduler.SendLater {
+			// The start of a suspect waits for an answer of its worker.
+			p.poll(p.worker(s.Worker))
+			o, send = p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+		}
 		p.g.Expect(send).To(Equal(scheduler.SendNow))
 		started = p.worker(s.Worker)
 		started.runs = append(started.runs, s.Run)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -48,6 +48,9 @@
 	if remaining <= 0 || !reachable(ws) {
 		return StartOrder{}, SendLater
 	}
+	if ws.AwaitsAnswer(run) {
+		return StartOrder{}, SendLater
+	}
 	if ws.Overcommitted(run.Resources) {
 		// The capacity has shrunk since the run was placed.
 		c.requestStop(ws, run, "its worker's capacity has shrunk")
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"greengagedeck/internal/scheduler"
 )
 
 const (
@@ -74,3 +76,32 @@
 	p.pollWorkers()
 	p.g.Expect(p.plan()).To(HaveLen(1), "starts in one plan")
 }
+
+// Guards against a job that is given up for starts that were sent to workers which had
+// crashed before: such a start says nothing about its task.
+func TestStartOfSuspectWaitsForAnswerOfItsWorker(t *testing.T) {
+	p := newCrashPool(t)
+	for range 2 {
+		p.crashUnseen(p.awaitStart())
+	}
+	p.pollWorkers()
+	p.pollWorkers()
+	p.wait(crashTick)
+	starts := p.plan()
+	p.g.Expect(starts).To(HaveLen(1))
+	run, w := starts[0].Run, p.worker(starts[0].Worker)
+	p.wait(crashTick)
+	_, send := p.core.StartOrder(run, "a", p.now.Now, time.Second)
+	p.g.Expect(send).To(Equal(scheduler.SendLater), "before an answer")
+	_, due := p.core.NextPoll("a", 0)
+	p.g.Expect(due).To(BeTrue(), "the worker is polled")
+	p.g.Expect(p.core.Poll("a", p.now.Now, time.Second).Request.Wait).To(BeZero(), "and answers at once")
+	w.crash()
+	p.poll(w)
+	p.plan()
+	_, send = p.core.StartOrder(run, "a", p.now.Now, time.Second)
+	p.g.Expect(send).To(Equal(scheduler.SendNever), "once the worker is silent")
+	p.restart(w)
+	p.list()
+	p.g.Expect(p.awaitStart()).NotTo(BeNil(), "the job goes on")
+}
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -84,6 +84,29 @@
 	return rest
 }
 
+// AwaitsAnswer reports whether a run of a suspect is not to be started before the
+// worker has answered a call since the run was ordered. A start that is sent to a
+// worker which has crashed already would count against the suspect.
+func (s *State) AwaitsAnswer(r *Run) bool {
+	if !r.Suspect || r.State != RunOrdered || r.StartSentAt > 0 {
+		return false
+	}
+	return s.LastAnswer < r.StateSince
+}
+
+// StartAwaitsAnswer reports whether the start of a run waits for an answer.
+func (s *State) StartAwaitsAnswer() bool {
+	if s.SuspectRuns == 0 {
+		return false
+	}
+	for _, r := range s.Runs {
+		if !r.Adopted && s.AwaitsAnswer(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecentStart reports whether a run was started less than crashWindow ago.
 func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
 
