--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -41,7 +41,7 @@
 	case SendNever:
 		return false
 	case SendLater:
-		// The agent of an idle worker sleeps.
+		// The start may wait for an answer of a worker that is not polled while idle.
 		notify(a.wake)
 		return true
 	default:
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -48,14 +48,14 @@
 	if remaining <= 0 || !reachable(ws) || now-c.listReadAt > maxListAge {
 		return StartOrder{}, SendLater
 	}
+	if ws.AwaitsAnswer(run) {
+		return StartOrder{}, SendLater
+	}
 	if ws.Overcommitted(run.Resources) {
 		// The capacity has shrunk since the run was placed.
 		c.requestStop(ws, run, "its worker's capacity has shrunk")
 		return StartOrder{}, SendNever
 	}
-	if run.AwaitsAnswer() && !ws.AnsweredRecently(now) {
-		return StartOrder{}, SendLater
-	}
 	ws.StartSent(run, now)
 	return StartOrder{
 		Worker:    workerID,
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -73,16 +73,6 @@
 	return false
 }
 
-// awaitsAnswer reports whether a run waits for the worker's next answer to start.
-func awaitsAnswer(ws *worker.State) bool {
-	for _, r := range ws.Runs {
-		if r.AwaitsAnswer() {
-			return true
-		}
-	}
-	return false
-}
-
 // Poll returns the poll to send to a worker. remaining is how long this daemon
 // may still act for the pool; when none is left, no lease is extended.
 func (c *Core) Poll(id string, now, remaining time.Duration) Poll {
@@ -100,8 +90,7 @@
 	if c.mayHaveRuns(ws) && remaining > 0 {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		switch {
-		case ws.LastEndSeen > ws.LastEndLogged:
-		case awaitsAnswer(ws):
+		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer():
 		case runsMixedTasks(ws):
 			p.Request.Wait = mixedPollWait
 		default:
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -82,19 +82,13 @@
 // StartSent records that a start of a run is sent.
 func (s *State) StartSent(r *Run, now time.Duration) {
 	r.StartSentAt = now
-	r.SentWhileUp = r.SentWhileUp || s.AnsweredRecently(now)
+	r.SentWhileUp = r.SentWhileUp || s.answeredRecently(now)
 }
 
-// AnsweredRecently reports whether the worker answered a call less than crashWindow
+// answeredRecently reports whether the worker answered a call less than crashWindow
 // ago. One that did not may be gone without having been missed, since idle workers
 // are not polled.
-func (s *State) AnsweredRecently(now time.Duration) bool { return now < s.LastAnswer+crashWindow }
-
-// AwaitsAnswer reports whether a run waits for its worker to answer a poll before
-// its start is sent.
-func (r *Run) AwaitsAnswer() bool {
-	return r.Verified && r.State == RunOrdered && r.StartSentAt == 0
-}
+func (s *State) answeredRecently(now time.Duration) bool { return now < s.LastAnswer+crashWindow }
 
 // latestStart returns the latest moment at which the worker may have started a run.
 // It is not known when an earlier holder or incarnation started one, but it was
@@ -134,6 +128,26 @@
 	return rest
 }
 
+// AwaitsAnswer reports whether a run is not to be started before the worker has
+// answered a call since the run was ordered. If workers may have crashed under its
+// task, a start on a worker that has crashed already would count against the task.
+func (s *State) AwaitsAnswer(r *Run) bool {
+	if !r.Suspect && !r.Verified || r.State != RunOrdered || r.StartSentAt > 0 {
+		return false
+	}
+	return s.LastAnswer < r.StateSince
+}
+
+// StartAwaitsAnswer reports whether the start of a run waits for an answer.
+func (s *State) StartAwaitsAnswer() bool {
+	for _, r := range s.Runs {
+		if !r.Adopted && s.AwaitsAnswer(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecentStart reports whether a run was started less than crashWindow ago.
 func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
 
