Stop counting a host on its way once its move or maintenance takes too long

Callers saw a task wait for as long as any host of its pool was in maintenance or moved.

Cause: every host that was neither up nor down counted as on its way to its pool, and so as one for a task that waits, however long it had been out of service. Orders of an earlier holder of the duty count from when this one first saw the host out of service, so that a takeover asks for no host that is on its way.

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -27,13 +27,14 @@
 
 // isArriving reports whether a host is on its way to its pool, so that its worker
 // will soon take tasks. A worker that its pool has polled is not: if it takes no
-// tasks, it is not known when it will.
+// tasks, it is not known when it will. Nor is a host whose move or maintenance
+// takes longer than it should.
 func (d *decider) isArriving(h Host) bool {
-	if h.State != HostUp {
-		return true
+	if !d.Arriving[h.Name] {
+		return false
 	}
 	l, known := d.workerLoads[h.Worker]
-	return d.Arriving[h.Name] && (!known || l.Joining)
+	return h.State != HostUp || !known || l.Joining
 }
 
 // cordon cordons the worker on a host of a pool.
@@ -45,6 +46,17 @@
 	d.addAction(a)
 }
 
+// trackEarlierOrders counts the orders of earlier holders of the duty as ended when
+// the host was first seen out of service.
+func (s *session) trackEarlierOrders(now time.Duration) {
+	for _, h := range s.hostList.hosts {
+		_, ordered := s.lastOrdered[h.Name]
+		if !ordered && (h.State == HostMoving || h.State == HostInMaintenance) {
+			s.lastOrdered[h.Name] = now
+		}
+	}
+}
+
 // trackServing updates notServingSince and sets RecentlyServing of the view. Hosts
 // of pools without a report are left out: nothing is known of their workers.
 func (s *session) trackServing(v *View, now time.Duration) {
--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -105,3 +105,22 @@
 	f.Pools[1].HasReport = true
 	g.Expect(recently(5*time.Minute)).To(BeTrue(), "the pool has a new holder")
 }
+
+// Guards against a second host that is moved for a task whose host an earlier holder of the
+// duty has moved, and against a host that counts as on its way for ever.
+func TestHostMovedByEarlierHolderIsArrivingForATime(t *testing.T) {
+	g := NewWithT(t)
+	s := &session{lastOrdered: map[string]time.Duration{"m-up": time.Second}, hostList: newHostList()}
+	s.hostList.hosts = []Host{{Name: "m-up", State: HostUp}, {Name: "m-moving", State: HostMoving}, {Name: "m-upkeep", State: HostInMaintenance}, {Name: "m-down", State: HostDown}}
+	s.trackEarlierOrders(time.Minute)
+	s.trackEarlierOrders(2 * time.Minute)
+	g.Expect(s.lastOrdered).To(Equal(map[string]time.Duration{"m-up": time.Second, "m-moving": time.Minute, "m-upkeep": time.Minute}))
+
+	rep := scheduler.Report{LongRunning: capacityOf(1), Used: capacityOf(1), HostsNeeded: 1}
+	f := newViewBuilder().addPool("a", 4, 1, rep).addStandby(4)
+	f.Hosts[0].State, f.Hosts[0].Worker = HostMoving, ""
+	f.Arriving = map[string]bool{"m-a-0": true}
+	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Move)).To(BeZero(), "the host is on its way")
+	f.Arriving = nil
+	g.Expect(countActions(Decide(f.View, DefaultParams).Actions, Move)).To(Equal(1), "the move takes too long")
+}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -117,7 +117,8 @@
 	// pausedUntil is when hosts that get no orders for now may get them again.
 	pausedUntil map[string]time.Duration
 	waveStates  map[int]*waveState
-	// lastOrdered is when the last order for each host ended.
+	// lastOrdered is when the last order for each host ended. For an order of an
+	// earlier holder it is when the host was first seen out of service.
 	lastOrdered map[string]time.Duration
 	// notServingSince is when each host that is up was first seen with a worker
 	// that takes no tasks, or without one.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,7 +106,8 @@
 	// its outcome is unknown, or the host is paused.
 	Pending map[string]bool
 	// Arriving holds the hosts that were moved or maintained so recently that
-	// their workers may still be starting, if their pool has not polled them yet.
+	// the order may still be in progress or their workers starting, if their pool
+	// has not polled them yet.
 	Arriving map[string]bool
 	// RecentlyServing holds the hosts that are up and whose workers began so
 	// recently to take no tasks that they may soon take some again.
--- a/internal/fleet/growth_test.go
+++ b/internal/fleet/growth_test.go
@@ -369,3 +369,16 @@
 	})
 	s.g.Expect(fewest).To(Equal(s.step.Count-1), strings.Join(s.decisions, "\n"))
 }
+
+// Guards against a task that waits as long as any host of its pool is in maintenance or
+// moves, since each such host counts as one for the task.
+func TestPoolGetsHostWhileOtherHostsAreInMaintenance(t *testing.T) {
+	s := newGrowthSim(t, 6, 10, spreadStep(6))
+	s.g.Expect(s.runUntil(5*time.Second, s.allRunning)).To(BeNumerically("<", 5*time.Second))
+	// One more host is in maintenance for long. Its worker held no task.
+	s.leave(s.addHost("m-upkeep", growthPool, "rack-1"), HostInMaintenance, 15*time.Second)
+	s.decisions = nil
+	s.leave(s.hosts[0], HostDown, time.Minute)
+	took := s.runUntil(30*time.Second, s.allRunning)
+	s.g.Expect(took).To(BeNumerically("<=", growthMove+growthJoin+2*growthStep), strings.Join(s.decisions, "\n"))
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -60,6 +60,7 @@
 
 		RecentlyServing: map[string]bool{},
 	}
+	s.trackEarlierOrders(now)
 	for host, at := range s.lastOrdered {
 		v.Arriving[host] = now-at < s.opt.LeadTime+workerJoinTime
 	}
