Ask for a host for a task of a draining worker that no other worker takes

Callers saw a task that lasts stop with its draining worker, and wait for a host that was asked for only then, although the worker had said long before that it would leave.

Cause: HostsNeeded counted tasks that wait. One that runs on a draining worker, and that every other worker refuses, waits only once its worker is gone. Change: evacuate records the long-running tasks on draining workers that found no place in the plan, and Report counts them with the waiting tasks of their step. With a host for each of them, several tasks of a step would move at once: at most MaxUnavailable of a step, and one in any case, are stopped at the same time.

--- a/internal/fleet/growth_test.go
+++ b/internal/fleet/growth_test.go
@@ -382,3 +382,15 @@
 	took := s.runUntil(30*time.Second, s.allRunning)
 	s.g.Expect(took).To(BeNumerically("<=", growthMove+growthJoin+2*growthStep), strings.Join(s.decisions, "\n"))
 }
+
+// Guards against a pool that gets a host only after its task has ended with a worker
+// that said long before that it would leave.
+func TestPoolGetsHostBeforeDrainingWorkerLeaves(t *testing.T) {
+	s := newGrowthSim(t, 6, 10, spreadStep(6))
+	s.g.Expect(s.runUntil(5*time.Second, s.allRunning)).To(BeNumerically("<", 5*time.Second))
+	s.decisions = nil
+	h := s.hosts[0]
+	h.draining = true
+	s.run(4 * time.Second)
+	s.g.Expect(h.running).To(BeEmpty(), "the task has moved to a new host:\n"+strings.Join(s.decisions, "\n"))
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -87,6 +87,9 @@
 	// task. A place counts as taken until its task has started, the worker takes no
 	// tasks any more, or the task no longer needs it.
 	places map[job.TaskID]string
+	// unplacedMoves are the long-running tasks that have to leave their worker and
+	// that no other worker took in the last plan.
+	unplacedMoves []job.TaskID
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -149,8 +149,10 @@
 // evacuate stops runs on draining workers and on workers that were cordoned with
 // evacuate set, and promises each of their tasks a place on another worker.
 // On cordoned workers it stops long-running tasks, within the MaxUnavailable of
-// each step; on draining workers it stops every run that would not end in time.
+// each step; on draining workers it stops every run that would not end in time, at
+// most MaxUnavailable long-running ones of a step at once.
 func (c *Core) evacuate(t Times) {
+	c.unplacedMoves = c.unplacedMoves[:0]
 	workers := c.evacuating()
 	if len(workers) == 0 {
 		return
@@ -162,13 +164,19 @@
 			if j == nil || r.Stopping || r.State != worker.RunConfirmed || j.Task(r.ID.Task) == nil {
 				continue
 			}
-			if c.shouldEvacuate(ws, j, r, t.Now) && e.reserve(j, r.ID.Task) {
+			switch {
+			case !c.shouldEvacuate(ws, j, r, t.Now):
+			case !e.reserve(j, r.ID.Task):
+				c.recordUnplacedMove(ws, j, r.ID.Task)
+			case !c.mayMove(j, r.ID.Task):
+				e.temporary = append(e.temporary, r.ID.Task)
+			default:
 				c.requestStop(ws, r, "its worker is draining or cordoned")
 			}
 		}
 	}
-	for _, inactive := range e.inactive {
-		delete(c.places, inactive)
+	for _, t := range e.temporary {
+		delete(c.places, t)
 	}
 }
 
@@ -177,10 +185,11 @@
 	core  *Core
 	now   time.Duration
 	nodes []*placement.Node
-	// seen are the steps whose inactive tasks have been looked for, and inactive
-	// those of these tasks that hold a place for the evacuation only.
-	seen     map[worker.StepKey]bool
-	inactive []job.TaskID
+	// seen are the steps whose inactive tasks have been looked for.
+	seen map[worker.StepKey]bool
+	// temporary are the tasks that hold a place for this evacuation only: inactive
+	// ones, and those that move later.
+	temporary []job.TaskID
 }
 
 // reserve promises a task a place that no inactive task of its step can take. It
@@ -204,7 +213,7 @@
 		if !e.core.reserve(t, e.nodes, e.now) {
 			return
 		}
-		e.inactive = append(e.inactive, t)
+		e.temporary = append(e.temporary, t)
 	}
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/worker"
 )
 
 // pendingGroup is a group of tasks to start.
@@ -22,6 +23,9 @@
 // slack returns how much longer the group can wait without making its job late.
 func (pg pendingGroup) slack(now time.Duration) time.Duration { return pg.latestStart - now }
 
+// step returns the step that the group's tasks belong to.
+func (pg pendingGroup) step() worker.StepKey { return worker.StepKeyOf(pg.task(0)) }
+
 // task returns the group's task with index k.
 func (pg pendingGroup) task(k int) job.TaskID {
 	return job.TaskID{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step, Index: k}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/worker"
 )
 
 // WorkerLoad is what a pool's holder reports of one worker.
@@ -51,7 +52,8 @@
 	ExpectedDemand job.Resources `cbor:"6,keyasint"`
 	Workers        []WorkerLoad  `cbor:"7,keyasint"`
 	// HostsNeeded is how many hosts would be filled by the long-running tasks
-	// that wait because no worker has the resources for them. It is at least
+	// that wait, or have to leave a draining worker, because no worker has the
+	// resources for them. It is at least
 	// one when another job is stalled because no worker takes its tasks.
 	HostsNeeded int `cbor:"8,keyasint,omitempty"`
 }
@@ -72,7 +74,7 @@
 				// The next plan may place them.
 				continue
 			}
-			unplaced = append(unplaced, taskGroup{count: len(pg.group.Waiting), need: s.ReservedResources(), maxPerHost: s.MaxPerWorker})
+			unplaced = append(unplaced, taskGroup{step: pg.step(), count: len(pg.group.Waiting), need: s.ReservedResources(), maxPerHost: s.MaxPerWorker})
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
 		}
@@ -80,7 +82,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		rep.Workers = append(rep.Workers, c.workerLoad(id, &rep, now))
 	}
-	rep.HostsNeeded = hostsToFill(unplaced, c.largestCapacity())
+	rep.HostsNeeded = hostsToFill(c.addUnplacedMoves(unplaced), c.largestCapacity())
 	if rep.HostsNeeded == 0 && !c.halfUsed(rep.Used) && c.hasStalledJob(now) {
 		rep.HostsNeeded = 1
 	}
@@ -131,9 +133,10 @@
 	return largest
 }
 
-// taskGroup is a number of equal tasks that wait, of which a host takes at most
-// maxPerHost, 0 for no limit.
+// taskGroup is a number of equal tasks that need a place, of which a host takes at
+// most maxPerHost, 0 for no limit.
 type taskGroup struct {
+	step       worker.StepKey
 	count      int
 	need       job.Resources
 	maxPerHost int
