--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -112,30 +112,29 @@
 		if p.hosts <= p.required {
 			return
 		}
-		p.hosts--
-		p.cordoned++
-		d.addAction(Action{
+		d.cordon(p, Action{
 			Kind: Cordon, Host: h.Name, Worker: h.Worker, Pool: h.Pool,
-			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts+1),
+			Reason: fmt.Sprintf("pool needs %d hosts and has %d", p.required, p.hosts),
 		})
 	}
 }
 
 // cordonCandidates returns the hosts of a pool that may be cordoned to shrink it,
 // those expected to be empty soonest first. Hosts with long-running tasks, or with
-// room for tasks that wait, are left out.
+// room for tasks that wait, are left out, and one host for each that is emptying:
+// its tasks may be about to move there.
 func (d *decider) cordonCandidates(p *poolState) []Host {
 	var out []Host
 	for _, h := range d.Hosts {
 		l := d.workerLoads[h.Worker]
-		if h.Pool == p.view.Name && d.canOrder(h) && l.ID != "" && !l.Cordoned && l.LongRunning == 0 && !d.takesUnplaced(p, h) {
+		if h.Pool == p.view.Name && d.canOrder(h) && l.ID != "" && !l.Cordoned && !l.Draining && l.LongRunning == 0 && !d.takesUnplaced(p, h) {
 			out = append(out, h)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Host) int {
 		return cmp.Compare(d.workerLoads[a.Worker].EmptyIn, d.workerLoads[b.Worker].EmptyIn)
 	})
-	return out
+	return out[:max(0, len(out)-p.emptying)]
 }
 
 // poolsWithSurplus returns the pools that have more hosts than they need.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -29,6 +29,8 @@
 	EmptyIn time.Duration `cbor:"10,keyasint,omitempty"`
 	// Joining is set for a worker that is listed and was not polled yet.
 	Joining bool `cbor:"11,keyasint,omitempty"`
+	// Draining is set for a worker that has announced that it will leave.
+	Draining bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Report is what a pool's holder reports of the pool.
@@ -49,9 +51,10 @@
 	ExpectedDemand job.Resources `cbor:"6,keyasint"`
 	Workers        []WorkerLoad  `cbor:"7,keyasint"`
 	// HostsNeeded is how many hosts would be filled by the long-running tasks
-	// that wait because no worker has the resources for them. It is at least
-	// one when another job is stalled because no worker takes its tasks. It is
-	// for readers that do not know Unplaced.
+	// that wait, or have to leave a worker that drains or is cordoned, because no
+	// other has the resources for them. It is at least one when another job is
+	// stalled because no worker takes its tasks. It is for readers that do not know
+	// Unplaced.
 	HostsNeeded int `cbor:"8,keyasint,omitempty"`
 	// Unplaced describes the tasks for which HostsNeeded asks: all long-running
 	// ones, and one of each kind that a stalled job waits with. There are at most
@@ -62,7 +65,8 @@
 // Report describes the pool. lead is how far ahead demand is forecast.
 func (c *Core) Report(now, lead time.Duration) Report {
 	var rep Report
-	var longRunning, stalled []UnplacedTasks
+	var waiting []stepTasks
+	var stalled []UnplacedTasks
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
 	for _, pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
@@ -75,7 +79,7 @@
 				// The next plan may place them.
 				continue
 			}
-			longRunning = addUnplaced(longRunning, unplacedTasks(s, len(pg.group.Waiting)))
+			waiting = append(waiting, stepTasks{pg.step(), unplacedTasks(s, len(pg.group.Waiting))})
 			continue
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
@@ -87,6 +91,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		rep.Workers = append(rep.Workers, c.workerLoad(id, &rep, now))
 	}
+	longRunning := mergeSteps(c.addUnplacedMoves(waiting))
 	rep.HostsNeeded = hostsToFill(longRunning, c.assumedHostCapacity())
 	rep.Unplaced = longRunning
 	if !c.halfUsed(rep.Used) {
@@ -110,6 +115,7 @@
 		Capacity:    ws.Capacity,
 		Schedulable: c.acceptsTasks(ws) && !c.ejected(id, now),
 		Joining:     ws.Listed && !ws.Draining && !ws.Fenced && ws.UnansweredCalls == 0,
+		Draining:    ws.Draining,
 		EmptyIn:     ws.BusyUntil(now) - now,
 	}
 	rep.Used = rep.Used.Add(ws.Used)
