--- a/internal/fleet/unplaced.go
+++ b/internal/fleet/unplaced.go
@@ -109,9 +109,10 @@
 }
 
 // canUncordon reports whether the worker on a host may be uncordoned. Hosts that
-// await maintenance stay cordoned.
+// await maintenance and draining workers stay cordoned.
 func (d *decider) canUncordon(h Host) bool {
-	return d.canOrder(h) && d.workerLoads[h.Worker].Cordoned && !d.awaitingMaintenance[h.Name]
+	l := d.workerLoads[h.Worker]
+	return d.canOrder(h) && l.Cordoned && !l.Draining && !d.awaitingMaintenance[h.Name]
 }
 
 // freeOn returns the resources of a host that its runs leave free.
--- a/internal/scheduler/unplaced.go
+++ b/internal/scheduler/unplaced.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/worker"
 )
 
 // maxUnplacedGroups bounds the groups in a Report.
@@ -53,6 +54,21 @@
 	return groups
 }
 
+// stepTasks is the group of a step's tasks that need a place.
+type stepTasks struct {
+	step worker.StepKey
+	UnplacedTasks
+}
+
+// mergeSteps returns the groups of all steps.
+func mergeSteps(steps []stepTasks) []UnplacedTasks {
+	var out []UnplacedTasks
+	for _, s := range steps {
+		out = addUnplaced(out, s.UnplacedTasks)
+	}
+	return out
+}
+
 // addKind adds a group of tasks to groups unless they hold one of the same kind.
 func addKind(groups []UnplacedTasks, g UnplacedTasks) []UnplacedTasks {
 	if slices.ContainsFunc(groups, g.sameKind) {
