Empty a host for a wave that was cordoned to shrink its pool

Cause: a long-running task that starts between a pool's report and the cordon that shrinks the pool stays on the cordoned worker. A wave took such a host as cordoned already and never had the task moved. Callers would have seen a late wave. Change: WorkerLoad shows whether a cordoned worker is evacuated. An urgent wave orders that for its cordoned hosts that have long-running tasks and are not. Figures: TestWaveEvacuatesHostCordonedToShrinkPool (new) failed, 0 of 6 hosts maintained in 40 s, and passes.

--- a/internal/fleet/growth_wave_test.go
+++ b/internal/fleet/growth_wave_test.go
@@ -66,3 +66,15 @@
 	}
 	return n
 }
+
+// Guards against a wave that waits for ever for a host that was cordoned to shrink its pool, and
+// on which a long-running task started just before.
+func TestWaveEvacuatesHostCordonedToShrinkPool(t *testing.T) {
+	s := newGrowthSim(t, 6, 10, spreadStep(6))
+	s.g.Expect(s.runUntil(5*time.Second, s.allRunning)).To(BeNumerically("<", 5*time.Second))
+	s.core.Cordon(s.hosts[0].Worker, "pool needs 3 hosts and has 6", false)
+	s.decisions = nil
+	w := s.addWave(growthPool)
+	s.run(40 * time.Second)
+	s.g.Expect(w.Started).To(HaveLen(6), strings.Join(s.decisions, "\n"))
+}
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -37,13 +37,17 @@
 			inMaintenance++
 		}
 	}
+	urgent := w.TimeLeft < time.Duration(float64(w.Duration)*d.params.WaveReserveShare)
 	cordoned := 0
 	for _, h := range remaining {
-		if d.workerLoads[h.Worker].Cordoned {
-			cordoned++
+		if !d.workerLoads[h.Worker].Cordoned {
+			continue
+		}
+		cordoned++
+		if urgent {
+			d.evacuateForWave(w, h)
 		}
 	}
-	urgent := w.TimeLeft < time.Duration(float64(w.Duration)*d.params.WaveReserveShare)
 	for _, h := range remaining {
 		if cordoned+inMaintenance >= w.MaxConcurrent {
 			return
@@ -97,9 +101,23 @@
 	if !urgent && (!surplus || l.LongRunning > 0) {
 		return false
 	}
-	d.cordon(p, Action{
+	d.cordon(p, waveCordon(w, h))
+	return true
+}
+
+// evacuateForWave has the long-running tasks moved off a host that was cordoned to
+// shrink its pool. Such a task may have started there just before the cordon.
+func (d *decider) evacuateForWave(w *WaveView, h Host) {
+	l := d.workerLoads[h.Worker]
+	if l.LongRunning > 0 && !l.Evacuating && d.canOrder(h) {
+		d.addAction(waveCordon(w, h))
+	}
+}
+
+// waveCordon returns the action that cordons and empties a host for a wave.
+func waveCordon(w *WaveView, h Host) Action {
+	return Action{
 		Kind: Cordon, Host: h.Name, Worker: h.Worker, Pool: h.Pool, Evacuate: true,
 		Reason: fmt.Sprintf("wave %d: maintenance, %.1f s left", w.Number, w.TimeLeft.Seconds()),
-	})
-	return true
+	}
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -32,6 +32,8 @@
 	Joining bool `cbor:"11,keyasint,omitempty"`
 	// Draining is set for a worker that has announced that it will leave.
 	Draining bool `cbor:"12,keyasint,omitempty"`
+	// Evacuating is set for a cordoned worker whose long-running tasks are moved.
+	Evacuating bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Report is what a pool's holder reports of the pool.
@@ -186,6 +188,7 @@
 	}
 	if cn := c.cordons[id]; cn != nil && !cn.lifted {
 		l.Cordoned = true
+		l.Evacuating = cn.Evacuate
 		l.Empty = cn.logged && len(ws.Runs) == 0 && ws.LastEndSeen == ws.LastEndAcknowledged
 	}
 	return l
