Say in a test of hosts on their way that the host was moved just now

Cause: the test relied on every moving host counting as one on its way, however long it takes. Change: the host has a recent order; nothing else of the test changed.

--- a/internal/fleet/unplaced_test.go
+++ b/internal/fleet/unplaced_test.go
@@ -68,6 +68,7 @@
 		f.Hosts[i].Capacity = job.Resources{CPU: 4000, MemoryMB: 32000}
 	}
 	f.Hosts[3].State, f.Hosts[3].Worker = HostMoving, ""
+	f.Arriving = map[string]bool{"m-a-3": true}
 	f.Hosts[6].Capacity, f.Hosts[9].Capacity = testCapacity, testCapacity
 	g.Expect(movesTo(Decide(f.View, DefaultParams).Actions, "a")).To(Equal([]string{"m-spare-2", "m-spare-5"}))
 
