Have a task avoid every worker that rejected or failed it

A task that two workers rejected in turn was never started, though a third had room.

Cause: a task avoided only the worker that rejected or failed it last, so it went back and forth between two such workers that were preferred to a third. Change: a task avoids every worker that rejected or failed it, no more than the pool has, until it has run elsewhere. When it fits on no other worker, the one that it has avoided the longest comes first, before the data's rack and other preferences, so that a worker that takes starts again is found. Copies avoid these workers too. The entry of a task that is done is dropped, so that its job is placed in groups again.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,8 +51,9 @@
 	// limits that number, 0 for no limit.
 	TaskCount  func(node string) int
 	MaxPerNode int
-	// AvoidNode is the ID of a node to use only when no other fits, or empty.
-	AvoidNode string
+	// Avoided tells, by ID, since when nodes are avoided. They are used only when
+	// no other fits, the one that has been avoided the longest first.
+	Avoided map[string]time.Duration
 	// ExpectedEnd is when the task is expected to end.
 	ExpectedEnd time.Duration
 	// AllowEjected is set for a task that may fail any number of times.
@@ -170,6 +171,9 @@
 
 // compare orders two nodes that both fit, the better one first.
 func (r Request) compare(a, b *Node) int {
+	if c := r.compareAvoided(a, b); c != 0 {
+		return c
+	}
 	if r.BestEffort {
 		return cmp.Or(
 			cmp.Compare(r.penalty(a), r.penalty(b)),
@@ -185,6 +189,25 @@
 	)
 }
 
+// compareAvoided orders two nodes by whether and since when they are avoided. Nodes
+// that are bad for every task come after those that only this one avoids.
+func (r Request) compareAvoided(a, b *Node) int {
+	switch {
+	case a.bad() != b.bad():
+		if a.bad() {
+			return 1
+		}
+		return -1
+	case len(r.Avoided) == 0:
+		return 0
+	default:
+		return cmp.Compare(r.Avoided[a.ID], r.Avoided[b.ID])
+	}
+}
+
+// bad reports whether a node is to be used only when no other fits.
+func (n *Node) bad() bool { return n.Avoid || n.Ejected }
+
 // addedBusySteps returns by how many steps of busyTimeStep the task extends the
 // time for which a node is busy.
 func (r Request) addedBusySteps(n *Node) int {
@@ -210,12 +233,6 @@
 // weight exceeds the sum of all smaller ones, so that the worst reason decides.
 func (r Request) penalty(n *Node) int {
 	p := 0
-	if n.Avoid || n.Ejected {
-		p += 16
-	}
-	if r.AvoidNode == n.ID {
-		p += 8
-	}
 	if r.Suspect && n.RecentStart {
 		p += 4
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -41,7 +41,7 @@
 	r := request(500)
 	r.DataRack = "r-b"
 	g.Expect(Choose(nodes, r).ID).To(Equal("b"))
-	r.AvoidNode = "b"
+	r.Avoided = map[string]time.Duration{"b": time.Second}
 	g.Expect(Choose(nodes, r).ID).To(Equal("a"))
 	nodes[0].Avoid = true
 	g.Expect(Choose(nodes, r).ID).To(Equal("b"))
@@ -54,6 +54,22 @@
 	g.Expect(Choose(nodes, r)).To(BeNil())
 }
 
+// Guards against a task that returns to the same few nodes that it avoids: the one
+// that it has avoided the longest comes first, whatever else speaks for the others.
+func TestAvoidedNodesAreUsedLastAndInTurn(t *testing.T) {
+	g := NewWithT(t)
+	nodes := []*Node{node("a", 1000), node("b", 1000), node("c", 1000)}
+	r := request(500)
+	r.DataRack = "r-a"
+	r.Avoided = map[string]time.Duration{"a": 2 * time.Second, "b": time.Second}
+	g.Expect(Choose(nodes, r).ID).To(Equal("c"))
+	r.Reserve(nodes[2])
+	r.Reserve(nodes[2])
+	g.Expect(Choose(nodes, r).ID).To(Equal("b"))
+	r.Avoided["b"] = 3 * time.Second
+	g.Expect(Choose(nodes, r).ID).To(Equal("a"))
+}
+
 func TestBestEffortTasksAvoidServingNodes(t *testing.T) {
 	g := NewWithT(t)
 	serving, free := node("a", 4000), node("b", 1000)
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -230,7 +230,7 @@
 		return
 	}
 	req := c.approvedRequest(j, job.TaskGroup{Occurrence: r.Task.Occurrence, Step: r.Task.Step}, now)
-	req.AvoidNode = original
+	req.Avoided = j.avoided[r.Task].with(original, now)
 	req.ExpectedEnd = now + c.expectedDuration(s)
 	n := x.Choose(req)
 	if n == nil || n.ID == original {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -128,7 +128,7 @@
 		c.expireTicket(r.ID.Task, ws.Incarnation)
 	case worker.ReasonUnhealthy, worker.ReasonNoResources, worker.ReasonInvalid:
 		if j := c.jobs[r.ID.Task.Job]; j != nil {
-			j.avoidWorker(r.ID.Task, ws.Incarnation.ID)
+			c.avoidWorker(j, r.ID.Task, ws.Incarnation.ID, t.Now)
 		}
 	}
 	if r.StartUnanswered {
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -36,7 +36,7 @@
 func (c *Core) reserve(t job.TaskID, nodes []*placement.Node, now time.Duration) bool {
 	j := c.jobs[t.Job]
 	req := c.placementRequest(j, job.TaskGroup{Occurrence: t.Occurrence, Step: t.Step})
-	req.AvoidNode = j.avoidedWorkers[t]
+	req.Avoided = j.avoided[t]
 	req.ExpectedEnd = now + c.expectedDuration(j.Step(t))
 	n := placement.Choose(nodes, req)
 	if n == nil {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -191,7 +191,7 @@
 	}
 	req := c.approvedRequest(pg.job, pg.group, now)
 	req.ExpectedEnd = now + c.expectedDuration(pg.job.Spec.Steps[pg.group.Step])
-	if len(pg.job.avoidedWorkers) > 0 || pg.job.HasCrashes() {
+	if len(pg.job.avoided) > 0 || pg.job.HasCrashes() {
 		return c.placeEach(b, pg, req, x, now)
 	}
 	nodes := x.ChooseGroup(req, len(pg.group.Waiting))
@@ -201,11 +201,11 @@
 	return len(nodes) == len(pg.group.Waiting)
 }
 
-// placeEach does what placeTasks does for a job with tasks that avoid the worker
-// on which they failed, or under which workers have crashed.
+// placeEach does what placeTasks does for a job with tasks that avoid workers,
+// or under which workers have crashed.
 func (c *Core) placeEach(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
 	for _, k := range pg.group.Waiting {
-		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
+		req.Avoided = pg.job.avoided[pg.task(k)]
 		req.Suspect = pg.job.Suspect(pg.task(k))
 		n := x.Choose(req)
 		if n == nil {
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -38,8 +38,8 @@
 	loggedPhase job.Phase
 	// lastPreemption is when runs were last preempted for the job.
 	lastPreemption time.Duration
-	// avoidedWorkers names, by task, the worker on which the task failed last.
-	avoidedWorkers map[job.TaskID]string
+	// avoided holds the workers that each task avoids.
+	avoided map[job.TaskID]avoidedWorkers
 	// stalledSince is since when the job has had no active run although some of
 	// its tasks wait, or 0.
 	stalledSince time.Duration
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -120,9 +120,7 @@
 		c.recordFailure(ws.Incarnation.ID, r.ID.Task.Job, t.Now)
 	default:
 	}
-	if reason == job.EndFailed {
-		j.avoidWorker(r.ID.Task, ws.Incarnation.ID)
-	}
+	c.updateAvoided(j, ws.Incarnation.ID, r, reason, t.Now)
 	c.markDirty(j)
 	if j.Phase != before && j.Phase.Final() {
 		c.jobDurations = append(c.jobDurations, t.Now-j.arrived)
@@ -140,14 +138,6 @@
 	return s.Speculative || s.Gang
 }
 
-// avoidWorker sets the worker that a task avoids from now on.
-func (j *trackedJob) avoidWorker(t job.TaskID, workerID string) {
-	if j.avoidedWorkers == nil {
-		j.avoidedWorkers = map[job.TaskID]string{}
-	}
-	j.avoidedWorkers[t] = workerID
-}
-
 // stopRedundant stops the runs of a job that are redundant.
 func (c *Core) stopRedundant(j *trackedJob) {
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
