Place a gang on workers that have not rejected or failed its tasks

A gang did not run although workers were free, as long as one that rejects starts was preferred to them.

Cause: placeGang did not look at the workers that tasks avoid, and the choice of a single rack did not look at avoided nodes at all. Change: a gang avoids the workers that any of its tasks avoids.

--- a/internal/scheduler/avoid.go
+++ b/internal/scheduler/avoid.go
@@ -72,3 +72,24 @@
 		delete(j.avoided, t)
 	}
 }
+
+// avoidedByGang returns the workers that any task of a gang avoids.
+func (j *trackedJob) avoidedByGang(g job.TaskGroup) avoidedWorkers {
+	var out avoidedWorkers
+	for t, a := range j.avoided {
+		if t.Step == g.Step && t.Occurrence == g.Occurrence {
+			out = out.merge(a)
+		}
+	}
+	return out
+}
+
+// merge returns the workers of both, each with the later time.
+func (a avoidedWorkers) merge(b avoidedWorkers) avoidedWorkers {
+	out := make(avoidedWorkers, len(a)+len(b))
+	maps.Copy(out, a)
+	for id, since := range b {
+		out[id] = max(out[id], since)
+	}
+	return out
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -229,6 +229,7 @@
 	req := c.approvedRequest(pg.job, pg.group, now)
 	s := pg.job.Spec.Steps[pg.group.Step]
 	req.ExpectedEnd = now + c.expectedDuration(s)
+	req.Avoided = pg.job.avoidedByGang(pg.group)
 	chosen := placement.ChooseGang(x.Nodes(), req, s.Count, s.SameRack)
 	if chosen == nil {
 		return false
