Test that a task that may crash its worker is isolated

Cause: without the isolation of suspects in the placement no test failed but random schedules, which find that by chance. The random test that compares Index with Choose also draws isolated nodes, recent starts, suspects and avoided nodes; what it requires is unchanged.

--- a/internal/placement/index_test.go
+++ b/internal/placement/index_test.go
@@ -22,6 +22,8 @@
 			Serving:       rapid.Bool().Draw(rt, "serving"),
 			Avoid:         rapid.Bool().Draw(rt, "avoid"),
 			BestEffortCPU: rapid.IntRange(0, 2).Draw(rt, "best_effort"),
+			Isolated:      rapid.IntRange(0, 3).Draw(rt, "isolated") == 0,
+			RecentStart:   rapid.Bool().Draw(rt, "recent_start"),
 		}
 		second := n
 		nodes = append(nodes, &n)
@@ -30,6 +32,17 @@
 	return nodes, copies
 }
 
+// drawAvoided returns some of the nodes as ones that a task avoids.
+func drawAvoided(rt *rapid.T, nodes []*Node) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, n := range nodes {
+		if since := rapid.IntRange(0, 3).Draw(rt, "avoided_since"); since > 0 {
+			out[n.ID] = time.Duration(since)
+		}
+	}
+	return out
+}
+
 // An Index chooses for every group of tasks the same nodes as repeated calls of
 // Choose.
 func TestIndexChoosesLikeChoose(t *testing.T) {
@@ -41,6 +54,8 @@
 			r := request(rapid.IntRange(0, 2000).Draw(rt, "request"))
 			r.BestEffort = rapid.Bool().Draw(rt, "best_effort")
 			r.Serving = rapid.Bool().Draw(rt, "serving")
+			r.Suspect = rapid.Bool().Draw(rt, "suspect")
+			r.Avoided = drawAvoided(rt, nodes)
 			r.MaxPerNode = rapid.IntRange(0, 2).Draw(rt, "max_per_node")
 			r.ExpectedEnd = busyTimeStep * time.Duration(rapid.IntRange(0, 4).Draw(rt, "end_steps"))
 			r.DataRack = rapid.SampledFrom([]string{"", "r1"}).Draw(rt, "data_rack")
