Start a suspect only once the other runs on its worker have survived their starts

Callers see a job given up for a worker that a task beside its own had crashed.

Cause: a suspect is placed where no task has just started, but only if there is such a worker. Where all have recent starts it started together with them. Figures: TestSuspectAwaitsAnswerAfterOtherStarts fails before and passes now. The other tests of the package pass.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -84,14 +84,21 @@
 	return rest
 }
 
-// AwaitsAnswer reports whether a run of a suspect is not to be started before the
-// worker has answered a call since the run was ordered. A start that is sent to a
-// worker which has crashed already would count against the suspect.
+// AwaitsAnswer reports whether a run of a suspect is not to be started yet: the worker
+// has to answer a call once the run is ordered and crashWindow has passed since the
+// starts of its other runs. A start that is sent to a worker which has crashed already,
+// or which another run crashes, would count against the suspect.
 func (s *State) AwaitsAnswer(r *Run) bool {
 	if !r.Suspect || r.State != RunOrdered || r.StartSentAt > 0 {
 		return false
 	}
-	return s.LastAnswer < r.StateSince
+	needed := r.StateSince
+	for _, other := range s.Runs {
+		if other.StartSentAt > 0 {
+			needed = max(needed, other.StartSentAt+crashWindow)
+		}
+	}
+	return s.LastAnswer < needed
 }
 
 // StartAwaitsAnswer reports whether the start of a run waits for an answer.
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -72,3 +72,30 @@
 		g.Expect(r.CrashReason).To(Equal(c.reason), "last answer at %v", c.lastAnswer)
 	}
 }
+
+// A suspect must not be started beside a run that may still crash the worker: its start
+// would get no answer and count against it.
+func TestSuspectAwaitsAnswerAfterOtherStarts(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestState()
+	suspect, other := newTestRun(1), newTestRun(2)
+	suspect.Suspect, suspect.StateSince = true, time.Second
+	other.State, other.StartSentAt = RunConfirmed, time.Second
+	s.AddRun(suspect)
+	s.AddRun(other)
+	for _, c := range []struct {
+		lastAnswer time.Duration
+		awaits     bool
+	}{
+		{time.Second - time.Millisecond, true},
+		{time.Second, true},
+		{time.Second + crashWindow - time.Millisecond, true},
+		{time.Second + crashWindow, false},
+	} {
+		s.LastAnswer = c.lastAnswer
+		g.Expect(s.AwaitsAnswer(suspect)).To(Equal(c.awaits), "last answer at %v", c.lastAnswer)
+	}
+	s.LastAnswer = time.Second
+	s.RemoveRun(other.ID)
+	g.Expect(s.AwaitsAnswer(suspect)).To(BeFalse(), "alone on the worker")
+}
