Send no start to a worker that has left the list

Callers see a worker brought over a capacity that has shrunk.

Cause: the list is the only thing that shows a shrink. A start that was planned, or that got no answer, was still sent once the worker's entry was gone, by the last entry read. Change: such a run is stopped instead and its task placed anew. Figures: TestStartIsNotSentToWorkerThatLeftTheList fails before (4 starts) and passes now. The other tests of the package pass.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -163,3 +163,20 @@
 	p.g.Expect(rep.Workers[0].Capacity).To(Equal(job.Resources{CPU: 1000}))
 	p.g.Expect(rep.Workers[0].Schedulable).To(BeTrue())
 }
+
+// Guards against a start that is sent to a worker which has left the list: its capacity
+// may have shrunk since its last entry.
+func TestStartIsNotSentToWorkerThatLeftTheList(t *testing.T) {
+	p := newCorePool(t, 4)
+	p.pollWorkers()
+	starts := p.plan()
+	p.g.Expect(starts).To(HaveLen(4))
+	sent := p.orders(starts[:1])
+	p.g.Expect(sent).To(HaveLen(1))
+	p.core.StartAnswered(sent[0], 0, verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer"), p.now)
+	p.gone, p.workers = p.workers, nil
+	p.list()
+	p.pollWorkers()
+	p.g.Expect(p.orders(starts)).To(BeEmpty(), "starts sent for the first time or again")
+	p.g.Expect(p.core.StopOrders()).To(HaveLen(4), "their runs are stopped")
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -51,6 +51,11 @@
 	if ws.AwaitsAnswer(run) {
 		return StartOrder{}, SendLater
 	}
+	if !ws.Listed {
+		// Nothing shows what the worker's capacity is.
+		c.requestStop(ws, run, "its worker is no longer listed")
+		return StartOrder{}, SendNever
+	}
 	if ws.Overcommitted(run.Resources) {
 		// The capacity has shrunk since the run was placed.
 		c.requestStop(ws, run, "its worker's capacity has shrunk")
