Judge innocent jobs that are given up in a soak of their own

The holder cannot always tell which of the tasks that it started together crashed the worker; that is open, and a soak that fails for it hides every other failure.

--- a/standin/jobsim/checker_test.go
+++ b/standin/jobsim/checker_test.go
@@ -31,7 +31,7 @@
 	g := NewWithT(t)
 	c := NewRunChecker()
 	c.ShownFailed("00000000000000bb")
-	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("has no deadly task")))
+	g.Expect(c.InnocentFailed()).To(ConsistOf(ContainSubstring("at most 0 workers")))
 	c = NewRunChecker()
 	c.MarkDeadly(testTask)
 	c.workerCrashed("w0", []job.TaskID{testTask})
--- a/standin/jobsim/crash_checker.go
+++ b/standin/jobsim/crash_checker.go
@@ -87,7 +87,7 @@
 	}
 	c.shownFailed[id] = time.Now()
 	if _, deadly := c.deadly[id]; !deadly {
-		c.addViolation("job %s is shown as failed, it has no deadly task; at most %d workers crashed under one of its tasks", id, c.mostCrashes(id))
+		c.innocentFailed = append(c.innocentFailed, fmt.Sprintf("job %s, at most %d workers crashed under one of its tasks", id, c.mostCrashes(id)))
 		return
 	}
 	if crashes := c.mostCrashes(id); crashes < crashesToGiveUp {
@@ -95,6 +95,13 @@
 	}
 }
 
+// InnocentFailed describes the jobs without a deadly task that were shown as failed.
+func (c *RunChecker) InnocentFailed() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.innocentFailed)
+}
+
 // mostCrashes returns the highest number of crashes under a task of a job. It
 // must be called with mu held.
 func (c *RunChecker) mostCrashes(id job.ID) int {
--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -32,6 +32,8 @@
 	excessStarts map[job.TaskID]int
 	// shownFailed is when a job was first shown as failed.
 	shownFailed map[job.ID]time.Time
+	// innocentFailed describes the jobs without a deadly task among them.
+	innocentFailed []string
 	// startsOnShrunk counts the starts on workers whose capacity has shrunk.
 	startsOnShrunk int
 }
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -238,11 +238,29 @@
 }
 
 // Injects faults into daemons, workers and the store under load, while capacities
-// shrink and grow and some jobs have a task that crashes its workers. Every other
-// accepted job must complete, no rejected job may run, and no task may run twice at
+// shrink and grow and some jobs have a task that crashes its workers. Every
+// accepted job must end, no rejected job may run, and no task may run twice at
 // the same time or again after its success was acknowledged. A deadly task must be
-// given up, and no start may bring a worker over its capacity.
+// given up, and no start may bring a worker over its capacity. Whether the jobs that are
+// given up are those with a deadly task is the matter of TestSoakGivesUpNoInnocentJob.
 func TestSoakOfDaemonsWorkersAndStore(t *testing.T) {
+	s := runSoak(t)
+	s.g.Expect(s.checker.Violations()).To(BeEmpty())
+	for _, id := range s.rejected {
+		s.g.Expect(s.checker.Started(id)).To(BeZero(), "%s was rejected", id)
+	}
+	s.g.Expect(s.accepted).NotTo(BeEmpty())
+}
+
+// Guards against jobs that are shown as failed because of crashes which the task of
+// another job caused.
+func TestSoakGivesUpNoInnocentJob(t *testing.T) {
+	s := runSoak(t)
+	s.g.Expect(s.checker.InnocentFailed()).To(BeEmpty(), "jobs without a deadly task that are shown as failed")
+}
+
+// runSoak runs a soak until all accepted jobs have ended, which it expects.
+func runSoak(t *testing.T) *soak {
 	t.Logf("seed %d", *soakSeed)
 	s := newSoak(t)
 	r := rand.New(rand.NewPCG(*soakSeed, 1))
@@ -261,10 +279,7 @@
 	load.Wait()
 	notEnded := s.awaitEnds()
 	t.Logf("%d accepted, %d rejected; %s", len(s.accepted), len(s.rejected), s.checker.Summary())
+	t.Logf("without a deadly task and shown as failed: %v", s.checker.InnocentFailed())
 	s.g.Expect(notEnded).To(BeEmpty(), "accepted jobs that have not ended")
-	s.g.Expect(s.checker.Violations()).To(BeEmpty())
-	for _, id := range s.rejected {
-		s.g.Expect(s.checker.Started(id)).To(BeZero(), "%s was rejected", id)
-	}
-	s.g.Expect(s.accepted).NotTo(BeEmpty())
+	return s
 }
