Start tasks apart whose worker may have crashed under them

A job without a deadly task was shown as failed: its task was started together with a deadly one on four workers in turn.

Cause: a task that has only crashes of which the holder is not certain, since the worker crashed before it answered, is placed like any other; two such tasks are packed on one worker again and are both blamed again. Change: such a task avoids workers on which a task has just started, if it can, as a suspect does. It does not isolate its worker.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,9 @@
 	// Suspect is set for a task that may crash its node. It is placed where no
 	// task has started just now, if it can, and isolates its node.
 	Suspect bool
+	// AvoidRecentStart is set for a task under which a node may have crashed. Like a
+	// suspect, it is placed where no task has started just now, if it can.
+	AvoidRecentStart bool
 	// Serving is set for a task that answers requests of its own users.
 	// BestEffort is set for a task that uses only resources that other tasks
 	// leave free, DesiredCPU of them if it can.
@@ -216,7 +219,7 @@
 	if r.AvoidNode == n.ID {
 		p += 8
 	}
-	if r.Suspect && n.RecentStart {
+	if (r.Suspect || r.AvoidRecentStart) && n.RecentStart {
 		p += 4
 	}
 	// Best-effort tasks slow down serving tasks on the same node.
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -353,6 +353,28 @@
 	p.g.Expect(phase).To(Equal(job.Running))
 }
 
+// Guards against tasks that are started together on worker after worker, which one of
+// them crashes before it answers: the others are blamed each time.
+func TestTasksWhoseWorkerMayHaveCrashedAreStartedApart(t *testing.T) {
+	p := newCorePool(t, 2)
+	p.pollWorkers()
+	orders := p.orders(p.plan())
+	p.g.Expect(orders).To(HaveLen(2))
+	for _, o := range orders {
+		p.core.StartAnswered(o, 0, verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer"), p.now)
+	}
+	p.core.PollFailed(p.core.Poll("a", p.now.Now, time.Second), worker.ErrWorkerReplaced, p.now)
+	p.workers = nil
+	p.addWorker("b", "b")
+	p.addWorker("c", "c")
+	p.wait(simMaxLease)
+	p.list()
+	p.pollWorkers()
+	starts := p.plan()
+	p.g.Expect(starts).To(HaveLen(2))
+	p.g.Expect(starts[0].Worker).NotTo(Equal(starts[1].Worker))
+}
+
 // Guards against a worker that is lost to the pool after a restart which a new
 // holder sees first in the list: the entry itself says that it is there.
 func TestRestartedWorkerIsUnlistedAfterTakeover(t *testing.T) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -207,6 +207,7 @@
 	for _, k := range pg.group.Waiting {
 		req.AvoidNode = pg.job.avoidedWorkers[pg.task(k)]
 		req.Suspect = pg.job.Suspect(pg.task(k))
+		req.AvoidRecentStart = pg.job.CrashCount(pg.task(k)) > 0
 		n := x.Choose(req)
 		if n == nil {
 			return false
