Renew no wait for a confirmed run when its worker restarts again

Callers saw a task wait for as long as its worker went on restarting without answering, with another worker free.

Cause: each restart set the end of the worker's leases to now and the longest lease, for runs too that a poll had found on an earlier incarnation and of which no start was unaccounted for. These ended with it. A retry renewed the deadline that bounds it. Change: after a restart the runs wait for the lease of the old incarnation. Only a start that another incarnation may have carried out extends that: one without an answer, one whose answer does not tell which incarnation gave it (until a poll found the run), and one that an earlier holder may have sent (until the longest delay of an order after the end of its duty). A further restart extends the wait only for starts sent in between. The code moves from state.go to incarnation.go.

--- /dev/null
+++ b/internal/worker/incarnation.go
@@ -0,0 +1,74 @@
+package worker
+
+import "time"
+
+// ReplaceIncarnation resets the state after another incarnation has answered to
+// the worker's ID. The runs most likely ended with the old incarnation, but an
+// order may have reached the new one before the change was known, so every run
+// has to be looked for there. A run that is not there has to be stopped there
+// if its start was not answered and may still arrive. maxLease is the longest
+// lease that a worker grants.
+//
+// If the new incarnation does not answer either, its runs count as lost once the
+// lease of the old one has expired and every lease that a start which is
+// unaccounted for may have got. A further restart extends the wait only for starts
+// that were sent since.
+func (s *State) ReplaceIncarnation(l Listing, now, maxLease time.Duration) {
+	runs, listed := s.Runs, s.Listed
+	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
+	for _, r := range runs {
+		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, maxLease))
+	}
+	*s = *NewState(l, now, s.earlierLeasesEnd)
+	s.Listed = listed
+	s.priorLeaseExpiry = priorLeaseExpiry
+	for _, r := range runs {
+		r.carryOver(now)
+		s.AddRun(r)
+	}
+}
+
+// strayLeaseExpiry returns when the lease has expired that a run gets if its start
+// is carried out by an incarnation other than the one that it was sent to, or 0 if
+// that cannot happen.
+func (s *State) strayLeaseExpiry(r *Run, now, maxLease time.Duration) time.Duration {
+	earlierStartsEnd := s.earlierLeasesEnd - maxLease + maxOrderDelay
+	switch {
+	case r.startMayArrive(now):
+		return r.StartSentAt + maxOrderDelay + maxLease
+	case r.startUnaccounted():
+		return now + maxLease
+	case r.StartSentAt > 0 && r.LastReported == 0:
+		// The answer to the start may be that of the new incarnation. One to a poll
+		// tells which incarnation has the run.
+		return now + maxLease
+	case r.Adopted && now < earlierStartsEnd:
+		// A start that an earlier holder sent may be unaccounted for.
+		return now + maxLease
+	default:
+		return 0
+	}
+}
+
+// startUnaccounted reports whether a start of the run was sent and not answered.
+func (r *Run) startUnaccounted() bool {
+	return r.State == RunOrdered && r.StartSentAt > 0 || r.StartUnanswered
+}
+
+// startMayArrive reports whether a start of the run that was not answered may still
+// be carried out by another incarnation of the worker.
+func (r *Run) startMayArrive(now time.Duration) bool {
+	return r.startUnaccounted() && now < r.StartSentAt+maxOrderDelay
+}
+
+// carryOver prepares the run for another incarnation of its worker.
+func (r *Run) carryOver(now time.Duration) {
+	r.StartUnanswered = r.startMayArrive(now)
+	if r.StartUnanswered {
+		r.State = RunOrdered
+	} else {
+		r.StartSentAt = 0
+	}
+	r.StopInFlight = false
+	r.StopAnsweredAt = 0
+}
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -179,8 +179,11 @@
 	// leaseUntil is the latest lease end that an order of this holder named, in
 	// milliseconds of the worker's clock.
 	leaseUntil int64
+	// earlierLeasesEnd is when leases that an earlier holder may have granted
+	// have expired, unless the worker has restarted since.
+	earlierLeasesEnd time.Duration
 	// priorLeaseExpiry is when leases that an earlier holder may have granted
-	// have expired.
+	// have expired, and those that runs of an earlier incarnation may have.
 	priorLeaseExpiry time.Duration
 
 	// LastEndSeen is the number of the last end that was processed,
@@ -198,16 +201,17 @@
 }
 
 // NewState returns the state of a worker that has not been polled yet.
-// priorLeaseExpiry is when the last lease that an earlier holder may have
+// earlierLeasesEnd is when the last lease that an earlier holder may have
 // granted has expired.
-func NewState(l Listing, now, priorLeaseExpiry time.Duration) *State {
+func NewState(l Listing, now, earlierLeasesEnd time.Duration) *State {
 	return &State{
 		Listing:          l,
 		Listed:           true,
 		Runs:             map[job.RunID]*Run{},
 		workerClock:      l.Clock,
 		workerClockAt:    now,
-		priorLeaseExpiry: priorLeaseExpiry,
+		earlierLeasesEnd: earlierLeasesEnd,
+		priorLeaseExpiry: earlierLeasesEnd,
 	}
 }
 
@@ -345,35 +349,15 @@
 // LeaseExpired reports whether every lease that this incarnation may hold has
 // expired, so that no run ordered before is active there.
 func (s *State) LeaseExpired(now time.Duration) bool {
-	if now < s.priorLeaseExpiry {
-		return false
-	}
-	passed := time.Duration(float64(now-s.workerClockAt) * (1 - maxClockDrift))
-	return time.Duration(s.workerClock)*time.Millisecond+passed > time.Duration(s.leaseUntil)*time.Millisecond+expiryMargin
+	return now >= s.priorLeaseExpiry && now > s.leaseExpiry()
 }
 
-// ReplaceIncarnation resets the state after another incarnation has answered to
-// the worker's ID. The runs most likely ended with the old incarnation, but an
-// order may have reached the new one before the change was known, so every run
-// has to be looked for there. A run that is not there has to be stopped there
-// if its start was not answered and may still arrive. maxLease is the longest
-// lease that a worker grants.
-func (s *State) ReplaceIncarnation(l Listing, now, maxLease time.Duration) {
-	runs, listed := s.Runs, s.Listed
-	priorLeaseExpiry := max(s.priorLeaseExpiry, now+maxLease)
-	*s = *NewState(l, now, priorLeaseExpiry)
-	s.Listed = listed
-	for _, r := range runs {
-		inFlight := r.State == RunOrdered && r.StartSentAt > 0 || r.StartUnanswered
-		r.StartUnanswered = inFlight && now < r.StartSentAt+maxOrderDelay
-		if r.StartUnanswered {
-			r.State = RunOrdered
-			s.priorLeaseExpiry = max(s.priorLeaseExpiry, r.StartSentAt+maxOrderDelay+maxLease)
-		} else {
-			r.StartSentAt = 0
-		}
-		r.StopInFlight = false
-		r.StopAnsweredAt = 0
-		s.AddRun(r)
+// leaseExpiry returns when the leases that orders of this holder named to this
+// incarnation have expired, or 0 if none named one.
+func (s *State) leaseExpiry() time.Duration {
+	if s.leaseUntil == 0 {
+		return 0
 	}
+	remaining := time.Duration(s.leaseUntil-s.workerClock)*time.Millisecond + expiryMargin
+	return s.workerClockAt + time.Duration(float64(remaining)/(1-maxClockDrift))
 }
