Start a task on another worker after one has crashed under it

Callers saw a job fail although its tasks could run: one worker kept restarting, and a task whose start fell into the restarts was started there again each time.

Cause: a task avoided workers that had rejected or failed it, but not one that had crashed under it, so two crashes of one worker gave up the job. Change: a worker that crashed under a task is avoided like one that failed it. For a task that may crash its worker, a start that has just been made on a worker weighs more than that, so that it still starts beside no other.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -193,7 +193,8 @@
 }
 
 // compareAvoided orders two nodes by whether and since when they are avoided. Nodes
-// that are bad for every task come after those that only this one avoids.
+// that are bad for every task come after those that only this one avoids, and for a
+// task that may crash its node those with a recent start come in between.
 func (r Request) compareAvoided(a, b *Node) int {
 	switch {
 	case a.bad() != b.bad():
@@ -201,6 +202,11 @@
 			return 1
 		}
 		return -1
+	case r.avoidsStartOn(a) != r.avoidsStartOn(b):
+		if r.avoidsStartOn(a) {
+			return 1
+		}
+		return -1
 	case len(r.Avoided) == 0:
 		return 0
 	default:
@@ -211,6 +217,12 @@
 // bad reports whether a node is to be used only when no other fits.
 func (n *Node) bad() bool { return n.Avoid || n.Ejected }
 
+// avoidsStartOn reports whether the task is not to start beside those that a node has
+// just started.
+func (r Request) avoidsStartOn(n *Node) bool {
+	return (r.Suspect || r.AvoidRecentStart) && n.RecentStart
+}
+
 // addedBusySteps returns by how many steps of busyTimeStep the task extends the
 // time for which a node is busy.
 func (r Request) addedBusySteps(n *Node) int {
@@ -236,9 +248,6 @@
 // weight exceeds the sum of all smaller ones, so that the worst reason decides.
 func (r Request) penalty(n *Node) int {
 	p := 0
-	if (r.Suspect || r.AvoidRecentStart) && n.RecentStart {
-		p += 4
-	}
 	// Best-effort tasks slow down serving tasks on the same node.
 	if r.BestEffort && n.Serving || r.Serving && n.BestEffortCPU > 0 {
 		p += 2
--- a/internal/scheduler/avoid.go
+++ b/internal/scheduler/avoid.go
@@ -8,8 +8,8 @@
 	"greengagedeck/internal/worker"
 )
 
-// avoidedWorkers are the workers that rejected or failed a task since it last ran
-// elsewhere, each with the time when it last did. The task is placed there only
+// avoidedWorkers are the workers that rejected or failed a task, or crashed under it,
+// since it last ran elsewhere, each with the time when it last did. The task is placed there only
 // when it fits on no other worker.
 type avoidedWorkers map[string]time.Duration
 
@@ -42,7 +42,7 @@
 // ended on a worker.
 func (c *Core) updateAvoided(j *trackedJob, workerID string, r *worker.Run, reason job.EndReason, now time.Duration) {
 	switch {
-	case reason == job.EndFailed:
+	case reason == job.EndFailed || reason == job.EndCrashSuspected || reason == job.EndCrashedWorker:
 		c.avoidWorker(j, r.ID.Task, workerID, now)
 	case reason == job.EndDone:
 		delete(j.avoided, r.ID.Task)
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -77,6 +77,21 @@
 	p.g.Expect(p.plan()).To(HaveLen(1), "starts in one plan")
 }
 
+// Guards against a task that is given up since one worker keeps crashing, though
+// others would run it.
+func TestTaskIsStartedElsewhereAfterCrashOfItsWorker(t *testing.T) {
+	p := newCrashPool(t)
+	w := p.awaitStart()
+	p.g.Expect(w).NotTo(BeNil())
+	p.addWorker("z", "z")
+	p.list()
+	w.crash()
+	p.wait(simRestartTime)
+	p.restart(w)
+	p.list()
+	p.g.Expect(p.awaitStart()).To(BeIdenticalTo(p.worker("z")))
+}
+
 // Guards against a job that is given up for starts that were sent to workers which had
 // crashed before: such a start says nothing about its task.
 func TestStartOfSuspectWaitsForAnswerOfItsWorker(t *testing.T) {
