Count a start beside another as a possible crash if it got no answer

Callers saw a job fail after one crash under its task, or none: the tasks beside it had crashed the workers.

Cause: after a first possible crash a task starts on a worker that has just answered, and a start there counted as certain even without an answer. Until its second possible crash the task does not start alone: a deadly task that was sent at the same time crashed the worker before the start arrived, so the next crash was the second certain one. Change: a start without an answer counts as a certain crash only if no other run may be the cause; beside others it counts as a possible one.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -47,13 +47,17 @@
 	if s.Draining {
 		return
 	}
+	alone := len(suspects) == 1
 	for _, r := range suspects {
+		// A worker that answered just before a start may have been crashed by another
+		// task before the start reached it.
+		started := r.State == RunConfirmed || r.Verified && alone
 		switch {
 		case !upAtStart(r):
 			r.CrashReason = job.EndStartUnverified
-		case !certain || r.State != RunConfirmed && !r.Verified:
+		case !certain || !started:
 			r.CrashReason = job.EndCrashPossible
-		case len(suspects) > 1:
+		case !alone:
 			r.CrashReason = job.EndCrashSuspected
 		default:
 			r.CrashReason = job.EndCrashedWorker
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -64,6 +64,22 @@
 	g.Expect(recent.CrashReason).To(Equal(job.EndCrashPossible))
 }
 
+// Guards against a job that is given up for a start that got no answer since another
+// task had crashed the worker before: the worker had answered before both were sent.
+func TestUnansweredStartBesideAnotherIsNoCertainCrash(t *testing.T) {
+	g := NewWithT(t)
+	s, other := newCrashState(time.Second)
+	unanswered := newTestRun(2)
+	unanswered.State, unanswered.StartSentAt, unanswered.Verified, unanswered.SentWhileUp = RunOrdered, time.Second, true, true
+	s.AddRun(unanswered)
+	s.MarkCrash(true)
+	g.Expect(unanswered.CrashReason).To(Equal(job.EndCrashPossible))
+	g.Expect(other.CrashReason).To(Equal(job.EndCrashSuspected))
+	s.RemoveRun(other.ID)
+	s.MarkCrash(true)
+	g.Expect(unanswered.CrashReason).To(Equal(job.EndCrashedWorker), "alone on the worker")
+}
+
 // A run that an earlier holder had just started must be blamed for a crash, also if
 // this holder's first poll still found it there.
 func TestMarkCrashBlamesAdoptedRunThatFirstAnswerListed(t *testing.T) {
