Apply the capacity that the list shows to a worker that has restarted since

Cause: a poll showed the restart of the worker before the list could be read again, which had been unreadable for seconds. The holder kept the capacity that it knew under the new incarnation. The next read of the list held the worker's last entry before the restart, with the shrunk capacity; it was dropped as one of an earlier incarnation, but the list counted as read, so the waiting starts were sent (347 ms after they were planned, at that read).

Change: an entry of an earlier incarnation still sets the capacity. Such an entry can only follow, in the list, what the holder knew: the newer incarnation was learnt from a poll, which does not report a capacity.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -10,6 +10,7 @@
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/verdict"
+	"greengagedeck/internal/worker"
 )
 
 // longAfterShrink is how long after the list showed a shrink a start counts for
@@ -196,3 +197,22 @@
 	p.g.Expect(p.orders(starts)).To(BeEmpty(), "starts sent for the first time or again")
 	p.g.Expect(p.core.StopOrders()).To(HaveLen(4), "their runs are stopped")
 }
+
+// Guards against starts over a capacity that the list shows in the last entry before a
+// restart, when a poll has shown the restart before that entry is read.
+func TestCapacityOfEntryBeforeRestartIsIgnored(t *testing.T) {
+	p := newCorePool(t, 4)
+	p.pollWorkers()
+	w := p.workers[0]
+	entry := w.listing
+	entry.Capacity = job.Resources{CPU: 1000}
+	p.restart(w)
+	for range 2 {
+		rep := worker.Report{StartedAt: w.listing.Incarnation.StartedAt, Clock: p.clock(w)}
+		p.core.PollSucceeded(p.core.Poll("a", p.now.Now, time.Second), rep, p.now)
+	}
+	starts := p.plan()
+	p.g.Expect(starts).To(HaveLen(4))
+	p.core.ReplaceWorkers([]worker.Listing{entry}, p.now)
+	p.g.Expect(len(p.orders(starts))).To(BeNumerically("<=", 1), "starts sent to a worker with room for one task")
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -64,7 +64,9 @@
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
 		return
 	case l.Incarnation.StartedAt < ws.Incarnation.StartedAt:
-		// The list lags behind what the worker itself reported.
+		// The list lags behind what the worker itself reported, but no report holds the
+		// capacity.
+		ws.Capacity = l.Capacity
 		return
 	case l.Incarnation.StartedAt > ws.Incarnation.StartedAt:
 		c.workerRestarted(ws, l, t)
