Require that the soak judges starts by capacities that have shrunk

Cause: the soak counted starts on workers that had shrunk, also within the time in which the earlier capacity counts, and passed whatever that number was. That its check of capacities is not empty was not shown.

Change: it counts the starts that a shrunk capacity limits and fails with under 10.

--- a/standin/jobsim/capacity.go
+++ b/standin/jobsim/capacity.go
@@ -56,6 +56,5 @@
 	for other := range w.running {
 		used = used.Add(w.checker.need(other))
 	}
-	counted := w.countedCapacity(time.Now())
-	w.checker.checkCapacity(t, w.id, used, counted, w.capacity() != fullCapacity)
+	w.checker.checkCapacity(t, w.id, used, w.countedCapacity(time.Now()))
 }
--- a/standin/jobsim/checker_test.go
+++ b/standin/jobsim/checker_test.go
@@ -64,8 +64,10 @@
 	g.Expect(w.countedCapacity(now)).To(Equal(fullCapacity))
 	w.checkCapacity(testTask)
 	g.Expect(c.Violations()).To(BeEmpty())
+	g.Expect(c.JudgedShrunk()).To(BeZero())
 	w.capacities[1].at = now.Add(-capacityGrace - time.Millisecond)
 	g.Expect(w.countedCapacity(now)).To(Equal(half))
 	w.checkCapacity(testTask)
 	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("LIMIT")))
+	g.Expect(c.JudgedShrunk()).To(Equal(1))
 }
--- a/standin/jobsim/crash_checker.go
+++ b/standin/jobsim/crash_checker.go
@@ -123,5 +123,5 @@
 		crashes = append(crashes, c.crashes[t])
 	}
 	slices.Sort(crashes)
-	return fmt.Sprintf("crashes under each of %d deadly tasks: %v; %d starts on workers that had shrunk", len(c.deadly), crashes, c.startsOnShrunk)
+	return fmt.Sprintf("crashes under each of %d deadly tasks: %v; %d starts judged by a shrunk capacity", len(c.deadly), crashes, c.judgedShrunk)
 }
--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -34,8 +34,8 @@
 	shownFailed map[job.ID]time.Time
 	// innocentFailed describes the jobs without a deadly task among them.
 	innocentFailed []string
-	// startsOnShrunk counts the starts on workers whose capacity has shrunk.
-	startsOnShrunk int
+	// judgedShrunk counts the starts that a shrunk capacity limited.
+	judgedShrunk int
 }
 
 // NewRunChecker returns a checker that has recorded no runs.
@@ -86,18 +86,26 @@
 }
 
 // checkCapacity checks what the runs on a worker take after a start against the
-// capacity that counts. It is told whether that exceeds the present capacity.
-func (c *RunChecker) checkCapacity(t job.TaskID, worker string, used, counted job.Resources, shrunk bool) {
+// capacity that counts.
+func (c *RunChecker) checkCapacity(t job.TaskID, worker string, used, counted job.Resources) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if shrunk {
-		c.startsOnShrunk++
+	if counted != fullCapacity {
+		c.judgedShrunk++
 	}
 	if !used.FitsIn(counted) {
 		c.addViolation("LIMIT: the start of %s on %s brings it to %+v, its capacity is %+v", t, worker, used, counted)
 	}
 }
 
+// JudgedShrunk returns how many starts a shrunk capacity limited. Without any, no
+// violation of LIMIT says nothing on capacities that shrink.
+func (c *RunChecker) JudgedShrunk() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.judgedShrunk
+}
+
 func (c *RunChecker) end(t job.TaskID, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -37,6 +37,9 @@
 	// minShrunkPercent and maxShrunkPercent bound what is left of a capacity that
 	// shrinks.
 	minShrunkPercent, maxShrunkPercent = 10, 70
+	// minJudgedShrunk is how many starts have to be judged by a shrunk capacity for
+	// the soak to say something on it.
+	minJudgedShrunk = 10
 	// taskDurationLimit bounds the run time of a task.
 	taskDurationLimit = 420 * time.Millisecond
 )
@@ -250,6 +253,7 @@
 		s.g.Expect(s.checker.Started(id)).To(BeZero(), "%s was rejected", id)
 	}
 	s.g.Expect(s.accepted).NotTo(BeEmpty())
+	s.g.Expect(s.checker.JudgedShrunk()).To(BeNumerically(">=", minJudgedShrunk), "starts that a shrunk capacity limited")
 }
 
 // Guards against jobs that are shown as failed because of crashes which the task of
