Judge given-up jobs of the soak by crashes that tasks of other jobs caused

No holder can tell that from a task that crashes its worker, and the users allow a task to be given up under which two workers have crashed. The test asked for more than its purpose, that no job fails because of crashes which the task of another job caused.

Change: the checker keeps which worker crashed under a task and whether the soak restarted it. A job without a deadly task may be shown as failed only if two different workers crashed under one of its tasks and the last of these crashes was a restart by the soak. It still may not be if the last crash was that of another job's task, if one worker crashed twice, or after fewer crashes. All faults are injected as before.

--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -26,9 +26,9 @@
 
 	// deadly maps each job with a deadly task to that task.
 	deadly map[job.ID]job.TaskID
-	// crashes counts, by task, the workers that crashed while it ran there, and
-	// excessStarts the starts of a deadly task after crashBudget crashes.
-	crashes      map[job.TaskID]int
+	// crashes holds, by task, the crashes of workers while it ran there, in order.
+	// excessStarts counts the starts of a deadly task after crashBudget crashes.
+	crashes      map[job.TaskID][]crash
 	excessStarts map[job.TaskID]int
 	// shownFailed is when a job was first shown as failed.
 	shownFailed map[job.ID]time.Time
@@ -46,7 +46,7 @@
 		started:      map[job.ID]int{},
 		needs:        map[job.ID][]job.Resources{},
 		deadly:       map[job.ID]job.TaskID{},
-		crashes:      map[job.TaskID]int{},
+		crashes:      map[job.TaskID][]crash{},
 		excessStarts: map[job.TaskID]int{},
 		shownFailed:  map[job.ID]time.Time{},
 	}
