Count a crash after a late answer to a start

A task that crashes each worker that starts it was started without end where the answer to a start took 250 ms or more (a start may take 600 ms): over a slow link, or to a busy host.

Cause: the time that a worker has to survive a start was counted from when the start was sent. The answer to the start itself then showed that the worker had survived, although it had only just started the task, so the crash that followed was not counted.

Change: the time is counted from when the run was confirmed. The order may have been under way until then. The same holds for a suspect that waits until the other runs on its worker have survived their starts.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -90,14 +90,19 @@
 // are not polled.
 func (s *State) answeredRecently(now time.Duration) bool { return now < s.LastAnswer+crashWindow }
 
-// latestStart returns the latest moment at which the worker may have started a run.
-// It is not known when an earlier holder or incarnation started one, but it was
-// before the incarnation's first answer to this holder.
+// latestStart returns the latest moment at which the worker may have started a run
+// that it has: the order may have been under way until the run was confirmed. It is
+// not known when an earlier holder or incarnation started one, but it was before the
+// incarnation's first answer to this holder.
 func (s *State) latestStart(r *Run) time.Duration {
-	if r.StartSentAt > 0 {
+	switch {
+	case r.StartSentAt == 0:
+		return s.FencedAt
+	case r.State == RunConfirmed:
+		return max(r.StartSentAt, r.StateSince)
+	default:
 		return r.StartSentAt
 	}
-	return s.FencedAt
 }
 
 // Survived reports whether the worker answered a poll for longer than crashWindow
@@ -143,7 +148,7 @@
 	}
 	for _, other := range s.Runs {
 		if other.StartSentAt > 0 {
-			needed = max(needed, other.StartSentAt+crashWindow)
+			needed = max(needed, s.latestStart(other)+crashWindow)
 		}
 	}
 	return s.LastAnswer < needed
