Count a crash while an order to start a run is under way

A deadly task whose orders arrive late was started without end.

Cause: an answer to a poll more than 250 ms after a start was sent showed that the worker had survived it, also when neither that answer nor one to the start had shown the run there: the order was still under way, and started the task, and crashed the worker, only after that answer.

Change: a run whose start was sent and that the worker is not known to have may always be the cause, if its worker crashes. When the worker answered for longer than 250 ms after the order was sent, the crash counts as possible only.

--- a/internal/scheduler/lateanswer_test.go
+++ b/internal/scheduler/lateanswer_test.go
@@ -8,6 +8,7 @@
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/verdict"
 	"greengagedeck/internal/worker"
 )
 
@@ -62,6 +63,18 @@
 	})
 }
 
+// Guards against crashes that do not count because the worker still answered a poll
+// while the start was on its way.
+func TestDeadlyTaskGoesOnAfterStartsThatArriveLate(t *testing.T) {
+	p := newCrashPool(t)
+	p.crashAfterOrders(func(o scheduler.StartOrder, w *crashWorker) {
+		p.wait(lateAnswer)
+		p.poll(w)
+		p.wait(crashTick)
+		p.core.StartAnswered(o, 0, verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer"), p.now)
+	})
+}
+
 // Guards against a suspect that is started beside a run which its worker has only
 // just confirmed: if that one crashes the worker, the suspect is blamed too.
 func TestSuspectWaitsForRunThatWasConfirmedLate(t *testing.T) {
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -51,7 +51,7 @@
 		switch {
 		case !upAtStart(r):
 			r.CrashReason = job.EndStartUnverified
-		case !certain || r.State != RunConfirmed && !r.Verified:
+		case !certain || r.State != RunConfirmed && !r.Verified || r.orderUnderWay() && s.LastAnswer >= r.StartSentAt+crashWindow:
 			r.CrashReason = job.EndCrashPossible
 		case len(suspects) > 1:
 			r.CrashReason = job.EndCrashSuspected
@@ -68,11 +68,17 @@
 		return false
 	case r.StartSentAt == 0 && !r.Adopted:
 		return false
+	case r.orderUnderWay():
+		return true
 	default:
 		return r.LastReported == 0 && r.Adopted || s.LastAnswer < s.latestStart(r)+crashWindow
 	}
 }
 
+// orderUnderWay reports whether an order to start the run was sent and the worker was
+// not known to have the run, so that it may start it at any time.
+func (r *Run) orderUnderWay() bool { return r.State == RunOrdered && r.StartSentAt > 0 }
+
 // upAtStart reports whether the worker of a run was up when the run was started, as
 // far as this holder can tell: of starts that an earlier one sent it knows nothing.
 func upAtStart(r *Run) bool {
