Accept no submission whose job has been withdrawn

A caller that sends a job again while its first request is about to time out could get the job accepted, and the job never ran.

Cause: the first request withdraws the job when the log does not hold it in time. A second one that had joined it, and had not begun to wait for the log, then found the job unknown, which counted as settled and so as logged.

Change: an unknown job counts as logged only if it has ended, or had when it was submitted.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -343,8 +343,12 @@
 
 // Logged reports whether the log holds a version of a job.
 func (c *Core) Logged(id job.ID, version int) bool {
-	j := c.jobs[id]
-	return j == nil || j.committedVersion >= version
+	if j := c.jobs[id]; j != nil {
+		return j.committedVersion >= version
+	}
+	// The job has been settled, was when its version was asked for, or was withdrawn.
+	_, ended := c.endedJobs[id]
+	return ended || version == 0
 }
 
 // QueuedJobs returns how many jobs of an entry have started no task.
