Send no start that has waited to a draining worker

A start that waited, because the list of workers could not be read, the worker did not answer or had not answered since, or that got no answer, was sent to its worker also seconds after that had begun to drain. The task was then stopped there, or ended with the worker.

Cause: whether a worker drains was looked at when a task was placed, and not again when its start was sent.

Change: such a start is not sent, and its task is placed anew. Members of a gang are excepted, since the others may have started.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,6 +56,11 @@
 		c.requestStop(ws, run, "its worker is no longer listed")
 		return StartOrder{}, SendNever
 	}
+	if ws.Draining && !j.Step(r.Task).Gang {
+		// The start has waited. The other members of a gang may have started.
+		c.requestStop(ws, run, "its worker is draining")
+		return StartOrder{}, SendNever
+	}
 	if ws.Overcommitted(run.Resources) {
 		// The capacity has shrunk since the run was placed.
 		c.requestStop(ws, run, "its worker's capacity has shrunk")
