Place a task elsewhere when its starts get no answer

A task placed on a worker that answers polls, but not the order to start the task, waited there for ever.

Cause: a start that gets no answer is repeated to the same worker without end. Only a worker that answers nothing was given up.

Change: once the starts of a run have had no answer for 2.5 s, and polls answer and do not show the run, it is stopped and its task avoids that worker. The stop keeps a late order from starting it. This also bounds how long a suspect waits for such a run on its worker.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -9,6 +9,10 @@
 	"greengagedeck/internal/worker"
 )
 
+// maxUnansweredTime is how long starts of a run may get no answer from a worker that
+// answers polls until its task is placed elsewhere.
+const maxUnansweredTime = 2500 * time.Millisecond
+
 // StartOrder is a start to send to a worker.
 type StartOrder struct {
 	Worker    string
@@ -125,11 +129,24 @@
 		if !r.StartUnanswered {
 			c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start got no answer")
 		}
-		r.StartUnanswered = true
+		r.RecordUnansweredStart(t.Now)
+		c.stopUnanswered(ws, r, t.Now)
 		return !r.Stopping
 	}
 }
 
+// stopUnanswered stops a run whose starts have got no answer for maxUnansweredTime
+// although its worker answers polls, which do not show the run. Its task is placed
+// elsewhere if it can.
+func (c *Core) stopUnanswered(ws *worker.State, r *worker.Run, now time.Duration) {
+	j := c.jobs[r.ID.Task.Job]
+	if j == nil || r.Stopping || r.State != worker.RunOrdered || !reachable(ws) || now < r.UnansweredSince+maxUnansweredTime {
+		return
+	}
+	c.avoidWorker(j, r.ID.Task, ws.Incarnation.ID, now)
+	c.requestStop(ws, r, "its starts get no answer")
+}
+
 // startRejected handles a start that a worker rejected. Unless an earlier order
 // for the run is unaccounted for, the run is certainly not on the worker.
 func (c *Core) startRejected(ws *worker.State, r *worker.Run, rejection *worker.RejectedError, t Times) {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -48,6 +48,8 @@
 	// StartUnanswered is set if an order to start the run was not answered and
 	// may still be carried out.
 	StartUnanswered bool
+	// UnansweredSince is since when no order to start the run has been answered, or 0.
+	UnansweredSince time.Duration
 	// StateSince is when the run entered its state.
 	StateSince time.Duration
 	// ExpectedDuration is how long the run is expected to be active.
@@ -126,6 +128,14 @@
 	return r
 }
 
+// RecordUnansweredStart records that an order to start the run was not answered.
+func (r *Run) RecordUnansweredStart(now time.Duration) {
+	r.StartUnanswered = true
+	if r.UnansweredSince == 0 {
+		r.UnansweredSince = now
+	}
+}
+
 // expectedEnd returns when the run is expected to end.
 func (r *Run) expectedEnd() time.Duration { return r.StateSince + r.ExpectedDuration }
 
