--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -50,8 +50,9 @@
 	alone := len(suspects) == 1
 	for _, r := range suspects {
 		// A worker that answered just before a start may have been crashed by another
-		// task before the start reached it.
-		started := r.State == RunConfirmed || r.Verified && alone
+		// task before the start reached it. One that still answered long after it may
+		// have ended before the order arrived.
+		started := r.State == RunConfirmed || r.Verified && alone && !s.outlivedOrder(r)
 		switch {
 		case !upAtStart(r):
 			r.CrashReason = job.EndStartUnverified
@@ -72,11 +73,21 @@
 		return false
 	case r.StartSentAt == 0 && !r.Adopted:
 		return false
+	case r.orderUnderWay():
+		return true
 	default:
 		return r.LastReported == 0 && r.Adopted || s.LastAnswer < s.latestStart(r)+crashWindow
 	}
 }
 
+// outlivedOrder reports whether the worker answered for longer than crashWindow after
+// an order to start a run was sent.
+func (s *State) outlivedOrder(r *Run) bool { return s.LastAnswer >= r.StartSentAt+crashWindow }
+
+// orderUnderWay reports whether an order to start the run was sent and the worker was
+// not known to have the run, so that it may start it at any time.
+func (r *Run) orderUnderWay() bool { return r.State == RunOrdered && r.StartSentAt > 0 }
+
 // upAtStart reports whether the worker of a run was up when the run was started, as
 // far as this holder can tell: of starts that an earlier one sent it knows nothing.
 func upAtStart(r *Run) bool {
@@ -94,14 +105,19 @@
 // are not polled.
 func (s *State) answeredRecently(now time.Duration) bool { return now < s.LastAnswer+crashWindow }
 
-// latestStart returns the latest moment at which the worker may have started a run.
-// It is not known when an earlier holder or incarnation started one, but it was
-// before the incarnation's first answer to this holder.
+// latestStart returns the latest moment at which the worker may have started a run
+// that it has: the order may have been under way until the run was confirmed. It is
+// not known when an earlier holder or incarnation started one, but it was before the
+// incarnation's first answer to this holder.
 func (s *State) latestStart(r *Run) time.Duration {
-	if r.StartSentAt > 0 {
+	switch {
+	case r.StartSentAt == 0:
+		return s.FencedAt
+	case r.State == RunConfirmed:
+		return max(r.StartSentAt, r.StateSince)
+	default:
 		return r.StartSentAt
 	}
-	return s.FencedAt
 }
 
 // Survived reports whether the worker answered a poll for longer than crashWindow
@@ -147,7 +163,7 @@
 	}
 	for _, other := range s.Runs {
 		if other.StartSentAt > 0 {
-			needed = max(needed, other.StartSentAt+crashWindow)
+			needed = max(needed, s.latestStart(other)+crashWindow)
 		}
 	}
 	return s.LastAnswer < needed
