Bound the wait for leases of earlier holders by what the last holder logged

Callers saw an accepted task not run although there was room for it: its worker was gone, and each takeover of the pool began the wait for that worker's lease anew.

Cause: after a takeover the holder waits until every lease that an earlier holder may have granted has expired, the length of a duty and the longest lease. Nothing in the log showed that no holder had reached the worker since, so the next holder waited as long. Change: a holder logs, once a second at most and for all of them in one record, how long leases of earlier holders may last at workers with runs that have not answered since the takeover. The next holder waits for that time and clock drift, from its own reading. The writer extends no lease of a worker that the record names, or that a record on its way to the log names, before the log holds a record without it: a superseded holder cannot log that. A release of a duty names the token that it gives up, so that the next holder knows the last one. Why it is safe: the leases that a record tells of are the last ones that holders before its writer granted, and neither the writer nor they can grant another unnoticed. A takeover logs nothing while all workers answer (TestTakeoverLogsNoLeasesOfWorkersThatAnswer).

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -256,11 +256,12 @@
 	d.schedulers = scheduler.NewManager(ctx, scheduler.ManagerOptions{
 		Lease:  d.elector,
 		Logger: l,
-		NewRunner: func(pool string, t duty.Token, dt scheduler.Duty) *scheduler.Runner {
+		NewRunner: func(pool string, acquired duty.Acquisition, dt scheduler.Duty) *scheduler.Runner {
 			return scheduler.NewRunner(scheduler.RunnerOptions{
 				Options: scheduler.Options{
 					Pool:            pool,
-					Token:           int64(t),
+					Token:           int64(acquired.Token),
+					PreviousToken:   int64(acquired.Previous.HolderToken),
 					Lease:           taskLease,
 					MaxLease:        settings.MaxLease,
 					StopTimeout:     settings.StopTime,
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -201,7 +201,7 @@
 		if err := ctx.Err(); err != nil {
 			return eris.Wrapf(verdict.NewNotRun(verdict.ReasonDeadline, "%v", err), "release %s", n)
 		}
-		if !e.appendClaim(ctx, n, token, claimRecord{Holder: e.opt.Self, Released: true}) {
+		if !e.appendClaim(ctx, n, token, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: token}) {
 			clock.Sleep(ctx, retryPause)
 		}
 	}
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -459,14 +459,19 @@
 		next := n.start(ctx, "b", 0.8)
 		advance(2 * time.Second)
 		g.Expect(old.Release(ctx)).To(Succeed())
-		released := n.clock.Now()
+		releasedAt := n.clock.Now()
+		released := map[Name]Token{}
+		for _, a := range old.acquired() {
+			released[a.Duty] = a.Token
+		}
 		advance(time.Second)
 		g.Expect(next.acquired()).To(HaveLen(2))
 		acquisitions, at, _ := next.events()
 		for i, got := range acquisitions {
 			g.Expect(got.PriorLeaseRemaining).To(BeZero())
 			g.Expect(got.Previous.Released).To(BeTrue())
-			g.Expect(at[i] - released).To(BeNumerically("<", time.Second))
+			g.Expect(released).To(HaveKeyWithValue(got.Duty, got.Previous.HolderToken))
+			g.Expect(at[i] - releasedAt).To(BeNumerically("<", time.Second))
 		}
 		g.Expect(old.lostTokens()).To(HaveLen(2))
 	})
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -69,6 +69,8 @@
 	// PriorLeaseRemaining is how long after the claim an earlier holder may
 	// still act.
 	PriorLeaseRemaining time.Duration `cbor:"3,keyasint,omitempty"`
+	// ReleasedToken is the token under which the duty was held that is given up.
+	ReleasedToken Token `cbor:"4,keyasint,omitempty"`
 }
 
 // Claim is the last claim of a duty.
@@ -78,6 +80,9 @@
 	Token  Token
 	// Released is set once the holder has given the duty up.
 	Released bool
+	// HolderToken is the token of the last holder: that of the claim, or the one under
+	// which a duty was held that has been given up. It is 0 if it is not known.
+	HolderToken Token
 	// PriorLeaseRemaining is how long after the claim an earlier holder may still act.
 	PriorLeaseRemaining time.Duration
 }
@@ -118,7 +123,11 @@
 	if token <= t.claims[name].Token {
 		return nil
 	}
-	t.claims[name] = Claim{Duty: name, Holder: c.Holder, Token: token, Released: c.Released, PriorLeaseRemaining: c.PriorLeaseRemaining}
+	holderToken := token
+	if c.Released {
+		holderToken = c.ReleasedToken
+	}
+	t.claims[name] = Claim{Duty: name, Holder: c.Holder, Token: token, Released: c.Released, HolderToken: holderToken, PriorLeaseRemaining: c.PriorLeaseRemaining}
 	t.claimReadAt[name] = now
 	return nil
 }
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -200,7 +200,11 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, e := range []logstore.Entry{e, p, {Key: "x"}, {Key: "", Value: []byte("v")}, {Key: "w1", Value: []byte{0xff}}, CancelEntry(id)} {
+	l, err := EarlierLeasesEntry(EarlierLeases{Token: 1, RemainingMillis: map[string]int64{"i-1": 1}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, e := range []logstore.Entry{e, p, l, {Key: "x"}, {Key: "", Value: []byte("v")}, {Key: "w1", Value: []byte{0xff}}, CancelEntry(id)} {
 		f.Add(e.Key, e.Value)
 	}
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
@@ -208,7 +212,7 @@
 		if rec, ok, err := DecodeIntake(r); ok && (err != nil || rec.Submission == nil && !rec.Cancelled) {
 			t.Errorf("%+v, %v", rec, err)
 		}
-		if rec, ok, err := DecodeProgress(r); ok && (err != nil || rec.Progress == nil && rec.Submission == nil && rec.Cordon == nil) {
+		if rec, ok, err := DecodeProgress(r); ok && (err != nil || rec.Progress == nil && rec.Submission == nil && rec.Cordon == nil && rec.EarlierLeases == nil) {
 			t.Errorf("%+v, %v", rec, err)
 		}
 	})
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -158,12 +158,13 @@
 func DeleteCordon(worker string) logstore.Entry { return logstore.Entry{Key: kindCordon + worker} }
 
 // ProgressRecord is a decoded record of the progress partition. One of Progress,
-// Submission and Cordon is set.
+// Submission, Cordon and EarlierLeases is set.
 type ProgressRecord struct {
-	ID         job.ID
-	Progress   *job.Progress
-	Submission *Submission
-	Cordon     *Cordon
+	ID            job.ID
+	Progress      *job.Progress
+	Submission    *Submission
+	Cordon        *Cordon
+	EarlierLeases *EarlierLeases
 }
 
 // DecodeProgress decodes a record of the progress partition. It returns ok false
@@ -172,6 +173,11 @@
 	if len(r.Value) == 0 {
 		return ProgressRecord{}, false, nil
 	}
+	if r.Key == keyEarlierLeases {
+		rec.EarlierLeases = &EarlierLeases{}
+		err := record.Decode(r.Value, rec.EarlierLeases)
+		return rec, err == nil, err
+	}
 	if _, is := strings.CutPrefix(r.Key, kindCordon); is {
 		rec.Cordon = &Cordon{}
 		err := record.Decode(r.Value, rec.Cordon)
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -30,6 +30,7 @@
 	for _, cn := range b.cordons {
 		cn.logged = true
 	}
+	c.earlierLeasesLogged(b)
 	c.settleJobs()
 	var out []job.RunID
 	for _, s := range b.starts {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -21,6 +21,9 @@
 	Pool string
 	// Token is the fencing token under which the pool is held.
 	Token int64
+	// PreviousToken is the token of the holder before this one, or 0 if it is not
+	// known or there was none.
+	PreviousToken int64
 	// Lease is the length of the leases granted to workers, and MaxLease the
 	// longest lease that a worker allows.
 	Lease    time.Duration
@@ -49,6 +52,7 @@
 	// earlierLeasesEnd is when the last lease that an earlier holder may have
 	// granted has expired.
 	earlierLeasesEnd time.Duration
+	unreached        unreachedWorkers
 
 	jobs map[job.ID]*trackedJob
 	// openJobs are the jobs that are not settled, in the order in which they
@@ -140,6 +144,7 @@
 		places:           map[job.TaskID]string{},
 	}
 	c.earlierLeasesEnd = now + opt.DutyLease + c.longestLease()
+	c.unreached = newUnreachedWorkers(now)
 	return c
 }
 
@@ -156,6 +161,8 @@
 		switch {
 		case rec.Cordon != nil:
 			c.restoreCordon(*rec.Cordon)
+		case rec.EarlierLeases != nil:
+			c.restoreEarlierLeases(*rec.EarlierLeases, t.Now)
 		case rec.Progress == nil:
 		case rec.Progress.Phase.Final() && len(rec.Progress.Occurrences) == 0:
 			c.endedJobs[rec.ID] = *rec.Progress
@@ -275,7 +282,7 @@
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
 		ws := c.workers[at.Worker.ID]
 		if ws == nil {
-			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEnd)
+			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEndAt(at.Worker.ID))
 			ws.Listed = false
 			c.workers[at.Worker.ID] = ws
 		}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -80,7 +80,7 @@
 func (p *crashPool) takeOver() {
 	p.token++
 	p.core = scheduler.NewCore(scheduler.Options{
-		Pool: simPool, Token: p.token, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
+		Pool: simPool, Token: p.token, PreviousToken: p.token - 1, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
 		DutyLease: simDutyLease, StatusRetention: time.Hour, Logger: zerolog.Nop(),
 	}, p.now.Now)
 	var records []joblog.ProgressRecord
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -17,8 +17,8 @@
 
 // ManagerOptions configure a Manager.
 type ManagerOptions struct {
-	// NewRunner returns the runner of a pool held under a token.
-	NewRunner func(pool string, t duty.Token, d Duty) *Runner
+	// NewRunner returns the runner of a pool that was acquired.
+	NewRunner func(pool string, a duty.Acquisition, d Duty) *Runner
 	Lease     Lease
 	Logger    zerolog.Logger
 }
@@ -65,7 +65,7 @@
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
 	p := &heldPool{
-		runner: m.opt.NewRunner(pool, t, poolDuty{m.opt.Lease, n, t}),
+		runner: m.opt.NewRunner(pool, a, poolDuty{m.opt.Lease, n, t}),
 		token:  t,
 		cancel: cancel,
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -45,7 +45,7 @@
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
 	// only once its lease has expired do its tasks run elsewhere.
-	if remaining <= 0 || !reachable(ws) || now-c.listReadAt > maxListAge {
+	if remaining <= 0 || !reachable(ws) || !c.mayExtendLease(ws) || now-c.listReadAt > maxListAge {
 		return StartOrder{}, SendLater
 	}
 	if ws.AwaitsAnswer(run) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -35,6 +35,8 @@
 	// ends are the last ends that the batch covers, by worker ID.
 	ends    map[string]endPosition
 	cordons []*cordon
+	// earlierLeases is the record of earlier leases in the batch, if it has one.
+	earlierLeases *joblog.EarlierLeases
 }
 
 // jobVersion is the state of a job that a batch contains.
@@ -299,7 +301,7 @@
 		b.Progress = append(b.Progress, joblog.DeleteProgressSubmission(id))
 	}
 	c.intakeDeletes, c.journalDeletes = nil, nil
-	return nil
+	return c.encodeEarlierLeases(b, t.Now)
 }
 
 // encodeJob adds a job's progress to a batch, and the job itself unless the log
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -87,7 +87,7 @@
 		return p
 	}
 	p.Request.Acknowledged = ws.LastEndLogged
-	if c.mayHaveRuns(ws) && remaining > 0 {
+	if c.mayHaveRuns(ws) && remaining > 0 && c.mayExtendLease(ws) {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		switch {
 		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer():
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -36,6 +36,10 @@
 	polling       map[string]bool
 	lastPoll      map[string]time.Duration
 	runWorkers    map[job.RunID]string
+	// cutOffUntil is, by worker ID, until when this holder alone does not reach a
+	// worker, and logCutOffUntil until when it does not reach the log.
+	cutOffUntil    map[string]time.Duration
+	logCutOffUntil time.Duration
 }
 
 // takeOver makes a new daemon the holder, as if it had claimed the duty. The
@@ -51,16 +55,18 @@
 	w.token++
 	w.epoch = w.token
 	h := &simHolder{
-		w:          w,
-		token:      w.token,
-		heldSince:  w.now,
-		renewedAt:  w.now,
-		polling:    map[string]bool{},
-		lastPoll:   map[string]time.Duration{},
-		runWorkers: map[job.RunID]string{},
+		w:           w,
+		token:       w.token,
+		heldSince:   w.now,
+		renewedAt:   w.now,
+		polling:     map[string]bool{},
+		lastPoll:    map[string]time.Duration{},
+		runWorkers:  map[job.RunID]string{},
+		cutOffUntil: map[string]time.Duration{},
 		core: scheduler.NewCore(scheduler.Options{
 			Pool:            simPool,
 			Token:           w.token,
+			PreviousToken:   w.token - 1,
 			Lease:           simLease,
 			MaxLease:        simMaxLease,
 			StopTimeout:     simStopTimeout,
@@ -107,8 +113,10 @@
 
 func (h *simHolder) active() bool { return !h.paused && !h.dead }
 
+func (h *simHolder) reachesLog() bool { return !h.w.logDown && h.w.now >= h.logCutOffUntil }
+
 func (h *simHolder) remaining() time.Duration {
-	if h.w.holder == h && h.active() && !h.w.logDown {
+	if h.w.holder == h && h.active() && h.reachesLog() {
 		h.renewedAt = h.w.now
 	}
 	return max(0, h.renewedAt+simDutyLease-h.w.now)
@@ -183,7 +191,7 @@
 	if h.dead {
 		return
 	}
-	if h.paused || h.w.logDown {
+	if h.paused || !h.reachesLog() {
 		h.w.after(50*time.Millisecond, func() { h.logBatch(b) })
 		return
 	}
@@ -236,7 +244,7 @@
 	switch {
 	case s.addressReused || s.addressTaken():
 		deliver(worker.ErrWorkerReplaced)
-	case s.partitioned || !s.up || roll < w.lostRate:
+	case s.partitioned || w.now < h.cutOffUntil[s.id] || !s.up || roll < w.lostRate:
 		giveUp()
 	case roll < w.lostRate+w.delayedRate:
 		giveUp()
--- /dev/null
+++ b/internal/scheduler/unreached.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"time"
+
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/worker"
+)
+
+const (
+	// earlierLeasesInterval is the time between two records of earlier leases, and
+	// from the takeover to the first: most workers answer at once.
+	earlierLeasesInterval = time.Second
+	// restoredLeasesDelay is the time from the takeover to the first record if the
+	// previous holder logged one too.
+	restoredLeasesDelay = 300 * time.Millisecond
+)
+
+// unreachedWorkers bounds how long workers that have not answered since the pool was
+// taken over may hold leases of earlier holders.
+//
+// The holder logs for how long such a worker may still hold one, and extends no lease
+// of a worker that the log's record names: not before the log holds a record without
+// the worker. If another holder follows, that append fails, so the leases that the
+// record tells of are the last ones. The next holder need not wait for longer.
+type unreachedWorkers struct {
+	// leasesEnd is when the leases of earlier holders have expired according to the
+	// previous holder's record, by worker ID.
+	leasesEnd map[string]time.Duration
+	// recorded are the workers that this holder's record in the log names, or may
+	// name while a batch is being logged.
+	recorded map[string]bool
+	// recordedAt is when the last record was made, or the pool was taken over.
+	recordedAt time.Duration
+	// inLog is set while the log holds a record, of this holder or an earlier one.
+	inLog bool
+}
+
+func newUnreachedWorkers(now time.Duration) unreachedWorkers {
+	return unreachedWorkers{leasesEnd: map[string]time.Duration{}, recorded: map[string]bool{}, recordedAt: now}
+}
+
+// restoreEarlierLeases applies the record of earlier leases. It counts if it is that
+// of the previous holder: any other may have been followed by leases of a holder that
+// logged none.
+func (c *Core) restoreEarlierLeases(logged joblog.EarlierLeases, now time.Duration) {
+	u := &c.unreached
+	u.inLog = true
+	if logged.Token == 0 || logged.Token != c.opt.PreviousToken {
+		return
+	}
+	for id, millis := range logged.RemainingMillis {
+		// The clock of this daemon may be faster than that of the last holder.
+		remaining := time.Duration(float64(millis) * leaseDriftFactor * float64(time.Millisecond))
+		u.leasesEnd[id] = min(now+remaining, c.earlierLeasesEnd)
+		u.recordedAt = now + restoredLeasesDelay - earlierLeasesInterval
+	}
+}
+
+// earlierLeasesEndAt returns when the last lease has expired that an earlier holder
+// may have granted to a worker.
+func (c *Core) earlierLeasesEndAt(id string) time.Duration {
+	if end, ok := c.unreached.leasesEnd[id]; ok {
+		return end
+	}
+	return c.earlierLeasesEnd
+}
+
+// mayExtendLease reports whether orders may extend a worker's lease. The next holder
+// does not wait for a lease that this one grants to a worker that its record names.
+func (c *Core) mayExtendLease(ws *worker.State) bool { return !c.unreached.recorded[ws.Incarnation.ID] }
+
+// encodeEarlierLeases adds the record of earlier leases to a batch when it is due,
+// and as soon as a worker that the last one names has been reached.
+func (c *Core) encodeEarlierLeases(b *Batch, now time.Duration) error {
+	u := &c.unreached
+	remaining := c.earlierLeasesRemaining(now)
+	if len(remaining) == 0 {
+		// The record of another holder is deleted with what is logged anyway.
+		if len(u.recorded) > 0 || u.inLog && len(b.Progress) > 0 {
+			u.inLog = false
+			b.earlierLeases = &joblog.EarlierLeases{}
+			b.Progress = append(b.Progress, joblog.DeleteEarlierLeases())
+		}
+		return nil
+	}
+	if now < u.recordedAt+earlierLeasesInterval && !u.namesOther(remaining) {
+		return nil
+	}
+	b.earlierLeases = &joblog.EarlierLeases{Token: c.opt.Token, RemainingMillis: remaining}
+	e, err := joblog.EarlierLeasesEntry(*b.earlierLeases)
+	if err != nil {
+		return err
+	}
+	b.Progress = append(b.Progress, e)
+	u.inLog = true
+	u.recordedAt = now
+	for id := range remaining {
+		u.recorded[id] = true
+	}
+	return nil
+}
+
+// namesOther reports whether the record in the log names workers other than those in
+// remaining.
+func (u *unreachedWorkers) namesOther(remaining map[string]int64) bool {
+	for id := range u.recorded {
+		if _, ok := remaining[id]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// earlierLeasesRemaining returns, by worker ID, for how many milliseconds workers
+// that have runs and do not answer may still hold leases of earlier holders.
+func (c *Core) earlierLeasesRemaining(now time.Duration) map[string]int64 {
+	if now >= c.earlierLeasesEnd {
+		return nil
+	}
+	out := map[string]int64{}
+	for id, ws := range c.workers {
+		_, restored := c.unreached.leasesEnd[id]
+		if len(ws.Runs) == 0 || !ws.OnlyEarlierLeases() || ws.UnansweredCalls == 0 && !restored {
+			continue
+		}
+		if remaining := ws.PriorLeaseRemaining(now); remaining > 0 {
+			out[id] = remaining.Milliseconds() + 1
+		}
+	}
+	return out
+}
+
+// earlierLeasesLogged records that a batch is logged. The leases of workers that its
+// record of earlier leases does not name may be extended from now on.
+func (c *Core) earlierLeasesLogged(b *Batch) {
+	if b.earlierLeases == nil {
+		return
+	}
+	for id := range c.unreached.recorded {
+		if _, ok := b.earlierLeases.RemainingMillis[id]; !ok {
+			delete(c.unreached.recorded, id)
+		}
+	}
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -58,7 +58,7 @@
 	ws := c.workers[l.Incarnation.ID]
 	switch {
 	case ws == nil:
-		ws = worker.NewState(l, t.Now, c.earlierLeasesEnd)
+		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID))
 		c.workers[l.Incarnation.ID] = ws
 		c.applyCordon(ws)
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -349,6 +349,12 @@
 	return max(0, s.priorLeaseExpiry-now)
 }
 
+// OnlyEarlierLeases reports whether the worker has not been reached and may hold no
+// lease that lasts longer than those of earlier holders.
+func (s *State) OnlyEarlierLeases() bool {
+	return !s.Fenced && s.leaseUntil == 0 && s.priorLeaseExpiry == s.earlierLeasesEnd
+}
+
 // LeaseExpired reports whether every lease that this incarnation may hold has
 // expired, so that no run ordered before is active there.
 func (s *State) LeaseExpired(now time.Duration) bool {
