Give up no job for fewer than five crashes of one worker

Callers saw a job of tasks that last fail since the only worker with room crashed twice within 250 ms after the start.

Cause: the crashes under a task were counted, not the workers. A worker that crashes again and again, as one does whose host is at fault, looked like a deadly task. Change: the count holds a worker and whether another one has crashed too. The bounds of two, three and four crashes hold only if at least two workers crashed, those of two and three only if both are known to have; five crashes in all fail the job in any case. A worker that comes back with a new ID is another one. Counts that were logged before name no worker and are taken to be of several.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -8,10 +8,12 @@
 	// maxSuspectedCrashes that number if other tasks may be the cause too.
 	maxCrashes          = 2
 	maxSuspectedCrashes = 3
-	// maxPartlyCertainCrashes is that number if it is known for one worker, and
-	// maxPossibleCrashes if for none, that it crashed with the task on it.
+	// maxPartlyCertainCrashes is that number if it is known for one worker that it
+	// crashed with the task on it.
 	maxPartlyCertainCrashes = 4
-	maxPossibleCrashes      = 5
+	// maxPossibleCrashes is that number if it is known for none, and if one worker
+	// crashed each time, which may be at fault itself.
+	maxPossibleCrashes = 5
 	// minPossibleCrashes is the number of workers that may have crashed under a task
 	// from which on the task is a suspect if none is known to have. With one it is not:
 	// after a takeover that holds for each task of a worker that is gone.
@@ -31,6 +33,13 @@
 	// Unverified is set if a start of the task was sent to a worker that may have
 	// been gone before.
 	Unverified bool `cbor:"6,keyasint,omitempty"`
+	// Worker is the first worker that is known to have crashed, or if there is none
+	// the last one that may have. It is empty in counts of earlier versions.
+	Worker string `cbor:"7,keyasint,omitempty"`
+	// Several is set if not all crashes were of one worker, and CertainSeveral if
+	// those that are known were not.
+	Several        bool `cbor:"8,keyasint,omitempty"`
+	CertainSeveral bool `cbor:"9,keyasint,omitempty"`
 }
 
 // isOf reports whether the count is that of a task.
@@ -38,18 +47,32 @@
 	return c.Occurrence == t.Occurrence && c.Step == t.Step && c.Index == t.Index
 }
 
-// add counts a crash.
-func (c *CrashCount) add(reason EndReason) {
-	switch reason {
-	case EndStartUnverified:
+// add counts a crash of a worker.
+func (c *CrashCount) add(worker string, reason EndReason) {
+	if reason == EndStartUnverified {
 		c.Unverified = true
-	case EndCrashPossible:
+		return
+	}
+	c.noteWorker(worker, reason != EndCrashPossible)
+	if reason == EndCrashPossible {
 		c.Possible++
-	default:
+	} else {
 		c.Certain++
 	}
 }
 
+// noteWorker records on which worker a crash was, before it is counted. A worker that
+// is not known counts as a different one.
+func (c *CrashCount) noteWorker(worker string, certain bool) {
+	if c.Certain+c.Possible > 0 && (c.Worker == "" || c.Worker != worker) {
+		c.Several = true
+		c.CertainSeveral = c.CertainSeveral || certain && c.Certain > 0
+	}
+	if c.Certain == 0 {
+		c.Worker = worker
+	}
+}
+
 // total returns how many workers may have crashed.
 func (c *CrashCount) total() int {
 	n := c.Certain + c.Possible
@@ -66,14 +89,16 @@
 // exhausted reports whether the task must not be started again after a crash.
 func (c *CrashCount) exhausted(reason EndReason) bool {
 	switch {
+	case c.total() >= maxPossibleCrashes:
+		return true
 	case reason == EndStartUnverified:
 		return false
-	case c.total() >= maxPossibleCrashes || c.Certain >= maxSuspectedCrashes:
+	case c.CertainSeveral && c.Certain >= maxSuspectedCrashes:
 		return true
-	case c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
+	case c.Several && c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
 		return true
 	default:
-		return reason == EndCrashedWorker && c.Certain >= maxCrashes
+		return reason == EndCrashedWorker && c.CertainSeveral && c.Certain >= maxCrashes
 	}
 }
 
@@ -101,12 +126,12 @@
 // CountCrash counts a crash of a worker on which a task had been started. The job
 // fails once the task may not be started again. now is the time of day in
 // milliseconds since 1970.
-func (j *Job) CountCrash(t TaskID, reason EndReason, now int64) {
+func (j *Job) CountCrash(t TaskID, worker string, reason EndReason, now int64) {
 	if task := j.Task(t); task == nil || task.Done {
 		return
 	}
 	c := j.crashCountOf(t)
-	c.add(reason)
+	c.add(worker, reason)
 	if c.exhausted(reason) && !j.Phase.Final() {
 		j.finish(Failed, now)
 	}
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -38,6 +38,71 @@
 	}
 }
 
+// crashOn ends a new run of a job's first task on a worker.
+func crashOn(j *Job, worker string, reason EndReason) {
+	if !j.Phase.Final() {
+		at := Location{Worker: Incarnation{ID: worker}}
+		j.EndRun(j.Place(TaskID{Job: j.Spec.ID}, at), reason, "", 1)
+	}
+}
+
+// Guards against a job that is given up since one and the same worker crashed again and
+// again, as a worker does whose host is at fault, and against starts without end there.
+func TestCrashesOfOneWorkerFailJobOnlyAtUpperBound(t *testing.T) {
+	g := NewWithT(t)
+	type crash struct {
+		worker string
+		reason EndReason
+	}
+	certain, suspected, possible := EndCrashedWorker, EndCrashSuspected, EndCrashPossible
+	for _, c := range []struct {
+		crashes []crash
+		phase   Phase
+	}{
+		{[]crash{{"a", certain}, {"a", certain}, {"a", certain}, {"a", certain}}, Running},
+		{[]crash{{"a", suspected}, {"a", suspected}, {"a", suspected}, {"a", suspected}}, Running},
+		{[]crash{{"a", possible}, {"a", possible}, {"a", possible}, {"a", suspected}}, Running},
+		{[]crash{{"a", certain}, {"a", certain}, {"a", certain}, {"a", certain}, {"a", certain}}, Failed},
+		{[]crash{{"a", EndStartUnverified}, {"a", certain}, {"a", certain}, {"a", certain}, {"a", certain}}, Failed},
+		{[]crash{{"a", certain}, {"a", certain}, {"a", certain}, {"a", certain}, {"a", EndStartUnverified}}, Failed},
+		// A worker that may have crashed does not make the others different.
+		{[]crash{{"b", possible}, {"a", certain}, {"a", certain}}, Running},
+		{[]crash{{"b", possible}, {"a", certain}, {"a", certain}, {"a", certain}}, Failed},
+		{[]crash{{"b", EndStartUnverified}, {"a", certain}, {"a", certain}}, Running},
+		{[]crash{{"a", certain}, {"b", certain}}, Failed},
+		{[]crash{{"a", certain}, {"a", certain}, {"b", suspected}}, Failed},
+		{[]crash{{"a", possible}, {"a", possible}, {"b", possible}, {"a", suspected}}, Failed},
+	} {
+		j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 1}}}, Terms{MaxAttempts: 3})
+		for _, e := range c.crashes {
+			crashOn(j, e.worker, e.reason)
+		}
+		g.Expect(j.Phase).To(Equal(c.phase), "%v", c.crashes)
+	}
+}
+
+// Guards against a deadly task that is started five times more after an update, since the
+// counts that were logged before do not name the workers.
+func TestCrashCountsOfUnknownWorkersCountForSeveral(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		logged CrashCount
+		reason EndReason
+		phase  Phase
+	}{
+		{CrashCount{Certain: 1}, EndCrashedWorker, Failed},
+		{CrashCount{Certain: 2}, EndCrashSuspected, Failed},
+		{CrashCount{Certain: 1, Possible: 2}, EndCrashPossible, Failed},
+		{CrashCount{Possible: 1}, EndCrashedWorker, Running},
+		{CrashCount{Unverified: true}, EndCrashedWorker, Running},
+	} {
+		j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 1}}}, Terms{MaxAttempts: 3})
+		j.Crashes = []CrashCount{c.logged}
+		crashOn(j, "a", c.reason)
+		g.Expect(j.Phase).To(Equal(c.phase), "%+v", c.logged)
+	}
+}
+
 // A task whose worker survives its start must not be given up for crashes that it had
 // before: a task that lasts would collect them over its life.
 func TestSurvivedStartClearsCrashes(t *testing.T) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -236,6 +236,7 @@
 	if i < 0 {
 		return false
 	}
+	worker := task.Runs[i].At.Worker.ID
 	task.removeRun(i)
 	j.SaveCheckpoint(r.Task, checkpoint)
 	switch reason {
@@ -244,7 +245,7 @@
 	case EndFailed:
 		j.recordFailure(r, now)
 	case EndStartUnverified, EndCrashPossible, EndCrashSuspected, EndCrashedWorker:
-		j.CountCrash(r.Task, reason, now)
+		j.CountCrash(r.Task, worker, reason, now)
 	default:
 	}
 	return true
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -92,6 +92,29 @@
 	p.g.Expect(p.awaitStart()).To(BeIdenticalTo(p.worker("z")))
 }
 
+// Guards against a job that is given up since the only worker with room crashes again and
+// again, whether or not the holder is replaced after each crash.
+func TestFewerCrashesOfOneWorkerThanUpperBoundFailNoJob(t *testing.T) {
+	const crashes = 4
+	for _, takeovers := range []bool{false, true} {
+		p := newCrashPool(t)
+		for range crashes {
+			w := p.awaitStart()
+			p.g.Expect(w).NotTo(BeNil(), "the task is started again")
+			w.crash()
+			p.wait(simRestartTime)
+			p.restart(w)
+			p.poll(w)
+			p.poll(w)
+			if takeovers {
+				p.plan()
+				p.takeOver()
+			}
+		}
+		p.g.Expect(p.awaitStart()).NotTo(BeNil(), "after %d crashes, takeovers=%t", crashes, takeovers)
+	}
+}
+
 // Guards against a job that is given up for starts that were sent to workers which had
 // crashed before: such a start says nothing about its task.
 func TestStartOfSuspectWaitsForAnswerOfItsWorker(t *testing.T) {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -155,7 +155,7 @@
 			continue
 		}
 		before := j.Phase
-		j.CountCrash(r.ID.Task, r.CrashReason, t.Wall)
+		j.CountCrash(r.ID.Task, ws.Incarnation.ID, r.CrashReason, t.Wall)
 		c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("how", string(r.CrashReason)).
 			Int("crashed_workers", j.CrashCount(r.ID.Task)).Msg("worker of a lapsed run has crashed")
 		c.markDirty(j)
