Keep capacities of the soak shrunk for longer and by more

Cause: a capacity counts from 3.7 s after it shrank, it stayed shrunk for 2 to 10 s, and workers of the soak crash or restart every few seconds, after which the holder learns the capacity anew.

Change: capacities shrink to 10 to 40% for 2 to 18 s, from 10 to 70% for 2 to 10 s.

--- a/standin/jobsim/soak_load_test.go
+++ b/standin/jobsim/soak_load_test.go
@@ -69,7 +69,7 @@
 		}
 		w := s.workers[r.IntN(len(s.workers))]
 		percent := minShrunkPercent + r.IntN(maxShrunkPercent-minShrunkPercent)
-		duration := time.Duration(2000+r.IntN(8000)) * time.Millisecond
+		duration := time.Duration(2000+r.IntN(16000)) * time.Millisecond
 		if growsAt[w].IsZero() {
 			w.SetCapacity(percent)
 			growsAt[w] = time.Now().Add(duration)
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -36,7 +36,7 @@
 	jobsPerDeadlyJob = 40
 	// minShrunkPercent and maxShrunkPercent bound what is left of a capacity that
 	// shrinks.
-	minShrunkPercent, maxShrunkPercent = 10, 70
+	minShrunkPercent, maxShrunkPercent = 10, 40
 	// minJudgedShrunk is how many starts have to be judged by a shrunk capacity for
 	// the soak to say something on it.
 	minJudgedShrunk = 10
