Stop a gang as soon as one of its members is not started

When the start of one member of a gang was rejected, or not sent, the members that had started waited until they timed out, and the gang was started again only then.

Cause: the end of a run that is not known to have started had no effect on the other runs of its gang. Only a worker tells its members apart that lost another one; of one that never started no worker knows.

Change: the other members are stopped when such a run ends.

--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -130,6 +130,7 @@
 	default:
 	}
 	c.updateAvoided(j, ws.Incarnation.ID, r, reason, t.Now)
+	c.stopIncompleteGang(j, r)
 	c.markDirty(j)
 	c.recordJobEnd(j, before, t)
 	if j.Phase.Final() || reason == job.EndDone && j.mayHaveOtherRuns(r.ID.Task) {
@@ -186,6 +187,22 @@
 	})
 }
 
+// stopIncompleteGang stops the other members of a gang after the run of one has ended
+// that was not known to have started. They would wait for it until they time out.
+func (c *Core) stopIncompleteGang(j *trackedJob, ended *worker.Run) {
+	if !j.Step(ended.ID.Task).Gang || ended.State == worker.RunConfirmed {
+		return
+	}
+	j.EachActiveRun(func(r job.RunID, at job.Location) {
+		if worker.StepKeyOf(r.Task) != ended.Key || r.Number != ended.ID.Number {
+			return
+		}
+		if ws := c.workers[at.Worker.ID]; ws != nil {
+			c.requestStop(ws, ws.Runs[r], "a member of its gang was not started")
+		}
+	})
+}
+
 // requestStop marks a run to be stopped.
 func (c *Core) requestStop(ws *worker.State, r *worker.Run, reason string) {
 	if r == nil || r.Stopping {
