Start a task that may crash workers only on one that answered just now

A deadly task was started without end where its starts were sent some time after their worker's last answer.

Cause: such a start waits until its worker has answered once the run is ordered. When other orders to the worker were in flight meanwhile, it was sent more than 250 ms after that answer. A crash before the next answer then counted as one of which it is not known whether the worker was up, and any number of these count as one.

Change: the start waits for a further answer if the last one is older than 250 ms, and polls do not wait for ends meanwhile.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -52,7 +52,7 @@
 	if remaining <= 0 || !reachable(ws) || now-c.listReadAt > maxListAge {
 		return StartOrder{}, SendLater
 	}
-	if ws.AwaitsAnswer(run) {
+	if ws.HoldsStart(run, now) {
 		return StartOrder{}, SendLater
 	}
 	if !ws.Listed {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -90,7 +90,7 @@
 	if c.mayHaveRuns(ws) && remaining > 0 {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		switch {
-		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer():
+		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer(now):
 		case runsMixedTasks(ws):
 			p.Request.Wait = mixedPollWait
 		default:
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -160,10 +160,19 @@
 	return s.LastAnswer < needed
 }
 
+// HoldsStart reports whether a run that AwaitsAnswer is about is not to be started now:
+// its worker has not answered yet, or not recently, so that it may be gone.
+func (s *State) HoldsStart(r *Run, now time.Duration) bool {
+	if s.AwaitsAnswer(r) {
+		return true
+	}
+	return (r.Suspect || r.Verified) && r.State == RunOrdered && r.StartSentAt == 0 && !s.answeredRecently(now)
+}
+
 // StartAwaitsAnswer reports whether the start of a run waits for an answer.
-func (s *State) StartAwaitsAnswer() bool {
+func (s *State) StartAwaitsAnswer(now time.Duration) bool {
 	for _, r := range s.Runs {
-		if !r.Adopted && s.AwaitsAnswer(r) {
+		if !r.Adopted && s.HoldsStart(r, now) {
 			return true
 		}
 	}
