Count no late crash against a task that has survived elsewhere

A job whose task ran well was shown as failed when workers that had been silent for long turned out to have restarted.

Cause: a run whose lease lapses on a listed worker is kept, and counted when the worker restarts, also if its task has started elsewhere since and that worker has survived it. Two of them at once reach the limit.

Change: nothing is counted against a task that has an active run whose worker has survived its start.

Figures: TestSurvivedTaskIsNotGivenUpForEarlierRuns failed before (the job was shown as failed) and passes now.

--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -148,11 +148,12 @@
 }
 
 // countLapsed counts the crash of a worker for the runs whose leases had expired
-// before the crash was known.
+// before the crash was known. A task that a worker has survived meanwhile is not the
+// cause.
 func (c *Core) countLapsed(ws *worker.State, t Times) {
 	for _, r := range ws.Lapsed {
 		j := c.jobs[r.ID.Task.Job]
-		if j == nil || r.CrashReason == "" {
+		if j == nil || r.CrashReason == "" || c.hasSurvivor(j, r.ID.Task) {
 			continue
 		}
 		before := j.Phase
@@ -168,6 +169,20 @@
 	ws.Lapsed = nil
 }
 
+// hasSurvivor reports whether a worker has survived the start of a run of a task that
+// is active there.
+func (c *Core) hasSurvivor(j *trackedJob, t job.TaskID) bool {
+	task := j.Task(t)
+	return task != nil && slices.ContainsFunc(task.Runs, func(r job.Run) bool {
+		ws := c.workers[r.At.Worker.ID]
+		if ws == nil {
+			return false
+		}
+		run := ws.Runs[job.RunID{Task: t, Number: r.Number}]
+		return run != nil && run.State == worker.RunConfirmed && ws.Survived(run)
+	})
+}
+
 // mayHaveOtherRuns reports whether further runs may do the same work as one of a
 // task.
 func (j *trackedJob) mayHaveOtherRuns(t job.TaskID) bool {
