Pause before a stop is sent again

A worker that rejects a stop, or is gone and refuses connections, got the stop again at once, until it took it or a poll found it gone.

Cause: a stop that failed is due again as soon as its failure is recorded, and the same update sends it.

Change: the failure of a stop is recorded 50 ms later, like a start is sent again after 50 ms.

--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -55,9 +55,13 @@
 
 // sendStop sends a stop.
 func (r *Runner) sendStop(s StopOrder) {
-	clock, err := r.opt.Control.Stop(context.Background(), s.Target, s.Run, s.Token)
+	reading, err := r.opt.Control.Stop(context.Background(), s.Target, s.Run, s.Token)
 	r.metrics.stopAnswered(err)
-	r.update(func(t Times) { r.core.StopAnswered(s, clock, err, t) })
+	if err != nil {
+		// The core has the stop sent again as soon as it knows of the error.
+		clock.Sleep(context.Background(), startRetry)
+	}
+	r.update(func(t Times) { r.core.StopAnswered(s, reading, err, t) })
 }
 
 // sendSpeed sends a change of speed.
