--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -132,6 +132,7 @@
 	default:
 	}
 	c.updateAvoided(j, ws.Incarnation.ID, r, reason, t.Now)
+	c.stopIncompleteGang(j, r)
 	c.markDirty(j)
 	c.recordJobEnd(j, before, t)
 	if j.Phase.Final() || reason == job.EndDone && j.mayHaveOtherRuns(r.ID.Task) {
@@ -149,11 +150,12 @@
 }
 
 // countLapsed counts the crash of a worker for the runs whose leases had expired
-// before the crash was known.
+// before the crash was known. A task that a worker has survived meanwhile is not the
+// cause.
 func (c *Core) countLapsed(ws *worker.State, t Times) {
 	for _, r := range ws.Lapsed {
 		j := c.jobs[r.ID.Task.Job]
-		if j == nil || r.CrashReason == "" {
+		if j == nil || r.CrashReason == "" || c.hasSurvivor(j, r.ID.Task) {
 			continue
 		}
 		before := j.Phase
@@ -169,6 +171,20 @@
 	ws.Lapsed = nil
 }
 
+// hasSurvivor reports whether a worker has survived the start of a run of a task that
+// is active there.
+func (c *Core) hasSurvivor(j *trackedJob, t job.TaskID) bool {
+	task := j.Task(t)
+	return task != nil && slices.ContainsFunc(task.Runs, func(r job.Run) bool {
+		ws := c.workers[r.At.Worker.ID]
+		if ws == nil {
+			return false
+		}
+		run := ws.Runs[job.RunID{Task: t, Number: r.Number}]
+		return run != nil && run.State == worker.RunConfirmed && ws.Survived(run)
+	})
+}
+
 // mayHaveOtherRuns reports whether further runs may do the same work as one of a
 // task.
 func (j *trackedJob) mayHaveOtherRuns(t job.TaskID) bool {
@@ -188,6 +204,22 @@
 	})
 }
 
+// stopIncompleteGang stops the other members of a gang after the run of one has ended
+// that was not known to have started. They would wait for it until they time out.
+func (c *Core) stopIncompleteGang(j *trackedJob, ended *worker.Run) {
+	if !j.Step(ended.ID.Task).Gang || ended.State == worker.RunConfirmed {
+		return
+	}
+	j.EachActiveRun(func(r job.RunID, at job.Location) {
+		if worker.StepKeyOf(r.Task) != ended.Key || r.Number != ended.ID.Number {
+			return
+		}
+		if ws := c.workers[at.Worker.ID]; ws != nil {
+			c.requestStop(ws, ws.Runs[r], "a member of its gang was not started")
+		}
+	})
+}
+
 // requestStop marks a run to be stopped.
 func (c *Core) requestStop(ws *worker.State, r *worker.Run, reason string) {
 	if r == nil || r.Stopping {
