Do not take a start without an answer for the only cause of a crash

Callers saw a job fail after one crash under its task.

Cause: a task under which a worker had crashed was the only one to start on another, and a crash of that worker counted as its doing for certain, also if its start got no answer. The worker can crash for another cause just before the start arrives. Change: such a crash still counts as one with the task on it, but fails the job only from the third on, as if others may be the cause.

--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -79,10 +79,10 @@
 	// that the run may have started there shortly before.
 	EndCrashPossible EndReason = "crash-possible"
 	// EndCrashSuspected means that the run's worker crashed soon after the run
-	// had started there, as may have other runs, so that any of them may be the
-	// cause.
+	// had started there, but that the run may not be the cause: other runs had
+	// started there too, or its start got no answer.
 	EndCrashSuspected EndReason = "crash-suspected"
 	// EndCrashedWorker means that the run's worker crashed soon after the run, and
-	// no other one, had started there.
+	// no other one, had started there, as far as is known from answers.
 	EndCrashedWorker EndReason = "crashed-worker"
 )
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -49,15 +49,15 @@
 	}
 	alone := len(suspects) == 1
 	for _, r := range suspects {
-		// A worker that answered just before a start may have been crashed by another
-		// task before the start reached it.
+		// A worker that answered just before a start may have crashed before the start
+		// reached it.
 		started := r.State == RunConfirmed || r.Verified && alone
 		switch {
 		case !upAtStart(r):
 			r.CrashReason = job.EndStartUnverified
 		case !certain || !started:
 			r.CrashReason = job.EndCrashPossible
-		case !alone:
+		case !alone || r.State != RunConfirmed:
 			r.CrashReason = job.EndCrashSuspected
 		default:
 			r.CrashReason = job.EndCrashedWorker
