Grant no lease for longer than 6 s, and wait no longer for one after a takeover

Callers saw a task that lasts not run for 10 s after a takeover with room for it: its worker was gone for good, and the new holder waited for the longest lease that workers allow, 13 s in all where that is 10 s.

Cause: a holder that cannot renew its duty granted the longest lease that a worker allows, so that its successor had to wait for as long in any case. Nothing bounds that length but the deployment. Change: a holder grants 6 s at most, and its successor waits for that. What other incarnations of a worker may carry out late is still bounded by what they allow, since their clock is behind: LeaseBounds names both. In a rolling update a daemon of an earlier release may have granted more; that matters only if it was cut from the log, did not hand over, and the worker is alive and not reached for 9 s.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -122,8 +122,13 @@
 	fenced bool
 }
 
-// leaseDriftFactor covers the drift of a worker's clock, with some margin.
-const leaseDriftFactor = 1.05
+const (
+	// leaseDriftFactor covers the drift of a worker's clock, with some margin.
+	leaseDriftFactor = 1.05
+	// maxGrantedLease bounds the leases that a holder grants. After a takeover, the
+	// tasks of a worker that is gone wait until such a lease has expired.
+	maxGrantedLease = 6 * time.Second
+)
 
 // NewCore returns a Core without jobs and workers.
 func NewCore(opt Options, now time.Duration) *Core {
@@ -143,17 +148,22 @@
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
 	}
-	c.earlierLeasesEnd = now + opt.DutyLease + c.longestLease()
+	c.earlierLeasesEnd = now + opt.DutyLease + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
 	return c
 }
 
-// longestLease returns how long the longest lease that a worker allows can last
-// by this daemon's clock.
-func (c *Core) longestLease() time.Duration {
-	return time.Duration(float64(c.opt.MaxLease) * leaseDriftFactor)
+// leaseBounds returns how long leases can last by this daemon's clock.
+func (c *Core) leaseBounds() worker.LeaseBounds {
+	return worker.LeaseBounds{
+		Allowed: time.Duration(float64(c.opt.MaxLease) * leaseDriftFactor),
+		Granted: time.Duration(float64(c.longestGrant()) * leaseDriftFactor),
+	}
 }
 
+// longestGrant returns the length of the longest lease that a holder grants.
+func (c *Core) longestGrant() time.Duration { return min(c.opt.MaxLease, maxGrantedLease) }
+
 // Restore loads the progress partition that earlier holders wrote. It must be
 // called before the first ApplyIntake.
 func (c *Core) Restore(records []joblog.ProgressRecord, t Times) {
--- a/internal/scheduler/export_liveness_test.go
+++ b/internal/scheduler/export_liveness_test.go
@@ -88,7 +88,7 @@
 	case ws.LeaseRemaining(now) > 0:
 		return CauseOwnLease, detail, 0
 	case run.StartUnanswered:
-		return CauseLateStart, detail, run.StartSentAt + lateStartWait + c.longestLease() + expiryDelay
+		return CauseLateStart, detail, run.StartSentAt + lateStartWait + c.leaseBounds().Allowed + expiryDelay
 	default:
 		return CauseEarlierLease, detail, c.earlierLeasesEnd + expiryDelay
 	}
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "greengagedeck/internal/job"
+import (
+	"time"
+
+	"greengagedeck/internal/job"
+)
 
 // PlannedStart is a start that a batch holds, exported for tests.
 type PlannedStart struct {
@@ -16,3 +20,7 @@
 	}
 	return out
 }
+
+// EarlierLeasesEnd returns when the last lease has expired that an earlier holder may
+// have granted.
+func EarlierLeasesEnd(c *Core) time.Duration { return c.earlierLeasesEnd }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -110,9 +110,9 @@
 // in which no daemon can hold the pool.
 func (c *Core) leaseLength(remaining time.Duration) time.Duration {
 	if remaining < c.opt.DutyLease/2 {
-		return c.opt.MaxLease
+		return c.longestGrant()
 	}
-	return min(c.opt.Lease, c.opt.MaxLease)
+	return min(c.opt.Lease, c.longestGrant())
 }
 
 // PollFailed handles a poll that was not answered or was rejected.
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -87,7 +87,7 @@
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
 	ws.MarkCrash(true)
 	c.countLapsed(ws, t)
-	ws.ReplaceIncarnation(l, t.Now, c.longestLease())
+	ws.ReplaceIncarnation(l, t.Now, c.leaseBounds())
 	c.applyCordon(ws)
 	c.needsPlan = true
 }
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -2,22 +2,28 @@
 
 import "time"
 
+// LeaseBounds are the longest leases that can occur, by the holder's clock.
+type LeaseBounds struct {
+	// Allowed is the longest one that a worker allows, and Granted the longest one
+	// that a holder grants.
+	Allowed, Granted time.Duration
+}
+
 // ReplaceIncarnation resets the state after another incarnation has answered to
 // the worker's ID. The runs most likely ended with the old incarnation, but an
 // order may have reached the new one before the change was known, so every run
 // has to be looked for there. A run that is not there has to be stopped there
-// if its start was not answered and may still arrive. maxLease is the longest
-// lease that a worker grants.
+// if its start was not answered and may still arrive.
 //
 // If the new incarnation does not answer either, its runs count as lost once the
 // lease of the old one has expired and every lease that a start which is
 // unaccounted for may have got. A further restart extends the wait only for starts
 // that were sent since.
-func (s *State) ReplaceIncarnation(l Listing, now, maxLease time.Duration) {
+func (s *State) ReplaceIncarnation(l Listing, now time.Duration, longest LeaseBounds) {
 	runs, listed := s.Runs, s.Listed
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
-		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, maxLease))
+		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, longest))
 	}
 	*s = *NewState(l, now, s.earlierLeasesEnd)
 	s.Listed = listed
@@ -31,8 +37,10 @@
 // strayLeaseExpiry returns when the lease has expired that a run gets if its start
 // is carried out by an incarnation other than the one that it was sent to, or 0 if
 // that cannot happen.
-func (s *State) strayLeaseExpiry(r *Run, now, maxLease time.Duration) time.Duration {
-	earlierStartsEnd := s.earlierLeasesEnd - maxLease + maxOrderDelay
+func (s *State) strayLeaseExpiry(r *Run, now time.Duration, longest LeaseBounds) time.Duration {
+	// The clock of another incarnation is behind, so that it grants what it allows.
+	maxLease := longest.Allowed
+	earlierStartsEnd := s.earlierLeasesEnd - longest.Granted + maxOrderDelay
 	switch {
 	case r.startMayArrive(now):
 		return r.StartSentAt + maxOrderDelay + maxLease
--- a/internal/worker/incarnation_test.go
+++ b/internal/worker/incarnation_test.go
@@ -21,9 +21,9 @@
 func restartTwice(r *Run) (afterFirst, afterNext time.Duration) {
 	s := NewState(newTestState().Listing, 0, earlierLeasesEnd)
 	s.AddRun(r)
-	s.ReplaceIncarnation(s.Listing, firstRestart, maxLease)
+	s.ReplaceIncarnation(s.Listing, firstRestart, maxLeases)
 	afterFirst = s.priorLeaseExpiry
-	s.ReplaceIncarnation(s.Listing, nextRestart, maxLease)
+	s.ReplaceIncarnation(s.Listing, nextRestart, maxLeases)
 	return afterFirst, s.priorLeaseExpiry
 }
 
@@ -79,7 +79,7 @@
 	r.State, r.Adopted, r.LastReported = RunConfirmed, true, time.Second
 	s.AddRun(r)
 	lastStart := earlierLeasesEnd - maxLease + maxOrderDelay - time.Millisecond
-	s.ReplaceIncarnation(s.Listing, lastStart, maxLease)
+	s.ReplaceIncarnation(s.Listing, lastStart, maxLeases)
 	g.Expect(s.priorLeaseExpiry).To(Equal(lastStart + maxLease))
 }
 
@@ -89,7 +89,7 @@
 	g := NewWithT(t)
 	s := newTestState()
 	s.ExtendLease(firstRestart, maxLease)
-	s.ReplaceIncarnation(s.Listing, firstRestart, maxLease)
+	s.ReplaceIncarnation(s.Listing, firstRestart, maxLeases)
 	g.Expect(s.LeaseExpired(firstRestart + maxLease)).To(BeFalse())
 	g.Expect(s.LeaseExpired(firstRestart + maxLease + time.Second)).To(BeTrue())
 }
--- a/internal/worker/state_test.go
+++ b/internal/worker/state_test.go
@@ -12,6 +12,9 @@
 
 const maxLease = 6 * time.Second
 
+// maxLeases are those of a holder that grants what workers allow.
+var maxLeases = LeaseBounds{Allowed: maxLease, Granted: maxLease}
+
 func newTestRun(number int) *Run {
 	id := job.RunID{Task: job.TaskID{Job: "00000000000000aa"}, Number: number}
 	return NewRun(id, job.Step{Count: 1, Need: job.Resources{CPU: 500, MemoryMB: 10}}, RunOrdered, 0, time.Second)
@@ -96,7 +99,7 @@
 	s.AddRun(confirmed)
 	s.AddRun(unanswered)
 	s.Fenced = true
-	s.ReplaceIncarnation(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 2}, Clock: 50}, 2*time.Second, maxLease)
+	s.ReplaceIncarnation(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 2}, Clock: 50}, 2*time.Second, maxLeases)
 	g.Expect(s.Fenced).To(BeFalse())
 	g.Expect(s.Runs).To(HaveLen(2))
 	g.Expect(confirmed.StartUnanswered).To(BeFalse())
