Fill no restarted worker by the capacity of its last incarnation

A worker that restarted with a smaller capacity was filled by the one that it had before, when a poll reached it before the list showed it.

Cause: the state of the next incarnation took over the capacity of the last one, and that it is listed.

Change: a later incarnation that a poll finds counts as not listed until the list shows it, and gets no start until then.

Figures: TestRestartedWorkerIsNotFilledByCapacityOfLastIncarnation failed before (4 starts to a worker with room for one) and passes now.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -159,7 +159,10 @@
 		listing := ws.Listing
 		listing.Incarnation.StartedAt = report.StartedAt
 		listing.Clock = report.Clock
+		later := report.StartedAt > ws.Incarnation.StartedAt
 		c.workerRestarted(ws, listing, t)
+		// Only the list tells what capacity the next incarnation has.
+		ws.Listed = ws.Listed && !later
 		return
 	}
 	if ws.UnansweredCalls > 0 {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -32,8 +32,8 @@
 			ws.MarkLapsed()
 			c.countLapsed(ws, t)
 			c.opt.Logger.Info().Str("worker", id).Int("runs", len(ws.Runs)).Msg("worker is no longer listed")
-			c.dropIdle(id)
 		}
+		c.dropIdle(id)
 	}
 	c.needsPlan = true
 }
