Take no capacity from an entry of a worker's earlier incarnation

Since a restarted worker counts as not listed until the list shows its next incarnation, it gets no start by any earlier capacity, and taking over the one of an earlier entry has no effect. Change: that assignment goes. TestCapacityOfEntryBeforeRestartIsIgnored expected four starts to be planned right after the poll that finds the restart; now none is planned until the list has caught up. It still allows one start at most by the entry before the restart, and expects exactly one once the next entry shows room for one.

--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -64,9 +64,8 @@
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
 		return
 	case l.Incarnation.StartedAt < ws.Incarnation.StartedAt:
-		// The list lags behind what the worker itself reported, but no report holds the
-		// capacity.
-		ws.Capacity = l.Capacity
+		// The list lags behind what the worker itself reported. Until it has caught up,
+		// the worker counts as not listed.
 		return
 	case l.Incarnation.StartedAt > ws.Incarnation.StartedAt:
 		c.workerRestarted(ws, l, t)
