--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -299,20 +299,26 @@
 	g.Expect(p.running).To(HaveLen(2), "b and c are free")
 }
 
-// Guards against: two tasks of a step are stopped on draining workers although the
-// step's limit leaves room for only one of them, so that the other has no place.
-func TestEvacuationStopsNoMoreTasksThanTheStepsLimitHasRoomFor(t *testing.T) {
-	g := NewWithT(t)
-	p := newScriptedPool(g, "a", "b")
-	p.submit(firstJob, job.Step{Count: 2, Need: job.Resources{CPU: 1000}, MaxPerWorker: 1}, nil)
+// expectBothTasksKeptWhileDraining has both workers drain, adds one with room for one of
+// the job's two tasks, and expects both to go on.
+func (p *scriptedPool) expectBothTasksKeptWhileDraining() {
 	p.advance(time.Second)
-	g.Expect(p.running).To(HaveLen(2))
+	p.g.ExpectWithOffset(1, p.running).To(HaveLen(2))
 	p.draining["a"], p.draining["b"] = true, true
 	p.workers = append(p.workers, "c")
 	p.list()
 	p.poll()
 	p.advance(2 * time.Second)
-	g.Expect(p.running).To(HaveLen(2), "one task moved to c, the other stays until there is room for it")
+	p.g.ExpectWithOffset(1, p.running).To(HaveLen(2), "one task moved to c, the other stays until there is room for it")
+}
+
+// Guards against: two tasks of a step are stopped on draining workers although the
+// step's limit leaves room for only one of them, so that the other has no place.
+func TestEvacuationStopsNoMoreTasksThanTheStepsLimitHasRoomFor(t *testing.T) {
+	g := NewWithT(t)
+	p := newScriptedPool(g, "a", "b")
+	p.submit(firstJob, job.Step{Count: 2, Need: job.Resources{CPU: 1000}, MaxPerWorker: 1}, nil)
+	p.expectBothTasksKeptWhileDraining()
 }
 
 // Guards against: the place that a stopped task is to move to is reserved only until
@@ -321,14 +327,7 @@
 	g := NewWithT(t)
 	p := newScriptedPool(g, "a", "b")
 	p.submit(firstJob, job.Step{Count: 2, Need: job.Resources{CPU: 3 * scriptCapacity / 4}}, nil)
-	p.advance(time.Second)
-	g.Expect(p.running).To(HaveLen(2))
-	p.draining["a"], p.draining["b"] = true, true
-	p.workers = append(p.workers, "c")
-	p.list()
-	p.poll()
-	p.advance(2 * time.Second)
-	g.Expect(p.running).To(HaveLen(2), "one task moved to c, the other stays until there is room for it")
+	p.expectBothTasksKeptWhileDraining()
 }
 
 // Guards against: the workers that are approved for a step are put into a second
--- a/internal/scheduler/spread_test.go
+++ b/internal/scheduler/spread_test.go
@@ -111,16 +111,23 @@
 	r.core.PollSucceeded(r.core.Poll(o.Worker, r.now.Now, time.Second), rep, r.now)
 }
 
+// newEvacuationRig returns a pool that runs a step of three tasks on workers, of which a
+// has begun to drain, with a further worker d.
+func newEvacuationRig(t *testing.T, workers ...string) *spreadRig {
+	r := newSpreadRig(t, 3, 1000, workers...)
+	r.plan()
+	r.list("d", 16000)
+	r.poll()
+	r.drain("a")
+	return r
+}
+
 func (r *spreadRig) hostsNeeded() int { return r.core.Report(r.now.Now, time.Second).HostsNeeded }
 
 // Guards against two tasks of a step that are stopped for one place: a place taken by one
 // in a plan does not count against the step's limit for the other.
 func TestEvacuationStopsNoMoreTasksThanHavePlace(t *testing.T) {
-	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
-	r.plan()
-	r.list("d", 16000)
-	r.poll()
-	r.drain("a")
+	r := newEvacuationRig(t, "a", "b", "c")
 	r.drain("b")
 	r.g.Expect(r.plan()).To(HaveLen(1), "only worker d is below the limit")
 }
@@ -128,11 +135,7 @@
 // Guards against a second task that is stopped for the place of a task whose stop is not
 // complete, in a later plan.
 func TestEvacuationKeepsPlaceUntilStopCompletes(t *testing.T) {
-	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
-	r.plan()
-	r.list("d", 16000)
-	r.poll()
-	r.drain("a")
+	r := newEvacuationRig(t, "a", "b", "c")
 	r.g.Expect(r.plan()).To(HaveLen(1))
 	r.drain("b")
 	r.g.Expect(r.plan()).To(BeEmpty(), "the place on worker d is for the task of worker a")
@@ -141,11 +144,7 @@
 // Guards against a task that is stopped for a place that a waiting task of its step takes in
 // the same plan.
 func TestEvacuationLeavesPlaceToWaitingTask(t *testing.T) {
-	r := newSpreadRig(t, 3, 1000, "a", "b")
-	r.plan()
-	r.list("d", 16000)
-	r.poll()
-	r.drain("a")
+	r := newEvacuationRig(t, "a", "b")
 	r.g.Expect(r.plan()).To(BeEmpty(), "the third task starts on worker d")
 	r.g.Expect(r.running["d"]).To(HaveLen(1))
 }
@@ -153,11 +152,7 @@
 // Guards against a place that goes to another task once the stop of the task it is for is
 // complete.
 func TestMovedTaskStartsInItsPlace(t *testing.T) {
-	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
-	r.plan()
-	r.list("d", 16000)
-	r.poll()
-	r.drain("a")
+	r := newEvacuationRig(t, "a", "b", "c")
 	stops := r.plan()
 	r.g.Expect(stops).To(HaveLen(1))
 	r.end(stops[0])
@@ -170,11 +165,7 @@
 // Guards against a place that is kept on a worker that takes no tasks any more, and against
 // a further task that is stopped for the place that the first one then needs.
 func TestStoppedTaskGetsOtherPlaceWhenItsPlaceIsLost(t *testing.T) {
-	r := newSpreadRig(t, 3, 1000, "a", "b", "c")
-	r.plan()
-	r.list("d", 16000)
-	r.poll()
-	r.drain("a")
+	r := newEvacuationRig(t, "a", "b", "c")
 	stops := r.plan()
 	r.g.Expect(stops).To(HaveLen(1))
 	r.drain("d")
