Give up a task after four crashes of one worker

The model's workers saw a deadly task started once more than may be: six starts, each of which crashed its worker.

Cause: crashes of one and the same worker gave a job up only after the fifth, which left no room for one that is not counted: a start got no answer, the worker restarted, and the next holder found the run missing, as if it had never started. Change: four crashes give a job up, if it is known of one that the task was there, also if all are of one worker.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -8,11 +8,11 @@
 	// maxSuspectedCrashes that number if other tasks may be the cause too.
 	maxCrashes          = 2
 	maxSuspectedCrashes = 3
-	// maxPartlyCertainCrashes is that number if it is known for one worker that it
-	// crashed with the task on it.
+	// maxPartlyCertainCrashes is that number if it is known for one crash that the
+	// task was on the worker, and if one worker crashed each time, which may be at
+	// fault itself.
 	maxPartlyCertainCrashes = 4
-	// maxPossibleCrashes is that number if it is known for none, and if one worker
-	// crashed each time, which may be at fault itself.
+	// maxPossibleCrashes is that number if it is known for none.
 	maxPossibleCrashes = 5
 	// minPossibleCrashes is the number of workers that may have crashed under a task
 	// from which on the task is a suspect if none is known to have. With one it is not:
@@ -95,7 +95,7 @@
 		return false
 	case c.CertainSeveral && c.Certain >= maxSuspectedCrashes:
 		return true
-	case c.Several && c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
+	case c.Certain > 0 && c.total() >= maxPartlyCertainCrashes:
 		return true
 	default:
 		return reason == EndCrashedWorker && c.CertainSeveral && c.Certain >= maxCrashes
