Run the test of job states in virtual time

The test failed once on a busy machine ("nobody answers for pool p") and passed 15 times after that.

Cause: a query has one second of real time. Where the process did not run for longer than that between a submission and the query, the query had used up its time. Change: the test runs in virtual time, like those beside it. All checks stay.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -142,28 +142,30 @@
 }
 
 func TestJobState(t *testing.T) {
-	g := NewWithT(t)
-	log := logtest.New()
-	phase, err := newTestService(log, true, respondState(StateResponse{Held: true, Known: true, Phase: job.Running}), 0).State(t.Context(), entry, id)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(phase).To(Equal(job.Running))
-
-	// A holder that has not read the newest submissions cannot tell that a job
-	// is unknown, and neither can the log.
-	_, err = newTestService(log, true, respondState(StateResponse{Held: true, Lag: maxLag}), 0).State(t.Context(), entry, id)
-	g.Expect(err).NotTo(MatchError(ErrUnknownJob))
-	g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
-
-	s := newTestService(log, true, respondState(StateResponse{Held: true}), 0)
-	s.opt.Policy.Set(policy.New(1, nil, nil, policy.Limits{}))
-	_, err = s.State(t.Context(), entry, id)
-	g.Expect(err).To(MatchError(ErrUnknownJob))
-
-	g.Expect(newTestService(log, true, respondOutcome(OutcomeStored), 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
-	g.Expect(newTestService(log, false, nil, 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
-	phase, err = newTestService(log, false, nil, 0).State(t.Context(), entry, id)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(phase).To(Equal(job.Queued))
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := logtest.New()
+		phase, err := newTestService(log, true, respondState(StateResponse{Held: true, Known: true, Phase: job.Running}), 0).State(t.Context(), entry, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(phase).To(Equal(job.Running))
+
+		// A holder that has not read the newest submissions cannot tell that a job
+		// is unknown, and neither can the log.
+		_, err = newTestService(log, true, respondState(StateResponse{Held: true, Lag: maxLag}), 0).State(t.Context(), entry, id)
+		g.Expect(err).NotTo(MatchError(ErrUnknownJob))
+		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
+
+		s := newTestService(log, true, respondState(StateResponse{Held: true}), 0)
+		s.opt.Policy.Set(policy.New(1, nil, nil, policy.Limits{}))
+		_, err = s.State(t.Context(), entry, id)
+		g.Expect(err).To(MatchError(ErrUnknownJob))
+
+		g.Expect(newTestService(log, true, respondOutcome(OutcomeStored), 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		g.Expect(newTestService(log, false, nil, 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		phase, err = newTestService(log, false, nil, 0).State(t.Context(), entry, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(phase).To(Equal(job.Queued))
+	})
 }
 
 // silentHolder is a holder that counts the calls it gets and answers none.
