--- a/review/_harness/many_ends.go
+++ b/review/_harness/many_ends.go
@@ -51,7 +51,7 @@
 		d.storeDown(downFor, nil)
 	}
 	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if n, _ := d.rec.count(func(t *taskRuns) bool { return t.acknowledged && t.active == 0 }); n == jobs*tasks {
+		if n, _ := d.rec.count(func(t *taskRuns) bool { return t.acknowledged() && t.active == 0 }); n == jobs*tasks {
 			break
 		}
 	}
--- a/review/_harness/recorder.go
+++ b/review/_harness/recorder.go
@@ -17,20 +17,49 @@
 type taskRuns struct {
 	// active is how many runs are at work.
 	active int
-	// doneAt is when a run ended done, and acknowledged whether that end was
-	// acknowledged.
-	doneAt       time.Time
-	acknowledged bool
-	failures     int
+	// doneAt is when a run first ended done, and done holds all such ends by the
+	// number of the run.
+	doneAt   time.Time
+	done     map[int]*doneEnd
+	failures int
 	// lapsed is set if a run ended with its lease.
 	lapsed bool
 	starts int
-	// startAfterDone is set if a run was started after one had ended done.
-	startAfterDone bool
 	// together is set if two runs were at work at the same time.
 	together bool
 }
 
+// doneEnd is the end of a run that ended done.
+type doneEnd struct {
+	at time.Time
+	// acknowledged is set once the end was acknowledged, with no lapse of the
+	// worker's lease between the two.
+	acknowledged bool
+	// startedAfter is set if a run was started after it.
+	startedAfter bool
+}
+
+// acknowledged reports whether an end done of the task was acknowledged.
+func (t *taskRuns) acknowledged() bool {
+	for _, e := range t.done {
+		if e.acknowledged {
+			return true
+		}
+	}
+	return false
+}
+
+// startedTwice reports whether the task breaks TWICE: two runs at the same time, or
+// a start after a run had ended done, if that end was acknowledged then or later.
+func (t *taskRuns) startedTwice() bool {
+	for _, e := range t.done {
+		if e.acknowledged && e.startedAfter {
+			return true
+		}
+	}
+	return t.together
+}
+
 // recorder writes what was sent, answered and run, and keeps what the rules
 // are checked with.
 type recorder struct {
@@ -64,7 +93,7 @@
 func (r *recorder) task(name string) *taskRuns {
 	t := r.tasks[name]
 	if t == nil {
-		t = &taskRuns{}
+		t = &taskRuns{done: map[int]*doneEnd{}}
 		r.tasks[name] = t
 	}
 	return t
@@ -79,8 +108,10 @@
 		t.together = true
 		note = "  while another run is at work"
 	}
-	if !t.doneAt.IsZero() {
-		t.startAfterDone = true
+	for _, e := range t.done {
+		e.startedAfter = true
+	}
+	if len(t.done) > 0 {
 		note += "  after a run had ended done"
 	}
 	t.active++
@@ -95,9 +126,11 @@
 	t.active--
 	switch how {
 	case "done":
+		now := time.Now()
 		if t.doneAt.IsZero() {
-			t.doneAt = time.Now()
+			t.doneAt = now
 		}
+		t.done[k.run] = &doneEnd{at: now}
 	case "failed":
 		t.failures++
 	case "lapsed":
@@ -106,11 +139,13 @@
 	r.write("%s ends %s run %d: %s", worker, k.task, k.run, how)
 }
 
-func (r *recorder) acknowledged(worker string, k runKey, how string) {
+// acknowledged records that the end of a run was acknowledged. lapsedAt is when the
+// worker's lease last was lapsed.
+func (r *recorder) acknowledged(k runKey, lapsedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if how == "done" {
-		r.task(k.task).acknowledged = true
+	if e := r.task(k.task).done[k.run]; e != nil && lapsedAt.Before(e.at) {
+		e.acknowledged = true
 	}
 }
 
@@ -129,10 +164,9 @@
 	return n, first
 }
 
-// startedTwice counts the tasks that break TWICE: two runs at the same time, or a
-// start after a run had ended done, if that end was acknowledged then or later.
+// startedTwice counts the tasks that break TWICE.
 func (r *recorder) startedTwice() (n int, first string) {
-	return r.count(func(t *taskRuns) bool { return t.together || t.startAfterDone && t.acknowledged })
+	return r.count((*taskRuns).startedTwice)
 }
 
 func (r *recorder) get(name string) taskRuns {
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -48,6 +48,8 @@
 	sequence int
 	token    int64
 	leaseEnd time.Duration
+	// lapsedAt is when the lease last was lapsed.
+	lapsedAt time.Time
 	running  map[string]*activeRun
 	// barred is the highest run of a task that was stopped or ended.
 	barred  map[string]int
@@ -151,6 +153,9 @@
 			})
 		}
 		lapsed := w.clock() > w.leaseEnd
+		if lapsed {
+			w.lapsedAt = now
+		}
 		for t, r := range w.running {
 			switch {
 			case lapsed:
@@ -283,7 +288,7 @@
 		w.extend(o.UntilMs)
 	}
 	for len(w.ends) > 0 && w.ends[0].n <= o.Acknowledged {
-		w.rec.acknowledged(w.id, w.ends[0].key, w.ends[0].how)
+		w.rec.acknowledged(w.ends[0].key, w.lapsedAt)
 		w.ends = w.ends[1:]
 	}
 	born := w.born
