--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review/harness" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$root/target/review/harness" crash-failed "$here/record.txt" "$root"
+exec "$root/target/review/harness" many-ends "$here/record.txt" "$root"
