--- a/review/_harness/lapsed_entry.go
+++ b/review/_harness/lapsed_entry.go
@@ -77,13 +77,12 @@
 	if trouble {
 		d.storeDown(lapsedDown, func() {
 			for _, w := range d.workers {
-				w.hideEntry()
+				w.setSilent(true)
 			}
-			d.rec.event("the entries of the workers lapse")
 		})
 		time.Sleep(lapsedBack)
 		for _, w := range d.workers {
-			w.showEntry()
+			w.setSilent(false)
 		}
 		d.rec.event("the entries of the workers are back")
 	}
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -14,7 +14,9 @@
 
 const (
 	heartbeat = 1500 * time.Millisecond
-	holdMax   = 10 * time.Second
+	// silentBeats is after how many heartbeats of silence an entry is removed.
+	silentBeats = 3
+	holdMax     = 10 * time.Second
 	stopTime  = 100 * time.Millisecond
 	// endsAtOnce is how many ends an answer lists.
 	endsAtOnce = 500
@@ -56,8 +58,9 @@
 	ends    []endRow
 	lastEnd int64
 	changed chan struct{}
-	// hidden is set while the entry in the list has lapsed.
-	hidden bool
+	// silent is set while the worker cannot write its entry in the list. The entry
+	// lapses after silentBeats heartbeats.
+	silent bool
 }
 
 type activeRun struct {
@@ -116,18 +119,11 @@
 	_ = server.Close()
 }
 
-// hideEntry has the entry in the list lapse, and showEntry has it written again.
-func (w *worker) hideEntry() {
+// setSilent keeps the worker from writing its entry in the list, or lets it write again.
+func (w *worker) setSilent(silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hidden = true
-	w.store.remove("servers", w.id)
-}
-
-func (w *worker) showEntry() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.hidden = false
+	w.silent = silent
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.born) }
@@ -136,6 +132,7 @@
 // at born is over.
 func (w *worker) live(born time.Time) {
 	var beat time.Time
+	listed := false
 	for {
 		w.mu.Lock()
 		if !w.up || !w.born.Equal(born) {
@@ -143,8 +140,13 @@
 			return
 		}
 		now := time.Now()
-		if now.Sub(beat) >= heartbeat && !w.hidden {
-			beat = now
+		if listed && w.silent && now.Sub(beat) >= silentBeats*heartbeat {
+			listed = false
+			w.store.remove("servers", w.id)
+			w.rec.event("the entry of %s lapses", w.id)
+		}
+		if now.Sub(beat) >= heartbeat && !w.silent {
+			beat, listed = now, true
 			w.sequence++
 			w.store.put("servers", w.id, map[string]any{
 				"service": w.service, "address": w.address, "zone": "north-a", "version": "v1", "slots": 8, "coldRemainingMs": 0,
