--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -17,7 +17,7 @@
 	// silentBeats is after how many heartbeats of silence an entry is removed.
 	silentBeats = 3
 	holdMax     = 10 * time.Second
-	stopTime  = 100 * time.Millisecond
+	stopTime    = 100 * time.Millisecond
 	// endsAtOnce is how many ends an answer lists.
 	endsAtOnce = 500
 )
