End a run whose start is dropped after its plan was logged

Cause: a start that finds its worker draining, unlisted or shrunk asked for a stop. The stop was answered, but only a poll ends the run, and the agent of an idle worker sleeps: the answer to a stop woke nobody. The logs show "stopping run", then neither "stop failed" nor "run ended". Change: a run whose start was never sent ends at once (State.NeverSent), for cancels, preemption and gangs too. The core tells which workers to poll sooner (Core.Wakes) at every event that changes NextPoll, and an idle agent looks again after 1 s.

--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -8,6 +8,9 @@
 	"greengagedeck/internal/job"
 )
 
+// idleCheck is the longest time for which the agent of an idle worker sleeps.
+const idleCheck = time.Second
+
 // agent is the runner's state for one worker.
 type agent struct {
 	id string
@@ -34,22 +37,15 @@
 func (r *Runner) sendStart(ctx context.Context, a *agent, run job.RunID) (resend bool) {
 	a.orderSlots <- struct{}{}
 	defer func() { <-a.orderSlots }()
-	r.mu.Lock()
-	s, send := r.core.StartOrder(run, a.id, r.opt.Clock.Now(), r.opt.Duty.Remaining())
-	r.mu.Unlock()
-	switch send {
-	case SendNever:
-		return false
-	case SendLater:
-		// The start may wait for an answer of a worker that is not polled while idle.
-		notify(a.wake)
-		return true
-	default:
+	var s StartOrder
+	var send SendDecision
+	r.update(func(t Times) { s, send = r.core.StartOrder(run, a.id, t.Now, r.opt.Duty.Remaining()) })
+	if send != SendNow {
+		return send == SendLater
 	}
 	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
 	r.metrics.startAnswered(err)
 	r.update(func(t Times) { resend = r.core.StartAnswered(s, clock, err, t) })
-	notify(a.wake)
 	return resend
 }
 
@@ -82,14 +78,11 @@
 			return
 		}
 		r.mu.Unlock()
-		if !ok {
-			select {
-			case <-ctx.Done():
-			case <-a.wake:
-			}
-			continue
+		wait := idleCheck
+		if ok {
+			wait = at - r.opt.Clock.Now()
 		}
-		if wait := at - r.opt.Clock.Now(); wait > 0 {
+		if wait > 0 {
 			t := time.NewTimer(wait)
 			select {
 			case <-ctx.Done():
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -25,6 +25,7 @@
 	for id, e := range b.ends {
 		if ws := c.workers[id]; ws != nil && ws.Incarnation.StartedAt == e.startedAt {
 			ws.LastEndLogged = max(ws.LastEndLogged, e.number)
+			c.wakePoll(id)
 		}
 	}
 	for _, cn := range b.cordons {
--- a/internal/scheduler/cordon.go
+++ b/internal/scheduler/cordon.go
@@ -37,6 +37,7 @@
 		dirty:  true,
 	}
 	ws.CordonReason = reason
+	c.wakePoll(id)
 	c.needsPlan = true
 	c.opt.Logger.Info().Str("worker", id).Str("reason", reason).Bool("evacuate", evacuate).Int("runs", len(ws.Runs)).Msg("worker cordoned")
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -74,6 +74,9 @@
 	largestCapacity job.Resources
 	// listReadAt is when the list of workers was last read.
 	listReadAt time.Duration
+	// wakes are the workers whose next poll may be due sooner than NextPoll last
+	// returned, and those that are not tracked any more.
+	wakes map[string]bool
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
@@ -139,6 +142,7 @@
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
+		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
 		cordons:          map[string]*cordon{},
@@ -305,6 +309,7 @@
 		run.Adopted = true
 		run.Suspect = j.Suspect(r.Task)
 		ws.AddRun(run)
+		c.wakePoll(at.Worker.ID)
 	})
 }
 
--- a/internal/scheduler/export_liveness_test.go
+++ b/internal/scheduler/export_liveness_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// LateLeaseEnd returns until when a start that was sent to an earlier incarnation of
+// the worker of a task's last run, before the present one answered, may give all runs
+// there a lease. It returns the worker's ID too, or "" if the task has no run.
+func LateLeaseEnd(c *Core, t job.TaskID) (id string, end time.Duration) {
+	for _, r := range c.jobs[t.Job].Task(t).Runs {
+		if ws := c.workers[r.At.Worker.ID]; ws != nil {
+			return r.At.Worker.ID, ws.FencedAt + lateStartWait + c.leaseBounds().Allowed + expiryDelay
+		}
+	}
+	return "", 0
+}
+
 // TaskDone reports whether the holder knows that a task is done.
 func TaskDone(c *Core, t job.TaskID) bool {
 	j := c.jobs[t.Job]
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -49,25 +49,13 @@
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
 	// only once its lease has expired do its tasks run elsewhere.
-	if remaining <= 0 || !reachable(ws) || !c.mayExtendLease(ws) || now-c.listReadAt > maxListAge {
+	if remaining <= 0 || !reachable(ws) || !c.mayExtendLease(ws) || now-c.listReadAt > maxListAge || ws.HoldsStart(run, now) {
+		// The worker may not be polled while it is idle.
+		c.wakePoll(workerID)
 		return StartOrder{}, SendLater
 	}
-	if ws.HoldsStart(run, now) {
-		return StartOrder{}, SendLater
-	}
-	if !ws.Listed {
-		// Nothing shows what the worker's capacity is.
-		c.requestStop(ws, run, "its worker is no longer listed")
-		return StartOrder{}, SendNever
-	}
-	if ws.Draining && !j.Step(r.Task).Gang {
-		// The start has waited. The other members of a gang may have started.
-		c.requestStop(ws, run, "its worker is draining")
-		return StartOrder{}, SendNever
-	}
-	if ws.Overcommitted(run.Resources) {
-		// The capacity has shrunk since the run was placed.
-		c.requestStop(ws, run, "its worker's capacity has shrunk")
+	if reason := unwantedAt(ws, run, j.Step(r.Task)); reason != "" {
+		c.requestStop(ws, run, reason)
 		return StartOrder{}, SendNever
 	}
 	ws.StartSent(run, now)
@@ -86,9 +74,27 @@
 	}, SendNow
 }
 
+// unwantedAt returns why a start that has waited must not be sent to its worker any
+// more, or "" if it may be sent.
+func unwantedAt(ws *worker.State, run *worker.Run, s job.Step) string {
+	switch {
+	case !ws.Listed:
+		// Nothing shows what the worker's capacity is.
+		return "its worker is no longer listed"
+	case ws.Draining && !s.Gang:
+		// The other members of a gang may have started.
+		return "its worker is draining"
+	case ws.Overcommitted(run.Resources):
+		return "its worker's capacity has shrunk"
+	default:
+		return ""
+	}
+}
+
 // StartAnswered handles the answer to a start. It returns true when the order
 // should be sent again.
 func (c *Core) StartAnswered(s StartOrder, clock int64, err error, t Times) (resend bool) {
+	c.wakePoll(s.Worker)
 	ws := c.workers[s.Worker]
 	if ws == nil || ws.Incarnation.StartedAt != s.startedAt {
 		return false
@@ -231,8 +237,10 @@
 }
 
 // StopAnswered handles the answer to a stop. A stop that was not carried out is
-// returned again by the next call of StopOrders.
+// returned again by the next call of StopOrders. One that was carried out is followed
+// by polls until they show that the run has ended.
 func (c *Core) StopAnswered(s StopOrder, clock int64, err error, t Times) {
+	c.wakePoll(s.Worker)
 	ws := c.workers[s.Worker]
 	if ws == nil || ws.Incarnation.StartedAt != s.startedAt {
 		return
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -63,6 +65,19 @@
 	}
 }
 
+// wakePoll records that the next poll of a worker may be due sooner than NextPoll
+// last returned. Every change of what NextPoll depends on must be followed by it: who
+// polls an idle worker sleeps until then.
+func (c *Core) wakePoll(id string) { c.wakes[id] = true }
+
+// Wakes returns the workers for which NextPoll has to be called again, since the last
+// call of Wakes.
+func (c *Core) Wakes() []string {
+	out := slices.Sorted(maps.Keys(c.wakes))
+	clear(c.wakes)
+	return out
+}
+
 // mayHaveRuns reports whether a worker has or may have a run.
 func (c *Core) mayHaveRuns(ws *worker.State) bool {
 	for _, r := range ws.Runs {
@@ -146,6 +161,7 @@
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 	}
 	delete(c.workers, ws.Incarnation.ID)
+	c.wakePoll(ws.Incarnation.ID)
 	c.Uncordon(ws.Incarnation.ID)
 }
 
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -151,6 +151,7 @@
 	stops := r.core.StopOrders()
 	speeds := r.core.SpeedOrders()
 	needsPlan := r.core.NeedsPlan()
+	r.wakeAgents()
 	r.mu.Unlock()
 	for _, s := range stops {
 		go r.sendStop(s)
@@ -163,6 +164,16 @@
 	}
 }
 
+// wakeAgents wakes the agents whose workers may have to be polled sooner. It must be
+// called with mu held.
+func (r *Runner) wakeAgents() {
+	for _, id := range r.core.Wakes() {
+		if a := r.agents[id]; a != nil {
+			notify(a.wake)
+		}
+	}
+}
+
 // notify sends to ch unless a value is already waiting there.
 func notify(ch chan struct{}) {
 	select {
@@ -185,13 +196,6 @@
 	for id := range r.core.workers {
 		r.agent(ctx, id)
 	}
-	for id, a := range r.agents {
-		// The agent of an idle worker sleeps. It has to poll the next incarnation,
-		// and to end with its worker.
-		if ws := r.core.workers[id]; ws == nil || !ws.Fenced {
-			notify(a.wake)
-		}
-	}
 }
 
 // agent returns the agent of a worker and starts it if there is none. It must
@@ -278,8 +282,7 @@
 	return err
 }
 
-// commit carries out a logged batch: it starts the planned runs and wakes the
-// agents of workers whose ends can be acknowledged.
+// commit carries out a logged batch: it starts the planned runs.
 func (r *Runner) commit(ctx context.Context, b *Batch) {
 	for _, duration := range b.JobDurations {
 		r.metrics.jobDuration.RecordDuration(duration)
@@ -295,9 +298,6 @@
 		workerOf[s.run] = s.worker.ID
 	}
 	r.mu.Lock()
-	for id := range b.ends {
-		notify(r.agent(ctx, id).wake)
-	}
 	agents := make([]*agent, len(runs))
 	for i, run := range runs {
 		agents[i] = r.agent(ctx, workerOf[run])
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -60,6 +60,7 @@
 	case ws == nil:
 		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID))
 		c.workers[l.Incarnation.ID] = ws
+		c.wakePoll(l.Incarnation.ID)
 		c.applyCordon(ws)
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
 		return
@@ -77,6 +78,9 @@
 	}
 	ws.Listing = l
 	ws.Listed = true
+	if !reachable(ws) {
+		c.wakePoll(l.Incarnation.ID)
+	}
 	c.applyCordon(ws)
 }
 
@@ -87,6 +91,7 @@
 	ws.MarkCrash(true)
 	c.countLapsed(ws, t)
 	ws.ReplaceIncarnation(l, t.Now, c.leaseBounds())
+	c.wakePoll(l.Incarnation.ID)
 	c.applyCordon(ws)
 	c.needsPlan = true
 }
@@ -95,6 +100,7 @@
 func (c *Core) dropIdle(id string) {
 	if ws := c.workers[id]; ws != nil && !ws.Listed && len(ws.Runs) == 0 {
 		delete(c.workers, id)
+		c.wakePoll(id)
 		delete(c.health, id)
 		delete(c.governors, id)
 		c.Uncordon(id)
@@ -219,11 +225,16 @@
 	})
 }
 
-// requestStop marks a run to be stopped.
+// requestStop marks a run to be stopped. One whose start was never sent has ended with
+// that.
 func (c *Core) requestStop(ws *worker.State, r *worker.Run, reason string) {
 	if r == nil || r.Stopping {
 		return
 	}
+	if ws.NeverSent(r) {
+		c.discardRun(ws, r, reason)
+		return
+	}
 	r.Stopping = true
 	r.StopReason = reason
 	c.stoppingWorkers[ws.Incarnation.ID] = true
@@ -231,6 +242,20 @@
 	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", reason).Msg("stopping run")
 }
 
+// discardRun ends a run that is in the log and whose start was never sent, so that its
+// task can be placed again at once.
+func (c *Core) discardRun(ws *worker.State, r *worker.Run, reason string) {
+	ws.RemoveRun(r.ID)
+	c.needsPlan = true
+	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", reason).Msg("run dropped before its start was sent")
+	j := c.jobs[r.ID.Task.Job]
+	if j == nil || !j.DiscardRun(r.ID) {
+		return
+	}
+	c.stopIncompleteGang(j, r)
+	c.markDirty(j)
+}
+
 // expireLeases ends the runs of workers that do not answer, once every lease
 // granted to them has expired.
 func (c *Core) expireLeases(t Times) {
@@ -241,7 +266,7 @@
 		case ws.LeaseExpired(t.Now):
 			expired = append(expired, id)
 		default:
-			c.dropUnsent(ws, t)
+			c.dropUnsent(ws)
 			c.logKeptRuns(ws, t.Now)
 		}
 	}
@@ -266,15 +291,14 @@
 }
 
 // dropUnsent ends the runs on a silent worker whose start was never sent, so that
-// their tasks need not wait for its lease. Runs of earlier holders are on a worker
-// that has not seen this holder's token.
-func (c *Core) dropUnsent(ws *worker.State, t Times) {
-	if !ws.Fenced || ws.UnansweredCalls == 0 {
+// their tasks need not wait for its lease.
+func (c *Core) dropUnsent(ws *worker.State) {
+	if ws.UnansweredCalls == 0 {
 		return
 	}
 	for _, r := range sortedRuns(ws) {
-		if r.State == worker.RunOrdered && r.StartSentAt == 0 && !r.StartUnanswered {
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		if ws.NeverSent(r) {
+			c.discardRun(ws, r, "its worker does not answer")
 		}
 	}
 }
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -335,6 +335,12 @@
 	return offset > maxClockOffset || offset < -maxClockOffset-drift
 }
 
+// NeverSent reports whether no start of a run was ever sent: this holder planned it
+// for this incarnation of the worker, and the log holds it.
+func (s *State) NeverSent(r *Run) bool {
+	return s.Fenced && r.State == RunOrdered && !r.Adopted && r.StartSentAt == 0 && !r.StartUnanswered
+}
+
 // RecordUnanswered records a call that was not answered.
 func (s *State) RecordUnanswered() { s.UnansweredCalls++ }
 
