Repeat the deletion of ended jobs' submissions until it succeeds

Cause: the submission of an ended job was deleted from the intake with one append, dropped if it failed. The record that the job has ended expires by time, whether or not the submission is gone; the next holder then takes the submission for a new job. Change: the holder keeps which ended jobs may have records in the intake and repeats the deletion; their progress does not expire before. A record read during a deletion counts anew. Nothing expires while the intake has long been unread. In one batch a submission is deleted before its progress. Cancels of jobs that reached the holder directly, or never became known, are deleted too. The model in virtual time keeps states for 5 s and has deletions fail.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -75,7 +75,7 @@
 		c.dropApprovals(id)
 		c.endedJobs[id] = job.Progress{Phase: j.Phase, EndedAt: j.EndedAt}
 		if j.inIntake {
-			c.intakeDeletes = append(c.intakeDeletes, id)
+			c.leftInIntake.add(id)
 		}
 		if j.inJournal {
 			c.journalDeletes = append(c.journalDeletes, id)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -60,8 +60,9 @@
 	openJobs []*trackedJob
 	// submitted counts the jobs that became known.
 	submitted int64
-	// earlyCancels are the cancels of jobs that are not known yet.
-	earlyCancels map[job.ID]bool
+	// earlyCancels are the cancels of jobs that are not known yet, each with the time
+	// of day at which it was read, in milliseconds since 1970.
+	earlyCancels map[job.ID]int64
 	// endedJobs are settled jobs whose state may still be queried.
 	endedJobs map[job.ID]job.Progress
 	// restoredProgress is the logged progress of jobs whose submission was not
@@ -114,9 +115,13 @@
 	endedCheckedAt  int64
 	// nodeBuffer holds the nodes of the last plan.
 	nodeBuffer []placement.Node
-	// intakeDeletes and journalDeletes are ended jobs whose submission is to be
-	// deleted from the intake and from the progress partition.
-	intakeDeletes, journalDeletes []job.ID
+	// leftInIntake are the ended jobs of which the intake may hold records, and
+	// journalDeletes those whose submission is to be deleted from the progress
+	// partition.
+	leftInIntake   leftovers
+	journalDeletes []job.ID
+	// intakeBehind is set while submissions of long ago may not have been read yet.
+	intakeBehind bool
 	// jobDurations are how long the jobs took that ended since the last plan.
 	jobDurations []time.Duration
 	// needsPlan is set when a new plan could differ from the last one.
@@ -138,7 +143,8 @@
 	c := &Core{
 		opt:              opt,
 		jobs:             map[job.ID]*trackedJob{},
-		earlyCancels:     map[job.ID]bool{},
+		earlyCancels:     map[job.ID]int64{},
+		leftInIntake:     leftovers{},
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
@@ -202,15 +208,10 @@
 	for _, rec := range records {
 		if rec.Cancelled {
 			c.cancel(rec.ID, t)
-			continue
-		}
-		j := c.submit(rec.Submission, t)
-		if j == nil {
-			c.intakeDeletes = append(c.intakeDeletes, rec.ID)
-			continue
+		} else if j := c.submit(rec.Submission, t); j != nil {
+			j.submission = nil
 		}
-		j.inIntake = true
-		j.submission = nil
+		c.noteInIntake(rec.ID)
 	}
 	c.needsPlan = true
 }
@@ -283,8 +284,9 @@
 	c.waiting.jobChanged(j)
 	c.adoptRuns(j, t.Now)
 	c.stopRedundant(j)
-	if c.earlyCancels[id] {
+	if _, cancelled := c.earlyCancels[id]; cancelled {
 		delete(c.earlyCancels, id)
+		j.inIntake = true
 		c.cancel(id, t)
 	}
 	return j
@@ -318,7 +320,7 @@
 	j := c.jobs[id]
 	if j == nil {
 		if _, ended := c.endedJobs[id]; !ended {
-			c.earlyCancels[id] = true
+			c.earlyCancels[id] = t.Wall
 		}
 		return
 	}
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -24,3 +26,13 @@
 // EarlierLeasesEnd returns when the last lease has expired that an earlier holder may
 // have granted.
 func EarlierLeasesEnd(c *Core) time.Duration { return c.earlierLeasesEnd }
+
+// DeleteLeftovers has the core take what the intake holds of ended jobs for deleted
+// where deleted returns true.
+func DeleteLeftovers(c *Core, deleted func(job.ID) bool) {
+	for _, id := range slices.Sorted(maps.Keys(c.leftInIntake)) {
+		if deleted(id) {
+			c.leftInIntake.deleted(leftovers{id: c.leftInIntake[id]})
+		}
+	}
+}
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// TestInvariantsWhileStatesExpire does what TestInvariantsUnderRandomFaults does while
+// the states of ended jobs are kept for a short time only, and deletions of their
+// submissions fail. No task may run again.
+func TestInvariantsWhileStatesExpire(t *testing.T) {
+	for i := range *schedules {
+		seed := *scheduleSeed + uint64(i)
+		w := newSimWorld(t, seed, 2+int(seed%4))
+		w.retention = simShortRetention
+		runSchedule(w)
+		if len(w.violations) > 0 {
+			t.Fatalf("schedule %d: %d invariant violations, first:\n%s", seed, len(w.violations), w.violations[0])
+		}
+	}
+}
+
+// simShortRetention is for how long the state of an ended job is kept where it expires.
+// It is longer than callers take to submit a job again.
+const simShortRetention = 5 * time.Second
+
 // runSchedule submits jobs and causes faults for a while, then ends the faults
 // and lets the jobs finish.
 func runSchedule(w *simWorld) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -11,22 +11,14 @@
 	"greengagedeck/internal/worker"
 )
 
-const (
-	// healthInterval is the time between two searches for overdue runs.
-	healthInterval = 100 * time.Millisecond
-	// endedCheckInterval is the time between two searches for ended jobs whose
-	// state need not be kept any more.
-	endedCheckInterval = time.Second
-)
+// healthInterval is the time between two searches for overdue runs.
+const healthInterval = 100 * time.Millisecond
 
 // Batch holds the records that must be logged before the starts of one plan may
 // be sent.
 type Batch struct {
 	// Progress goes to the progress partition.
 	Progress []logstore.Entry
-	// IntakeDeletes are the jobs to delete from the intake partitions. Writing
-	// that may fail.
-	IntakeDeletes []job.ID
 	// JobDurations are how long the jobs took that ended since the last plan.
 	JobDurations []time.Duration
 
@@ -57,9 +49,6 @@
 	startedAt, number int64
 }
 
-// Empty reports whether a batch has nothing to log.
-func (b *Batch) Empty() bool { return len(b.Progress) == 0 && len(b.IntakeDeletes) == 0 }
-
 // Plan decides which runs to start and returns the records to log. Every batch
 // must be passed to Committed before the next plan is made.
 func (c *Core) Plan(t Times) (*Batch, error) {
@@ -295,12 +284,12 @@
 			b.ends[id] = endPosition{ws.Incarnation.StartedAt, ws.LastEndSeen}
 		}
 	}
-	c.expireEnded(b, t.Wall)
-	b.IntakeDeletes = c.intakeDeletes
+	// A submission is deleted before the progress that tells that its job has ended.
 	for _, id := range c.journalDeletes {
 		b.Progress = append(b.Progress, joblog.DeleteProgressSubmission(id))
 	}
-	c.intakeDeletes, c.journalDeletes = nil, nil
+	c.journalDeletes = nil
+	c.expireEnded(b, t.Wall)
 	return c.encodeEarlierLeases(b, t.Now)
 }
 
@@ -326,17 +315,3 @@
 	j.batchedVersion = j.version
 	return nil
 }
-
-// expireEnded deletes the progress of jobs whose state is no longer kept.
-func (c *Core) expireEnded(b *Batch, wall int64) {
-	if wall < c.endedCheckedAt+endedCheckInterval.Milliseconds() {
-		return
-	}
-	c.endedCheckedAt = wall
-	for id, p := range c.endedJobs {
-		if wall-p.EndedAt > c.opt.StatusRetention.Milliseconds() {
-			delete(c.endedJobs, id)
-			b.Progress = append(b.Progress, joblog.DeleteProgress(id))
-		}
-	}
-}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -28,8 +28,6 @@
 	intakeGap = 5 * time.Millisecond
 	// readRetry is the wait after a read of the log that failed.
 	readRetry = 100 * time.Millisecond
-	// deleteInterval is the time between deletions of ended jobs' submissions.
-	deleteInterval = 2 * time.Second
 	// startRetry is the wait before a start that was not answered is sent
 	// again.
 	startRetry = 50 * time.Millisecond
@@ -78,8 +76,6 @@
 	intakeReadUpTo map[logstore.Partition]time.Duration
 	// ready is set once what earlier holders logged has been loaded.
 	ready bool
-	// intakeDeletes are the jobs to delete from the intake.
-	intakeDeletes []job.ID
 	// logWaiters are the callers that wait for a version of a job to be logged.
 	logWaiters map[job.ID][]logWaiter
 	// appendStarted is when the append in flight began, or 0 when there is
@@ -218,6 +214,7 @@
 			return nil
 		}
 		r.mu.Lock()
+		r.trackIntakeLag()
 		batch, err := r.core.Plan(r.times())
 		r.mu.Unlock()
 		if err != nil {
@@ -290,7 +287,6 @@
 	var runs []job.RunID
 	r.update(func(t Times) {
 		runs = r.core.Committed(b, t)
-		r.intakeDeletes = append(r.intakeDeletes, b.IntakeDeletes...)
 		r.notifyLogged(b.Versions())
 	})
 	workerOf := make(map[job.RunID]string, len(b.starts))
@@ -334,25 +330,3 @@
 		}
 	}
 }
-
-// deleteLoop deletes the submissions of ended jobs. A deletion that fails is
-// dropped: the next holder finds that the job has ended and deletes its
-// submission.
-func (r *Runner) deleteLoop(ctx context.Context) {
-	for clock.Sleep(ctx, deleteInterval) {
-		r.mu.Lock()
-		ids := r.intakeDeletes
-		r.intakeDeletes = nil
-		r.mu.Unlock()
-		entries := map[logstore.Partition][]logstore.Entry{}
-		for _, id := range ids {
-			p := joblog.IntakePartition(r.opt.Pool, id)
-			entries[p] = append(entries[p], joblog.DeleteIntake(id)...)
-		}
-		for p, list := range entries {
-			if _, err := r.opt.Log.Append(ctx, p, list, logstore.Condition{}); err != nil {
-				r.opt.Logger.Debug().Err(err).Int("entries", len(list)).Msg("deleting the submissions of ended jobs failed")
-			}
-		}
-	}
-}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -36,6 +36,10 @@
 	// simCancelTimeout is how long after a cancel tasks of the job may still
 	// start.
 	simCancelTimeout = 3 * time.Second
+	// simDeleteInterval is the time between two deletions of what the intake holds of
+	// ended jobs, and simFailedDeletions the part of them that fails.
+	simDeleteInterval  = 2 * time.Second
+	simFailedDeletions = 0.5
 )
 
 // simWorld simulates a pool with its workers, its log and successive holders in
@@ -59,6 +63,10 @@
 	progress map[string][]byte
 	epoch    int64
 	intake   []joblog.IntakeRecord
+	// intakeDeleted is, by job, up to where its records in the intake were deleted, and
+	// retention is how long the state of an ended job is kept.
+	intakeDeleted map[job.ID]int
+	retention     time.Duration
 
 	specs       map[job.ID]job.Spec
 	ids         []job.ID
@@ -119,6 +127,8 @@
 		rng:              newSeededRand(seed),
 		now:              time.Hour,
 		progress:         map[string][]byte{},
+		intakeDeleted:    map[job.ID]int{},
+		retention:        time.Hour,
 		specs:            map[job.ID]job.Spec{},
 		maxFailures:      map[job.ID]int{},
 		cancelled:        map[job.ID]time.Duration{},
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -32,6 +32,7 @@
 	planning      bool
 	plannedAt     time.Duration
 	listedAt      time.Duration
+	deletedAt     time.Duration
 	listReadAt    time.Duration
 	polling       map[string]bool
 	lastPoll      map[string]time.Duration
@@ -74,7 +75,7 @@
 			MaxLease:        simMaxLease,
 			StopTimeout:     simStopTimeout,
 			DutyLease:       simDutyLease,
-			StatusRetention: time.Hour,
+			StatusRetention: w.retention,
 			Logger:          w.logger(),
 		}, w.now),
 	}
@@ -129,10 +130,38 @@
 	if !h.active() {
 		return
 	}
-	h.core.ApplyIntake(h.w.intake[h.appliedIntake:], h.w.times())
+	records := h.w.intake[h.appliedIntake:]
+	if h.appliedIntake == 0 {
+		records = h.w.intakeLeft()
+	}
+	h.core.ApplyIntake(records, h.w.times())
 	h.appliedIntake = len(h.w.intake)
 }
 
+// deleteLeftovers tries to delete what the intake holds of ended jobs. Some deletions
+// fail.
+func (h *simHolder) deleteLeftovers() {
+	h.deletedAt = h.w.now
+	scheduler.DeleteLeftovers(h.core, func(id job.ID) bool {
+		if !h.reachesLog() || h.w.rng.Float64() < simFailedDeletions {
+			return false
+		}
+		h.w.intakeDeleted[id] = len(h.w.intake)
+		return true
+	})
+}
+
+// intakeLeft returns the records of the intake that were not deleted.
+func (w *simWorld) intakeLeft() []joblog.IntakeRecord {
+	var out []joblog.IntakeRecord
+	for i, rec := range w.intake {
+		if i >= w.intakeDeleted[rec.ID] {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 func (h *simHolder) readList() {
 	if !h.active() || h.w.listDown {
 		return
@@ -170,6 +199,9 @@
 	if !h.planning && (h.core.NeedsPlan() || h.w.now-h.plannedAt > 250*time.Millisecond) {
 		h.plan()
 	}
+	if h.w.now-h.deletedAt > simDeleteInterval {
+		h.deleteLeftovers()
+	}
 	h.sendStops()
 	for _, id := range h.core.Wakes() {
 		delete(h.asleep, id)
