Conclude nothing from what a partial report does not list

Cause: a confirmed run that an answer lists neither as active nor as ended counted as lost, though an answer holds the first 500 ends only. So did the first answer to a new holder. Change: Report.Partial, set where an answer is full; a partial report settles nothing that it does not list (keepMissing). Runs of earlier holders and incarnations are settled by the first report that is not partial (State.Reconciled), and the worker takes no task before. The model's workers list 1 to 8 ends.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -304,7 +304,7 @@
 		}
 		// Only a poll that starts from now on can show whether the run is
 		// there.
-		ws.Fenced = false
+		ws.Unfence()
 		s := j.Step(r.Task)
 		run := worker.NewRun(r, s, worker.RunOrdered, now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -153,7 +153,7 @@
 
 // acceptsTasks reports whether a worker takes new tasks.
 func (c *Core) acceptsTasks(ws *worker.State) bool {
-	return ws.Listed && !ws.Draining && ws.CordonReason == "" && reachable(ws)
+	return ws.Listed && !ws.Draining && ws.CordonReason == "" && reachable(ws) && ws.Reconciled
 }
 
 // placementRequest returns the requirements of one task of a group.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -54,7 +54,7 @@
 		return last, ws.Listed || len(ws.Runs) > 0
 	case ws.LastEndSeen > ws.LastEndLogged:
 		return last + unloggedPollGap, true
-	case c.mayHaveRuns(ws):
+	case c.mayHaveRuns(ws) || !ws.Reconciled && ws.Listed:
 		return last + pollGap, true
 	case ws.LastEndLogged > ws.LastEndAcknowledged && ws.CordonReason != "":
 		return last + pollGap, true
@@ -188,15 +188,18 @@
 	ws.RecordAnswer(report.Clock, t.Now)
 	ws.Lapsed = nil
 	ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
-	firstAnswer := !ws.Fenced
-	if firstAnswer {
+	if !ws.Fenced {
 		ws.Fenced = true
 		ws.FencedAt = t.Now
 		c.needsPlan = true
 	}
 	ended := c.applyEnds(ws, report.Ended, t)
 	active := c.applyRunning(ws, report.Running, p.Sent, t.Now)
-	c.resolveMissing(ws, p, firstAnswer, active, ended, t)
+	if report.Partial {
+		c.keepMissing(ws, p, active)
+	} else {
+		c.resolveMissing(ws, p, active, ended, t)
+	}
 	if ws.LastEndSeen > ws.LastEndLogged {
 		c.needsPlan = true
 	}
@@ -272,9 +275,24 @@
 	return r
 }
 
+// keepMissing handles the runs that a partial answer does not list. They may have
+// ended, so none counts as active, but how they ended is not known yet.
+func (c *Core) keepMissing(ws *worker.State, p Poll, active map[job.RunID]bool) {
+	for _, r := range ws.Runs {
+		if r.State == worker.RunConfirmed && r.StateSince < p.Sent && !active[r.ID] {
+			r.ProgressPercent = 0
+		}
+	}
+}
+
 // resolveMissing handles the runs that an answer lists neither as running nor
-// as ended.
-func (c *Core) resolveMissing(ws *worker.State, p Poll, firstAnswer bool, active, ended map[job.RunID]bool, t Times) {
+// as ended. The answer must not be partial.
+func (c *Core) resolveMissing(ws *worker.State, p Poll, active, ended map[job.RunID]bool, t Times) {
+	firstAnswer := !ws.Reconciled
+	if firstAnswer {
+		ws.Reconciled = true
+		c.needsPlan = true
+	}
 	for _, r := range sortedRuns(ws) {
 		if active[r.ID] || ended[r.ID] || r.State == worker.RunPlanned {
 			continue
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -36,6 +36,8 @@
 	// simCancelTimeout is how long after a cancel tasks of the job may still
 	// start.
 	simCancelTimeout = 3 * time.Second
+	// simMaxEnds is how many ends a worker lists in one answer at most.
+	simMaxEnds = 8
 	// simDeleteInterval is the time between two deletions of what the intake holds of
 	// ended jobs, and simFailedDeletions the part of them that fails.
 	simDeleteInterval  = 2 * time.Second
@@ -88,6 +90,8 @@
 	// lostRate, delayedRate and unansweredRate are the probabilities that a call is
 	// lost, carried out seconds later, or carried out without an answer.
 	lostRate, delayedRate, unansweredRate float64
+	// maxEnds is how many ends a worker lists in one answer.
+	maxEnds int
 	// logDown is set while the log answers no calls, and logDelay is how long it takes
 	// to answer an append.
 	logDown  bool
@@ -142,6 +146,10 @@
 		stopOrdered:      map[job.TaskID]bool{},
 	}
 	w.crashes = newCrashModel(w)
+	w.maxEnds = simMaxEnds
+	if w.rng.IntN(2) == 0 {
+		w.maxEnds = 1 + w.rng.IntN(simMaxEnds)
+	}
 	for i := range workers {
 		s := &simWorker{
 			w:         w,
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -175,7 +175,8 @@
 		s.extendLease(req.LeaseUntil)
 	}
 	s.acknowledge(req.Acknowledged)
-	rep := worker.Report{StartedAt: s.startedAt, Clock: s.clock(), Ended: slices.Clone(s.ended)}
+	listed := min(len(s.ended), s.w.maxEnds)
+	rep := worker.Report{StartedAt: s.startedAt, Clock: s.clock(), Ended: slices.Clone(s.ended[:listed]), Partial: listed == s.w.maxEnds}
 	for _, r := range s.running {
 		percent := 0
 		if s.w.now >= r.started+simStartupTime {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -158,9 +158,12 @@
 	// Listed is set if the platform's list names the worker at present.
 	Listed bool
 	// Fenced is set once this incarnation has seen the holder's token. From
-	// then on orders of earlier holders have no effect, and the runs at the
-	// worker are known.
+	// then on orders of earlier holders have no effect.
 	Fenced bool
+	// Reconciled is set once a report that was not partial has arrived since the
+	// incarnation was fenced. Until then a run of an earlier holder or incarnation
+	// that no report has listed may be at the worker or may have ended there.
+	Reconciled bool
 	// FencedAt is when the holder learned that the incarnation has seen its
 	// token.
 	FencedAt time.Duration
@@ -320,12 +323,15 @@
 		s.UnansweredCalls = 0
 		s.LastAnswer = now
 	case s.clockJumped(clock, now):
-		s.Fenced = false
+		s.Unfence()
 	default:
 		s.RecordAnswer(clock, now)
 	}
 }
 
+// Unfence records that the runs at the worker are not known any more.
+func (s *State) Unfence() { s.Fenced, s.Reconciled = false, false }
+
 // clockJumped reports whether a reading cannot come from the clock that was
 // read before.
 func (s *State) clockJumped(clock int64, now time.Duration) bool {
@@ -338,7 +344,7 @@
 // NeverSent reports whether no start of a run was ever sent: this holder planned it
 // for this incarnation of the worker, and the log holds it.
 func (s *State) NeverSent(r *Run) bool {
-	return s.Fenced && r.State == RunOrdered && !r.Adopted && r.StartSentAt == 0 && !r.StartUnanswered
+	return s.Reconciled && r.State == RunOrdered && !r.Adopted && r.StartSentAt == 0 && !r.StartUnanswered
 }
 
 // RecordUnanswered records a call that was not answered.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -104,6 +104,10 @@
 	Clock     int64
 	Running   []RunStatus
 	Ended     []RunEnd
+	// Partial is set if the report may lack runs: the worker has more ends to list
+	// than one answer holds, or a row could not be read. A run that such a report does
+	// not list may be active or may have ended in any way.
+	Partial bool
 }
 
 // Control sends orders to workers. An error is a *RejectedError,
