Find the pool that accepted a job for cancels, repeated submissions and counts

Cause: the pool of a job was taken from the entry in force. After a configuration had sent the entry to another pool, the cancel was stored in that pool's intake, where nobody knew the job. A job that was handed in again was accepted a second time, and jobs of the old pool were not counted as waiting. Change: a cancel looks in all pools, and is stored for each that cannot tell. For a minute after a move, pools that served the entry are asked before a job is accepted. Holders reject jobs of entries that moved. Counts include earlier pools and names. A stored cancel alone shows no job.

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -52,6 +52,11 @@
 	OutcomeRejected
 	// OutcomeNotHeld means that the daemon does not hold the pool.
 	OutcomeNotHeld
+	// OutcomeUnknownJob means that the daemon holds the pool and knows no such job.
+	OutcomeUnknownJob
+	// OutcomeMoved means that a newer configuration than that of the request sends the
+	// entry's jobs to another pool. The request had no effect.
+	OutcomeMoved
 )
 
 // HolderResponse is the response to a SubmitRequest or a CancelRequest.
@@ -59,13 +64,23 @@
 	Outcome Outcome `cbor:"1,keyasint"`
 	// Reason describes the error, unless the request was stored.
 	Reason string `cbor:"2,keyasint,omitempty"`
+	// Lag is that of an UnknownJobError.
+	Lag time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+// errMoved is the rejection of a job for a pool that does not serve its entry any more.
+var errMoved = verdict.NewNotRun(verdict.ReasonNotReady, "another pool serves the entry since")
+
 // responseFor returns the response that carries the error of a local request.
 func responseFor(err error) HolderResponse {
+	var unknown *scheduler.UnknownJobError
 	switch {
 	case err == nil:
 		return HolderResponse{Outcome: OutcomeStored}
+	case errors.As(err, &unknown):
+		return HolderResponse{Outcome: OutcomeUnknownJob, Lag: unknown.Lag}
+	case errors.Is(err, errMoved):
+		return HolderResponse{Outcome: OutcomeMoved}
 	case errors.Is(err, scheduler.ErrPoolNotHeld):
 		return HolderResponse{Outcome: OutcomeNotHeld}
 	case verdict.Of(err) == verdict.NotRun:
@@ -82,6 +97,10 @@
 		return nil
 	case OutcomeNotHeld:
 		return scheduler.ErrPoolNotHeld
+	case OutcomeUnknownJob:
+		return &scheduler.UnknownJobError{Lag: r.Lag}
+	case OutcomeMoved:
+		return errMoved
 	case OutcomeRejected:
 		return verdict.NewNotRun(verdict.ReasonNotReady, "%s", r.Reason)
 	default:
@@ -110,6 +129,9 @@
 
 // submitLocally submits a job to the pool's runner in this daemon.
 func (s *Service) submitLocally(ctx context.Context, sub *joblog.Submission) error {
+	if s.hasMoved(&sub.Terms) {
+		return errMoved
+	}
 	r, ok := s.opt.Local.Runner(sub.Terms.Pool)
 	if !ok {
 		return scheduler.ErrPoolNotHeld
@@ -134,28 +156,25 @@
 // the next holder reads it. A job that is stored in both ways runs only once.
 func (s *Service) Submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
 	start := s.opt.Clock.Now()
-	sub := joblog.Submission{Spec: spec, Terms: e.Terms(version), AcceptedAt: s.opt.Clock.Wall().UnixMilli()}
-	err := s.sendToHolder(ctx, e.Pool, MethodSubmit, SubmitRequest{sub}, func(ctx context.Context) error {
-		return s.submitLocally(ctx, &sub)
-	})
-	if err != nil && !s.finallyRejected(err) {
-		err = s.appendToIntakeLog(ctx, e.Pool, spec.ID, err, func() (logstore.Entry, error) { return joblog.IntakeSubmissionEntry(sub) })
-	}
+	err := s.submit(ctx, e, version, spec)
 	s.metrics.countSubmission(err)
 	s.logOutcome("job accepted", "job not accepted", spec.ID, e, start, err)
 	return err
 }
 
-// Cancel cancels a job. Once it returns nil, the cancel is stored.
-func (s *Service) Cancel(ctx context.Context, e policy.Entry, id job.ID) error {
-	start := s.opt.Clock.Now()
-	req := CancelRequest{Pool: e.Pool, ID: id}
-	err := s.sendToHolder(ctx, e.Pool, MethodCancel, req, func(ctx context.Context) error { return s.cancelLocally(ctx, req) })
+// submit does what Submit does, without logging the outcome.
+func (s *Service) submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
+	accepted, err := s.acceptedEarlier(ctx, e, spec.ID)
+	if accepted || err != nil {
+		return err
+	}
+	sub := joblog.Submission{Spec: spec, Terms: e.Terms(version), AcceptedAt: s.opt.Clock.Wall().UnixMilli()}
+	err = s.sendToHolder(ctx, e.Pool, MethodSubmit, SubmitRequest{sub}, func(ctx context.Context) error {
+		return s.submitLocally(ctx, &sub)
+	})
 	if err != nil && !s.finallyRejected(err) {
-		err = s.appendToIntakeLog(ctx, e.Pool, id, err, func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil })
+		err = s.appendToIntakeLog(ctx, e.Pool, spec.ID, err, func() (logstore.Entry, error) { return joblog.IntakeSubmissionEntry(sub) })
 	}
-	s.metrics.countCancel(err)
-	s.logOutcome("cancel accepted", "cancel not accepted", id, e, start, err)
 	return err
 }
 
@@ -169,6 +188,9 @@
 // this daemon lately. That is safe, because a rejected request has no effect at the
 // holder.
 func (s *Service) finallyRejected(err error) bool {
+	if errors.Is(err, errMoved) {
+		return true
+	}
 	if errors.Is(err, scheduler.ErrPoolNotHeld) || verdict.Of(err) != verdict.NotRun {
 		return false
 	}
@@ -188,7 +210,7 @@
 // holder failed with holderErr. It returns the verdict not-run only if the request
 // certainly had no effect at the holder either.
 func (s *Service) appendToIntakeLog(ctx context.Context, pool string, id job.ID, holderErr error, entry func() (logstore.Entry, error)) error {
-	noEffect := errors.Is(holderErr, scheduler.ErrPoolNotHeld) || verdict.Of(holderErr) == verdict.NotRun
+	noEffect := errors.Is(holderErr, scheduler.ErrPoolNotHeld) || isUnknownJob(holderErr) || verdict.Of(holderErr) == verdict.NotRun
 	if age := s.opt.LogAge(); age >= maxLogAge && noEffect {
 		return notStorable(age)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -219,12 +220,7 @@
 // findInOtherPools looks for a job in all pools but one. The job's entry may have
 // referred to another pool when the job was accepted.
 func (s *Service) findInOtherPools(ctx context.Context, exclude string, id job.ID) (job.Phase, error) {
-	var pools []string
-	for _, p := range s.opt.Policy.Get().WorkerPools() {
-		if p != exclude {
-			pools = append(pools, p)
-		}
-	}
+	pools := s.otherPools(exclude)
 	answers := make([]StateResponse, len(pools))
 	errs := make([]error, len(pools))
 	var wg sync.WaitGroup
@@ -279,20 +275,41 @@
 	return s.opt.Caller.Call(ctx, c.Holder.ID(), m, q, a)
 }
 
-// QueuedJobs returns how many jobs of an entry have started no task.
+// QueuedJobs returns how many jobs of an entry have started no task, with those that
+// were accepted while another pool served it.
 func (s *Service) QueuedJobs(ctx context.Context, e policy.Entry) (int, error) {
-	q := QueuedJobsRequest{Pool: e.Pool, Entry: e.Name}
+	queries := []QueuedJobsRequest{{Pool: e.Pool, Entry: e.Name}}
+	for _, earlier := range e.Earlier {
+		if earlier.Pool == e.Pool || slices.Contains(s.otherPools(e.Pool), earlier.Pool) {
+			queries = append(queries, QueuedJobsRequest{Pool: earlier.Pool, Entry: earlier.Name})
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, queryLimit)
 	defer cancel()
+	counts, errs := make([]int, len(queries)), make([]error, len(queries))
+	var wg sync.WaitGroup
+	for i, q := range queries {
+		wg.Go(func() { counts[i], errs[i] = s.queuedJobsIn(ctx, q) })
+	}
+	wg.Wait()
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total, errors.Join(errs...)
+}
+
+// queuedJobsIn asks the holder of a pool until it answers or ctx ends.
+func (s *Service) queuedJobsIn(ctx context.Context, q QueuedJobsRequest) (int, error) {
 	for {
 		var a QueuedJobsResponse
-		err := s.queryHolder(ctx, e.Pool, MethodQueuedJobs, q, &a, func() { a = s.localQueuedJobs(q) })
+		err := s.queryHolder(ctx, q.Pool, MethodQueuedJobs, q, &a, func() { a = s.localQueuedJobs(q) })
 		if err == nil && a.Held {
 			return a.Count, nil
 		}
 		if !clock.Sleep(ctx, queryRetry) {
 			s.metrics.unanswered.Inc(1)
-			return 0, verdict.NewNotRun(verdict.ReasonNotReady, "nobody answers for pool %s", e.Pool)
+			return 0, verdict.NewNotRun(verdict.ReasonNotReady, "nobody answers for pool %s", q.Pool)
 		}
 	}
 }
--- /dev/null
+++ b/internal/intake/moved.go
@@ -0,0 +1,212 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"greengagedeck/internal/clock"
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/policy"
+	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/verdict"
+)
+
+// A configuration may send an entry's jobs to another pool. Jobs that were accepted
+// before stay where they are, so a request about one job has to find its pool.
+
+const (
+	// resubmitTime is for how long after an entry was replaced a job that it may have
+	// accepted is looked for before the same job is accepted in another pool: callers
+	// repeat a submission that got no answer.
+	resubmitTime = time.Minute
+	// settleTime is how long after an entry was replaced here its pool may still get
+	// submissions: other daemons apply the configuration later, and an append may be
+	// carried out late.
+	settleTime = 5 * time.Second
+)
+
+// isUnknownJob reports whether an error is a holder's answer that it does not know the
+// job.
+func isUnknownJob(err error) bool {
+	var unknown *scheduler.UnknownJobError
+	return errors.As(err, &unknown)
+}
+
+// hasMoved reports whether a newer configuration than that of a job's terms sends the
+// jobs of its entry to another pool.
+func (s *Service) hasMoved(t *job.Terms) bool {
+	p := s.opt.Policy.Get()
+	if p == nil || p.Version <= t.Version {
+		return false
+	}
+	e, ok := p.Entry(t.Entry)
+	return ok && e.Pool != t.Pool
+}
+
+// earlierPools returns the pools other than the entry's own that served it until less
+// than resubmitTime ago, with until when. A pool that runs tasks no more has no holder
+// to ask.
+func (s *Service) earlierPools(e policy.Entry) map[string]time.Time {
+	if len(e.Earlier) == 0 {
+		return nil
+	}
+	others := s.otherPools(e.Pool)
+	out := map[string]time.Time{}
+	for _, earlier := range e.Earlier {
+		if slices.Contains(others, earlier.Pool) && time.Since(earlier.Until) < resubmitTime && earlier.Until.After(out[earlier.Pool]) {
+			out[earlier.Pool] = earlier.Until
+		}
+	}
+	return out
+}
+
+// sureLag returns the largest lag with which a holder can tell that it has no job which
+// its pool accepted before a request that came at start, if the pool served the entry
+// until the given moment.
+func sureLag(start, until time.Time) time.Duration {
+	return max(time.Since(start), time.Since(until)-settleTime)
+}
+
+// acceptedEarlier reports whether a pool that served the entry lately has accepted a
+// job. It fails with the verdict not-run if such a pool cannot tell.
+func (s *Service) acceptedEarlier(ctx context.Context, e policy.Entry, id job.ID) (bool, error) {
+	pools := s.earlierPools(e)
+	if len(pools) == 0 {
+		return false, nil
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, limitToFraction(ctx, queryLimit))
+	defer cancel()
+	for {
+		sure := true
+		for pool, a := range s.queryStates(ctx, pools, id) {
+			if a.err == nil && a.Known {
+				s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", pool).Msg("job was accepted by the pool that served its entry before")
+				return true, nil
+			}
+			sure = sure && a.err == nil && a.Lag <= sureLag(start, pools[pool])
+		}
+		if sure {
+			return false, nil
+		}
+		if !clock.Sleep(ctx, queryRetry) {
+			s.metrics.unanswered.Inc(1)
+			return false, verdict.NewNotRun(verdict.ReasonNotReady, "a pool that served the entry before cannot tell whether it has the job")
+		}
+	}
+}
+
+// poolState is the answer of a pool's holder to a query for the state of a job.
+type poolState struct {
+	StateResponse
+	err error
+}
+
+// queryStates queries the holders of pools for the state of a job.
+func (s *Service) queryStates(ctx context.Context, pools map[string]time.Time, id job.ID) map[string]poolState {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[string]poolState{}
+	for pool := range pools {
+		wg.Go(func() {
+			a, err := s.queryState(ctx, pool, id)
+			mu.Lock()
+			defer mu.Unlock()
+			out[pool] = poolState{a, err}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// otherPools returns the pools that run tasks, but for one.
+func (s *Service) otherPools(exclude string) []string {
+	p := s.opt.Policy.Get()
+	if p == nil {
+		return nil
+	}
+	return slices.DeleteFunc(p.WorkerPools(), func(pool string) bool { return pool == exclude })
+}
+
+// Cancel cancels a job, in whichever pool it is. Once it returns nil, the cancel is
+// stored there, or for every pool that may have the job.
+func (s *Service) Cancel(ctx context.Context, e policy.Entry, id job.ID) error {
+	start := s.opt.Clock.Now()
+	err := s.cancelIn(ctx, e.Pool, id)
+	if err != nil && !s.finallyRejected(err) {
+		err = s.cancelElsewhere(ctx, e, id, err)
+	}
+	s.metrics.countCancel(err)
+	s.logOutcome("cancel accepted", "cancel not accepted", id, e, start, err)
+	return err
+}
+
+// cancelIn cancels a job at the holder of a pool.
+func (s *Service) cancelIn(ctx context.Context, pool string, id job.ID) error {
+	req := CancelRequest{Pool: pool, ID: id}
+	return s.sendToHolder(ctx, pool, MethodCancel, req, func(ctx context.Context) error { return s.cancelLocally(ctx, req) })
+}
+
+// cancelElsewhere cancels a job that the holder of its entry's pool did not cancel,
+// with the error ownErr. If no other holder knows the job, the cancel is stored for the
+// entry's pool, which may yet read the submission, and for each pool whose holder cannot
+// tell.
+func (s *Service) cancelElsewhere(ctx context.Context, e policy.Entry, id job.ID, ownErr error) error {
+	start := time.Now()
+	earlier := s.earlierPools(e)
+	others := s.otherPools(e.Pool)
+	errs := make([]error, len(others))
+	var calls sync.WaitGroup
+	for i, pool := range others {
+		calls.Go(func() { errs[i] = s.cancelIn(ctx, pool, id) })
+	}
+	calls.Wait()
+	store := map[string]error{e.Pool: ownErr}
+	for i, pool := range others {
+		if errs[i] == nil {
+			s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", pool).Msg("cancelled in a pool that served the entry before")
+			return nil
+		}
+		limit := maxLag
+		if until, served := earlier[pool]; served {
+			limit = sureLag(start, until)
+		}
+		var unknown *scheduler.UnknownJobError
+		if !errors.As(errs[i], &unknown) || unknown.Lag > limit {
+			store[pool] = errs[i]
+		}
+	}
+	return s.storeCancels(ctx, store, id)
+}
+
+// storeCancels stores the cancel of a job for pools, whose holders did not cancel it
+// with the given errors. All of them must succeed.
+func (s *Service) storeCancels(ctx context.Context, pools map[string]error, id job.ID) error {
+	cancel := func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil }
+	var mu sync.Mutex
+	var appends sync.WaitGroup
+	var failed error
+	stored := false
+	for pool, holderErr := range pools {
+		appends.Go(func() {
+			err := s.appendToIntakeLog(ctx, pool, id, holderErr, cancel)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				stored = true
+			} else if failed == nil || verdict.Of(err) != verdict.NotRun {
+				failed = err
+			}
+		})
+	}
+	appends.Wait()
+	if failed != nil && stored && verdict.Of(failed) == verdict.NotRun {
+		return verdict.NewMayHaveRun(verdict.ReasonPeerLost, "the cancel is stored for some pools only: %v", failed)
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/intake/moved_test.go
@@ -0,0 +1,293 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore/logtest"
+	"greengagedeck/internal/peer"
+	"greengagedeck/internal/policy"
+	"greengagedeck/internal/verdict"
+)
+
+// movePools are the pools among which the entry moves.
+var movePools = []string{"p", "q", "r"}
+
+// heldPool is a pool at its holder: its jobs, each with whether it is cancelled.
+type heldPool struct {
+	jobs map[job.ID]bool
+	// early are the cancels of jobs that the pool does not know.
+	early map[job.ID]bool
+	// down is set while the holder does not answer, and lag is its lag.
+	down bool
+	lag  time.Duration
+	// read is up to where its intake partitions were read.
+	read map[int]int64
+}
+
+// movingEntry is an entry that moves between pools whose holders are simulated. It
+// implements peer.Caller.
+type movingEntry struct {
+	log   *logtest.Log
+	s     *Service
+	mu    sync.Mutex
+	pools map[string]*heldPool
+	entry policy.Entry
+	// version is that of the configuration in force.
+	version int64
+}
+
+func newMovingEntry() *movingEntry {
+	m := &movingEntry{log: logtest.New(), pools: map[string]*heldPool{}}
+	for _, name := range movePools {
+		m.pools[name] = &heldPool{jobs: map[job.ID]bool{}, early: map[job.ID]bool{}, read: map[int]int64{}}
+	}
+	m.s = newTestService(m.log, true, nil, 0)
+	m.s.opt.Caller = m
+	m.s.opt.Clock = bubbleClock{time.Now()}
+	m.moveTo("p")
+	return m
+}
+
+// moveTo has a configuration send the entry's jobs to a pool.
+func (m *movingEntry) moveTo(pool string) {
+	m.version++
+	var pools []policy.Pool
+	for _, name := range movePools {
+		pools = append(pools, policy.Pool{Name: name})
+	}
+	p := policy.New(m.version, []policy.Entry{{Name: "e", Host: "h", PathPrefix: "/e/", Pool: pool, MaxAttempts: 1}}, pools, policy.Limits{})
+	m.s.opt.Policy.Set(p)
+	m.entry, _, _ = p.Find("h", "/e/x")
+}
+
+// Call implements peer.Caller.
+func (m *movingEntry) Call(_ context.Context, _ string, _ peer.Method, req, resp any) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch q := req.(type) {
+	case SubmitRequest:
+		p := m.pools[q.Submission.Terms.Pool]
+		if p.down {
+			return peer.ErrNotSent
+		}
+		p.submit(q.Submission.Spec.ID)
+		*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
+	case CancelRequest:
+		p := m.pools[q.Pool]
+		_, known := p.jobs[q.ID]
+		switch {
+		case p.down:
+			return peer.ErrNotSent
+		case known:
+			p.jobs[q.ID] = true
+			*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
+		default:
+			*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeUnknownJob, Lag: p.lag}
+		}
+	case StateRequest:
+		p := m.pools[q.Pool]
+		if p.down {
+			return peer.ErrNotSent
+		}
+		_, known := p.jobs[q.ID]
+		*resp.(*StateResponse) = StateResponse{Held: true, Known: known, Lag: p.lag}
+	case QueuedJobsRequest:
+		*resp.(*QueuedJobsResponse) = QueuedJobsResponse{Held: !m.pools[q.Pool].down, Count: len(m.pools[q.Pool].jobs)}
+	}
+	return nil
+}
+
+// Send implements peer.Caller.
+func (m *movingEntry) Send(context.Context, string, peer.Method, any) error { return nil }
+
+// submit adds a job unless the pool has it.
+func (p *heldPool) submit(id job.ID) {
+	if _, known := p.jobs[id]; !known {
+		p.jobs[id] = p.early[id]
+	}
+}
+
+// readIntake has the holder of a pool read what its intake got since.
+func (m *movingEntry) readIntake(t require, name string) {
+	p := m.pools[name]
+	for _, part := range joblog.IntakePartitions(name) {
+		b, err := m.log.Client("reader").Read(context.Background(), part, p.read[part.Part], 0)
+		t.Expect(err).NotTo(HaveOccurred())
+		p.read[part.Part] = b.End
+		for _, r := range b.Records {
+			rec, _, err := joblog.DecodeIntake(r)
+			t.Expect(err).NotTo(HaveOccurred())
+			if rec.Cancelled {
+				p.early[rec.ID] = true
+				if _, known := p.jobs[rec.ID]; known {
+					p.jobs[rec.ID] = true
+				}
+			} else {
+				p.submit(rec.ID)
+			}
+		}
+	}
+}
+
+// require is what the checks here need of gomega.
+type require interface {
+	Expect(actual any, extra ...any) Assertion
+}
+
+// jobID returns the ID of a numbered job.
+func jobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
+
+// submit submits a job, and reports whether it was accepted.
+func (m *movingEntry) submit(id job.ID) bool {
+	spec := job.Spec{ID: id, Steps: []job.Step{{Count: 1}}}
+	return m.s.Submit(context.Background(), m.entry, m.version, spec) == nil
+}
+
+// Guards against a cancel that is acknowledged and has no effect (UNASKED): a
+// configuration had sent the entry to another pool since the job was accepted.
+func TestJobIsCancelledInThePoolThatAcceptedIt(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	g.Expect(m.submit(id)).To(BeTrue())
+	m.moveTo("q")
+	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
+	g.Expect(m.pools["p"].jobs).To(HaveKeyWithValue(id, true))
+	m.moveTo("p")
+	m.moveTo("r")
+	g.Expect(m.submit(jobID(2))).To(BeTrue())
+	m.moveTo("p")
+	g.Expect(m.s.Cancel(t.Context(), m.entry, jobID(2))).To(Succeed())
+	g.Expect(m.pools["r"].jobs).To(HaveKeyWithValue(jobID(2), true), "moved there and back")
+}
+
+// Guards against a cancel that is acknowledged and has no effect because the holder of
+// the job's pool did not answer: it must be stored for that pool.
+func TestCancelIsStoredForPoolsThatCannotTell(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	g.Expect(m.submit(id)).To(BeTrue())
+	m.moveTo("q")
+	m.pools["p"].down = true
+	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
+	m.pools["p"].down = false
+	m.readIntake(g, "p")
+	g.Expect(m.pools["p"].jobs).To(HaveKeyWithValue(id, true))
+	m.readIntake(g, "r")
+	g.Expect(m.pools["r"].early).To(BeEmpty(), "its holder knows of no such job")
+}
+
+// Guards against a job that runs in two pools (TWICE): its caller handed it in again
+// after a configuration had sent the entry to another pool.
+func TestJobSubmittedAgainAfterAMoveStaysOneJob(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	g.Expect(m.submit(id)).To(BeTrue())
+	m.moveTo("q")
+	g.Expect(m.submit(id)).To(BeTrue(), "it was accepted before")
+	g.Expect(m.pools["q"].jobs).To(BeEmpty())
+	m.moveTo("r")
+	m.pools["p"].down = true
+	err := m.s.Submit(t.Context(), m.entry, m.version, job.Spec{ID: id, Steps: []job.Step{{Count: 1}}})
+	g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun), "its pool cannot tell")
+	g.Expect(m.pools["r"].jobs).To(BeEmpty())
+}
+
+// Guards against a count of waiting jobs that leaves out those which were accepted
+// before the entry was sent to another pool (MIXED).
+func TestQueuedJobsIncludeThoseOfTheEarlierPool(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	g.Expect(m.submit(jobID(1))).To(BeTrue())
+	m.moveTo("q")
+	g.Expect(m.submit(jobID(2))).To(BeTrue())
+	g.Expect(m.submit(jobID(3))).To(BeTrue())
+	n, err := m.s.QueuedJobs(t.Context(), m.entry)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(3))
+}
+
+// Guards against a job that a daemon accepts under an older configuration into a pool
+// whose holder knows that the entry was sent to another one.
+func TestHolderRejectsJobOfAnEntryThatMoved(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	sub := joblog.Submission{Spec: spec, Terms: m.entry.Terms(m.version)}
+	m.moveTo("q")
+	err := responseFor(m.s.submitLocally(t.Context(), &sub)).toError()
+	g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
+	g.Expect(m.s.finallyRejected(err)).To(BeTrue(), "it must not be stored in the intake either")
+}
+
+// Guards against a cancel that makes a job appear that nobody submitted (MIXED): it was
+// stored for a pool that might have had the job.
+func TestCancelOfUnknownJobShowsNoJob(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	m.pools["p"].down = true
+	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
+	_, err := joblog.FindPhase(t.Context(), m.log.Client("reader"), "p", id)
+	g.Expect(err).To(MatchError(joblog.ErrNotFound))
+}
+
+// TestOneJobWhereverItsEntryMoves moves an entry between pools at random while jobs are
+// submitted, again too, and cancelled, and holders do not answer. Every accepted job
+// must be in one pool, and cancelled wherever it is once its cancel was acknowledged.
+func TestOneJobWhereverItsEntryMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { rapid.Check(withoutDeadline{t}, checkMovingEntry) })
+}
+
+// withoutDeadline hides the deadline of a test, which a bubble does not have.
+type withoutDeadline struct{ rapid.TB }
+
+func checkMovingEntry(rt *rapid.T) {
+	g := NewWithT(rt)
+	m := newMovingEntry()
+	accepted, cancelled := map[job.ID]bool{}, map[job.ID]bool{}
+	drawJob := func() job.ID { return jobID(rapid.IntRange(1, 4).Draw(rt, "job")) }
+	for range rapid.IntRange(3, 12).Draw(rt, "steps") {
+		switch rapid.IntRange(0, 3).Draw(rt, "step") {
+		case 0:
+			m.moveTo(rapid.SampledFrom(movePools).Draw(rt, "pool"))
+		case 1:
+			id := drawJob()
+			accepted[id] = m.submit(id) || accepted[id]
+		case 2:
+			id := drawJob()
+			ok := m.s.Cancel(context.Background(), m.entry, id) == nil
+			cancelled[id] = cancelled[id] || ok && accepted[id]
+		case 3:
+			name := rapid.SampledFrom(movePools).Draw(rt, "holder")
+			p := m.pools[name]
+			if p.down = !p.down; !p.down {
+				m.readIntake(g, name)
+			}
+		}
+	}
+	for _, name := range movePools {
+		m.readIntake(g, name)
+	}
+	for _, id := range slices.Sorted(maps.Keys(accepted)) {
+		var in []string
+		for _, name := range movePools {
+			if isCancelled, known := m.pools[name].jobs[id]; known {
+				in = append(in, name)
+				g.Expect(isCancelled || !cancelled[id]).To(BeTrue(), "job %s was cancelled and goes on in pool %s", id, name)
+			}
+		}
+		if accepted[id] {
+			g.Expect(in).To(HaveLen(1), "pools of job %s", id)
+		}
+	}
+}
--- a/internal/joblog/find.go
+++ b/internal/joblog/find.go
@@ -34,11 +34,12 @@
 		return 0, err
 	}
 	if cancelled {
-		return job.Cancelled, nil
+		phase = job.Cancelled
 	}
 	if found {
 		return phase, nil
 	}
+	// A cancel is also stored for a job that turns out to be in another pool.
 	_, submitted, err := newestRecord(ctx, l, IntakePartition(pool, id), kindJob+string(id))
 	if err == nil && !submitted {
 		err = ErrNotFound
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -30,6 +30,10 @@
 	Timeout time.Duration
 	// Approval is set if workers must be approved for each step.
 	Approval *job.ApprovalSettings
+	// Earlier are the entries that served the same requests under configurations that
+	// this process has seen and that referred to another pool or had another name.
+	// Current sets it.
+	Earlier []EarlierEntry
 }
 
 // Terms returns the terms of a job that the entry accepts under a version of the
@@ -72,8 +76,10 @@
 	Pools   map[string]Pool
 	Limits  Limits
 
-	// entriesByHost holds the entries of each host, longest path prefix first.
+	// entriesByHost holds the entries of each host, longest path prefix first, and
+	// entriesByName the entries by name.
 	entriesByHost map[string][]*Entry
+	entriesByName map[string]*Entry
 }
 
 // New returns a policy with its entries indexed for Find.
@@ -84,12 +90,14 @@
 		Pools:         make(map[string]Pool, len(pools)),
 		Limits:        l,
 		entriesByHost: map[string][]*Entry{},
+		entriesByName: make(map[string]*Entry, len(entries)),
 	}
 	for _, pool := range pools {
 		p.Pools[pool.Name] = pool
 	}
 	for i := range entries {
 		p.indexEntry(&entries[i])
+		p.entriesByName[entries[i].Name] = &entries[i]
 	}
 	return p
 }
@@ -119,6 +127,15 @@
 	return Entry{}, "", false
 }
 
+// Entry returns the entry with a name.
+func (p *Policy) Entry(name string) (Entry, bool) {
+	e := p.entriesByName[name]
+	if e == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
 // WorkerPools returns the names of the pools that run tasks, which are all but
 // the standby pools.
 func (p *Policy) WorkerPools() []string {
@@ -138,6 +155,7 @@
 
 	mu       sync.Mutex
 	watchers []func(*Policy)
+	moves    moves
 }
 
 // Get returns the policy in force, or nil before the first Set.
@@ -152,9 +170,14 @@
 func (c *Current) Set(p *Policy) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if current := c.current.Load(); current != nil && p.Version <= current.Version {
+	current := c.current.Load()
+	if current != nil && p.Version <= current.Version {
 		return false
 	}
+	if current != nil {
+		c.moves.record(current, p, time.Now())
+	}
+	c.moves.apply(p)
 	c.current.Store(p)
 	for _, fn := range c.watchers {
 		fn(p)
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,7 +41,18 @@
 	return err
 }
 
-// Cancel cancels a job. It returns ErrPoolNotHeld when the job is not known here.
+// UnknownJobError means that the holder of a pool knows of no job with an ID.
+type UnknownJobError struct {
+	// Lag is how long ago the holder last knew of every submission.
+	Lag time.Duration
+}
+
+// Error implements error.
+func (e *UnknownJobError) Error() string {
+	return fmt.Sprintf("the pool has no such job, as of %v ago", e.Lag)
+}
+
+// Cancel cancels a job. It returns an *UnknownJobError when the job is not known here.
 func (r *Runner) Cancel(ctx context.Context, id job.ID) error {
 	if err := r.checkAccepting(); err != nil {
 		return err
@@ -48,7 +60,9 @@
 	version, known := 0, false
 	r.update(func(t Times) { version, known = r.core.Cancel(id, t) })
 	if !known {
-		return ErrPoolNotHeld
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return &UnknownJobError{Lag: r.opt.Clock.Now() - r.submissionsKnownUpTo()}
 	}
 	return r.awaitLogged(ctx, id, version)
 }
