Let an odd row cost only itself, and bound what others write

More reports: an operator of a similar system had one odd entry (very deep, a number too large, a port out of range) end or stop the readers of a list.

Cause: lists were decoded in one call, which fails as a whole, and numbers were checked for their type only. The list of workers dropped just the odd entry, but took port 0, a birth near the largest integer and a capacity of 2^63-1 for a worker's; hosts, polls, approvals, the newest records and the configuration were lost with one odd row. Submissions in the log were not validated, and occurrences that are all due were released at once.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -32,7 +32,7 @@
 
 // serveFleet builds the fleet daemon and runs it until ctx ends.
 func serveFleet(ctx context.Context, settings platform.Settings, m metrics, logger zerolog.Logger) error {
-	store := platform.NewStore(settings.Store, platform.Metrics{Scope: m.scope})
+	store := platform.NewStore(settings.Store, platform.Metrics{Scope: m.scope, Logger: logger})
 	self, err := newFleetMember(ctx, settings, store, logger)
 	if err != nil {
 		return err
@@ -109,8 +109,8 @@
 	return netip.AddrPortFrom(settings.IP, settings.FirstPort+port).String()
 }
 
-func newWorkers(m metrics) worker.Control {
-	return platform.NewWorkers(platform.Metrics{Scope: m.scope})
+func newWorkers(l zerolog.Logger, m metrics) worker.Control {
+	return platform.NewWorkers(platform.Metrics{Scope: m.scope, Logger: l})
 }
 
 func newRegistry(log logstore.Log, l zerolog.Logger, m metrics) *worker.Registry {
@@ -211,7 +211,7 @@
 		elector: d.elector,
 		controller: fleet.NewController(fleet.ControllerOptions{
 			Holder:          self.Host,
-			Cloud:           platform.NewCloud(settings.Cloud, platform.Metrics{Scope: m.scope}),
+			Cloud:           platform.NewCloud(settings.Cloud, platform.Metrics{Scope: m.scope, Logger: l}),
 			Pools:           &fleet.PoolClient{Self: self, Holders: d.elector, Agent: agent, Caller: n},
 			Waves:           w,
 			Policy:          p,
@@ -235,8 +235,8 @@
 // taskLease is the duration of task leases.
 const taskLease = 5 * time.Second
 
-func newApprover(settings platform.Settings, m metrics) scheduler.Approver {
-	return platform.NewApprovalClient(settings.Advice, platform.Metrics{Scope: m.scope})
+func newApprover(settings platform.Settings, l zerolog.Logger, m metrics) scheduler.Approver {
+	return platform.NewApprovalClient(settings.Advice, platform.Metrics{Scope: m.scope, Logger: l})
 }
 
 func newDutyObserver(ctx context.Context, settings platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.Current, w worker.Control, a scheduler.Approver, n *peer.Node, dir *memberResolver, r *worker.Registry, l zerolog.Logger, m metrics) *dutyObserver {
@@ -348,6 +348,9 @@
 				return err
 			}
 			if p.Set(next) {
+				for _, skipped := range next.Skipped {
+					l.Warn().Err(skipped).Int64("version", next.Version).Msg("ignoring an odd row of the configuration")
+				}
 				l.Info().Int64("version", next.Version).Int("entries", len(next.Entries)).Int("pools", len(next.Pools)).Msg("configuration applied")
 			}
 			return nil
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -142,6 +142,21 @@
 	return false
 }
 
+// Fits reports whether the progress is one that a job with this specification can have.
+func (p *Progress) Fits(s *Spec) bool {
+	for _, o := range p.Occurrences {
+		if o == nil || len(o.Steps) != len(s.Steps) {
+			return false
+		}
+		for i, st := range s.Steps {
+			if len(o.Steps[i].Tasks) != st.Count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Progress is the part of a job's state that changes. Every record of it in the
 // log holds all of it.
 type Progress struct {
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -55,6 +55,23 @@
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
 }
 
+// maxAmount bounds an amount of a resource. Sums over all tasks of a pool do not
+// overflow.
+const maxAmount = 1 << 40
+
+// Validate returns an error if an amount is negative or too large to count with.
+func (r Resources) Validate() error {
+	for _, n := range [...]int{r.CPU, r.MemoryMB, r.GPU} {
+		switch {
+		case n < 0:
+			return eris.Errorf("the amount %d is negative", n)
+		case n > maxAmount:
+			return eris.Errorf("the amount %d is more than %d", n, maxAmount)
+		}
+	}
+	return nil
+}
+
 // Step is a set of Count identical tasks.
 type Step struct {
 	Count int       `cbor:"1,keyasint"`
@@ -147,25 +164,32 @@
 	case s.Repeat > 1 && s.Interval < 0:
 		return eris.Errorf("the interval %v is negative", s.Interval)
 	}
-	tasks := 0
 	for i, st := range s.Steps {
 		if err := st.validate(i); err != nil {
 			return eris.Wrapf(err, "step %d", i)
 		}
-		tasks += st.Count
 	}
-	if tasks > MaxTasks {
+	if tasks := s.tasks(); tasks > MaxTasks {
 		return eris.Errorf("%d tasks are more than %d", tasks, MaxTasks)
 	}
 	return nil
 }
 
+// tasks returns how many tasks one occurrence of the job has.
+func (s *Spec) tasks() int {
+	n := 0
+	for _, st := range s.Steps {
+		n += st.Count
+	}
+	return n
+}
+
 func (s Step) validate(index int) error {
 	switch {
 	case s.Count < 1:
 		return eris.Errorf("count %d is less than 1", s.Count)
-	case s.Need.CPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0:
-		return eris.New("a requested amount is negative")
+	case s.Count > MaxTasks:
+		return eris.Errorf("count %d is more than %d", s.Count, MaxTasks)
 	case s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.Estimate < 0 || s.TailLatencyTarget < 0:
 		return eris.New("a limit is negative")
 	}
@@ -174,5 +198,5 @@
 			return eris.Errorf("after names step %d, which is not an earlier one", a)
 		}
 	}
-	return nil
+	return s.Need.Validate()
 }
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -217,3 +217,34 @@
 		}
 	})
 }
+
+// Guards against a submission in the log that makes each holder end in turn: its steps
+// refer to steps that are not there, or it is under the key of another job.
+func TestOddSubmissionIsNoJob(t *testing.T) {
+	g := NewWithT(t)
+	good := Submission{Spec: job.Spec{ID: "00000000000000aa", Steps: []job.Step{{Count: 1}}}}
+	for name, spoil := range map[string]func(*Submission){
+		"step out of range": func(s *Submission) { s.Spec.Steps = []job.Step{{Count: 1, After: []int{7}}} },
+		"negative step":     func(s *Submission) { s.Spec.Steps = []job.Step{{Count: 1, After: []int{-1}}} },
+		"no steps":          func(s *Submission) { s.Spec.Steps = nil },
+		"too many tasks":    func(s *Submission) { s.Spec.Steps = []job.Step{{Count: 1 << 40}} },
+		"huge amount":       func(s *Submission) { s.Spec.Steps = []job.Step{{Count: 1, Need: job.Resources{CPU: 1 << 62}}} },
+	} {
+		s := good
+		spoil(&s)
+		e, err := IntakeSubmissionEntry(s)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, ok, err := DecodeIntake(logstore.Record{Key: e.Key, Value: e.Value})
+		g.Expect(ok).To(BeFalse(), name)
+		g.Expect(err).To(HaveOccurred(), name)
+		e, err = ProgressSubmissionEntry(&s)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, ok, err = DecodeProgress(logstore.Record{Key: e.Key, Value: e.Value})
+		g.Expect(ok).To(BeFalse(), name)
+		g.Expect(err).To(HaveOccurred(), name)
+	}
+	e, err := IntakeSubmissionEntry(good)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = DecodeIntake(logstore.Record{Key: "j00000000000000bb", Value: e.Value})
+	g.Expect(err).To(HaveOccurred(), "the key of another job")
+}
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -122,11 +122,24 @@
 	if !is {
 		return IntakeRecord{}, false, eris.Errorf("intake key %.40q is of no known kind", r.Key)
 	}
+	s, err := decodeSubmission(id, r.Value)
+	if err != nil {
+		return IntakeRecord{}, false, err
+	}
+	return IntakeRecord{ID: job.ID(id), Submission: s}, true, nil
+}
+
+// decodeSubmission decodes and validates a submitted job. Another daemon, perhaps of
+// another version, has written it.
+func decodeSubmission(id string, value []byte) (*Submission, error) {
 	var s Submission
-	if err := record.Decode(r.Value, &s); err != nil {
-		return IntakeRecord{}, false, eris.Wrapf(err, "job %s", id)
+	if err := record.Decode(value, &s); err != nil {
+		return nil, eris.Wrapf(err, "job %.40q", id)
 	}
-	return IntakeRecord{ID: job.ID(id), Submission: &s}, true, nil
+	if string(s.Spec.ID) != id {
+		return nil, eris.Errorf("job %.40q is under the key of %.40q", s.Spec.ID, id)
+	}
+	return &s, eris.Wrapf(s.Spec.Validate(), "job %.40q", id)
 }
 
 // ProgressEntry returns the entry of a job's progress.
@@ -185,9 +198,8 @@
 	}
 	if id, is := strings.CutPrefix(r.Key, kindSubmitted); is {
 		rec.ID = job.ID(id)
-		rec.Submission = &Submission{}
-		err := record.Decode(r.Value, rec.Submission)
-		return rec, err == nil, eris.Wrapf(err, "job %s", id)
+		rec.Submission, err = decodeSubmission(id, r.Value)
+		return rec, err == nil, err
 	}
 	id, is := strings.CutPrefix(r.Key, kindJob)
 	if !is {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -75,6 +75,8 @@
 	Entries []Entry
 	Pools   map[string]Pool
 	Limits  Limits
+	// Skipped tells of the entries and pools that could not be decoded.
+	Skipped []error
 
 	// entriesByHost holds the entries of each host, longest path prefix first, and
 	// entriesByName the entries by name.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -268,8 +268,15 @@
 	if _, ended := c.endedJobs[id]; ended {
 		return nil
 	}
+	p := c.restoredProgress[id]
+	if p != nil && !p.Fits(&s.Spec) {
+		c.opt.Logger.Error().Str("job", string(id)).Msg("the logged progress does not fit the job, which counts as failed")
+		delete(c.restoredProgress, id)
+		c.endedJobs[id] = job.Progress{Phase: job.Failed, EndedAt: t.Wall}
+		return nil
+	}
 	j := c.newTrackedJob(s, t)
-	if p := c.restoredProgress[id]; p != nil {
+	if p != nil {
 		j.Job = job.Restore(s.Spec, s.Terms, *p)
 		j.loggedPhase = p.Phase
 		delete(c.restoredProgress, id)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -180,7 +180,7 @@
 	l, err := r.opt.Decode(rec)
 	if err != nil {
 		r.unreadable.Inc(1)
-		r.opt.Logger.Debug().Err(err).Int64("offset", rec.Offset).Msg("ignoring invalid entry of the worker list")
+		r.opt.Logger.Warn().Err(err).Int64("offset", rec.Offset).Msg("ignoring invalid entry of the worker list")
 		return Listing{}, false
 	}
 	return l, true
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -104,9 +104,8 @@
 	Clock     int64
 	Running   []RunStatus
 	Ended     []RunEnd
-	// Partial is set if the report may lack runs: the worker has more ends to list
-	// than one answer holds, or a row could not be read. A run that such a report does
-	// not list may be active or may have ended in any way.
+	// Partial is set if the worker may have more ends to list than one answer holds. A
+	// run that such a report does not list may have ended in any way.
 	Partial bool
 }
 
