--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,7 +95,7 @@
 	TimeLeft time.Duration
 	// Started holds the hosts whose maintenance was ordered successfully.
 	Started map[string]bool
-	// Completed is set once every host that is still listed has started.
+	// Completed is set once every host that is not gone has started.
 	Completed bool
 }
 
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -36,3 +36,20 @@
 	h.replace([]Host{{Name: "m1"}}, 2*time.Second)
 	g.Expect(h.fresh(2*time.Second + maxListAge)).To(BeFalse())
 }
+
+// Guards against a wave that is shown as completed (MIXED) because a list lacks a host
+// that is there: the pages of a list are no snapshot.
+func TestWaveIsNotCompletedForHostMissingFromOneList(t *testing.T) {
+	g := NewWithT(t)
+	w := WaveView{Wave: Wave{Number: 1, Hosts: []string{"m1", "m2"}}, Started: map[string]bool{"m1": true}}
+	h := newHostList()
+	g.Expect(allStarted(w, h.gone)).To(BeFalse(), "nothing is known of the hosts")
+	h.replace([]Host{{Name: "m1"}, {Name: "m2"}}, time.Second)
+	h.replace([]Host{{Name: "m1"}}, 2*time.Second)
+	g.Expect(allStarted(w, h.gone)).To(BeFalse(), "one list lacks m2")
+	h.replace([]Host{{Name: "m1"}, {Name: "m2"}}, 3*time.Second)
+	h.replace([]Host{{Name: "m1"}}, 4*time.Second)
+	g.Expect(allStarted(w, h.gone)).To(BeFalse(), "it was back")
+	h.replace([]Host{{Name: "m1"}}, 5*time.Second)
+	g.Expect(allStarted(w, h.gone)).To(BeTrue(), "m2 is gone")
+}
--- a/internal/fleet/progress.go
+++ b/internal/fleet/progress.go
@@ -13,7 +13,7 @@
 	for _, w := range v.Waves {
 		s.mu.Lock()
 		st := s.waveStates[w.Number]
-		if !st.completed && allStarted(w, v.Hosts) {
+		if !st.completed && allStarted(w, s.hostList.gone) {
 			st.completed = true
 			s.opt.Logger.Info().Int("wave", w.Number).Dur("left", w.TimeLeft).Msg("wave completed")
 		}
@@ -36,16 +36,10 @@
 	}
 }
 
-// allStarted reports whether the maintenance of every host of a wave that is
-// still listed has started.
-func allStarted(w WaveView, hosts []Host) bool {
-	left := map[string]bool{}
-	for _, name := range w.Hosts {
-		if !w.Started[name] {
-			left[name] = true
-		}
-	}
-	return !slices.ContainsFunc(hosts, func(h Host) bool { return left[h.Name] })
+// allStarted reports whether the maintenance of every host of a wave that is not gone has
+// started.
+func allStarted(w WaveView, gone func(host string) bool) bool {
+	return !slices.ContainsFunc(w.Hosts, func(host string) bool { return !w.Started[host] && !gone(host) })
 }
 
 // writeProgress appends a wave's progress to the log and then, if publish is
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -146,9 +146,18 @@
 			from = page.End
 		}
 		out = append(out, page.Records...)
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			return out, from, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		// Without progress the rest stays unread: that must not look as if there were
+		// none.
+		next := after
+		if n := len(page.Records); n > 0 {
+			next = page.Records[n-1].Key
+		}
+		if next <= after {
+			return nil, 0, eris.Errorf("listing %v: no page follows the key %.40q", p, after)
+		}
+		after = next
 	}
 }
