Tell daemons that start which entries moved lately

Cause: which entries a configuration sent to another pool was known to the processes that saw it; a daemon that started within the minute after it accepted a job again that was handed in again.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/duty"
+	"greengagedeck/internal/intake"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
@@ -52,6 +53,7 @@
 	DutyObserver *dutyObserver
 	FleetRunner  *fleetRunner
 	Node         *peer.Node
+	Intake       *intake.Service
 	Frontend     *platform.Frontend
 }
 
@@ -69,6 +71,7 @@
 	go d.Follower.Run(work)
 	go d.Registry.Run(work)
 	go d.DutyObserver.elector.Run(work)
+	go d.Intake.LearnMoves(work, d.DutyObserver.elector.LivePeers)
 	d.Stage.set(stageServing)
 	d.Logger.Info().Str("release", release.String()).Str("callers", d.Settings.Callers.String()).Msg("serving")
 	<-ctx.Done()
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -177,6 +177,20 @@
 	return len(e.table.livePeers(now, maxHeartbeatAge))
 }
 
+// LivePeers returns the IDs of the other live daemons, as far as is known.
+func (e *Elector) LivePeers() []string {
+	now := e.opt.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for _, p := range e.table.livePeers(now, maxHeartbeatAge) {
+		if p.Host != e.opt.Self.Host {
+			out = append(out, p.ID())
+		}
+	}
+	return out
+}
+
 // Run claims and keeps duties until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -134,6 +134,7 @@
 // Register registers the handlers for requests of other daemons.
 func (s *Service) Register(m peer.Mux) {
 	s.registerSubmitAndCancel(m)
+	s.registerMoves(m)
 	m.Handle(MethodState, func(_ context.Context, _ string, body cbor.RawMessage) (any, error) {
 		var q StateRequest
 		if err := record.Decode(body, &q); err != nil {
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"greengagedeck/internal/duty"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore/logtest"
@@ -48,6 +49,14 @@
 	version int64
 }
 
+// holderPerPool is another daemon for each pool.
+type holderPerPool struct{}
+
+// Holder implements Holders.
+func (holderPerPool) Holder(n duty.Name) (duty.Claim, bool) {
+	return duty.Claim{Duty: n, Holder: duty.Member{Host: string(n), Incarnation: 1}, Token: 3}, true
+}
+
 func newMovingEntry() *movingEntry {
 	m := &movingEntry{log: logtest.New(), pools: map[string]*heldPool{}}
 	for _, name := range movePools {
@@ -55,6 +64,7 @@
 	}
 	m.s = newTestService(m.log, true, nil, 0)
 	m.s.opt.Caller = m
+	m.s.opt.Holders = holderPerPool{}
 	m.s.opt.Clock = bubbleClock{time.Now()}
 	m.moveTo("p")
 	return m
@@ -79,17 +89,18 @@
 	switch q := req.(type) {
 	case SubmitRequest:
 		p := m.pools[q.Submission.Terms.Pool]
-		if p.down {
+		if !m.answers(q.Submission.Terms.Pool) {
 			return peer.ErrNotSent
 		}
 		p.submit(q.Submission.Spec.ID)
 		*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
 	case CancelRequest:
 		p := m.pools[q.Pool]
+		if !m.answers(q.Pool) {
+			return peer.ErrNotSent
+		}
 		_, known := p.jobs[q.ID]
 		switch {
-		case p.down:
-			return peer.ErrNotSent
 		case known:
 			p.jobs[q.ID] = true
 			*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
@@ -98,17 +109,29 @@
 		}
 	case StateRequest:
 		p := m.pools[q.Pool]
-		if p.down {
+		if !m.answers(q.Pool) {
 			return peer.ErrNotSent
 		}
 		_, known := p.jobs[q.ID]
 		*resp.(*StateResponse) = StateResponse{Held: true, Known: known, Lag: p.lag}
+	case struct{}:
+		resp.(*MovesResponse).Moves = m.s.opt.Policy.Moves()
 	case QueuedJobsRequest:
 		*resp.(*QueuedJobsResponse) = QueuedJobsResponse{Held: !m.pools[q.Pool].down, Count: len(m.pools[q.Pool].jobs)}
 	}
 	return nil
 }
 
+// answers reports whether the holder of a pool answers. One that does has read what its
+// intake got so far.
+func (m *movingEntry) answers(name string) bool {
+	if m.pools[name].down {
+		return false
+	}
+	m.readIntake(name)
+	return true
+}
+
 // Send implements peer.Caller.
 func (m *movingEntry) Send(context.Context, string, peer.Method, any) error { return nil }
 
@@ -120,15 +143,19 @@
 }
 
 // readIntake has the holder of a pool read what its intake got since.
-func (m *movingEntry) readIntake(t require, name string) {
+func (m *movingEntry) readIntake(name string) {
 	p := m.pools[name]
 	for _, part := range joblog.IntakePartitions(name) {
 		b, err := m.log.Client("reader").Read(context.Background(), part, p.read[part.Part], 0)
-		t.Expect(err).NotTo(HaveOccurred())
+		if err != nil {
+			panic(err)
+		}
 		p.read[part.Part] = b.End
 		for _, r := range b.Records {
 			rec, _, err := joblog.DecodeIntake(r)
-			t.Expect(err).NotTo(HaveOccurred())
+			if err != nil {
+				panic(err)
+			}
 			if rec.Cancelled {
 				p.early[rec.ID] = true
 				if _, known := p.jobs[rec.ID]; known {
@@ -141,11 +168,6 @@
 	}
 }
 
-// require is what the checks here need of gomega.
-type require interface {
-	Expect(actual any, extra ...any) Assertion
-}
-
 // jobID returns the ID of a numbered job.
 func jobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
 
@@ -182,9 +204,9 @@
 	m.pools["p"].down = true
 	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
 	m.pools["p"].down = false
-	m.readIntake(g, "p")
+	m.readIntake("p")
 	g.Expect(m.pools["p"].jobs).To(HaveKeyWithValue(id, true))
-	m.readIntake(g, "r")
+	m.readIntake("r")
 	g.Expect(m.pools["r"].early).To(BeEmpty(), "its holder knows of no such job")
 }
 
@@ -241,6 +263,25 @@
 	g.Expect(err).To(MatchError(joblog.ErrNotFound))
 }
 
+// Guards against a daemon that accepts a job a second time (TWICE) because it started
+// after the entry had been sent to another pool.
+func TestStartedDaemonLearnsWhichEntriesMoved(t *testing.T) {
+	g := NewWithT(t)
+	m := newMovingEntry()
+	g.Expect(m.submit(id)).To(BeTrue())
+	m.moveTo("q")
+	started := newTestService(m.log, true, nil, 0)
+	started.opt.Caller, started.opt.Holders = m, holderPerPool{}
+	current := m.s.opt.Policy.Get()
+	started.opt.Policy.Set(policy.New(current.Version, []policy.Entry{{Name: "e", Host: "h", PathPrefix: "/e/", Pool: "q", MaxAttempts: 1}}, []policy.Pool{{Name: "p"}, {Name: "q"}}, policy.Limits{}))
+	started.LearnMoves(t.Context(), func() []string { return []string{"d1"} })
+	e, _, ok := started.opt.Policy.Get().Find("h", "/e/x")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(e.Earlier).To(HaveLen(1))
+	g.Expect(started.Submit(t.Context(), e, m.version, spec)).To(Succeed(), "it was accepted before")
+	g.Expect(m.pools["q"].jobs).To(BeEmpty())
+}
+
 // TestOneJobWhereverItsEntryMoves moves an entry between pools at random while jobs are
 // submitted, again too, and cancelled, and holders do not answer. Every accepted job
 // must be in one pool, and cancelled wherever it is once its cancel was acknowledged.
@@ -271,12 +312,12 @@
 			name := rapid.SampledFrom(movePools).Draw(rt, "holder")
 			p := m.pools[name]
 			if p.down = !p.down; !p.down {
-				m.readIntake(g, name)
+				m.readIntake(name)
 			}
 		}
 	}
 	for _, name := range movePools {
-		m.readIntake(g, name)
+		m.readIntake(name)
 	}
 	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		var in []string
--- a/internal/policy/moves.go
+++ b/internal/policy/moves.go
@@ -37,9 +37,6 @@
 // record records the entries of the policy old that next does not have. The zero value
 // of moves is ready for use.
 func (m *moves) record(old, next *Policy, now time.Time) {
-	if *m == nil {
-		*m = moves{}
-	}
 	kept := make(map[address]replacedEntry, len(next.Entries))
 	for _, e := range next.Entries {
 		kept[e.address()] = replacedEntry{e.Name, e.Pool}
@@ -49,14 +46,24 @@
 		if kept[e.address()] == replaced {
 			continue
 		}
-		if (*m)[e.address()] == nil {
-			(*m)[e.address()] = map[replacedEntry]time.Time{}
-		}
-		(*m)[e.address()][replaced] = now
+		m.add(e.address(), replaced, now)
 	}
 	m.forget(now.Add(-earlierKept))
 }
 
+// add adds a replaced entry.
+func (m *moves) add(a address, r replacedEntry, until time.Time) {
+	if *m == nil {
+		*m = moves{}
+	}
+	if (*m)[a] == nil {
+		(*m)[a] = map[replacedEntry]time.Time{}
+	}
+	if until.After((*m)[a][r]) {
+		(*m)[a][r] = until
+	}
+}
+
 // forget forgets the entries that were replaced before a moment.
 func (m moves) forget(before time.Time) {
 	for a, replaced := range m {
@@ -67,7 +74,19 @@
 	}
 }
 
-// apply sets the earlier entries of each entry of a policy.
+// applied returns a policy with the earlier entries of each of its entries set.
+func (m moves) applied(p *Policy) *Policy {
+	out := *p
+	out.Entries = slices.Clone(p.Entries)
+	for i := range out.Entries {
+		out.Entries[i].Earlier = nil
+	}
+	out.index()
+	m.apply(&out)
+	return &out
+}
+
+// apply sets the earlier entries of each entry of a policy that is not in use yet.
 func (m moves) apply(p *Policy) {
 	for a, replaced := range m {
 		for i := range p.Entries {
@@ -89,3 +108,41 @@
 	}
 	slices.SortFunc(e.Earlier, func(a, b EarlierEntry) int { return b.Until.Compare(a.Until) })
 }
+
+// Move is an entry that a configuration has replaced, as daemons tell each other of it.
+type Move struct {
+	Host       string `cbor:"1,keyasint"`
+	PathPrefix string `cbor:"2,keyasint"`
+	Name       string `cbor:"3,keyasint"`
+	Pool       string `cbor:"4,keyasint"`
+	// Age is how long ago the entry was replaced.
+	Age time.Duration `cbor:"5,keyasint"`
+}
+
+// Moves returns the entries that were replaced in the last earlierKept.
+func (c *Current) Moves() []Move {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Move
+	for a, replaced := range c.moves {
+		for r, until := range replaced {
+			out = append(out, Move{Host: a.host, PathPrefix: a.pathPrefix, Name: r.name, Pool: r.pool, Age: time.Since(until)})
+		}
+	}
+	return out
+}
+
+// Learn adds the moves that another daemon has seen, perhaps before this process started.
+func (c *Current) Learn(learned []Move) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, m := range learned {
+		if m.Age >= 0 && m.Age < earlierKept {
+			c.moves.add(address{m.Host, m.PathPrefix}, replacedEntry{m.Name, m.Pool}, now.Add(-m.Age))
+		}
+	}
+	if current := c.current.Load(); current != nil && len(learned) > 0 {
+		c.current.Store(c.moves.applied(current))
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -87,23 +87,27 @@
 // New returns a policy with its entries indexed for Find.
 func New(version int64, entries []Entry, pools []Pool, l Limits) *Policy {
 	p := &Policy{
-		Version:       version,
-		Entries:       entries,
-		Pools:         make(map[string]Pool, len(pools)),
-		Limits:        l,
-		entriesByHost: map[string][]*Entry{},
-		entriesByName: make(map[string]*Entry, len(entries)),
+		Version: version,
+		Entries: entries,
+		Pools:   make(map[string]Pool, len(pools)),
+		Limits:  l,
 	}
 	for _, pool := range pools {
 		p.Pools[pool.Name] = pool
 	}
-	for i := range entries {
-		p.indexEntry(&entries[i])
-		p.entriesByName[entries[i].Name] = &entries[i]
-	}
+	p.index()
 	return p
 }
 
+// index indexes the entries for Find and Entry.
+func (p *Policy) index() {
+	p.entriesByHost, p.entriesByName = map[string][]*Entry{}, make(map[string]*Entry, len(p.Entries))
+	for i := range p.Entries {
+		p.indexEntry(&p.Entries[i])
+		p.entriesByName[p.Entries[i].Name] = &p.Entries[i]
+	}
+}
+
 // indexEntry inserts e into its host's entries, after those with a path prefix
 // that is as long or longer.
 func (p *Policy) indexEntry(e *Entry) {
