Drop a late submission that another pool has accepted, and have the soak draw these causes

Cause: a submission that the intake of a pool got late, or from a daemon with an older configuration, was run although the pool that serves the entry now had accepted the same job. Change: a holder asks the pool that serves the entry now, and others that did, before it takes a new submission of an entry that moved (Runner.AcceptedElsewhere). The soak of real processes moves the queue between two pools, hands accepted jobs in again, lets the workers' entries lapse after an outage, and leaves odd entries in the list, the operators' records and the answer of the cloud.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -128,8 +128,10 @@
 type dutyObserver struct {
 	elector    *duty.Elector
 	schedulers *scheduler.Manager
-	// fleet moves and maintains hosts. It is set before the elector runs.
-	fleet *fleetRunner
+	// fleet moves and maintains hosts, and intake answers for jobs. Both are set before
+	// the elector runs.
+	fleet  *fleetRunner
+	intake *intake.Service
 }
 
 // Acquired implements duty.Observer.
@@ -268,14 +270,15 @@
 					DutyLease:       duty.DefaultLease,
 					StatusRetention: settings.StatusTime,
 				},
-				Log:      log,
-				Clock:    cl,
-				Control:  w,
-				Approver: a,
-				Registry: r,
-				Duty:     dt,
-				Logger:   l.With().Str("pool", pool).Logger(),
-				Scope:    m.scope,
+				Log:               log,
+				Clock:             cl,
+				Control:           w,
+				Approver:          a,
+				AcceptedElsewhere: d.intake.AcceptedElsewhere,
+				Registry:          r,
+				Duty:              dt,
+				Logger:            l.With().Str("pool", pool).Logger(),
+				Scope:             m.scope,
 			})
 		},
 	})
@@ -327,6 +330,7 @@
 		Scope:     m.scope,
 	})
 	s.Register(n)
+	d.intake = s
 	return s
 }
 
--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -128,6 +128,37 @@
 	return out
 }
 
+// AcceptedElsewhere reports whether another pool has accepted a job that the intake of a
+// pool got under an older configuration: the job may have been handed in again, and the
+// append may have been carried out late. A job counts as not accepted there if that cannot
+// be found out in time, since it was accepted here.
+func (s *Service) AcceptedElsewhere(ctx context.Context, sub *joblog.Submission) bool {
+	if !s.hasMoved(&sub.Terms) {
+		return false
+	}
+	e, _ := s.opt.Policy.Get().Entry(sub.Terms.Entry)
+	pools := s.earlierPools(e)
+	if pools == nil {
+		pools = map[string]time.Time{}
+	}
+	pools[e.Pool] = time.Time{}
+	delete(pools, sub.Terms.Pool)
+	ctx, cancel := context.WithTimeout(ctx, queryLimit)
+	defer cancel()
+	for {
+		answered := true
+		for _, a := range s.queryStates(ctx, pools, sub.Spec.ID) {
+			if a.err == nil && a.Known {
+				return true
+			}
+			answered = answered && a.err == nil
+		}
+		if answered || !clock.Sleep(ctx, queryRetry) {
+			return false
+		}
+	}
+}
+
 // otherPools returns the pools that run tasks, but for one.
 func (s *Service) otherPools(exclude string) []string {
 	p := s.opt.Policy.Get()
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -50,10 +50,13 @@
 	Control worker.Control
 	// Approver is asked where an entry needs approval. It may be nil.
 	Approver Approver
-	Registry *worker.Registry
-	Duty     Duty
-	Logger   zerolog.Logger
-	Scope    tally.Scope
+	// AcceptedElsewhere reports whether another pool has accepted a job that was stored
+	// in the intake under an older configuration. It may be nil.
+	AcceptedElsewhere func(context.Context, *joblog.Submission) bool
+	Registry          *worker.Registry
+	Duty              Duty
+	Logger            zerolog.Logger
+	Scope             tally.Scope
 }
 
 // Runner carries out what a Core decides: it follows the intake and the list of
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengagedeck/internal/clock"
+	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
 )
@@ -77,7 +78,7 @@
 		start := r.opt.Clock.Now()
 		recs, _, err := tail.Next(ctx, 0)
 		if err == nil {
-			r.applyIntake(p, recs, start)
+			r.applyIntake(ctx, p, recs, start)
 			return nil
 		}
 		if !clock.Sleep(ctx, readRetry) {
@@ -99,13 +100,13 @@
 			// Nothing was submitted while the read waited.
 			start += intakeWait
 		}
-		r.applyIntake(p, recs, start)
+		r.applyIntake(ctx, p, recs, start)
 		clock.Sleep(ctx, intakeGap)
 	}
 }
 
 // applyIntake applies records of an intake partition that were read from start on.
-func (r *Runner) applyIntake(p logstore.Partition, recs []logstore.Record, start time.Duration) {
+func (r *Runner) applyIntake(ctx context.Context, p logstore.Partition, recs []logstore.Record, start time.Duration) {
 	decoded := make([]joblog.IntakeRecord, 0, len(recs))
 	for _, rec := range recs {
 		intake, ok, err := joblog.DecodeIntake(rec)
@@ -116,6 +117,7 @@
 			decoded = append(decoded, intake)
 		}
 	}
+	decoded = r.dropAcceptedElsewhere(ctx, decoded)
 	r.update(func(t Times) {
 		r.intakeReadUpTo[p] = max(r.intakeReadUpTo[p], start)
 		if len(decoded) > 0 {
@@ -124,6 +126,52 @@
 	})
 }
 
+// maxElsewhereCalls bounds the concurrent calls to find out whether other pools have
+// accepted jobs.
+const maxElsewhereCalls = 16
+
+// dropAcceptedElsewhere returns the records without the submissions that are new here and
+// that another pool has accepted, which are deleted from the intake.
+func (r *Runner) dropAcceptedElsewhere(ctx context.Context, records []joblog.IntakeRecord) []joblog.IntakeRecord {
+	if r.opt.AcceptedElsewhere == nil {
+		return records
+	}
+	elsewhere := make([]bool, len(records))
+	var calls errgroup.Group
+	calls.SetLimit(maxElsewhereCalls)
+	for i, rec := range records {
+		if rec.Submission == nil || r.knows(rec.ID) {
+			continue
+		}
+		calls.Go(func() error {
+			elsewhere[i] = r.opt.AcceptedElsewhere(ctx, rec.Submission)
+			return nil
+		})
+	}
+	// The calls return no error.
+	_ = calls.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := records[:0]
+	for i, rec := range records {
+		if !elsewhere[i] {
+			kept = append(kept, rec)
+			continue
+		}
+		r.opt.Logger.Info().Str("job", string(rec.ID)).Msg("submission dropped, another pool has accepted the job")
+		r.core.leftInIntake.add(rec.ID)
+	}
+	return kept
+}
+
+// knows reports whether a job is known here.
+func (r *Runner) knows(id job.ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, known := r.core.Lookup(id)
+	return known
+}
+
 // submissionsKnownUpTo returns a moment up to which every submission is known
 // here. It must be called with mu held.
 func (r *Runner) submissionsKnownUpTo() time.Duration {
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -28,7 +28,16 @@
 const (
 	soakDaemons = 3
 	soakWorkers = 6
-	soakHost    = "soak.example"
+	// movedWorkers is how many workers the pool has to which the queue is moved at times.
+	movedWorkers = 3
+	// jobsPerRepeat is one in how many accepted jobs is handed in again, and maxRepeatDelay
+	// how much later.
+	jobsPerRepeat  = 4
+	maxRepeatDelay = 3 * time.Second
+	// maxEntryReturn is how long after an outage of the store the entries of workers that
+	// have lapsed are back.
+	maxEntryReturn = 1800 * time.Millisecond
+	soakHost       = "soak.example"
 	// completionTimeout bounds the wait for accepted jobs after the last fault. It
 	// only ends a test that hangs.
 	completionTimeout = 2 * time.Minute
@@ -53,11 +62,26 @@
 	daemons []*daemon
 	client  *fasthttp.Client
 
+	// version and pool are those of the configuration in force.
+	version int
+	pool    string
+
 	mu       sync.Mutex
 	accepted []job.ID
 	rejected []job.ID
 }
 
+// configure has a configuration send the queue to a pool.
+func (s *soak) configure(pool string) {
+	s.version++
+	s.pool = pool
+	s.g.Expect(s.store.Put("op", "config", map[string]any{
+		"version":  s.version,
+		"routes":   []any{7, map[string]any{"name": "r", "host": soakHost, "pathPrefix": "/q/", "service": pool, "maxAttempts": 3}},
+		"services": []any{map[string]any{"name": "p", "admissionCheck": false}, map[string]any{"name": "q", "admissionCheck": false}},
+	})).To(Succeed())
+}
+
 func newSoak(t *testing.T) *soak {
 	g := NewWithT(t)
 	store, err := StartStore()
@@ -67,13 +91,13 @@
 	// them: cleanups run in reverse order.
 	dir := t.ArtifactDir()
 	t.Cleanup(func() { s.close(t) })
-	g.Expect(store.Put("op", "config", map[string]any{
-		"version":  1,
-		"routes":   []any{map[string]any{"name": "r", "host": soakHost, "pathPrefix": "/q/", "service": "p", "maxAttempts": 3}},
-		"services": []any{map[string]any{"name": "p", "admissionCheck": false}},
-	})).To(Succeed())
-	for i := range soakWorkers {
-		w, err := StartWorker(fmt.Sprintf("w%d", i), "p", store, s.checker, *soakSeed<<8|uint64(i))
+	s.configure("p")
+	for i := range soakWorkers + movedWorkers {
+		pool := "p"
+		if i >= soakWorkers {
+			pool = "q"
+		}
+		w, err := StartWorker(fmt.Sprintf("w%d", i), pool, store, s.checker, *soakSeed<<8|uint64(i))
 		g.Expect(err).NotTo(HaveOccurred())
 		s.workers = append(s.workers, w)
 	}
@@ -135,6 +159,7 @@
 			s.mu.Lock()
 			s.accepted = append(s.accepted, id)
 			s.mu.Unlock()
+			s.repeat(r, id, body)
 			return
 		case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		default:
@@ -149,6 +174,15 @@
 	}
 }
 
+// repeat hands in some accepted jobs again.
+func (s *soak) repeat(r *rand.Rand, id job.ID, body []byte) {
+	if r.IntN(jobsPerRepeat) > 0 {
+		return
+	}
+	time.Sleep(time.Duration(r.Int64N(int64(maxRepeatDelay))))
+	s.call(s.daemons[r.IntN(len(s.daemons))], fasthttp.MethodPost, "/q/"+string(id), body)
+}
+
 // submitJobs submits jobs until done is closed, and returns once every submission
 // has ended.
 func (s *soak) submitJobs(seed uint64, done <-chan struct{}) {
@@ -171,7 +205,7 @@
 	d := s.daemons[r.IntN(len(s.daemons))]
 	duration := time.Duration(300+r.IntN(2000)) * time.Millisecond
 	description := ""
-	switch r.IntN(6) {
+	switch r.IntN(9) {
 	case 0:
 		description = "kill " + d.name
 		d.kill()
@@ -200,6 +234,24 @@
 		w := s.workers[r.IntN(len(s.workers))]
 		description = "restart " + w.id
 		w.Restart()
+	case 6:
+		description = "another writer leaves odd entries"
+		s.store.PutOdd()
+	case 7:
+		description = "store rejects requests, and the workers' entries lapse"
+		s.store.Log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Rejected: true} })
+		time.Sleep(duration)
+		for _, w := range s.workers {
+			w.SetSilent(true)
+		}
+		s.store.Log.SetFault(nil)
+		time.Sleep(time.Duration(r.Int64N(int64(maxEntryReturn))))
+		for _, w := range s.workers {
+			w.SetSilent(false)
+		}
+	case 8:
+		s.configure(map[string]string{"p": "q", "q": "p"}[s.pool])
+		description = "the queue moves to pool " + s.pool
 	}
 	s.store.Log.SetFault(nil)
 	return description
--- a/standin/jobsim/store.go
+++ b/standin/jobsim/store.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -60,6 +61,24 @@
 	return ln.Addr().String(), nil
 }
 
+// deepValue is a JSON value that is nested more deeply than decoders follow.
+var deepValue = strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+
+// PutOdd leaves odd entries in the list of workers and among the operators' records, as
+// another writer might.
+func (s *Store) PutOdd() {
+	for i, value := range []string{
+		deepValue, "1e400", "\xff\xfe", `{"service":7}`,
+		`{"service":"p","address":"10.0.0.1:70000","zone":"a","version":"1","slots":1,"coldRemainingMs":0,"sequence":1,"state":"ready","born":1,"capacity":{"cpu":1,"taskMemoryMb":1}}`,
+		`{"service":"p","address":"127.0.0.1:0","zone":"a","version":"1","slots":1,"coldRemainingMs":0,"sequence":1,"state":"ready","born":9223372036854775807,"capacity":{"cpu":9223372036854775807,"taskMemoryMb":1}}`,
+	} {
+		e := logstore.Entry{Key: fmt.Sprintf("odd-%d", i), Value: []byte(value)}
+		s.Log.Put(logstore.Partition{Topic: workersTopic}, e)
+		e.Key = fmt.Sprintf("wave/%d", i)
+		s.Log.Put(logstore.Partition{Topic: "op"}, e)
+	}
+}
+
 // Put writes a record on behalf of an operator or a worker. Faults that are injected
 // into the daemons' requests do not affect it.
 func (s *Store) Put(topic, key string, value any) error {
@@ -88,7 +107,8 @@
 		page, err := s.client.Newest(ctx, p, string(q.Peek("after")))
 		writeResponse(ctx, newestBody(page), err)
 	case "/v1/machines":
-		writeResponse(ctx, map[string]any{"machines": []string{}, "nextToken": nil}, nil)
+		// Another writer has left odd rows among the hosts, of which there are none.
+		ctx.SetBodyString(`{"machines":[7,{"machine":[]},{"capacity":{"cpu":1e400}},` + deepValue + `],"nextToken":null}`)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -43,6 +43,8 @@
 	addr         string
 	server       *fasthttp.Server
 	listener     *crashListener
+	// silent is set while the worker does not write its entry in the list.
+	silent bool
 	// up is unset from a crash until backAt.
 	up     bool
 	backAt time.Time
@@ -121,6 +123,17 @@
 	w.reset()
 }
 
+// SetSilent keeps the worker from writing its entry in the list, which lapses at once, or
+// lets it write again.
+func (w *Worker) SetSilent(silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = silent
+	if silent {
+		w.store.Remove(workersTopic, w.id)
+	}
+}
+
 func (w *Worker) reset() {
 	w.startTime = time.Now()
 	w.token, w.leaseEnd, w.lastEnd, w.ended = 0, 0, 0, nil
@@ -153,7 +166,7 @@
 func (w *Worker) publishHeartbeat() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.up {
+	if !w.up || w.silent {
 		return
 	}
 	capacity := w.capacity()
