--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -68,10 +68,10 @@
 	if err != nil {
 		return err
 	}
+	d.Intake.StartLearning(work, d.DutyObserver.elector.LivePeers)
 	go d.Follower.Run(work)
 	go d.Registry.Run(work)
 	go d.DutyObserver.elector.Run(work)
-	go d.Intake.LearnMoves(work, d.DutyObserver.elector.LivePeers)
 	d.Stage.set(stageServing)
 	d.Logger.Info().Str("release", release.String()).Str("callers", d.Settings.Callers.String()).Msg("serving")
 	<-ctx.Done()
--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -5,16 +5,12 @@
 	"errors"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
-	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/verdict"
@@ -79,6 +75,9 @@
 // acceptedEarlier reports whether a pool that served the entry lately has accepted a
 // job. It fails with the verdict not-run if such a pool cannot tell.
 func (s *Service) acceptedEarlier(ctx context.Context, e policy.Entry, id job.ID) (bool, error) {
+	if s.awaitMoves(ctx) {
+		e = s.opt.Policy.Refresh(e)
+	}
 	pools := s.earlierPools(e)
 	if len(pools) == 0 {
 		return false, nil
@@ -245,57 +244,3 @@
 	}
 	return failed
 }
-
-// MethodMoves asks a daemon for the entries that it has seen replaced.
-const MethodMoves peer.Method = "policy.moves"
-
-// MovesResponse is the response to MethodMoves, which has an empty request.
-type MovesResponse struct {
-	Moves []policy.Move `cbor:"1,keyasint,omitempty"`
-}
-
-const (
-	// learnInterval is the time between two attempts of a daemon that has started to
-	// learn which entries were replaced before, and learnAttempts how many it makes.
-	learnInterval = 500 * time.Millisecond
-	learnAttempts = 20
-	// maxTeachers is how many other daemons are asked at once.
-	maxTeachers = 5
-)
-
-// registerMoves registers the handler for the requests of daemons that have started.
-func (s *Service) registerMoves(m peer.Mux) {
-	m.Handle(MethodMoves, func(context.Context, string, cbor.RawMessage) (any, error) {
-		return MovesResponse{Moves: s.opt.Policy.Moves()}, nil
-	})
-}
-
-// LearnMoves learns from other live daemons, whose IDs peers returns, which entries were
-// replaced before this process started. It returns once any has answered, or after
-// learnAttempts.
-func (s *Service) LearnMoves(ctx context.Context, peers func() []string) {
-	for range learnAttempts {
-		if s.learnFrom(ctx, peers()) || !clock.Sleep(ctx, learnInterval) {
-			return
-		}
-	}
-}
-
-// learnFrom asks up to maxTeachers daemons. It reports whether any answered.
-func (s *Service) learnFrom(ctx context.Context, ids []string) bool {
-	var answered atomic.Bool
-	var calls sync.WaitGroup
-	for _, id := range ids[:min(len(ids), maxTeachers)] {
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-			defer cancel()
-			var a MovesResponse
-			if s.opt.Caller.Call(ctx, id, MethodMoves, struct{}{}, &a) == nil {
-				s.opt.Policy.Learn(a.Moves)
-				answered.Store(true)
-			}
-		})
-	}
-	calls.Wait()
-	return answered.Load()
-}
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -274,12 +275,18 @@
 	started.opt.Caller, started.opt.Holders = m, holderPerPool{}
 	current := m.s.opt.Policy.Get()
 	started.opt.Policy.Set(policy.New(current.Version, []policy.Entry{{Name: "e", Host: "h", PathPrefix: "/e/", Pool: "q", MaxAttempts: 1}}, []policy.Pool{{Name: "p"}, {Name: "q"}}, policy.Limits{}))
-	started.LearnMoves(t.Context(), func() []string { return []string{"d1"} })
 	e, _, ok := started.opt.Policy.Get().Find("h", "/e/x")
 	g.Expect(ok).To(BeTrue())
-	g.Expect(e.Earlier).To(HaveLen(1))
+	var attempts atomic.Int64
+	started.StartLearning(t.Context(), func() []string {
+		if attempts.Add(1) < 3 {
+			return nil
+		}
+		return []string{"d1"}
+	})
 	g.Expect(started.Submit(t.Context(), e, m.version, spec)).To(Succeed(), "it was accepted before")
-	g.Expect(m.pools["q"].jobs).To(BeEmpty())
+	g.Expect(m.pools["q"].jobs).To(BeEmpty(), "the job waits until the daemon has learned of the move")
+	g.Expect(started.opt.Policy.Get().Entries[0].Earlier).To(HaveLen(1))
 }
 
 // TestOneJobWhereverItsEntryMoves moves an entry between pools at random while jobs are
--- a/internal/policy/moves.go
+++ b/internal/policy/moves.go
@@ -132,6 +132,19 @@
 	return out
 }
 
+// Refresh returns an entry with the earlier entries that are known now.
+func (c *Current) Refresh(e Entry) Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.Earlier = nil
+	for a, replaced := range c.moves {
+		if a.overlaps(e.address()) {
+			e.addEarlier(replaced)
+		}
+	}
+	return e
+}
+
 // Learn adds the moves that another daemon has seen, perhaps before this process started.
 func (c *Current) Learn(learned []Move) {
 	c.mu.Lock()
--- a/internal/scheduler/droppedstart_test.go
+++ b/internal/scheduler/droppedstart_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
-	"github.com/uber-go/tally/v4"
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
@@ -64,19 +62,10 @@
 // slow.
 func runOnSlowLog(t *testing.T, control worker.Control) (r *Runner, ctx context.Context, slow func()) {
 	shared := logtest.New()
-	log := shared.Client("holder")
-	r = NewRunner(RunnerOptions{
-		Options: Options{Pool: "p", Token: 2, Lease: 5 * time.Second, MaxLease: 6 * time.Second, DutyLease: shortDutyLease, StatusRetention: time.Minute},
-		Log:     log, Clock: clock.System{}, Control: control, Duty: fullDuty{}, Logger: zerolog.Nop(), Scope: tally.NoopScope,
-		Registry: worker.NewRegistry(worker.RegistryOptions{Log: log, Logger: zerolog.Nop(), Scope: tally.NoopScope}),
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		NewWithT(t).Expect(<-ended).To(Succeed())
+	r, ctx, release := startRunner(NewWithT(t), shared.Client("holder"), control, Options{
+		Token: 2, Lease: 5 * time.Second, MaxLease: 6 * time.Second, DutyLease: shortDutyLease, StatusRetention: time.Minute,
 	})
+	t.Cleanup(release)
 	slow = func() {
 		shared.SetFault(func(c logtest.Call) logtest.Fault {
 			if c.Op != logtest.Append {
--- a/internal/scheduler/expire_test.go
+++ b/internal/scheduler/expire_test.go
@@ -8,9 +8,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
-	"github.com/uber-go/tally/v4"
 
-	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore/logtest"
@@ -61,21 +59,12 @@
 // hold has a daemon hold the pool of a worker under a token, until the returned
 // function is called.
 func hold(g *WithT, log *logtest.Log, w worker.Control, token int64) (r *Runner, release func()) {
-	client := log.Client("holder")
-	r = NewRunner(RunnerOptions{
-		Options: Options{Pool: "p", Token: token, Lease: 5 * time.Second, MaxLease: 6 * time.Second, DutyLease: shortDutyLease, StatusRetention: shortRetention},
-		Log:     client, Clock: clock.System{}, Control: w, Duty: fullDuty{}, Logger: zerolog.Nop(), Scope: tally.NoopScope,
-		Registry: worker.NewRegistry(worker.RegistryOptions{Log: client, Logger: zerolog.Nop(), Scope: tally.NoopScope}),
+	r, ctx, release := startRunner(g, log.Client("holder"), w, Options{
+		Token: token, Lease: 5 * time.Second, MaxLease: 6 * time.Second, DutyLease: shortDutyLease, StatusRetention: shortRetention,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.Run(ctx) }()
 	g.Eventually(r.checkAccepting, agentPatience, time.Millisecond).Should(Succeed())
 	r.applyWorkerChange(ctx, worker.ListChange{Listed: []worker.Listing{listing("a")}})
-	return r, func() {
-		cancel()
-		g.Expect(<-ended).To(Succeed())
-	}
+	return r, release
 }
 
 // Guards against a completed job that the next holder runs again (TWICE): the one
--- a/internal/scheduler/lostworker_runner_test.go
+++ b/internal/scheduler/lostworker_runner_test.go
@@ -13,6 +13,7 @@
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/logstore/logtest"
 	"greengagedeck/internal/verdict"
 	"greengagedeck/internal/worker"
@@ -105,21 +106,29 @@
 // workerClock returns the reading of the workers' clock.
 func workerClock() int64 { return clock.System{}.Now().Milliseconds() }
 
-// runPool runs the pool of the workers until the test ends.
-func runPool(t *testing.T, control worker.Control) (*Runner, context.Context) {
-	log := logtest.New().Client("holder")
-	r := NewRunner(RunnerOptions{
-		Options: Options{Pool: "p", Token: 2, Lease: shortLease, MaxLease: shortMaxLease, DutyLease: shortDutyLease, StatusRetention: time.Minute},
-		Log:     log, Clock: clock.System{}, Control: control, Duty: fullDuty{}, Logger: zerolog.Nop(), Scope: tally.NoopScope,
+// startRunner has a daemon hold the pool of the workers, until the returned function is
+// called.
+func startRunner(g *WithT, log logstore.Log, control worker.Control, o Options) (r *Runner, ctx context.Context, release func()) {
+	o.Pool = "p"
+	r = NewRunner(RunnerOptions{
+		Options: o, Log: log, Clock: clock.System{}, Control: control, Duty: fullDuty{}, Logger: zerolog.Nop(), Scope: tally.NoopScope,
 		Registry: worker.NewRegistry(worker.RegistryOptions{Log: log, Logger: zerolog.Nop(), Scope: tally.NoopScope}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
-	t.Cleanup(func() {
+	return r, ctx, func() {
 		cancel()
-		NewWithT(t).Expect(<-ended).To(Succeed())
+		g.Expect(<-ended).To(Succeed())
+	}
+}
+
+// runPool runs the pool of the workers until the test ends, with short leases.
+func runPool(t *testing.T, control worker.Control) (*Runner, context.Context) {
+	r, ctx, release := startRunner(NewWithT(t), logtest.New().Client("holder"), control, Options{
+		Token: 2, Lease: shortLease, MaxLease: shortMaxLease, DutyLease: shortDutyLease, StatusRetention: time.Minute,
 	})
+	t.Cleanup(release)
 	return r, ctx
 }
 
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -23,6 +23,7 @@
 // are killed, or paused and resumed without knowing that they were replaced. No
 // invariant may break, and once the faults end every job must end.
 func TestInvariantsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for i := range *schedules {
 		seed := *scheduleSeed + uint64(i)
 		w := newSimWorld(t, seed, 2+int(seed%4))
@@ -40,6 +41,7 @@
 // the states of ended jobs are kept for a short time only, and deletions of their
 // submissions fail. No task may run again.
 func TestInvariantsWhileStatesExpire(t *testing.T) {
+	t.Parallel()
 	for i := range *schedules {
 		seed := *scheduleSeed + uint64(i)
 		w := newSimWorld(t, seed, 2+int(seed%4))
--- a/internal/scheduler/sim_liveness_test.go
+++ b/internal/scheduler/sim_liveness_test.go
@@ -254,6 +254,7 @@
 // reused, lists that are frozen, and starts that are carried out late. No task may
 // wait while there is room for it.
 func TestTasksRunAgainAfterFaults(t *testing.T) {
+	t.Parallel()
 	lost, waits := newWaitSummary(), newWaitSummary()
 	for i := range *schedules {
 		seed := *scheduleSeed + uint64(i)
--- a/internal/scheduler/sim_unreached_test.go
+++ b/internal/scheduler/sim_unreached_test.go
@@ -12,6 +12,7 @@
 // workers and the log is down at times. No invariant may break, and once the faults
 // end every job must end.
 func TestInvariantsUnderTakeoversOfUnreachedWorkers(t *testing.T) {
+	t.Parallel()
 	for i := range *schedules {
 		seed := *scheduleSeed + uint64(i)
 		w := newSimWorld(t, seed, 3+int(seed%3))
