End what no event ended: stops without effect, cordons of workers that went, changes of speed

Cause: a stop that a worker answered and did not carry out was not sent again; the cordon of a worker that went while the pool changed hands stayed in the log; a change of speed in flight when its worker restarted counted as in flight for good. Change: a run that is still listed 1.5 s after it should have stopped is stopped again; a full list lifts the cordons of workers that are not there; a new incarnation has no change in flight.

--- a/internal/scheduler/cordon.go
+++ b/internal/scheduler/cordon.go
@@ -62,6 +62,16 @@
 	c.cordons[logged.Worker.ID] = &cordon{Cordon: logged, logged: true}
 }
 
+// liftStrayCordons lifts the cordons of workers that are gone. They may have gone while
+// the pool changed hands.
+func (c *Core) liftStrayCordons() {
+	for id := range c.cordons {
+		if c.workers[id] == nil {
+			c.Uncordon(id)
+		}
+	}
+}
+
 // applyCordon marks a worker that became known after it was cordoned.
 func (c *Core) applyCordon(ws *worker.State) {
 	cn := c.cordons[ws.Incarnation.ID]
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -28,6 +28,9 @@
 	// ends which the log does not hold yet, for example because it is down.
 	// Every answer lists them again, so the worker answers such polls at once.
 	unloggedPollGap = time.Second
+	// stopRepeat is for how long after it should have stopped a run may still be listed
+	// until it is stopped again.
+	stopRepeat = 1500 * time.Millisecond
 )
 
 // Poll is a poll to send to a worker.
@@ -237,6 +240,9 @@
 			ws.SetRunState(r, worker.RunConfirmed, now)
 		}
 		r.LastReported = sent
+		if r.StopAnsweredAt > 0 && sent > r.StopAnsweredAt+c.opt.StopTimeout+stopRepeat {
+			c.repeatStop(ws, r)
+		}
 		c.recordSurvival(ws, r)
 		r.ProgressPercent = row.ProgressPercent
 		r.Measurement = row.Measurement
@@ -247,6 +253,13 @@
 	return active
 }
 
+// repeatStop has a stop sent again that was answered and has had no effect.
+func (c *Core) repeatStop(ws *worker.State, r *worker.Run) {
+	c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Msg("worker still lists a run whose stop it answered, stopping it again")
+	r.StopAnsweredAt = 0
+	c.stoppingWorkers[ws.Incarnation.ID] = true
+}
+
 // recordSurvival clears what a run was suspected of, once its worker has survived
 // its start.
 func (c *Core) recordSurvival(ws *worker.State, r *worker.Run) {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -51,6 +51,7 @@
 		}
 	}
 	c.UpdateWorkers(listed, removed, t)
+	c.liftStrayCordons()
 }
 
 // updateWorker applies one entry of the list.
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -79,4 +79,6 @@
 	}
 	r.StopInFlight = false
 	r.StopAnsweredAt = 0
+	r.SpeedInFlight = false
+	r.SpeedAtWorker = SpeedUnknown
 }
