Call rows malformed, and log them without flooding

Cause: the new code called them odd, which is no term of the field; and a log line whose message names the worker escapes the limit of lines of one message.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	d.Intake.StartLearning(work, d.DutyObserver.elector.LivePeers)
+	d.Intake.StartFetchingMoves(work, d.DutyObserver.elector.LivePeers)
 	go d.Follower.Run(work)
 	go d.Registry.Run(work)
 	go d.DutyObserver.elector.Run(work)
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -353,7 +353,7 @@
 			}
 			if p.Set(next) {
 				for _, skipped := range next.Skipped {
-					l.Warn().Err(skipped).Int64("version", next.Version).Msg("ignoring an odd row of the configuration")
+					l.Warn().Err(skipped).Str("list", "configuration").Int64("version", next.Version).Msg("ignoring a malformed row")
 				}
 				l.Info().Int64("version", next.Version).Int("entries", len(next.Entries)).Int("pools", len(next.Pools)).Msg("configuration applied")
 			}
--- a/internal/intake/learn.go
+++ b/internal/intake/fetchmoves.go
@@ -14,7 +14,7 @@
 )
 
 // A daemon that starts does not know which entries configurations have sent to other
-// pools before. It learns that from other daemons before it accepts jobs.
+// pools before. It asks other daemons before it accepts jobs.
 
 // MethodMoves asks a daemon for the entries that it has seen replaced.
 const MethodMoves peer.Method = "policy.moves"
@@ -25,13 +25,13 @@
 }
 
 const (
-	// maxLearnTime is for how long a daemon that starts tries to learn of moves, and
-	// holds up jobs meanwhile.
-	maxLearnTime = 2 * time.Second
-	// learnInterval is the time between two attempts.
-	learnInterval = 100 * time.Millisecond
-	// maxTeachers is how many other daemons are asked at once.
-	maxTeachers = 5
+	// maxFetchTime is for how long a daemon that starts asks others, and holds up jobs
+	// meanwhile.
+	maxFetchTime = 2 * time.Second
+	// fetchInterval is the time between two attempts.
+	fetchInterval = 100 * time.Millisecond
+	// maxAsked is how many other daemons are asked at once.
+	maxAsked = 5
 )
 
 // registerMoves registers the handler for the requests of daemons that have started.
@@ -41,50 +41,50 @@
 	})
 }
 
-// StartLearning learns in the background which entries were replaced before this process
-// started, from other live daemons, whose IDs peers returns. It must be called before the
+// StartFetchingMoves asks other live daemons, whose IDs peers returns, in the background
+// which entries were replaced before this process started. It must be called before the
 // first request of a caller.
-func (s *Service) StartLearning(ctx context.Context, peers func() []string) {
-	learned := make(chan struct{})
-	s.learned = learned
+func (s *Service) StartFetchingMoves(ctx context.Context, peers func() []string) {
+	fetched := make(chan struct{})
+	s.fetched = fetched
 	go func() {
-		defer close(learned)
-		ctx, cancel := context.WithTimeout(ctx, maxLearnTime)
+		defer close(fetched)
+		ctx, cancel := context.WithTimeout(ctx, maxFetchTime)
 		defer cancel()
-		for !s.learnFrom(ctx, peers()) && clock.Sleep(ctx, learnInterval) {
+		for !s.fetchMovesFrom(ctx, peers()) && clock.Sleep(ctx, fetchInterval) {
 		}
 	}()
 }
 
-// awaitMoves waits until this daemon has learned which entries were replaced before it
+// awaitMoves waits until this daemon has fetched which entries were replaced before it
 // started, or has given up. It reports whether it had to wait.
 func (s *Service) awaitMoves(ctx context.Context) (waited bool) {
-	if s.learned == nil {
+	if s.fetched == nil {
 		return false
 	}
 	select {
-	case <-s.learned:
+	case <-s.fetched:
 		return false
 	default:
 	}
 	select {
-	case <-s.learned:
+	case <-s.fetched:
 	case <-ctx.Done():
 	}
 	return true
 }
 
-// learnFrom asks up to maxTeachers daemons. It reports whether any answered.
-func (s *Service) learnFrom(ctx context.Context, ids []string) bool {
+// fetchMovesFrom asks up to maxAsked daemons. It reports whether any answered.
+func (s *Service) fetchMovesFrom(ctx context.Context, ids []string) bool {
 	var answered atomic.Bool
 	var calls sync.WaitGroup
-	for _, id := range ids[:min(len(ids), maxTeachers)] {
+	for _, id := range ids[:min(len(ids), maxAsked)] {
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 			defer cancel()
 			var a MovesResponse
 			if s.opt.Caller.Call(ctx, id, MethodMoves, struct{}{}, &a) == nil {
-				s.opt.Policy.Learn(a.Moves)
+				s.opt.Policy.AddMoves(a.Moves)
 				answered.Store(true)
 			}
 		})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -121,9 +121,9 @@
 	metrics          metrics
 	logLookupLimiter *rate.Limiter
 	holders          *holderTracker
-	// learned is closed once this daemon knows which entries were replaced before it
+	// fetched is closed once this daemon knows which entries were replaced before it
 	// started, or nil if it does not learn that.
-	learned <-chan struct{}
+	fetched <-chan struct{}
 }
 
 // NewService returns a service.
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -266,7 +266,7 @@
 
 // Guards against a daemon that accepts a job a second time (TWICE) because it started
 // after the entry had been sent to another pool.
-func TestStartedDaemonLearnsWhichEntriesMoved(t *testing.T) {
+func TestStartedDaemonFetchesWhichEntriesMoved(t *testing.T) {
 	g := NewWithT(t)
 	m := newMovingEntry()
 	g.Expect(m.submit(id)).To(BeTrue())
@@ -278,14 +278,14 @@
 	e, _, ok := started.opt.Policy.Get().Find("h", "/e/x")
 	g.Expect(ok).To(BeTrue())
 	var attempts atomic.Int64
-	started.StartLearning(t.Context(), func() []string {
+	started.StartFetchingMoves(t.Context(), func() []string {
 		if attempts.Add(1) < 3 {
 			return nil
 		}
 		return []string{"d1"}
 	})
 	g.Expect(started.Submit(t.Context(), e, m.version, spec)).To(Succeed(), "it was accepted before")
-	g.Expect(m.pools["q"].jobs).To(BeEmpty(), "the job waits until the daemon has learned of the move")
+	g.Expect(m.pools["q"].jobs).To(BeEmpty(), "the job waits until the daemon has fetched of the move")
 	g.Expect(started.opt.Policy.Get().Entries[0].Earlier).To(HaveLen(1))
 }
 
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -220,7 +220,7 @@
 
 // Guards against a submission in the log that makes each holder end in turn: its steps
 // refer to steps that are not there, or it is under the key of another job.
-func TestOddSubmissionIsNoJob(t *testing.T) {
+func TestMalformedSubmissionIsNoJob(t *testing.T) {
 	g := NewWithT(t)
 	good := Submission{Spec: job.Spec{ID: "00000000000000aa", Steps: []job.Step{{Count: 1}}}}
 	for name, spoil := range map[string]func(*Submission){
--- a/internal/policy/moves.go
+++ b/internal/policy/moves.go
@@ -145,17 +145,17 @@
 	return e
 }
 
-// Learn adds the moves that another daemon has seen, perhaps before this process started.
-func (c *Current) Learn(learned []Move) {
+// AddMoves adds the moves that another daemon has seen, perhaps before this process started.
+func (c *Current) AddMoves(added []Move) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for _, m := range learned {
+	for _, m := range added {
 		if m.Age >= 0 && m.Age < earlierKept {
 			c.moves.add(address{m.Host, m.PathPrefix}, replacedEntry{m.Name, m.Pool}, now.Add(-m.Age))
 		}
 	}
-	if current := c.current.Load(); current != nil && len(learned) > 0 {
+	if current := c.current.Load(); current != nil && len(added) > 0 {
 		c.current.Store(c.moves.applied(current))
 	}
 }
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -235,8 +235,8 @@
 		description = "restart " + w.id
 		w.Restart()
 	case 6:
-		description = "another writer leaves odd entries"
-		s.store.PutOdd()
+		description = "another writer leaves malformed entries"
+		s.store.PutMalformed()
 	case 7:
 		description = "store rejects requests, and the workers' entries lapse"
 		s.store.Log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{Rejected: true} })
--- a/standin/jobsim/store.go
+++ b/standin/jobsim/store.go
@@ -64,15 +64,15 @@
 // deepValue is a JSON value that is nested more deeply than decoders follow.
 var deepValue = strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 
-// PutOdd leaves odd entries in the list of workers and among the operators' records, as
+// PutMalformed leaves malformed entries in the list of workers and among the operators' records, as
 // another writer might.
-func (s *Store) PutOdd() {
+func (s *Store) PutMalformed() {
 	for i, value := range []string{
 		deepValue, "1e400", "\xff\xfe", `{"service":7}`,
 		`{"service":"p","address":"10.0.0.1:70000","zone":"a","version":"1","slots":1,"coldRemainingMs":0,"sequence":1,"state":"ready","born":1,"capacity":{"cpu":1,"taskMemoryMb":1}}`,
 		`{"service":"p","address":"127.0.0.1:0","zone":"a","version":"1","slots":1,"coldRemainingMs":0,"sequence":1,"state":"ready","born":9223372036854775807,"capacity":{"cpu":9223372036854775807,"taskMemoryMb":1}}`,
 	} {
-		e := logstore.Entry{Key: fmt.Sprintf("odd-%d", i), Value: []byte(value)}
+		e := logstore.Entry{Key: fmt.Sprintf("malformed-%d", i), Value: []byte(value)}
 		s.Log.Put(logstore.Partition{Topic: workersTopic}, e)
 		e.Key = fmt.Sprintf("wave/%d", i)
 		s.Log.Put(logstore.Partition{Topic: "op"}, e)
@@ -107,7 +107,7 @@
 		page, err := s.client.Newest(ctx, p, string(q.Peek("after")))
 		writeResponse(ctx, newestBody(page), err)
 	case "/v1/machines":
-		// Another writer has left odd rows among the hosts, of which there are none.
+		// Another writer has left malformed rows among the hosts, of which there are none.
 		ctx.SetBodyString(`{"machines":[7,{"machine":[]},{"capacity":{"cpu":1e400}},` + deepValue + `],"nextToken":null}`)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
