Reject a job whose progress cannot be logged

Cause: a job of 6,000 tasks was accepted, and its progress exceeds a record of the log (276,017 of 262,144 bytes), which the holder then appended for ever: no job of its pool started any more. Change: a job may have 2,000 tasks, speculative ones counted twice, and is rejected at once beyond; jobs that earlier releases accepted are still read. TestInvalidSpecRejected names the lower limit.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -133,7 +133,7 @@
 		"less than 1":     {ID: someID, Steps: []Step{{}}},
 		"not an earlier":  {ID: someID, Steps: []Step{{Count: 1, After: []int{0}}}},
 		"negative":        {ID: someID, Steps: []Step{{Count: 1, Need: Resources{CPU: -1}}}},
-		"more than 10000": {ID: someID, Steps: []Step{{Count: MaxTasks}, ok}},
+		"more than 2000": {ID: someID, Steps: []Step{{Count: MaxTasks}, ok}},
 		"repetitions":     {ID: someID, Steps: []Step{ok}, Repeat: -1},
 		"bytes":           {ID: someID, Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{ok}},
 	} {
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -98,13 +98,30 @@
 const (
 	MaxPayloadBytes = 4000
 	MaxSteps        = 256
-	MaxTasks        = 10_000
-	maxRepeat       = 1_000_000
+	// MaxTasks bounds the tasks of a job, a speculative one counted twice for its copy.
+	// The progress of all of them has to fit into one record of the log.
+	MaxTasks  = 2_000
+	maxRepeat = 1_000_000
+	// maxWellFormedTasks bounds the tasks of a well-formed job. Earlier releases
+	// accepted that many.
+	maxWellFormedTasks = 10_000
 )
 
-// Validate returns an error that describes the first invalid part of the job,
-// or nil.
+// Validate returns an error that describes the first invalid part of a job that is
+// submitted, or nil.
 func (s *Spec) Validate() error {
+	if err := s.CheckForm(); err != nil {
+		return err
+	}
+	if tasks := s.tasks(); tasks > MaxTasks {
+		return eris.Errorf("%d tasks are more than %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+// CheckForm returns an error that describes the first part of a job with which it cannot
+// be run, or nil. It does for jobs that were accepted, perhaps by an earlier release.
+func (s *Spec) CheckForm() error {
 	switch {
 	case !s.ID.Valid():
 		return eris.Errorf("id %q is not %d hexadecimal digits", s.ID, idLength)
@@ -124,17 +141,17 @@
 			return eris.Wrapf(err, "step %d", i)
 		}
 	}
-	if tasks := s.tasks(); tasks > MaxTasks {
-		return eris.Errorf("%d tasks are more than %d", tasks, MaxTasks)
-	}
 	return nil
 }
 
-// tasks returns how many tasks one occurrence of the job has.
+// tasks returns how many tasks of MaxTasks one occurrence of the job takes.
 func (s *Spec) tasks() int {
 	n := 0
 	for _, st := range s.Steps {
 		n += st.Count
+		if st.Speculative {
+			n += st.Count
+		}
 	}
 	return n
 }
@@ -143,8 +160,8 @@
 	switch {
 	case s.Count < 1:
 		return eris.Errorf("count %d is less than 1", s.Count)
-	case s.Count > MaxTasks:
-		return eris.Errorf("count %d is more than %d", s.Count, MaxTasks)
+	case s.Count > maxWellFormedTasks:
+		return eris.Errorf("count %d is more than %d", s.Count, maxWellFormedTasks)
 	case s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.Estimate < 0 || s.TailLatencyTarget < 0:
 		return eris.New("a limit is negative")
 	}
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -248,3 +248,29 @@
 	_, _, err = DecodeIntake(logstore.Record{Key: "j00000000000000bb", Value: e.Value})
 	g.Expect(err).To(HaveOccurred(), "the key of another job")
 }
+
+// Guards against a job whose progress exceeds a record of the log: the log refuses it for
+// good, and no job of the pool is started any more.
+func TestProgressOfTheLargestJobFitsIntoARecord(t *testing.T) {
+	const recordBytes = 262_144
+	g := NewWithT(t)
+	at := job.Location{Worker: job.Incarnation{ID: "i-0123456789abcdef0123456789abcdef", StartedAt: 1_900_000_000_000}, Address: "255.255.255.255:65535"}
+	for _, step := range []job.Step{{Count: job.MaxTasks}, {Count: job.MaxTasks / 2, Speculative: true}} {
+		spec := job.Spec{ID: "00000000000000aa", Steps: []job.Step{step}}
+		g.Expect(spec.Validate()).To(Succeed())
+		j := job.New(spec, job.Terms{MaxAttempts: 99})
+		for k := range step.Count {
+			id := job.TaskID{Job: spec.ID, Index: k}
+			j.SaveCheckpoint(id, "0123456789abcdef0123456789")
+			j.Place(id, at)
+			if step.Speculative {
+				j.Place(id, at)
+			}
+		}
+		e, err := ProgressEntry(spec.ID, &j.Progress)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(e.Key)+len(e.Value)).To(BeNumerically("<", recordBytes), "%d tasks, speculative %t", step.Count, step.Speculative)
+	}
+	tooWide := job.Spec{ID: "00000000000000aa", Steps: []job.Step{{Count: job.MaxTasks + 1}}}
+	g.Expect(tooWide.Validate()).NotTo(Succeed())
+}
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -129,7 +129,7 @@
 	return IntakeRecord{ID: job.ID(id), Submission: s}, true, nil
 }
 
-// decodeSubmission decodes and validates a submitted job. Another daemon, perhaps of
+// decodeSubmission decodes a submitted job and checks its form. Another daemon, perhaps of
 // another version, has written it.
 func decodeSubmission(id string, value []byte) (*Submission, error) {
 	var s Submission
@@ -139,7 +139,7 @@
 	if string(s.Spec.ID) != id {
 		return nil, eris.Errorf("job %.40q is under the key of %.40q", s.Spec.ID, id)
 	}
-	return &s, eris.Wrapf(s.Spec.Validate(), "job %.40q", id)
+	return &s, eris.Wrapf(s.Spec.CheckForm(), "job %.40q", id)
 }
 
 // ProgressEntry returns the entry of a job's progress.
