--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -128,14 +128,14 @@
 func TestInvalidSpecRejected(t *testing.T) {
 	ok := Step{Count: 1}
 	for want, s := range map[string]Spec{
-		"hexadecimal":     {ID: "x", Steps: []Step{ok}},
-		"at least one":    {ID: someID},
-		"less than 1":     {ID: someID, Steps: []Step{{}}},
-		"not an earlier":  {ID: someID, Steps: []Step{{Count: 1, After: []int{0}}}},
-		"negative":        {ID: someID, Steps: []Step{{Count: 1, Need: Resources{CPU: -1}}}},
+		"hexadecimal":    {ID: "x", Steps: []Step{ok}},
+		"at least one":   {ID: someID},
+		"less than 1":    {ID: someID, Steps: []Step{{}}},
+		"not an earlier": {ID: someID, Steps: []Step{{Count: 1, After: []int{0}}}},
+		"negative":       {ID: someID, Steps: []Step{{Count: 1, Need: Resources{CPU: -1}}}},
 		"more than 2000": {ID: someID, Steps: []Step{{Count: MaxTasks}, ok}},
-		"repetitions":     {ID: someID, Steps: []Step{ok}, Repeat: -1},
-		"bytes":           {ID: someID, Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{ok}},
+		"repetitions":    {ID: someID, Steps: []Step{ok}, Repeat: -1},
+		"bytes":          {ID: someID, Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{ok}},
 	} {
 		g := NewWithT(t)
 		g.Expect(s.Validate()).To(MatchError(ContainSubstring(want)))
