--- a/standin/jobsim/soak_load_test.go
+++ b/standin/jobsim/soak_load_test.go
@@ -47,8 +47,18 @@
 	return body
 }
 
-// changeCapacities shrinks the capacity of one worker after the other for some
-// seconds, until done is closed. All have the full capacity then.
+// servingWorkers returns the workers of the pool to which the queue was sent last.
+func (s *soak) servingWorkers() []*Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool == "q" {
+		return s.workers[soakWorkers:]
+	}
+	return s.workers[:soakWorkers]
+}
+
+// changeCapacities shrinks the capacity of one worker after the other that serves the
+// queue for some seconds, until done is closed. All have the full capacity then.
 func (s *soak) changeCapacities(seed uint64, done <-chan struct{}) {
 	r := rand.New(rand.NewPCG(seed, 3))
 	growsAt := map[*Worker]time.Time{}
@@ -67,7 +77,8 @@
 				delete(growsAt, w)
 			}
 		}
-		w := s.workers[r.IntN(len(s.workers))]
+		serving := s.servingWorkers()
+		w := serving[r.IntN(len(serving))]
 		percent := minShrunkPercent + r.IntN(maxShrunkPercent-minShrunkPercent)
 		duration := time.Duration(2000+r.IntN(16000)) * time.Millisecond
 		if growsAt[w].IsZero() {
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -62,11 +62,12 @@
 	daemons []*daemon
 	client  *fasthttp.Client
 
-	// version and pool are those of the configuration in force.
+	// version is that of the configuration in force.
 	version int
-	pool    string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// pool is the one to which the queue was sent last.
+	pool     string
 	accepted []job.ID
 	rejected []job.ID
 }
@@ -74,7 +75,9 @@
 // configure has a configuration send the queue to a pool.
 func (s *soak) configure(pool string) {
 	s.version++
+	s.mu.Lock()
 	s.pool = pool
+	s.mu.Unlock()
 	s.g.Expect(s.store.Put("op", "config", map[string]any{
 		"version":  s.version,
 		"routes":   []any{7, map[string]any{"name": "r", "host": soakHost, "pathPrefix": "/q/", "service": pool, "maxAttempts": 3}},
