--- a/internal/scheduler/export_liveness_test.go
+++ b/internal/scheduler/export_liveness_test.go
@@ -94,16 +94,18 @@
 	}
 }
 
-// LateLeaseEnd returns until when a start that was sent to an earlier incarnation of
-// the worker of a task's last run, before the present one answered, may give all runs
-// there a lease. It returns the worker's ID too, or "" if the task has no run.
-func LateLeaseEnd(c *Core, t job.TaskID) (id string, end time.Duration) {
+// LateLeaseEnd returns until when a start that was sent at a moment and got no answer may
+// give all runs at its worker a lease, also at the worker's next incarnation.
+func LateLeaseEnd(c *Core, sent time.Duration) time.Duration {
+	return sent + lateStartWait + c.leaseBounds().Allowed + expiryDelay
+}
+
+// WorkerOf returns the worker of a task's first run, or "" if it has none.
+func WorkerOf(c *Core, t job.TaskID) string {
 	for _, r := range c.jobs[t.Job].Task(t).Runs {
-		if ws := c.workers[r.At.Worker.ID]; ws != nil {
-			return r.At.Worker.ID, ws.FencedAt + lateStartWait + c.leaseBounds().Allowed + expiryDelay
-		}
+		return r.At.Worker.ID
 	}
-	return "", 0
+	return ""
 }
 
 // TaskDone reports whether the holder knows that a task is done.
--- a/internal/scheduler/sim_liveness_test.go
+++ b/internal/scheduler/sim_liveness_test.go
@@ -232,8 +232,8 @@
 func (l *liveness) report(t job.TaskID, idle time.Duration) {
 	cause, detail, until := scheduler.WaitCause(l.w.holder.core, t, l.w.now)
 	if cause == scheduler.CauseEarlierLease {
-		if id, end := scheduler.LateLeaseEnd(l.w.holder.core, t); l.w.holder.worker(id).restarted() {
-			until = max(until, end)
+		if sent, ok := l.w.unansweredStart[scheduler.WorkerOf(l.w.holder.core, t)]; ok {
+			until = max(until, scheduler.LateLeaseEnd(l.w.holder.core, sent))
 		}
 	}
 	l.heldUntil[t] = max(l.heldUntil[t], until)
@@ -301,3 +301,17 @@
 	}
 	return out.String()
 }
+
+// Guards against the fault of TestTaskOfDroppedStartIsStartedElsewhere in the schedules
+// that found it with the fix taken out.
+func TestTasksRunAgainAfterDroppedStarts(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{1174, 2013, 3260, 4212} {
+		w := newSimWorld(t, seed, 4+int(seed%4))
+		l := newLiveness(w)
+		runLivenessSchedule(l)
+		if len(l.lost) > 0 {
+			t.Errorf("schedule %d: tasks wait although there is room: %v", seed, l.lost)
+		}
+	}
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -90,6 +90,9 @@
 	// lostRate, delayedRate and unansweredRate are the probabilities that a call is
 	// lost, carried out seconds later, or carried out without an answer.
 	lostRate, delayedRate, unansweredRate float64
+	// unansweredStart is when the last start was sent to a worker that got no answer, by
+	// the worker's ID.
+	unansweredStart map[string]time.Duration
 	// maxEnds is how many ends a worker lists in one answer.
 	maxEnds int
 	// logDown is set while the log answers no calls, and logDelay is how long it takes
@@ -132,6 +135,7 @@
 		now:              time.Hour,
 		progress:         map[string][]byte{},
 		intakeDeleted:    map[job.ID]int{},
+		unansweredStart:  map[string]time.Duration{},
 		retention:        time.Hour,
 		specs:            map[job.ID]job.Spec{},
 		maxFailures:      map[job.ID]int{},
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -348,6 +348,9 @@
 	}
 	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
 	h.call(s, func() error { return s.startFrom(origin, o.Order) }, func(err error) {
+		if err != nil && verdict.Of(err) == verdict.MayHaveRun {
+			h.w.unansweredStart[s.id] = max(h.w.unansweredStart[s.id], origin.sentAt)
+		}
 		if h.core.StartAnswered(o, s.clock(), err, h.w.times()) {
 			retry()
 		}
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -86,9 +86,6 @@
 // firstStart is the time of the first start of every worker.
 const firstStart = 1001
 
-// restarted reports whether the worker has started again under its ID.
-func (s *simWorker) restarted() bool { return s.startedAt > firstStart }
-
 // boot starts a new incarnation under the same ID.
 func (s *simWorker) boot() {
 	s.startedAt++
