Schedule pools until their duties are released at a planned stop

Cause: the schedulers ran under the context that SIGTERM ends, so a stopping daemon scheduled no pool from that moment on, while it held the duty and answered probes as able: nobody else may claim such a duty. That lasts until its release is stored, which had to wait for the fleet controller's orders, and to the end of the process (up to graceS) where the store does not take the release within 2 s. Callers saw tasks whose turn had come stand for so long. Change: what runs in the background goes on until the daemon ends, and the duty's loss stops a pool's scheduler, as at any other loss: log and workers check the fencing token. The pools' duties are released at once, beside the end of the fleet controller; the fleet duty still after it. Tests of cmd/greengaged, internal/duty and internal/scheduler pass.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -33,7 +34,8 @@
 	// exitMargin is the part of the grace period that a planned stop reserves
 	// for exiting.
 	exitMargin = 1500 * time.Millisecond
-	// dutyReleaseTimeout bounds the hand-over of duties at a planned stop.
+	// dutyReleaseTimeout bounds the hand-over of the pools' duties at a planned stop, and then
+	// that of the fleet duty.
 	dutyReleaseTimeout = 2 * time.Second
 )
 
@@ -41,6 +43,8 @@
 type fleetComponents struct {
 	dig.In
 
+	// Work ends when the daemon has stopped.
+	Work         context.Context
 	Settings     platform.Settings
 	Self         duty.Member
 	Logger       zerolog.Logger
@@ -62,16 +66,14 @@
 
 // run serves until ctx ends and then stops without interrupting requests.
 func (d *fleetDaemon) run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
 	callers, err := d.listen()
 	if err != nil {
 		return err
 	}
-	d.Intake.StartFetchingMoves(work, d.DutyObserver.elector.LivePeers)
-	go d.Follower.Run(work)
-	go d.Registry.Run(work)
-	go d.DutyObserver.elector.Run(work)
+	d.Intake.StartFetchingMoves(d.Work, d.DutyObserver.elector.LivePeers)
+	go d.Follower.Run(d.Work)
+	go d.Registry.Run(d.Work)
+	go d.DutyObserver.elector.Run(d.Work)
 	d.Stage.set(stageServing)
 	d.Logger.Info().Str("release", release.String()).Str("callers", d.Settings.Callers.String()).Msg("serving")
 	<-ctx.Done()
@@ -127,11 +129,7 @@
 	end := time.Now().Add(d.Settings.Grace - exitMargin)
 	d.Stage.set(stageDraining)
 	d.Frontend.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), dutyReleaseTimeout)
-	defer cancel()
-	d.DutyObserver.elector.Leave()
-	d.FleetRunner.stop()
-	if err := d.DutyObserver.elector.Release(ctx); err != nil {
+	if err := d.releaseDuties(); err != nil {
 		d.Logger.Warn().Err(err).Msg("releasing duties failed")
 	}
 	for time.Now().Before(end) && d.Frontend.OpenConnections() > 0 {
@@ -143,3 +141,27 @@
 	d.Node.Close()
 	d.Logger.Info().Int64("open", d.Frontend.OpenConnections()).Msg("stopped")
 }
+
+// releaseDuties gives up the duties. No other daemon claims a duty that is not released while
+// this one answers, so each pool is scheduled here until its release is stored: workers and the
+// log check fencing tokens. Hosts do not, so the fleet controller stops before its duty is
+// released.
+func (d *fleetDaemon) releaseDuties() error {
+	elector := d.DutyObserver.elector
+	elector.Leave()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.FleetRunner.stop()
+	}()
+	poolsErr := releaseDutiesOf(elector, duty.Fleet)
+	<-stopped
+	return errors.Join(poolsErr, releaseDutiesOf(elector))
+}
+
+// releaseDutiesOf tries for dutyReleaseTimeout to give up every duty but those to keep.
+func releaseDutiesOf(e *duty.Elector, keep ...duty.Name) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dutyReleaseTimeout)
+	defer cancel()
+	return e.Release(ctx, keep...)
+}
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -37,9 +37,12 @@
 	if err != nil {
 		return err
 	}
+	// A planned stop ends ctx. The work goes on until the duties are handed over.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
 	c := dig.New()
 	constructors := []any{
-		func() context.Context { return ctx },
+		func() context.Context { return work },
 		func() platform.Settings { return settings },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
 		func() metrics { return m },
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -186,15 +187,15 @@
 	}
 }
 
-// Release gives up every duty, so that other daemons can claim them at once. It
-// returns an error if the log did not accept a release; the other daemons then
-// wait for the lease to expire.
-func (e *Elector) Release(ctx context.Context) error {
+// Release gives up every duty but those to keep, so that other daemons can claim them at
+// once. It returns an error if the log did not accept a release; the other daemons then
+// wait until this process has ended.
+func (e *Elector) Release(ctx context.Context, keep ...Name) error {
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
 	for {
-		n, token, ok := e.anyHeld()
+		n, token, ok := e.anyHeldExcept(keep)
 		if !ok {
 			return nil
 		}
@@ -207,11 +208,14 @@
 	}
 }
 
-func (e *Elector) anyHeld() (Name, Token, bool) {
+// anyHeldExcept returns a duty that this daemon holds and is not to keep.
+func (e *Elector) anyHeldExcept(keep []Name) (Name, Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n, t := range e.held {
-		return n, t, true
+		if !slices.Contains(keep, n) {
+			return n, t, true
+		}
 	}
 	return "", 0, false
 }
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -85,7 +85,8 @@
 	})).To(Succeed())
 }
 
-func newSoak(t *testing.T) *soak {
+// newSoak starts a deployment of some daemons.
+func newSoak(t *testing.T, daemons int) *soak {
 	g := NewWithT(t)
 	store, err := StartStore()
 	g.Expect(err).NotTo(HaveOccurred())
@@ -104,7 +105,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		s.workers = append(s.workers, w)
 	}
-	for i := range soakDaemons {
+	for i := range daemons {
 		d, err := newDaemon(dir, fmt.Sprintf("d%d", i), store.Address())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(d.start()).To(Succeed())
@@ -321,7 +322,7 @@
 // runSoak runs a soak until all accepted jobs have ended, which it expects.
 func runSoak(t *testing.T) *soak {
 	t.Logf("seed %d", *soakSeed)
-	s := newSoak(t)
+	s := newSoak(t, soakDaemons)
 	r := rand.New(rand.NewPCG(*soakSeed, 1))
 	done := make(chan struct{})
 	var load sync.WaitGroup
