Make no claim once a daemon stops

Cause: a check for duties to claim lasts up to 0.55 s (probe, witnesses, heartbeats), and a daemon that got SIGTERM meanwhile still made the claim. If Release had ended by then, the daemon held the duty, unreleased, until its process ended (up to graceS). Change: appendClaim appends nothing but releases once the daemon leaves. Figures: TestLeavingDaemonClaimsNothing fails before (one acquisition), passes after; the tests of internal/duty pass.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -121,15 +121,16 @@
 
 // appendClaim appends a claim at the end of the claims known here, provided
 // that the duty's last claim still has the token expected: what was found out
-// about that holder does not apply to a later one. It reports whether the claim
-// was appended.
+// about that holder does not apply to a later one. A daemon that is stopping only
+// gives duties up. It reports whether the claim was appended.
 func (e *Elector) appendClaim(ctx context.Context, n Name, expected Token, c claimRecord) bool {
 	e.mu.Lock()
 	at := e.nextClaimOffset
+	outdated := e.leaving && !c.Released
 	last := e.table.claims[n].Token
 	c.PriorLeaseRemaining = max(c.PriorLeaseRemaining, e.table.priorLeaseRemaining(n, e.opt.Clock.Now()))
 	e.mu.Unlock()
-	if last != expected {
+	if outdated || last != expected {
 		return false
 	}
 	value, err := record.Encode(c)
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -257,6 +257,20 @@
 	})
 }
 
+// Guards against a stopping daemon that makes a claim which it decided on before, and then
+// holds a duty that it does not release.
+func TestLeavingDaemonClaimsNothing(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		n := newCluster()
+		d := n.start(ctx, "a", 0.8)
+		advance(2 * time.Second)
+		d.Leave()
+		d.claimDuty(ctx, pool, 0, false)
+		advance(time.Second)
+		g.Expect(d.acquired()).To(BeEmpty())
+	})
+}
+
 func TestReleaseReportsLogError(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g *WithT) {
 		n := newCluster(pool)
