--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -120,15 +121,16 @@
 
 // appendClaim appends a claim at the end of the claims known here, provided
 // that the duty's last claim still has the token expected: what was found out
-// about that holder does not apply to a later one. It reports whether the claim
-// was appended.
+// about that holder does not apply to a later one. A daemon that is stopping only
+// gives duties up. It reports whether the claim was appended.
 func (e *Elector) appendClaim(ctx context.Context, n Name, expected Token, c claimRecord) bool {
 	e.mu.Lock()
 	at := e.nextClaimOffset
+	outdated := e.leaving && !c.Released
 	last := e.table.claims[n].Token
 	c.PriorLeaseRemaining = max(c.PriorLeaseRemaining, e.table.priorLeaseRemaining(n, e.opt.Clock.Now()))
 	e.mu.Unlock()
-	if last != expected {
+	if outdated || last != expected {
 		return false
 	}
 	value, err := record.Encode(c)
@@ -186,15 +188,15 @@
 	}
 }
 
-// Release gives up every duty, so that other daemons can claim them at once. It
-// returns an error if the log did not accept a release; the other daemons then
-// wait for the lease to expire.
-func (e *Elector) Release(ctx context.Context) error {
+// Release gives up every duty but those to keep, so that other daemons can claim them at
+// once. It returns an error if the log did not accept a release; the other daemons then
+// wait until this process has ended.
+func (e *Elector) Release(ctx context.Context, keep ...Name) error {
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
 	for {
-		n, token, ok := e.anyHeld()
+		n, token, ok := e.anyHeldExcept(keep)
 		if !ok {
 			return nil
 		}
@@ -207,11 +209,14 @@
 	}
 }
 
-func (e *Elector) anyHeld() (Name, Token, bool) {
+// anyHeldExcept returns a duty that this daemon holds and is not to keep.
+func (e *Elector) anyHeldExcept(keep []Name) (Name, Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n, t := range e.held {
-		return n, t, true
+		if !slices.Contains(keep, n) {
+			return n, t, true
+		}
 	}
 	return "", 0, false
 }
