Take a run for stalled only once its worker has listed it late

Cause: detectStalls compared the time since a run's start with what its entry's tasks usually take. Change: a run counts only if a poll that was sent after it became overdue has found it there. So that this is known soon, a poll waits no longer than until the next run is overdue, and a run that is overdue is looked for with a poll that does not wait. Copies of speculative tasks start as before: they stop nothing, and a silent worker may be gone.

--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -36,3 +36,14 @@
 		}
 	}
 }
+
+// StoppingRuns returns how many runs at a worker are to be stopped.
+func StoppingRuns(c *Core, workerID string) int {
+	n := 0
+	for _, r := range c.workers[workerID].Runs {
+		if r.Stopping {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -29,7 +29,7 @@
 	overdueSlack      = 300 * time.Millisecond
 	// minStalledRuns and minStalledShare tell when a worker is stalled: at
 	// least that many of its runs, and that part of the runs that had time to
-	// end, are overdue.
+	// end, are overdue, and the worker has listed them since.
 	minStalledRuns  = 2
 	minStalledShare = 0.75
 	// durationRatioTasks is over how many tasks the duration ratio of an entry
@@ -151,17 +151,45 @@
 	}
 }
 
-// overdue reports whether a run takes much longer than expected.
-func (c *Core) overdue(r *worker.Run, now time.Duration) bool {
+// overdueAt returns when a run becomes overdue, or false if it never does.
+func (c *Core) overdueAt(r *worker.Run) (time.Duration, bool) {
 	j := c.jobs[r.ID.Task.Job]
 	if j == nil || r.State != worker.RunConfirmed || j.Task(r.ID.Task) == nil {
-		return false
+		return 0, false
 	}
 	s := j.Step(r.ID.Task)
 	if s.LongRunning || s.BestEffort || s.Gang || s.Estimate == 0 {
-		return false
+		return 0, false
+	}
+	limit := time.Duration(c.durationRatios[j.Terms.Entry].overdueRatio()*float64(s.Estimate)) + overdueSlack
+	return r.StateSince + limit, true
+}
+
+// overdue reports whether a run takes much longer than expected, as far as is known:
+// its worker may not have been heard since it ended.
+func (c *Core) overdue(r *worker.Run, now time.Duration) bool {
+	at, ok := c.overdueAt(r)
+	return ok && now > at
+}
+
+// stalled reports whether a run takes much longer than expected and its worker has
+// listed it since.
+func (c *Core) stalled(r *worker.Run) bool {
+	at, ok := c.overdueAt(r)
+	return ok && r.LastReported > at
+}
+
+// untilOverdue returns for how long a poll may wait to show soon which of a worker's
+// runs are stalled: until the next one is overdue, and not at all if one is that no
+// poll has been sent for.
+func (c *Core) untilOverdue(ws *worker.State, now time.Duration) time.Duration {
+	wait := pollWait
+	for _, r := range ws.Runs {
+		if at, ok := c.overdueAt(r); ok && r.LastReported <= at {
+			wait = min(wait, max(0, at-now))
+		}
 	}
-	return now-r.StateSince > time.Duration(c.durationRatios[j.Terms.Entry].overdueRatio()*float64(s.Estimate))+overdueSlack
+	return wait
 }
 
 // detectStalls finds the workers that are stalled and has their overdue tasks
@@ -171,7 +199,7 @@
 		overdue, measurable := 0, 0
 		for _, r := range ws.Runs {
 			switch {
-			case c.overdue(r, now):
+			case c.stalled(r):
 				overdue++
 				measurable++
 			case r.State == worker.RunConfirmed && now-r.StateSince > overdueSlack:
@@ -187,16 +215,16 @@
 		c.needsPlan = true
 		c.opt.Logger.Info().Str("worker", id).Bool("stalled", stalled).Int("late", overdue).Int("runs", measurable).Msg("worker stall state changed")
 		if stalled {
-			c.restartOverdue(ws, now)
+			c.restartStalled(ws)
 		}
 	}
 }
 
-// restartOverdue stops the overdue runs of a stalled worker, so that their
+// restartStalled stops the runs that stand still on a stalled worker, so that their
 // tasks start elsewhere. Runs of speculative steps go on beside their copies.
-func (c *Core) restartOverdue(ws *worker.State, now time.Duration) {
+func (c *Core) restartStalled(ws *worker.State) {
 	for _, r := range sortedRuns(ws) {
-		if c.overdue(r, now) && !c.jobs[r.ID.Task.Job].Step(r.ID.Task).Speculative {
+		if c.stalled(r) && !c.jobs[r.ID.Task.Job].Step(r.ID.Task).Speculative {
 			c.requestStop(ws, r, "its worker is stalled")
 		}
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -114,6 +114,7 @@
 		default:
 			p.Request.Wait = pollWait
 		}
+		p.Request.Wait = min(p.Request.Wait, c.untilOverdue(ws, now))
 		if rest := ws.IsolatedFor(now); rest > 0 {
 			// If the worker crashes later, its last answer shows that the suspect is
 			// not the cause.
