Log why a job or a lasting task has no run, and a pool that is not scheduled

Cause: of a job that has nothing running the log said at most once why no worker takes its tasks. It said nothing of a start that is not sent, a plan that is not logged, a takeover that hangs, a runner that has ended, or a worker list that is old, and nothing of how long any of these lasts. Change: twice a second a holder looks for jobs with a ready task and no active run, and for lasting tasks without one; after 1 s the line "job has no run" gives the reason (a typed NoRunReason), since when, what decided it and how old that is, and the workers by state; it comes again when the reason changes and every 2 s, at most 8 lines a check, "jobs have no run" counts the rest, and "job runs again" ends it. "pool is not being scheduled" does the same for a takeover, append or plan of over 1 s and for a runner that ended on an error while the duty is held. The gauges scheduler_jobs_without_run, scheduler_longest_without_run_seconds, scheduler_workers and the ages of the list, plan and append hold the same. No decision changes.

--- a/internal/ctl/trace_test.go
+++ b/internal/ctl/trace_test.go
@@ -53,3 +53,18 @@
 	code, _, _ = runTrace("00aa", filepath.Join(t.TempDir(), "missing"))
 	g.Expect(code).To(Equal(ExitFailure))
 }
+
+// A job's trace must show the lines about the time in which it, or one of its tasks, had
+// no run.
+func TestTraceShowsJobWithoutRun(t *testing.T) {
+	g := NewWithT(t)
+	a := writeLog(g, t.TempDir(), "a",
+		`{"level":"warn","host":"a","pool":"p","job":"00aa","reason":"start-not-sent","no_run_for":1500,"token":7,"time":"2026-03-21T16:19:25.1Z","message":"job has no run"}`,
+		`{"level":"info","host":"a","pool":"p","no-resources":12,"jobs":12,"time":"2026-03-21T16:19:25.1Z","message":"jobs have no run"}`,
+		`{"level":"info","host":"a","pool":"p","job":"00aa","task":"00aa.0.0.1","reason":"start-not-sent","no_run_for":1700,"time":"2026-03-21T16:19:25.3Z","message":"job runs again"}`)
+	_, out, _ := runTrace("00aa", a)
+	g.Expect(out).To(Equal("16:19:25.100 warn  a: job has no run job=00aa no_run_for=1500 pool=p reason=start-not-sent token=7\n" +
+		"16:19:25.300 info  a: job runs again job=00aa no_run_for=1700 pool=p reason=start-not-sent task=00aa.0.0.1\n"))
+	_, out, _ = runTrace("p", a)
+	g.Expect(out).To(ContainSubstring("jobs have no run jobs=12 no-resources=12 pool=p"))
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -106,6 +106,8 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
+	// noRuns are the jobs and tasks that have no active run.
+	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
 	dirty []*trackedJob
 	// healthCheckedAt is when overdue runs were last looked for, and
@@ -157,6 +159,7 @@
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
+		noRuns:           newNoRuns(),
 	}
 	c.earlierLeasesEnd = now + opt.DutyLease + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
@@ -279,6 +282,7 @@
 	if p != nil {
 		j.Job = job.Restore(s.Spec, s.Terms, *p)
 		j.loggedPhase = p.Phase
+		j.knownFrom = t.Now
 		delete(c.restoredProgress, id)
 	} else {
 		j.Job = job.New(s.Spec, s.Terms)
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -21,6 +21,8 @@
 type waitReason struct {
 	reason placement.UnplacedReason
 	at     time.Duration
+	// maxFreeCPU is the most free processor time on a worker that could take them.
+	maxFreeCPU int
 }
 
 // recordWait records that a group cannot be placed, and logs the reason when it
@@ -39,7 +41,7 @@
 	if pg.job.waitReasons == nil {
 		pg.job.waitReasons = map[int]waitReason{}
 	}
-	pg.job.waitReasons[pg.group.Step] = waitReason{reason: reason, at: now}
+	pg.job.waitReasons[pg.group.Step] = waitReason{reason: reason, at: now, maxFreeCPU: maxFreeCPU}
 	if seen && last.reason == reason {
 		return
 	}
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -75,6 +75,7 @@
 		old.cancel()
 	}
 	m.heldPools[pool] = p
+	m.loops.Go(func() { p.runner.Watch(ctx) })
 	m.loops.Go(func() {
 		if err := p.runner.Run(ctx); err != nil && ctx.Err() == nil {
 			m.opt.Logger.Warn().Err(err).Str("pool", pool).Int64("token", int64(t)).Msg("scheduling the pool stopped on an error")
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,6 +19,7 @@
 	appends, records                         tally.Counter
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
+	pool                                     poolGauges
 }
 
 // jobBuckets are the histogram bounds of the time from a job's arrival to its
@@ -34,7 +35,7 @@
 	50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, time.Second, 5 * time.Second,
 }
 
-func newMetrics(scope tally.Scope) metrics {
+func newMetrics(scope tally.Scope, pool string) metrics {
 	scope = scope.SubScope("scheduler")
 	return metrics{
 		starts:                 scope.Counter("starts"),
@@ -52,6 +53,7 @@
 		records:                scope.Counter("records"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
+		pool:                   newPoolGauges(scope.Tagged(map[string]string{"pool": pool})),
 	}
 }
 
--- a/internal/scheduler/plan_bench_test.go
+++ b/internal/scheduler/plan_bench_test.go
@@ -17,10 +17,17 @@
 // newFullPool sets up a pool whose workers are full while many jobs wait, which is
 // when a holder has the most work, and returns a function that makes a plan.
 func newFullPool(tb testing.TB, workers, jobs int) (plan func()) {
+	tb.Helper()
+	_, plan = newFullPoolCore(tb, workers, jobs)
+	return plan
+}
+
+// newFullPoolCore does what newFullPool does and returns the Core too.
+func newFullPoolCore(tb testing.TB, workers, jobs int) (c *scheduler.Core, plan func()) {
 	tb.Helper()
 	now := time.Hour
 	t := scheduler.Times{Now: now, Wall: 1_700_000_000_000}
-	c := scheduler.NewCore(scheduler.Options{
+	c = scheduler.NewCore(scheduler.Options{
 		Pool: simPool, Token: 1, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
 		DutyLease: simDutyLease, StatusRetention: 2 * time.Minute, Logger: zerolog.Nop(),
 	}, now-time.Minute)
@@ -47,7 +54,7 @@
 			AcceptedAt: t.Wall,
 		}, t)
 	}
-	return func() {
+	return c, func() {
 		t.Now += 10 * time.Millisecond
 		batch, err := c.Plan(t)
 		if err != nil {
@@ -104,3 +111,20 @@
 		})
 	}
 }
+
+// BenchmarkCheckRunsFullPool measures a check for jobs without a run, of which there
+// are two a second.
+func BenchmarkCheckRunsFullPool(b *testing.B) {
+	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
+			c, plan := newFullPoolCore(b, size.workers, size.jobs)
+			plan()
+			t := scheduler.Times{Now: time.Hour, Wall: 1_700_000_000_000}
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Now += scheduler.NoRunInterval
+				c.CheckRuns(t, scheduler.HolderState{Phase: scheduler.PhaseWaiting, PlannedAt: t.Now, DutyRemaining: time.Second})
+			}
+		})
+	}
+}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -62,8 +62,9 @@
 // Runner carries out what a Core decides: it follows the intake and the list of
 // workers, logs plans, sends starts and stops, and polls workers.
 type Runner struct {
-	opt     RunnerOptions
-	metrics metrics
+	opt      RunnerOptions
+	metrics  metrics
+	progress *progress
 	// planWake wakes the plan loop.
 	planWake chan struct{}
 	// approvalSlot admits one approval request at a time.
@@ -97,7 +98,8 @@
 	o.Options.Logger = o.Logger
 	return &Runner{
 		opt:          o,
-		metrics:      newMetrics(o.Scope),
+		metrics:      newMetrics(o.Scope, o.Pool),
+		progress:     newProgress(o.Clock.Now()),
 		planWake:     make(chan struct{}, 1),
 		approvalSlot: make(chan struct{}, 1),
 		ended:        make(chan struct{}),
@@ -117,16 +119,25 @@
 // Run schedules the pool until ctx ends or another daemon has taken over the
 // pool.
 func (r *Runner) Run(ctx context.Context) error {
+	err := r.run(ctx)
+	r.progress.end(err, r.opt.Clock.Now())
+	close(r.ended)
+	return err
+}
+
+// run does what Run does.
+func (r *Runner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer close(r.ended)
 	journal, err := joblog.OpenJournal(ctx, r.opt.Log, r.opt.Pool, r.opt.Token)
 	if err != nil {
 		return err
 	}
+	r.enter(PhaseRestoring)
 	if err := r.restore(ctx); err != nil {
 		return err
 	}
+	r.enter(PhaseLoading)
 	intake := r.intakeTails()
 	if err := r.loadIntake(ctx, intake); err != nil {
 		return err
@@ -142,6 +153,9 @@
 	return r.planLoop(ctx, journal)
 }
 
+// enter records that a phase begins.
+func (r *Runner) enter(p Phase) { r.progress.enter(p, r.opt.Clock.Now()) }
+
 // update applies a change to the core and at once sends the orders that follow
 // from it.
 func (r *Runner) update(change func(Times)) {
@@ -212,10 +226,12 @@
 // planLoop makes, logs and carries out one plan after the other.
 func (r *Runner) planLoop(ctx context.Context, j *joblog.Journal) error {
 	for {
+		r.enter(PhaseWaiting)
 		r.awaitChange(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
+		r.enter(PhasePlanning)
 		r.mu.Lock()
 		r.trackIntakeLag()
 		batch, err := r.core.Plan(r.times())
@@ -226,6 +242,7 @@
 		if err := r.appendBatch(ctx, j, batch); err != nil {
 			return err
 		}
+		r.enter(PhaseCommitting)
 		r.commit(ctx, batch)
 		r.sendApprovalRequests(ctx)
 	}
@@ -271,6 +288,7 @@
 	if len(b.Progress) == 0 {
 		return nil
 	}
+	r.enter(PhaseAppending)
 	start := time.Now()
 	r.setAppendStarted(r.opt.Clock.Now())
 	err := j.Append(ctx, b.Progress)
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -43,6 +43,11 @@
 	// stalledSince is since when the job has had no active run although some of
 	// its tasks wait, or 0.
 	stalledSince time.Duration
+	// lasting is set if any step of the job is long-running.
+	lasting bool
+	// knownFrom is from when on it is known when the job has active runs, and lastActive
+	// when it last had one other than of a long-running task, or needed none.
+	knownFrom, lastActive time.Duration
 	// waitReasons tell, by step, why its tasks were not placed.
 	waitReasons map[int]waitReason
 }
@@ -55,6 +60,7 @@
 		arrived:     t.Now - sinceAccepted(s.AcceptedAt, t.Wall),
 		sequence:    c.submitted,
 		objective:   objective(&s.Spec, s.Terms),
+		lasting:     slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.LongRunning }),
 		speculative: slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.Speculative }),
 
 		unplacedVersion: -1,
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -127,6 +127,7 @@
 		return
 	}
 	c.logEnd(j, ws, r, reason, t.Now)
+	c.recordActive(j, ws, r, t.Now)
 	switch reason {
 	case job.EndDone:
 		c.recordSuccess(ws.Incarnation.ID)
