End the runs of a worker whose host runs another one

Cause: when the workers of a pool lost power at once and came back as new workers of the same hosts, jobs stood for about 4 s: the runs of the former workers were kept until their leases expired, though the list already showed a later worker on each of their hosts, and a host runs one worker at a time. Change: the scheduler keeps the worker that was started last on each host, of all pools. The runs of a worker that does not answer and that was started earlier on its host have ended.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -53,6 +53,7 @@
 // must be passed to Committed before the next plan is made.
 func (c *Core) Plan(t Times) (*Batch, error) {
 	c.needsPlan = false
+	c.endReplaced(t)
 	c.expireLeases(t)
 	c.releaseDue(t)
 	c.evacuate(t)
