Close a connection between daemons soon after it goes silent

A pool without a report gets no host and no worker of it is uncordoned. Change: a call without an answer in time has a ping sent and the connection closed unless something is received within 1.5 s. The other side answers pings at once, whatever its handlers do. A repeated check does not extend the time.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -128,6 +128,7 @@
 		err := undeliveredError(o, ctx.Err())
 		if eris.Is(err, ErrLost) {
 			l.cancel(c, id, o.class)
+			c.check()
 		}
 		return err
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -20,6 +20,9 @@
 	// readTimeout is how long a connection may receive nothing before it is
 	// closed.
 	readTimeout = 3 * pingInterval
+	// checkTimeout is how long a connection over which a call was not answered in time may
+	// receive nothing more: it may have gone silent, while a new one would work.
+	checkTimeout = 1500 * time.Millisecond
 	// writeTimeout limits the write of one frame.
 	writeTimeout = 5 * time.Second
 )
@@ -49,13 +52,19 @@
 	queuedBytes atomic.Int64
 	done        chan struct{}
 	closeOnce   sync.Once
+	// pingNow has the writer send a ping.
+	pingNow chan struct{}
+
+	deadlineMu sync.Mutex
+	// checked is set from a call of check until something is received.
+	checked bool
 	// stillWanted is called before each ping. If it returns false, the connection
 	// is closed. It may be nil.
 	stillWanted func() bool
 }
 
 func newConn(ws *websocket.Conn, dialled bool, m *metrics) *conn {
-	c := &conn{ws: ws, dialled: dialled, metrics: m, done: make(chan struct{})}
+	c := &conn{ws: ws, dialled: dialled, metrics: m, done: make(chan struct{}), pingNow: make(chan struct{}, 1)}
 	for i := range c.queues {
 		c.queues[i] = make(chan *outgoingFrame, sendQueueFrames)
 	}
@@ -111,6 +120,11 @@
 					return
 				}
 				continue
+			case <-c.pingNow:
+				if !c.ping() {
+					return
+				}
+				continue
 			case o = <-c.queues[classControl]:
 			case o = <-c.queues[classData]:
 			}
@@ -177,10 +191,31 @@
 	}
 }
 
+// extendReadDeadline records that something was received.
 func (c *conn) extendReadDeadline() error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.checked = false
 	return c.ws.SetReadDeadline(time.Now().Add(readTimeout))
 }
 
+// check has the connection closed unless something is received within checkTimeout. The
+// other side answers a ping at once, however long its handlers take.
+func (c *conn) check() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.checked {
+		return
+	}
+	c.checked = true
+	// If it fails, the connection is closed.
+	_ = c.ws.SetReadDeadline(time.Now().Add(checkTimeout))
+	select {
+	case c.pingNow <- struct{}{}:
+	default:
+	}
+}
+
 // reply queues an answer. If it cannot be queued, the connection is closed so
 // that the caller's pending calls fail instead of waiting for their deadlines. An
 // error that cannot be encoded is dropped; the caller waits for its deadline.
