Bound the wait for other pools when a pool's intake is read

Cause: whether another pool has accepted a submission of an entry that moved was asked for up to 1 s a submission, 16 at once, before the pool is scheduled at a takeover, and before later submissions of the partition are seen. Where the other pool has no holder either, as after a power loss of all daemons, N such submissions took N/16 s, in which no task of the pool started. Change: one limit of 1 s for all submissions of a read. What it does not find out counts as not accepted elsewhere, as before.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -126,16 +126,25 @@
 	})
 }
 
-// maxElsewhereCalls bounds the concurrent calls to find out whether other pools have
-// accepted jobs.
-const maxElsewhereCalls = 16
+const (
+	// maxElsewhereCalls bounds the concurrent calls to find out whether other pools have
+	// accepted jobs.
+	maxElsewhereCalls = 16
+	// maxElsewhereTime bounds the time for all submissions of one read of the intake. They
+	// hold up the jobs of the whole pool at a takeover, and other pools may be without a
+	// holder as well.
+	maxElsewhereTime = time.Second
+)
 
 // dropAcceptedElsewhere returns the records without the submissions that are new here and
-// that another pool has accepted, which are deleted from the intake.
+// that another pool has accepted, which are deleted from the intake. What cannot be found out
+// within maxElsewhereTime counts as not accepted there.
 func (r *Runner) dropAcceptedElsewhere(ctx context.Context, records []joblog.IntakeRecord) []joblog.IntakeRecord {
 	if r.opt.AcceptedElsewhere == nil {
 		return records
 	}
+	ctx, cancel := context.WithTimeout(ctx, maxElsewhereTime)
+	defer cancel()
 	elsewhere := make([]bool, len(records))
 	var calls errgroup.Group
 	calls.SetLimit(maxElsewhereCalls)
@@ -144,7 +153,7 @@
 			continue
 		}
 		calls.Go(func() error {
-			elsewhere[i] = r.opt.AcceptedElsewhere(ctx, rec.Submission)
+			elsewhere[i] = ctx.Err() == nil && r.opt.AcceptedElsewhere(ctx, rec.Submission)
 			return nil
 		})
 	}
