Give up the duty of a pool whose scheduler has ended

Cause: when a pool's scheduler ended on an error (the log answers that a newer writer has the partition, or with another sequence number; a plan that cannot be encoded), or decided nothing more as a worker had reported a newer token, the daemon kept the duty and answered probes as able. Nothing scheduled the pool until another claim came, which nobody makes then. Change: the manager releases the duty under its token, and any daemon claims it anew. The release is conditional: with a newer claim in the log, that one is read instead and the duty counts as lost. A worker's report of a newer token ends the scheduler too. Tests of internal/duty and internal/scheduler pass.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -260,6 +260,7 @@
 	dir.elector = d.elector
 	d.schedulers = scheduler.NewManager(ctx, scheduler.ManagerOptions{
 		Lease:  d.elector,
+		GiveUp: d.elector.GiveUp,
 		Logger: l,
 		NewRunner: func(pool string, acquired duty.Acquisition, dt scheduler.Duty) *scheduler.Runner {
 			return scheduler.NewRunner(scheduler.RunnerOptions{
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -203,12 +203,33 @@
 		if err := ctx.Err(); err != nil {
 			return eris.Wrapf(verdict.NewNotRun(verdict.ReasonDeadline, "%v", err), "release %s", n)
 		}
-		if !e.appendClaim(ctx, n, token, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: token}) {
-			clock.Sleep(ctx, retryPause)
-		}
+		e.tryRelease(ctx, n, token)
+	}
+}
+
+// tryRelease appends the release of a duty once, and pauses if that fails.
+func (e *Elector) tryRelease(ctx context.Context, n Name, t Token) {
+	if !e.appendClaim(ctx, n, t, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: t}) {
+		clock.Sleep(ctx, retryPause)
+	}
+}
+
+// GiveUp gives up a duty that this daemon holds under a token and cannot act for, until it is
+// no longer held or ctx ends. Any daemon may claim it then.
+func (e *Elector) GiveUp(ctx context.Context, n Name, t Token) {
+	for ctx.Err() == nil && e.holds(n, t) {
+		e.tryRelease(ctx, n, t)
 	}
 }
 
+// holds reports whether this daemon holds a duty under a token.
+func (e *Elector) holds(n Name, t Token) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held, ok := e.held[n]
+	return ok && held == t
+}
+
 // anyHeldExcept returns a duty that this daemon holds and is not to keep.
 func (e *Elector) anyHeldExcept(keep []Name) (Name, Token, bool) {
 	e.mu.Lock()
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -19,8 +19,11 @@
 type ManagerOptions struct {
 	// NewRunner returns the runner of a pool that was acquired.
 	NewRunner func(pool string, a duty.Acquisition, d Duty) *Runner
-	Lease     Lease
-	Logger    zerolog.Logger
+	// GiveUp gives a duty up that is held under a token, so that it is claimed anew. It
+	// tries until the duty is lost or ctx ends.
+	GiveUp func(ctx context.Context, n duty.Name, t duty.Token)
+	Lease  Lease
+	Logger zerolog.Logger
 }
 
 // Manager runs a Runner for every pool that this daemon holds. It implements
@@ -76,9 +79,12 @@
 	}
 	m.heldPools[pool] = p
 	m.loops.Go(func() {
-		if err := p.runner.Run(ctx); err != nil && ctx.Err() == nil {
-			m.opt.Logger.Warn().Err(err).Str("pool", pool).Int64("token", int64(t)).Msg("scheduling the pool stopped on an error")
+		err := p.runner.Run(ctx)
+		if ctx.Err() != nil {
+			return
 		}
+		m.opt.Logger.Warn().Err(err).Str("pool", pool).Int64("token", int64(t)).Msg("scheduling the pool stopped on an error, giving up its duty")
+		m.opt.GiveUp(ctx, n, t)
 	})
 }
 
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -114,8 +115,8 @@
 	return Times{Now: r.opt.Clock.Now(), Wall: r.opt.Clock.Wall().UnixMilli()}
 }
 
-// Run schedules the pool until ctx ends or another daemon has taken over the
-// pool.
+// Run schedules the pool until ctx ends, or until it cannot, for example because another
+// daemon has taken over the pool.
 func (r *Runner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -209,6 +210,9 @@
 	return a
 }
 
+// errFencedByWorker means that a worker takes no orders of this holder.
+var errFencedByWorker = eris.New("a worker has seen the token of a newer holder")
+
 // planLoop makes, logs and carries out one plan after the other.
 func (r *Runner) planLoop(ctx context.Context, j *joblog.Journal) error {
 	for {
@@ -219,9 +223,13 @@
 		r.mu.Lock()
 		r.trackIntakeLag()
 		batch, err := r.core.Plan(r.times())
+		fenced := r.core.fenced
 		r.mu.Unlock()
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
+		case fenced:
+			return errFencedByWorker
 		}
 		if err := r.appendBatch(ctx, j, batch); err != nil {
 			return err
