--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -78,6 +78,7 @@
 		old.cancel()
 	}
 	m.heldPools[pool] = p
+	m.loops.Go(func() { p.runner.Watch(ctx) })
 	m.loops.Go(func() {
 		err := p.runner.Run(ctx)
 		if ctx.Err() != nil {
