Count earlier leases of a pool from when its last holder acted

Cause: each takeover of a pool waited 2.5 s for earlier holders and 6.3 s for the leases that they may have granted, though the claim says how long earlier holders may act: not at all if the process has ended, as after a loss of power of all daemons. The tasks of workers that went at that moment ran again 11 s after it. Callers saw tasks that last stand still (LOST), several of one pool at once, until the 8.8 s were over. Change: the scheduler waits for as long as the claim says. The release of a pool's duty now says that its holder may act for a lease: unlike the fleet's, a pool's runner goes on until it knows of its release, and the next holders but one would not know. TestReleasedDutyClaimedWithoutLeaseWait wanted 0 for pools too; it now wants the rest of that lease, and still a claim within a second. Tests of the core name how long earlier holders act; it is what they had. TestTakeoverFromEndedHolderWaitsForNoDutyLease and the changed test fail without the change. go test of scheduler, duty and cmd/greengaged: ok; of fleet only the known failure.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -268,6 +268,7 @@
 					MaxLease:        settings.MaxLease,
 					StopTimeout:     settings.StopTime,
 					DutyLease:       duty.DefaultLease,
+					EarlierHolders:  acquired.PriorLeaseRemaining,
 					StatusRetention: settings.StatusTime,
 				},
 				Log:               log,
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// Release gives up every duty, so that other daemons can claim them at once. It
+// Release gives up every duty, so that other daemons can claim them at once. The
+// fleet duty must not be acted for any more when it is called. It
 // returns an error if the log did not accept a release; the other daemons then
 // wait for the lease to expire.
 func (e *Elector) Release(ctx context.Context) error {
@@ -201,7 +202,12 @@
 		if err := ctx.Err(); err != nil {
 			return eris.Wrapf(verdict.NewNotRun(verdict.ReasonDeadline, "%v", err), "release %s", n)
 		}
-		if !e.appendClaim(ctx, n, token, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: token}) {
+		c := claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: token}
+		if n != Fleet {
+			// A pool's holder acts until it knows that its release is in the log.
+			c.PriorLeaseRemaining = e.opt.Lease
+		}
+		if !e.appendClaim(ctx, n, token, c) {
 			clock.Sleep(ctx, retryPause)
 		}
 	}
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -231,6 +231,11 @@
 	})
 }
 
+// readLag is how much later than it was appended a claim may be read.
+const readLag = 300 * time.Millisecond
+
+// Guards against released duties that wait for a lease, and against a next holder of a
+// pool that does not know that the last one acts until it reads its release.
 func TestReleasedDutyClaimedWithoutLeaseWait(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g *WithT) {
 		n := newCluster(pool, Fleet)
@@ -248,7 +253,11 @@
 		g.Expect(next.acquired()).To(HaveLen(2))
 		acquisitions, at, _ := next.events()
 		for i, got := range acquisitions {
-			g.Expect(got.PriorLeaseRemaining).To(BeZero())
+			if got.Duty == Fleet {
+				g.Expect(got.PriorLeaseRemaining).To(BeZero())
+			} else {
+				g.Expect(releasedAt + DefaultLease - at[i]).To(BeNumerically("~", got.PriorLeaseRemaining, readLag))
+			}
 			g.Expect(got.Previous.Released).To(BeTrue())
 			g.Expect(released).To(HaveKeyWithValue(got.Duty, got.Previous.HolderToken))
 			g.Expect(at[i] - releasedAt).To(BeNumerically("<", time.Second))
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -30,9 +30,10 @@
 	MaxLease time.Duration
 	// StopTimeout bounds how long a worker takes to stop a run.
 	StopTimeout time.Duration
-	// DutyLease is how long an earlier holder may have kept acting after this
-	// one claimed the pool.
-	DutyLease time.Duration
+	// DutyLease is how long a holder may act without renewing its duty, and
+	// EarlierHolders how long earlier ones may act after this one has claimed the pool.
+	DutyLease      time.Duration
+	EarlierHolders time.Duration
 	// StatusRetention is how long the state of an ended job is kept.
 	StatusRetention time.Duration
 	Logger          zerolog.Logger
@@ -158,7 +159,7 @@
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
 	}
-	c.earlierLeasesEnd = now + opt.DutyLease + c.leaseBounds().Granted
+	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
 	return c
 }
--- a/internal/scheduler/grantedlease_test.go
+++ b/internal/scheduler/grantedlease_test.go
@@ -37,6 +37,28 @@
 	t.Fatalf("the task has not run for %v after the takeover", longestTakeoverWait)
 }
 
+// longestWaitForEndedHolder is how long a task may wait after a takeover for a worker
+// that is gone if the earlier holder has ended.
+const longestWaitForEndedHolder = 6600 * time.Millisecond
+
+// Guards against a task of a worker that is gone for good which waits (LOST) after a
+// takeover for what the last holder might still do, though its process has ended.
+func TestTakeoverFromEndedHolderWaitsForNoDutyLease(t *testing.T) {
+	p := newCrashPool(t)
+	w := p.awaitStart()
+	p.g.Expect(w).NotTo(BeNil())
+	w.crash()
+	p.unlist(w, "b")
+	p.earlierHolders = 0
+	p.takeOver()
+	for range int(longestWaitForEndedHolder / crashTick) {
+		if p.tick() != nil {
+			return
+		}
+	}
+	t.Fatalf("the task has not run for %v after the takeover", longestWaitForEndedHolder)
+}
+
 // Guards against a holder that grants a lease for which the next one does not wait:
 // the task would run twice.
 func TestLeaseGrantedByHolderEndsBeforeNextHolderStartsTask(t *testing.T) {
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -75,6 +75,7 @@
 			MaxLease:        simMaxLease,
 			StopTimeout:     simStopTimeout,
 			DutyLease:       simDutyLease,
+			EarlierHolders:  simDutyLease,
 			StatusRetention: w.retention,
 			Logger:          w.logger(),
 		}, w.now),
