--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -189,8 +189,9 @@
 }
 
 // Release gives up every duty but those to keep, so that other daemons can claim them at
-// once. It returns an error if the log did not accept a release; the other daemons then
-// wait until this process has ended.
+// once. The fleet duty must not be acted for any more when it is released. Release returns an
+// error if the log did not accept a release; the other daemons then wait until this process
+// has ended.
 func (e *Elector) Release(ctx context.Context, keep ...Name) error {
 	e.mu.Lock()
 	e.leaving = true
@@ -209,7 +210,12 @@
 
 // tryRelease appends the release of a duty once, and pauses if that fails.
 func (e *Elector) tryRelease(ctx context.Context, n Name, t Token) {
-	if !e.appendClaim(ctx, n, t, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: t}) {
+	c := claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: t}
+	if n != Fleet {
+		// A pool's holder acts until it knows that its release is in the log.
+		c.PriorLeaseRemaining = e.opt.Lease
+	}
+	if !e.appendClaim(ctx, n, t, c) {
 		clock.Sleep(ctx, retryPause)
 	}
 }
