Make the check for jobs without a run cheap in a large pool

It never told the end of the wait of a job that was cancelled or withdrawn, and took redundant runs for the cause of a wait. Change: what a check finds is kept with the job, and only the lines that it logs are ordered. The line for a job that ended or was withdrawn is "job needs no run any more". Redundant runs are passed over.

--- a/internal/scheduler/norun.go
+++ b/internal/scheduler/norun.go
@@ -22,39 +22,44 @@
 	maxNoRunLines = 8
 )
 
-// noRunKey names what has no active run: a task that lasts, or a job with other
-// tasks, for which whole is set and only the task's job counts.
-type noRunKey struct {
-	task  job.TaskID
-	whole bool
-}
-
-// jobKey returns the key of a job.
-func jobKey(id job.ID) noRunKey { return noRunKey{job.TaskID{Job: id}, true} }
-
-// noRun is what is known of a job or task that has no active run.
-type noRun struct {
-	key   noRunKey
-	job   *trackedJob
-	since time.Duration
-	// reason is why, by the last check, and loggedReason by the last line about it.
-	reason, loggedReason NoRunReason
-	// loggedAt is when the last line about it was logged, or 0.
-	loggedAt time.Duration
-	// group is the waiting group, if the task waits. run and at are the run that is not
-	// active, if there is one.
-	group *pendingGroup
-	run   *worker.Run
-	at    *worker.State
-	// found is set while a check goes on if the check has found it.
-	found bool
+// runWatch is what is known of the active runs of a job, other than those of tasks that
+// last, or of one such task.
+type runWatch struct {
+	job *trackedJob
+	// task is the task that lasts, and lasting is set if there is one.
+	task    job.TaskID
+	lasting bool
+	// check is the number of the check that the next fields are from. active is set if a
+	// run is active, and activeSince is when the first of them became so. run and at are
+	// a run that is not active, and group is the most urgent group that waits.
+	check       int64
+	active      bool
+	activeSince time.Duration
+	run         *worker.Run
+	at          *worker.State
+	group       *pendingGroup
+	// lastActive is when a run was last known to be active, or none was needed.
+	lastActive time.Duration
+	// waiting is set while none is active although one should be, since is since when, and
+	// reason is why.
+	waiting bool
+	since   time.Duration
+	reason  NoRunReason
+	// logged is set once a line tells of the wait. The last one came at loggedAt and gave
+	// loggedReason.
+	logged       bool
+	loggedAt     time.Duration
+	loggedReason NoRunReason
 }
 
 // noRuns tracks the jobs and tasks that have no active run.
 type noRuns struct {
-	known map[noRunKey]*noRun
-	// lastActive is when a task that lasts was last known to have an active run.
-	lastActive map[job.TaskID]time.Duration
+	// check is the number of the last check.
+	check int64
+	// tasks are the tasks that last.
+	tasks map[job.TaskID]*runWatch
+	// logged are the waits of which a line tells.
+	logged map[*runWatch]bool
 	// summaryAt is when the last summary was logged, and leftOut how many lines about
 	// jobs were left out since.
 	summaryAt time.Duration
@@ -63,7 +68,7 @@
 
 // newNoRuns returns the state of a check that was never made.
 func newNoRuns() noRuns {
-	return noRuns{known: map[noRunKey]*noRun{}, lastActive: map[job.TaskID]time.Duration{}}
+	return noRuns{tasks: map[job.TaskID]*runWatch{}, logged: map[*runWatch]bool{}}
 }
 
 // NoRunReport is the result of a check for jobs and lasting tasks without a run.
@@ -80,130 +85,127 @@
 
 // noRunCheck is one search for jobs and tasks without a run.
 type noRunCheck struct {
-	now     time.Duration
-	wall    int64
-	holder  HolderState
-	workers WorkerCounts
-	// active holds when an active run of a job or lasting task became active, inactive a
-	// run of it that is not active, and queued a group of it that waits.
-	active   map[noRunKey]time.Duration
-	inactive map[noRunKey]inactiveRun
-	queued   map[noRunKey]pendingGroup
-}
-
-// inactiveRun is a run that is not active, and its worker.
-type inactiveRun struct {
-	run *worker.Run
-	at  *worker.State
+	now    time.Duration
+	wall   int64
+	holder HolderState
+	rep    NoRunReport
+	// due are the waits to be logged in this check, and leftOut how many more are due.
+	due     []*runWatch
+	leftOut int
 }
 
 // CheckRuns finds the jobs that have ready tasks and no active run, and the lasting
 // tasks without an active run, and logs them. It changes no decision.
 func (c *Core) CheckRuns(t Times, h HolderState) NoRunReport {
-	k := noRunCheck{
-		now: t.Now, wall: t.Wall, holder: h, workers: c.countWorkers(t.Now),
-		active: map[noRunKey]time.Duration{}, inactive: map[noRunKey]inactiveRun{}, queued: map[noRunKey]pendingGroup{},
-	}
-	c.findRuns(&k)
-	c.findQueued(&k)
-	for _, n := range c.noRuns.known {
-		n.found = false
-	}
+	k := &noRunCheck{now: t.Now, wall: t.Wall, holder: h, rep: NoRunReport{
+		Reasons: map[NoRunReason]int{}, Workers: c.countWorkers(t.Now), ListAge: c.listAge(t.Now),
+	}}
+	c.noRuns.check++
+	c.findRuns()
+	c.findQueued(t.Now)
 	for _, j := range c.openJobs {
 		if j.Phase.Final() {
 			continue
 		}
 		if j.lasting {
-			c.checkLasting(&k, j)
+			c.checkLasting(k, j)
 		}
-		c.checkJob(&k, j)
+		c.checkJob(k, j)
 	}
-	c.dropRunning(&k)
-	return c.reportNoRuns(&k)
+	c.forgetEnded(k)
+	c.logNoRuns(k)
+	return k.rep
 }
 
-// findRuns sorts the runs at all workers into active ones and others.
-func (c *Core) findRuns(k *noRunCheck) {
+// watch returns a watch for the present check. w is the watch kept from the last one.
+func (c *Core) watch(w *runWatch) *runWatch {
+	if w.check != c.noRuns.check {
+		w.check = c.noRuns.check
+		w.active, w.run, w.at, w.group = false, nil, nil, nil
+	}
+	return w
+}
+
+// watchOf returns the watch of a job, or of a task of it that lasts.
+func (c *Core) watchOf(j *trackedJob, t job.TaskID) *runWatch {
+	if !j.lasting || !j.Step(t).LongRunning {
+		j.watch.job = j
+		return c.watch(&j.watch)
+	}
+	w := c.noRuns.tasks[t]
+	if w == nil {
+		w = &runWatch{job: j, task: t, lasting: true}
+		c.noRuns.tasks[t] = w
+	}
+	return c.watch(w)
+}
+
+// findRuns finds the runs at all workers.
+func (c *Core) findRuns() {
 	for _, ws := range c.workers {
 		for _, r := range ws.Runs {
 			j := c.jobs[r.ID.Task.Job]
-			if j == nil || j.Task(r.ID.Task) == nil {
-				continue
-			}
-			key := jobKey(r.ID.Task.Job)
-			if j.Step(r.ID.Task).LongRunning {
-				key = noRunKey{task: r.ID.Task}
-			}
-			if r.State != worker.RunConfirmed || r.Stopping || !reachable(ws) {
-				k.inactive[key] = inactiveRun{r, ws}
+			if j == nil || j.Redundant(r.ID) {
 				continue
 			}
-			if since, ok := k.active[key]; !ok || r.StateSince < since {
-				k.active[key] = r.StateSince
+			w := c.watchOf(j, r.ID.Task)
+			switch {
+			case r.State != worker.RunConfirmed || r.Stopping || !reachable(ws):
+				w.run, w.at = r, ws
+			case !w.active || r.StateSince < w.activeSince:
+				w.active, w.activeSince = true, r.StateSince
 			}
 		}
 	}
 }
 
-// findQueued finds the most urgent waiting group of each job, and those of lasting
-// tasks.
-func (c *Core) findQueued(k *noRunCheck) {
-	for _, pg := range c.queue(k.now) {
+// findQueued finds the waiting groups.
+func (c *Core) findQueued(now time.Duration) {
+	queue := c.queue(now)
+	for i := range queue {
+		pg := &queue[i]
 		if pg.longRunning {
-			for _, i := range pg.group.Waiting {
-				k.queued[noRunKey{task: pg.task(i)}] = pg
+			for _, k := range pg.group.Waiting {
+				c.watchOf(pg.job, pg.task(k)).group = pg
 			}
 			continue
 		}
-		key := jobKey(pg.job.Spec.ID)
-		if _, ok := k.queued[key]; !ok {
-			k.queued[key] = pg
+		if w := c.watchOf(pg.job, pg.task(0)); w.group == nil {
+			w.group = pg
 		}
 	}
 }
 
 // checkJob checks the tasks of a job that do not last.
 func (c *Core) checkJob(k *noRunCheck, j *trackedJob) {
-	key := jobKey(j.Spec.ID)
-	if _, ok := k.active[key]; ok {
-		j.lastActive = k.now
-		return
-	}
-	since := max(j.arrived, j.knownFrom, j.lastActive)
-	_, inactive := k.inactive[key]
-	_, queued := k.queued[key]
-	if inactive || queued {
-		c.recordNoRun(k, key, j, since, "")
-		return
-	}
-	if reason := strayReason(k, j); reason != "" {
-		c.recordNoRun(k, key, j, since, reason)
-		return
+	j.watch.job = j
+	w := c.watch(&j.watch)
+	switch {
+	case w.active:
+		c.noteActive(k, w, w.activeSince)
+	case w.run != nil || w.group != nil:
+		c.noteWaiting(k, w, "")
+	default:
+		if reason := strayReason(k, j); reason != "" {
+			c.noteWaiting(k, w, reason)
+		} else {
+			c.noteActive(k, w, k.now)
+		}
 	}
-	j.lastActive = k.now
 }
 
-// strayReason returns why a job has neither an active run nor one that is not active
-// nor a task in the queue, or "" if that is as it should be.
+// strayReason returns why a job has no run at a worker and no task in the queue, or ""
+// if that is as it should be.
 func strayReason(k *noRunCheck, j *trackedJob) NoRunReason {
-	if due, ok := j.NextDue(); ok {
-		if due <= k.wall {
-			return NoRunNotReleased
-		}
-		if len(j.Occurrences) == 0 {
-			return ""
-		}
-	}
+	due, repeats := j.NextDue()
 	switch {
+	case repeats && due <= k.wall:
+		return NoRunNotReleased
+	case repeats && len(j.Occurrences) == 0, j.lasting:
+		return ""
 	case j.HasActiveRuns():
-		if j.lasting {
-			return ""
-		}
 		return NoRunUntracked
 	case len(j.WaitingGroups()) > 0:
-		if j.lasting {
-			return ""
-		}
 		return NoRunNotQueued
 	default:
 		return NoRunNoTask
@@ -226,22 +228,19 @@
 
 // checkLastingTask checks one lasting task.
 func (c *Core) checkLastingTask(k *noRunCheck, j *trackedJob, t job.TaskID) {
-	key := noRunKey{task: t}
-	if _, ok := k.active[key]; ok {
-		c.noRuns.lastActive[t] = k.now
-		return
-	}
-	since := max(j.arrived, j.knownFrom, c.noRuns.lastActive[t])
-	_, inactive := k.inactive[key]
-	_, queued := k.queued[key]
-	reason := NoRunReason("")
-	if !inactive && !queued {
-		reason = strayTaskReason(j, t)
+	w := c.watchOf(j, t)
+	switch {
+	case w.active:
+		c.noteActive(k, w, w.activeSince)
+	case w.run != nil || w.group != nil:
+		c.noteWaiting(k, w, "")
+	default:
+		c.noteWaiting(k, w, strayTaskReason(j, t))
 	}
-	c.recordNoRun(k, key, j, since, reason)
 }
 
-// strayTaskReason returns why a lasting task has no run and is not in the queue.
+// strayTaskReason returns why a lasting task has no run at a worker and is not in the
+// queue.
 func strayTaskReason(j *trackedJob, t job.TaskID) NoRunReason {
 	if len(j.Task(t).Runs) > 0 {
 		return NoRunUntracked
@@ -253,38 +252,77 @@
 	return NoRunEarlierSteps
 }
 
-// recordNoRun records that a job or task has had no active run since a moment. reason
-// is why, or "" if the run that is not active, or the waiting group, tells.
-func (c *Core) recordNoRun(k *noRunCheck, key noRunKey, j *trackedJob, since time.Duration, reason NoRunReason) {
-	n := c.noRuns.known[key]
-	if n != nil && since > n.since {
+// noteActive records that a job or task has an active run since a moment, or needs
+// none.
+func (c *Core) noteActive(k *noRunCheck, w *runWatch, since time.Duration) {
+	w.lastActive = k.now
+	if w.waiting {
+		c.endWait(w, max(w.since, since))
+	}
+}
+
+// noteWaiting records that a job or task has no active run. stray is why, or "" if a run
+// that is not active, or a waiting group, tells.
+func (c *Core) noteWaiting(k *noRunCheck, w *runWatch, stray NoRunReason) {
+	since := max(w.job.arrived, w.job.knownFrom, w.lastActive)
+	if w.waiting && since > w.since {
 		// It had a run since the last check.
-		c.logRunsAgain(n, since)
-		n = nil
+		c.endWait(w, since)
+	}
+	reason := c.waitReasonOf(k, w, stray)
+	switch {
+	case !w.waiting:
+		w.waiting, w.since = true, since
+	case w.reason == NoRunEarlierSteps && reason != w.reason:
+		// Its turn has come since the last check.
+		w.since = k.now
+		w.lastActive = k.now
 	}
-	if n == nil {
-		n = &noRun{key: key, job: j, since: since}
-		c.noRuns.known[key] = n
+	w.reason = reason
+	c.countWait(k, w)
+}
+
+// waitReasonOf returns why a job or task has no active run.
+func (c *Core) waitReasonOf(k *noRunCheck, w *runWatch, stray NoRunReason) NoRunReason {
+	if reason := c.poolReason(k.holder); reason != "" {
+		return reason
 	}
-	n.found = true
-	n.group, n.run, n.at = nil, nil, nil
-	if run, ok := k.inactive[key]; ok {
-		n.run, n.at = run.run, run.at
-		reason = c.inactiveReason(run.at, run.run, k.holder, k.now)
-	} else if pg, ok := k.queued[key]; ok {
-		n.group = &pg
-		reason = c.queuedReason(pg, k.holder, k.workers, k.now)
+	switch {
+	case w.run != nil:
+		return c.inactiveReason(w.at, w.run, k.holder, k.now)
+	case w.group != nil:
+		return c.queuedReason(*w.group, k.holder, k.rep.Workers, k.now)
+	default:
+		return stray
 	}
-	if whole := c.poolReason(k.holder); whole != "" {
-		reason = whole
+}
+
+// endWait ends a wait: a run is active since a moment, or none is needed.
+func (c *Core) endWait(w *runWatch, at time.Duration) {
+	if w.logged {
+		c.logRunsAgain(w, at)
+		delete(c.noRuns.logged, w)
 	}
-	if n.reason == NoRunEarlierSteps && reason != n.reason {
-		// Its turn has come since the last check.
-		n.since = k.now
+	w.waiting, w.logged = false, false
+}
+
+// forgetEnded ends the waits of jobs that have ended or were withdrawn.
+func (c *Core) forgetEnded(k *noRunCheck) {
+	for w := range c.noRuns.logged {
+		if c.gone(w.job) {
+			c.endWait(w, k.now)
+		}
+	}
+	for t, w := range c.noRuns.tasks {
+		if c.gone(w.job) {
+			delete(c.noRuns.tasks, t)
+		}
 	}
-	n.reason = reason
 }
 
+// gone reports whether a job has ended or was withdrawn.
+func (c *Core) gone(j *trackedJob) bool { return j.Phase.Final() || c.jobs[j.Spec.ID] != j }
+
 // recordActive records that a run that has ended was active until then, as far as is
 // known.
 func (c *Core) recordActive(j *trackedJob, ws *worker.State, r *worker.Run, now time.Duration) {
@@ -294,29 +332,6 @@
 	if !reachable(ws) {
 		now = ws.LastAnswer
 	}
-	if j.Step(r.ID.Task).LongRunning {
-		c.noRuns.lastActive[r.ID.Task] = max(now, c.noRuns.lastActive[r.ID.Task])
-		return
-	}
-	j.lastActive = max(now, j.lastActive)
-}
-
-// dropRunning forgets the jobs and tasks that this check has not found.
-func (c *Core) dropRunning(k *noRunCheck) {
-	for key, n := range c.noRuns.known {
-		if n.found {
-			continue
-		}
-		delete(c.noRuns.known, key)
-		until := k.now
-		if since, ok := k.active[key]; ok {
-			until = max(since, n.since)
-		}
-		c.logRunsAgain(n, until)
-	}
-	for t := range c.noRuns.lastActive {
-		if c.jobs[t.Job] == nil {
-			delete(c.noRuns.lastActive, t)
-		}
-	}
+	w := c.watchOf(j, r.ID.Task)
+	w.lastActive = max(now, w.lastActive)
 }
--- a/internal/scheduler/norun_test.go
+++ b/internal/scheduler/norun_test.go
@@ -384,3 +384,19 @@
 	g.Expect(line).To(HaveKeyWithValue("worker", "b"))
 	g.Expect(line).To(HaveKey("lease_remaining"))
 }
+
+// A job that is cancelled while it waits must not be told of for ever.
+func TestCancelledJobNeedsNoRun(t *testing.T) {
+	g := NewWithT(t)
+	p := newNoRunPool(g)
+	p.submit(noRunJob, task(1000))
+	p.commit()
+	p.pass(scheduler.NoRunAfter)
+	g.Expect(p.lines(noRunMessage)).To(HaveLen(1))
+	p.c.Cancel(noRunJob, p.now)
+	p.commit()
+	p.pass(2 * scheduler.NoRunRepeat)
+	g.Expect(p.lines(noRunMessage)).To(HaveLen(1))
+	g.Expect(p.lines("job needs no run any more")).To(HaveLen(1))
+	g.Expect(p.rep.Reasons).To(BeEmpty())
+}
--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -10,44 +10,52 @@
 	"greengagedeck/internal/worker"
 )
 
-// reportNoRuns logs the jobs and tasks that have had no active run for noRunAfter, the
-// most unusual first, and returns how many there are.
-func (c *Core) reportNoRuns(k *noRunCheck) NoRunReport {
-	rep := NoRunReport{Reasons: map[NoRunReason]int{}, Workers: k.workers, ListAge: c.listAge(k.now)}
-	var due []*noRun
-	for _, n := range c.noRuns.known {
-		if k.now-n.since < noRunAfter {
-			continue
-		}
-		rep.Reasons[n.reason]++
-		if n.reason != NoRunEarlierSteps {
-			rep.Longest = max(rep.Longest, k.now-n.since)
-		}
-		if n.loggedAt == 0 || n.reason != n.loggedReason || k.now >= n.loggedAt+noRunRepeat {
-			due = append(due, n)
-		}
+// countWait adds a wait to the report if it has lasted for noRunAfter, and to the lines
+// of this check if one is due.
+func (c *Core) countWait(k *noRunCheck, w *runWatch) {
+	waited := k.now - w.since
+	if waited < noRunAfter {
+		return
+	}
+	k.rep.Reasons[w.reason]++
+	if w.reason != NoRunEarlierSteps {
+		k.rep.Longest = max(k.rep.Longest, waited)
 	}
-	slices.SortFunc(due, compareNoRuns)
-	shown := min(len(due), maxNoRunLines)
-	for _, n := range due[:shown] {
-		c.logNoRun(k, n)
+	if w.logged && w.reason == w.loggedReason && k.now < w.loggedAt+noRunRepeat {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(k.due, w, compareWaits)
+	if i < maxNoRunLines {
+		k.due = slices.Insert(k.due, i, w)
+	}
+	if i == maxNoRunLines || len(k.due) > maxNoRunLines {
+		k.due = k.due[:maxNoRunLines]
+		k.leftOut++
 	}
-	c.noRuns.leftOut += len(due) - shown
-	c.logNoRunSummary(k, rep)
-	return rep
 }
 
-// compareNoRuns orders what has no run: first what does not wait in a full pool, then
-// what was not logged for the longest time, then what has waited longest.
-func compareNoRuns(a, b *noRun) int {
+// compareWaits orders waits: first those that a full pool does not explain, then those
+// that were not logged for the longest time, then those that have lasted longest.
+func compareWaits(a, b *runWatch) int {
 	return cmp.Or(
 		compareBool(a.reason.usual(), b.reason.usual()),
+		compareBool(a.logged, b.logged),
 		cmp.Compare(a.loggedAt, b.loggedAt),
 		cmp.Compare(a.since, b.since),
-		compareTasks(a.key.task, b.key.task),
 	)
 }
 
+// logNoRuns logs the waits that are due, and how many more there are.
+func (c *Core) logNoRuns(k *noRunCheck) {
+	for _, w := range k.due {
+		w.logged, w.loggedAt, w.loggedReason = true, k.now, w.reason
+		c.noRuns.logged[w] = true
+		c.logNoRun(k, w)
+	}
+	c.noRuns.leftOut += k.leftOut
+	c.logNoRunSummary(k)
+}
+
 // listAge returns how long ago the list of workers was read, or 0 if it never was.
 func (c *Core) listAge(now time.Duration) time.Duration {
 	if c.listReadAt == 0 {
@@ -65,28 +73,27 @@
 }
 
 // logNoRun logs that a job or task has no active run, why, and what decides it.
-func (c *Core) logNoRun(k *noRunCheck, n *noRun) {
-	n.loggedAt, n.loggedReason = k.now, n.reason
-	e := n.key.name(c.noRunEvent(n.reason)).Str("reason", string(n.reason)).Dur("no_run_for", k.now-n.since).Int64("token", c.opt.Token)
+func (c *Core) logNoRun(k *noRunCheck, w *runWatch) {
+	e := w.name(c.noRunEvent(w.reason)).Str("reason", string(w.reason)).Dur("no_run_for", k.now-w.since).Int64("token", c.opt.Token)
 	switch {
-	case n.run != nil:
-		logInactiveRun(e, n.at, n.run, k.now)
-	case n.group != nil:
-		c.logQueuedGroup(e, *n.group, k.now)
+	case w.run != nil:
+		logInactiveRun(e, w.at, w.run, k.now)
+	case w.group != nil:
+		logQueuedGroup(e, w.group, k.now)
 	}
 	logHolderState(e, k.holder, k.now)
 	if c.listReadAt > 0 {
 		e.Dur("list_age", c.listAge(k.now))
 	}
-	logWorkerCounts(e, k.workers)
+	logWorkerCounts(e, k.rep.Workers)
 	e.Msg("job has no run")
 }
 
-// name adds the job, and the task if the key names one.
-func (k noRunKey) name(e *zerolog.Event) *zerolog.Event {
-	e.Str("job", string(k.task.Job))
-	if !k.whole {
-		e.Stringer("task", k.task)
+// name adds the job, and the task if it lasts.
+func (w *runWatch) name(e *zerolog.Event) *zerolog.Event {
+	e.Str("job", string(w.job.Spec.ID))
+	if w.lasting {
+		e.Stringer("task", w.task)
 	}
 	return e
 }
@@ -111,7 +118,7 @@
 
 // logQueuedGroup adds a group of tasks that wait, and why no worker took them when that
 // was last checked.
-func (c *Core) logQueuedGroup(e *zerolog.Event, pg pendingGroup, now time.Duration) {
+func logQueuedGroup(e *zerolog.Event, pg *pendingGroup, now time.Duration) {
 	s := pg.job.Spec.Steps[pg.group.Step]
 	e.Int("step", pg.group.Step).Int("tasks", len(pg.group.Waiting)).Int("needs_cpu", s.ReservedResources().CPU).Int("priority", pg.job.Terms.Priority)
 	if wait, ok := pg.job.waitReasons[pg.group.Step]; ok {
@@ -138,31 +145,32 @@
 
 // logRunsAgain logs that a job or task that was reported has a run again since a
 // moment, or needs none any more.
-func (c *Core) logRunsAgain(n *noRun, at time.Duration) {
-	if n.loggedAt == 0 {
-		return
+func (c *Core) logRunsAgain(w *runWatch, at time.Duration) {
+	message := "job runs again"
+	if c.gone(w.job) {
+		message = "job needs no run any more"
 	}
-	n.key.name(c.opt.Logger.Info()).Str("reason", string(n.loggedReason)).Dur("no_run_for", at-n.since).Int64("token", c.opt.Token).
-		Stringer("job_phase", n.job.Phase).Msg("job runs again")
+	w.name(c.opt.Logger.Info()).Str("reason", string(w.loggedReason)).Dur("no_run_for", at-w.since).Int64("token", c.opt.Token).
+		Stringer("job_phase", w.job.Phase).Msg(message)
 }
 
 // logNoRunSummary logs how many jobs have no run, by reason, if not each of them was
 // logged.
-func (c *Core) logNoRunSummary(k *noRunCheck, rep NoRunReport) {
+func (c *Core) logNoRunSummary(k *noRunCheck) {
 	if c.noRuns.leftOut == 0 || k.now < c.noRuns.summaryAt+noRunRepeat {
 		return
 	}
 	total := 0
 	e := c.opt.Logger.Info()
 	for _, reason := range noRunReasons {
-		if n := rep.Reasons[reason]; n > 0 {
+		if n := k.rep.Reasons[reason]; n > 0 {
 			e.Int(string(reason), n)
 			total += n
 		}
 	}
-	e.Int("jobs", total).Int("lines_left_out", c.noRuns.leftOut).Dur("longest", rep.Longest).Int64("token", c.opt.Token)
+	e.Int("jobs", total).Int("lines_left_out", c.noRuns.leftOut).Dur("longest", k.rep.Longest).Int64("token", c.opt.Token)
 	logHolderState(e, k.holder, k.now)
-	logWorkerCounts(e, k.workers)
+	logWorkerCounts(e, k.rep.Workers)
 	e.Msg("jobs have no run")
 	c.noRuns.summaryAt, c.noRuns.leftOut = k.now, 0
 }
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -45,9 +45,10 @@
 	stalledSince time.Duration
 	// lasting is set if any step of the job is long-running.
 	lasting bool
-	// knownFrom is from when on it is known when the job has active runs, and lastActive
-	// when it last had one other than of a long-running task, or needed none.
-	knownFrom, lastActive time.Duration
+	// knownFrom is from when on it is known when the job has active runs, and watch what
+	// is known of them.
+	knownFrom time.Duration
+	watch     runWatch
 	// waitReasons tell, by step, why its tasks were not placed.
 	waitReasons map[int]waitReason
 }
