--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -65,6 +65,23 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitShare))
 }
 
+// newFleetLogger returns the daemon's logger, and a function that writes its last lines.
+func newFleetLogger(w io.Writer, level zerolog.Level, settings platform.Settings, m metrics) (l zerolog.Logger, closeLog func()) {
+	named := func(w io.Writer) zerolog.Logger {
+		return zerolog.New(w).Level(level).With().Timestamp().Str("host", settings.Host).Str("zone", settings.Zone).Logger()
+	}
+	dropped := m.scope.SubScope("log").Counter("lines_dropped")
+	out := telemetry.NewLogWriter(w, telemetry.Drops{
+		Count: func() { dropped.Inc(1) },
+		Log: func(w io.Writer, lines int) {
+			direct := named(w)
+			direct.Warn().Int("lines", lines).Msg("log lines dropped")
+		},
+	})
+	limiter := telemetry.NewLimiter(time.Now, m.scope, lifecycleMessages...)
+	return named(out).Hook(limiter), func() { _ = out.Close() }
+}
+
 func runFleet(args []string) int {
 	s, err := parseFleetSettings(args, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
@@ -82,11 +99,8 @@
 	setMemoryLimit(settings)
 	zerolog.TimeFieldFormat = logTimeFormat
 	m := newMetrics()
-	dropped := m.scope.SubScope("log").Counter("lines_dropped")
-	out := telemetry.NewLogWriter(os.Stdout, func(lines int) { dropped.Inc(int64(lines)) })
-	defer func() { _ = out.Close() }()
-	logger := zerolog.New(out).Level(s.LogLevel).Hook(telemetry.NewLimiter(time.Now, m.scope, lifecycleMessages...)).
-		With().Timestamp().Str("host", settings.Host).Str("zone", settings.Zone).Logger()
+	logger, closeLog := newFleetLogger(os.Stdout, s.LogLevel, settings, m)
+	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reload := &reloader{path: s.SettingsFile, current: settings, logger: logger, apply: setMemoryLimit}
