Log reads and appends of the log that fail and succeed again

Cause: a holder that cannot read its pool's log, the intake or the list of workers, or whose appends get no answer, repeated the call without a line; a fleet holder that cannot read the progress of the waves too. The elector, the follower of the configuration and the fleet controller each had code of their own for such lines, which did not say for how long. Change: one type, telemetry.Outage, logs the first failure with the call and the recovery with how long and how many; logstore.Reported puts it around a log. All of these use it. A submission that counts as not accepted elsewhere because a pool did not answer in time has a line.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -32,7 +32,7 @@
 		wait := e.claimReadWait()
 		recs, _, err := tail.Next(ctx, wait)
 		if err != nil {
-			e.recordLogFailure("read claims", err)
+			e.logOutage.Failed("read claims", err)
 			clock.Sleep(ctx, retryPause)
 			continue
 		}
@@ -133,7 +133,7 @@
 	}
 	value, err := record.Encode(c)
 	if err != nil {
-		e.recordLogFailure("encode claim", err)
+		e.logOutage.Failed("encode claim", err)
 		return false
 	}
 	result, err := e.opt.Log.Append(ctx, claimPartition, []logstore.Entry{{Key: string(n), Value: value}}, logstore.Condition{ExpectedEnd: &at})
@@ -143,7 +143,7 @@
 		e.readClaims(ctx, at)
 		return false
 	case err != nil:
-		e.recordLogFailure("claim", err)
+		e.logOutage.Failed("claim", err)
 		return false
 	}
 	e.mu.Lock()
@@ -159,7 +159,7 @@
 	start := e.opt.Clock.Now()
 	b, err := e.opt.Log.Read(ctx, claimPartition, from, 0)
 	if err != nil {
-		e.recordLogFailure("read claims", err)
+		e.logOutage.Failed("read claims", err)
 		return
 	}
 	e.mu.Lock()
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -11,6 +11,7 @@
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/option"
+	"greengagedeck/internal/telemetry"
 )
 
 // The partitions of the duty topic.
@@ -86,7 +87,8 @@
 	confirmedAt time.Duration
 	// nextClaimOffset is the offset after the last claim known here.
 	nextClaimOffset int64
-	logDown         bool
+	// logOutage reports when calls to the log fail.
+	logOutage *telemetry.Outage
 
 	claims, claimsLost, heartbeatErrors tally.Counter
 	heldGauge                           tally.Gauge
@@ -107,6 +109,7 @@
 		refreshNow:      make(chan struct{}, 1),
 		table:           newTable(),
 		held:            map[Name]Token{},
+		logOutage:       telemetry.NewOutage(o.Logger, "log unreachable", "log reachable"),
 		claims:          scope.Counter("claims"),
 		claimsLost:      scope.Counter("claims_lost"),
 		heartbeatErrors: scope.Counter("heartbeat_errors"),
@@ -216,25 +219,6 @@
 	}
 }
 
-// recordLogFailure notes a failed call to the log. Only the first failure since
-// the last recovery is logged.
-func (e *Elector) recordLogFailure(call string, err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.logDown {
-		e.logDown = true
-		e.opt.Logger.Warn().Err(err).Str("call", call).Msg("log unreachable")
-	}
-}
-
-// recordLogRecovery notes that the log answered. The caller holds e.mu.
-func (e *Elector) recordLogRecovery() {
-	if e.logDown {
-		e.logDown = false
-		e.opt.Logger.Info().Msg("log reachable")
-	}
-}
-
 // pause waits for d, until a value arrives on wake, or until ctx ends.
 func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
--- a/internal/duty/heartbeat.go
+++ b/internal/duty/heartbeat.go
@@ -49,7 +49,7 @@
 	e.mu.Unlock()
 	value, err := record.Encode(h)
 	if err != nil {
-		e.recordLogFailure("encode heartbeat", err)
+		e.logOutage.Failed("encode heartbeat", err)
 		return 0
 	}
 	start := e.opt.Clock.Now()
@@ -59,11 +59,9 @@
 	timeout.Observe(err)
 	if err != nil {
 		e.heartbeatErrors.Inc(1)
-		e.recordLogFailure("heartbeat", err)
+		e.logOutage.Failed("heartbeat", err)
 		return 0
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.recordLogRecovery()
+	e.logOutage.Succeeded()
 	return e.opt.Clock.Now() - start
 }
--- a/internal/duty/monitor.go
+++ b/internal/duty/monitor.go
@@ -347,7 +347,7 @@
 	start := m.opt.Clock.Now()
 	recs, _, err := m.tail.Next(ctx, 0)
 	if err != nil {
-		m.recordLogFailure("read heartbeats", err)
+		m.logOutage.Failed("read heartbeats", err)
 		m.answeringSince = 0
 		return
 	}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -13,6 +13,7 @@
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/telemetry"
 )
 
 const (
@@ -129,8 +130,8 @@
 	busySince time.Duration
 	// loggedDemands holds the demand last logged for each pool.
 	loggedDemands map[string]Demand
-	// cloudDown is set while the list of hosts cannot be read from the cloud.
-	cloudDown bool
+	// cloudOutage reports when the list of hosts cannot be read from the cloud.
+	cloudOutage *telemetry.Outage
 	// orderSlots limits the concurrent orders, orderLimiter their rate, and
 	// orderGroup waits for them.
 	orderSlots   chan struct{}
@@ -171,6 +172,7 @@
 		lastOrdered:   map[string]time.Duration{},
 		surplusSince:  map[string]time.Duration{},
 		loggedDemands: map[string]Demand{},
+		cloudOutage:   telemetry.NewOutage(c.opt.Logger, "cloud unreachable", "cloud reachable again"),
 		orderSlots:    make(chan struct{}, maxConcurrentOrders),
 		orderLimiter:  rate.NewLimiter(rate.Limit(c.opt.OrderRate), max(1, int(c.opt.OrderRate*orderBurst.Seconds()))),
 
@@ -229,8 +231,9 @@
 func (s *session) takeOver(ctx context.Context, predecessor Predecessor) {
 	claimed := s.opt.Clock.Now()
 	var recent *handoverRecord
+	log := logstore.Reported(s.opt.Log, telemetry.NewOutage(s.opt.Logger, "progress of waves unreadable", "progress of waves readable again"))
 	for ctx.Err() == nil {
-		states, last, err := loadProgress(ctx, s.opt.Log)
+		states, last, err := loadProgress(ctx, log)
 		if err == nil {
 			s.waveStates, recent = states, last
 			break
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -10,13 +10,11 @@
 
 // trackCloud logs when the cloud becomes unreachable or reachable again.
 func (s *session) trackCloud(err error) {
-	switch down := err != nil; {
-	case down && !s.cloudDown:
-		s.opt.Logger.Warn().Err(err).Msg("cloud unreachable")
-	case !down && s.cloudDown:
-		s.opt.Logger.Info().Msg("cloud reachable again")
+	if err != nil {
+		s.cloudOutage.Failed("list hosts", err)
+		return
 	}
-	s.cloudDown = err != nil
+	s.cloudOutage.Succeeded()
 }
 
 // refreshHosts reads the list of hosts from the cloud if the current one is too
--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -152,7 +152,11 @@
 			}
 			answered = answered && a.err == nil
 		}
-		if answered || !clock.Sleep(ctx, queryRetry) {
+		if answered {
+			return false
+		}
+		if !clock.Sleep(ctx, queryRetry) {
+			s.opt.Logger.Info().Str("job", string(sub.Spec.ID)).Str("entry", sub.Terms.Entry).Str("pool", sub.Terms.Pool).Int("pools", len(pools)).Msg("not every other pool has told whether it has accepted a job, it counts as not accepted there")
 			return false
 		}
 	}
--- a/internal/policy/follower.go
+++ b/internal/policy/follower.go
@@ -8,6 +8,7 @@
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/telemetry"
 )
 
 const (
@@ -31,22 +32,14 @@
 
 // Run follows the operator's partition until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	tail := logstore.NewTail(f.Log, f.Partition)
-	down := false
+	outage := telemetry.NewOutage(f.Logger, "failed to read the configuration", "configuration is readable again")
+	tail := logstore.NewTail(logstore.Reported(f.Log, outage), f.Partition)
 	for ctx.Err() == nil {
 		recs, _, err := tail.Next(ctx, readWait)
 		if err != nil {
-			if !down {
-				f.Logger.Warn().Err(err).Msg("failed to read the configuration")
-			}
-			down = true
 			clock.Sleep(ctx, readRetryDelay)
 			continue
 		}
-		if down {
-			f.Logger.Info().Msg("configuration is readable again")
-		}
-		down = false
 		for _, r := range recs {
 			if err := f.Apply(r); err != nil {
 				f.Logger.Error().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("operator record skipped")
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -129,7 +129,7 @@
 func (r *Runner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	journal, err := joblog.OpenJournal(ctx, r.opt.Log, r.opt.Pool, r.opt.Token)
+	journal, err := joblog.OpenJournal(ctx, r.reported("pool's log takes no appends", "pool's log takes appends again"), r.opt.Pool, r.opt.Token)
 	if err != nil {
 		return err
 	}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -10,13 +10,15 @@
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/telemetry"
 )
 
 // restore reads what earlier holders logged. The journal has been opened
 // before, so they can add nothing meanwhile.
 func (r *Runner) restore(ctx context.Context) error {
+	log := r.reported("pool's log unreadable", "pool's log readable again")
 	for {
-		recs, _, err := logstore.NewestOfAllKeys(ctx, r.opt.Log, joblog.ProgressPartition(r.opt.Pool))
+		recs, _, err := logstore.NewestOfAllKeys(ctx, log, joblog.ProgressPartition(r.opt.Pool))
 		if err == nil {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -45,11 +47,18 @@
 	return out
 }
 
+// reported returns the log, with lines that have the given messages when its calls
+// begin to fail and when they succeed again.
+func (r *Runner) reported(failed, recovered string) logstore.Log {
+	return logstore.Reported(r.opt.Log, telemetry.NewOutage(r.opt.Logger, failed, recovered))
+}
+
 // intakeTails returns a tail of each intake partition.
 func (r *Runner) intakeTails() map[logstore.Partition]*logstore.Tail {
 	out := map[logstore.Partition]*logstore.Tail{}
 	for _, p := range joblog.IntakePartitions(r.opt.Pool) {
-		out[p] = logstore.NewTail(r.opt.Log, p)
+		log := r.reported("intake unreadable", "intake readable again")
+		out[p] = logstore.NewTail(log, p)
 	}
 	return out
 }
--- a/internal/scheduler/watch_test.go
+++ b/internal/scheduler/watch_test.go
@@ -98,9 +98,11 @@
 	shared.SetFault(func(c logtest.Call) logtest.Fault { return logtest.Fault{Rejected: c.Op == logtest.Newest} })
 	w := watchPool(t, shared, nil)
 	g.Eventually(w.log.String, watchPatience).Should(And(
-		ContainSubstring(`"message":"pool is not being scheduled"`), ContainSubstring(`"phase":"restoring"`), ContainSubstring(`"token":2`)))
+		ContainSubstring(`"message":"pool is not being scheduled"`), ContainSubstring(`"phase":"restoring"`), ContainSubstring(`"token":2`),
+		ContainSubstring(`"message":"pool's log unreadable"`)))
 	shared.SetFault(nil)
-	g.Eventually(w.log.String, watchPatience).Should(ContainSubstring(`"was":"restoring","message":"pool is being scheduled again"`))
+	g.Eventually(w.log.String, watchPatience).Should(And(
+		ContainSubstring(`"was":"restoring","message":"pool is being scheduled again"`), ContainSubstring(`"message":"pool's log readable again"`)))
 }
 
 // A log that takes no plan must be named as the reason, for the pool and its job.
@@ -120,7 +122,8 @@
 	}()
 	g.Eventually(w.log.String, watchPatience).Should(And(
 		ContainSubstring(`"phase":"appending"`), ContainSubstring(`"message":"pool is not being scheduled"`),
-		ContainSubstring(`"job":"00000000000000aa","reason":"plan-not-logged"`), ContainSubstring(`"append_in_flight"`)))
+		ContainSubstring(`"job":"00000000000000aa","reason":"plan-not-logged"`), ContainSubstring(`"append_in_flight"`),
+		ContainSubstring(`"message":"pool's log takes no appends"`)))
 	g.Expect(w.gauge("scheduler.jobs_without_run+pool=p,reason=plan-not-logged")()).To(Equal(1.0))
 	g.Expect(w.gauge("scheduler.workers+pool=p,state=accepting")()).To(Equal(1.0))
 	g.Expect(w.gauge("scheduler.append_in_flight_seconds+pool=p")()).To(BeNumerically(">", 0))
@@ -132,6 +135,18 @@
 	g.Eventually(w.gauge("scheduler.workers+pool=p,state=accepting"), watchPatience).Should(BeZero(), "the pool is not held any more")
 }
 
+// An intake that cannot be read must be in the log: the jobs in it are not known.
+func TestUnreadableIntakeIsLogged(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := watchPool(t, logtest.New(), nil)
+	g.Eventually(w.r.checkAccepting, agentPatience, time.Millisecond).Should(Succeed())
+	repair := w.fail(logtest.Read)
+	g.Eventually(w.log.String, watchPatience).Should(ContainSubstring(`"message":"intake unreadable"`))
+	repair()
+	g.Eventually(w.log.String, watchPatience).Should(ContainSubstring(`"message":"intake readable again"`))
+}
+
 // A runner that has ended on an error while its daemon still holds the pool must be in
 // the log for as long as that lasts.
 func TestEndedRunnerIsLogged(t *testing.T) {
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -10,6 +10,7 @@
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/telemetry"
 )
 
 const (
@@ -98,6 +99,7 @@
 
 // Run follows the list until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
+	log := logstore.Reported(r.opt.Log, telemetry.NewOutage(r.opt.Logger, "list of workers unreadable", "list of workers readable again"))
 	var tail *logstore.Tail
 	for ctx.Err() == nil {
 		if !r.hasWatchers() {
@@ -111,7 +113,7 @@
 			continue
 		}
 		if tail == nil {
-			tail = logstore.NewTail(r.opt.Log, r.opt.Partition)
+			tail = logstore.NewTail(log, r.opt.Partition)
 		}
 		recs, reset, err := tail.Next(ctx, 0)
 		if err != nil {
