Have the stand-in platform lose connections and power, and check that no job stands

Cause: the soak's store and workers kept idle connections open for ever, reset none and crashed one worker at a time, and no check asked whether a ready task runs while its pool is idle: a job that stood for seconds and went on passed. Change: the stand-in store and workers close connections that are idle for a time of their own, reset all connections, and workers lose power for a time, coming back as themselves or replaced. The liveness checker finds jobs of which nothing runs for 3 s while a task is ready, its pool has room for two and at most half of the pool is in use, going by the workers.

--- a/standin/jobsim/capacity.go
+++ b/standin/jobsim/capacity.go
@@ -52,9 +52,28 @@
 // checkCapacity passes what the runs take together with a task that starts to the
 // checker. It must be called with mu held.
 func (w *Worker) checkCapacity(t job.TaskID) {
-	used := w.checker.need(t)
-	for other := range w.running {
-		used = used.Add(w.checker.need(other))
+	w.checker.checkCapacity(t, w.id, w.used().Add(w.checker.need(t)), w.countedCapacity(time.Now()))
+}
+
+// used returns what the runs take. It must be called with mu held.
+func (w *Worker) used() job.Resources {
+	var used job.Resources
+	for t := range w.running {
+		used = used.Add(w.checker.need(t))
 	}
-	w.checker.checkCapacity(t, w.id, used, w.countedCapacity(time.Now()))
+	return used
+}
+
+// load returns the capacity and what the runs take of it.
+func (w *Worker) load() (capacity, used job.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.capacity(), w.used()
+}
+
+// isUp reports whether the worker has not crashed.
+func (w *Worker) isUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up
 }
--- a/standin/jobsim/checker_test.go
+++ b/standin/jobsim/checker_test.go
@@ -96,3 +96,43 @@
 	g.Expect(c.Violations()).To(ConsistOf(ContainSubstring("LIMIT")))
 	g.Expect(c.JudgedShrunk()).To(Equal(1))
 }
+
+// Guards against a soak that passes although jobs stand.
+func TestCheckerFindsStandingJobs(t *testing.T) {
+	g := NewWithT(t)
+	c := NewRunChecker()
+	need := job.Resources{CPU: 1000, MemoryMB: 64}
+	w := &Worker{pool: "p", up: true, checker: c, running: map[job.TaskID]*run{}, capacities: []capacityChange{{capacity: fullCapacity}}}
+	l := NewLivenessChecker(c, []*Worker{w})
+	c.Submitted(testTask.Job, []job.Resources{need, need})
+	l.Accepted(testTask.Job, "p", []StepShape{{1, need, nil}, {1, need, []int{0}}})
+	start := time.Now()
+	lookFor := func(from, length time.Duration) {
+		l.look(start.Add(from))
+		l.look(start.Add(from + length))
+	}
+	lookFor(0, maxStanding)
+	g.Expect(l.Violations()).To(BeEmpty())
+	lookFor(0, maxStanding+time.Millisecond)
+	g.Expect(l.Violations()).To(ConsistOf(ContainSubstring("stands for 3.001s")))
+
+	l.Accepted(testTask.Job, "p", []StepShape{{1, need, nil}, {1, need, []int{0}}})
+	c.start(testTask, "w")
+	lookFor(0, time.Minute)
+	g.Expect(l.Violations()).To(BeEmpty(), "a task runs")
+	c.end(testTask, "w")
+	c.succeed(testTask)
+	w.capacities = []capacityChange{{capacity: need}}
+	lookFor(0, time.Minute)
+	g.Expect(l.Violations()).To(BeEmpty(), "there is room for one task only")
+	w.capacities = []capacityChange{{capacity: fullCapacity}}
+	w.up = false
+	lookFor(0, time.Minute)
+	g.Expect(l.Violations()).To(BeEmpty(), "no worker is up")
+	w.up = true
+	lookFor(0, time.Minute)
+	g.Expect(l.Violations()).To(HaveLen(1), "the second step is ready")
+	l.Accepted(testTask.Job, "p", []StepShape{{1, need, nil}})
+	lookFor(0, time.Minute)
+	g.Expect(l.Violations()).To(BeEmpty(), "all tasks have ended")
+}
--- a/standin/jobsim/crash.go
+++ b/standin/jobsim/crash.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"log"
 	"maps"
 	"net"
 	"slices"
@@ -50,19 +48,26 @@
 	return c, nil
 }
 
-// breakOff stops listening and resets all connections. Errors are of connections
-// that are closed already.
+// breakOff stops listening and resets all connections.
 func (l *crashListener) breakOff() {
 	_ = l.Close()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.broken = true
+	l.mu.Unlock()
+	l.reset()
+}
+
+// reset resets all connections. Errors are of connections that are closed already.
+func (l *crashListener) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, c := range l.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		_ = c.Close()
 	}
+	l.conns = nil
 }
 
 // serve listens at an address and serves orders there.
@@ -73,20 +78,56 @@
 	}
 	w.addr = ln.Addr().String()
 	w.listener = &crashListener{Listener: ln}
-	// The server would log each connection that a crash breaks off.
-	w.server = &fasthttp.Server{Handler: w.handle, CloseOnShutdown: true, Logger: log.New(io.Discard, "", 0)}
+	w.server = newServer(w.handle, w.store.idle.Worker)
 	go func(s *fasthttp.Server, l net.Listener) { _ = s.Serve(l) }(w.server, w.listener)
 	return nil
 }
 
-// crash ends the worker without a word. It must be called with mu held.
+// comeback says as what a worker comes back.
+type comeback int
+
+const (
+	// comebackRandom is drawn from comebackSame, comebackReplaced and what is between.
+	comebackRandom comeback = iota
+	// comebackSame keeps ID and address.
+	comebackSame
+	// comebackReplaced takes a new ID and another address.
+	comebackReplaced
+)
+
+// PowerOff simulates a power loss: the worker ends without a word and is gone for a
+// time. It has no effect on a worker that is down.
+func (w *Worker) PowerOff(down time.Duration, as comeback) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.up {
+		w.goDown(down, true)
+		w.comeback = as
+	}
+}
+
+// ResetConnections resets all connections to the worker.
+func (w *Worker) ResetConnections() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listener.reset()
+}
+
+// crash ends the worker without a word because of a task. It must be called with mu
+// held.
 func (w *Worker) crash() {
-	w.checker.workerCrashed(crash{worker: w.id}, slices.Collect(maps.Keys(w.running)))
+	w.goDown(minDownTime+time.Duration(w.rand.Int64N(int64(maxDownTime-minDownTime))), false)
+}
+
+// goDown ends the worker until it comes back. injected is set if no task is the cause.
+// It must be called with mu held.
+func (w *Worker) goDown(down time.Duration, injected bool) {
+	w.checker.workerCrashed(crash{worker: w.id, injected: injected}, slices.Collect(maps.Keys(w.running)))
 	w.running = map[job.TaskID]*run{}
 	w.listener.breakOff()
 	now := time.Now()
 	w.up = false
-	w.backAt = now.Add(minDownTime + time.Duration(w.rand.Int64N(int64(maxDownTime-minDownTime))))
+	w.backAt, w.comeback = now.Add(down), comebackRandom
 	w.silentEntries[w.id] = now.Add(entryLifetime)
 }
 
@@ -115,7 +156,11 @@
 // a new one, at its address or at another. It must be called with mu held.
 func (w *Worker) comeBack() {
 	address := w.addr
-	if w.rand.IntN(4) == 0 {
+	moved, replaced := w.comeback == comebackReplaced, w.comeback == comebackReplaced
+	if w.comeback == comebackRandom {
+		moved, replaced = w.rand.IntN(4) == 0, w.rand.IntN(2) == 0
+	}
+	if moved {
 		address = anyLoopbackAddress
 	}
 	if err := w.serve(address); err != nil {
@@ -125,7 +170,7 @@
 			return
 		}
 	}
-	if w.rand.IntN(2) == 0 {
+	if replaced {
 		w.replacements++
 		w.id = fmt.Sprintf("%s-%d", w.name, w.replacements)
 	}
--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -18,6 +18,8 @@
 	running map[job.TaskID]string
 	// acknowledged holds the tasks whose success was acknowledged.
 	acknowledged map[job.TaskID]bool
+	// done holds the tasks of which a run has ended with success, by job.
+	done map[job.ID]map[job.TaskID]bool
 	// started counts run starts by job.
 	started map[job.ID]int
 	// needs holds what the tasks of each step of a job take.
@@ -43,6 +45,7 @@
 	return &RunChecker{
 		running:      map[job.TaskID]string{},
 		acknowledged: map[job.TaskID]bool{},
+		done:         map[job.ID]map[job.TaskID]bool{},
 		started:      map[job.ID]int{},
 		needs:        map[job.ID][]job.Resources{},
 		deadly:       map[job.ID]job.TaskID{},
@@ -114,6 +117,42 @@
 	}
 }
 
+// succeed records that a run of a task has ended with success.
+func (c *RunChecker) succeed(t job.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.done[t.Job] == nil {
+		c.done[t.Job] = map[job.TaskID]bool{}
+	}
+	c.done[t.Job][t] = true
+}
+
+// succeeded returns how many tasks of a step have ended with success.
+func (c *RunChecker) succeeded(id job.ID, step int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for t := range c.done[id] {
+		if t.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// activeRuns returns how many tasks of a job run.
+func (c *RunChecker) activeRuns(id job.ID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for t := range c.running {
+		if t.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *RunChecker) acknowledge(t job.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -85,9 +85,12 @@
 	})).To(Succeed())
 }
 
-func newSoak(t *testing.T) *soak {
+func newSoak(t *testing.T) *soak { return newSoakWith(t, IdleTimeouts{}) }
+
+// newSoakWith starts a deployment whose store and workers close idle connections.
+func newSoakWith(t *testing.T, idle IdleTimeouts) *soak {
 	g := NewWithT(t)
-	store, err := StartStore()
+	store, err := StartStore(idle)
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
 	// close reads the logs, so it must run before the cleanup of the directory removes
--- a/standin/jobsim/store.go
+++ b/standin/jobsim/store.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"strings"
 	"time"
@@ -33,33 +35,45 @@
 	Log    *logtest.Log
 	client logstore.Log
 	server *fasthttp.Server
-	addr   string
+	conns  *crashListener
+	idle   IdleTimeouts
 }
 
-// StartStore serves a new log on a free loopback port.
-func StartStore() (*Store, error) {
-	s := &Store{Log: logtest.New()}
+// IdleTimeouts are the times after which the store and the workers close a connection
+// on which no request has arrived. Zero keeps connections open.
+type IdleTimeouts struct {
+	Store  time.Duration
+	Worker time.Duration
+}
+
+// StartStore serves a new log on a free loopback port. idle applies to the store and
+// to the workers that are started with it.
+func StartStore(idle IdleTimeouts) (*Store, error) {
+	ln, err := net.Listen("tcp", anyLoopbackAddress)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{Log: logtest.New(), conns: &crashListener{Listener: ln}, idle: idle}
 	s.client = s.Log.Client("daemons")
-	s.server = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true}
-	addr, err := listen(s.server)
-	s.addr = addr
-	return s, err
+	s.server = newServer(s.handle, idle.Store)
+	go func() { _ = s.server.Serve(s.conns) }()
+	return s, nil
+}
+
+// newServer returns a server that closes idle connections after a time. It does not
+// log the connections that a fault breaks off.
+func newServer(handle fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
+	return &fasthttp.Server{Handler: handle, IdleTimeout: idle, CloseOnShutdown: true, Logger: log.New(io.Discard, "", 0)}
 }
 
 // Address returns the IP:port of the store and of the cloud API.
-func (s *Store) Address() string { return s.addr }
+func (s *Store) Address() string { return s.conns.Addr().String() }
 
 // Close stops serving.
 func (s *Store) Close() error { return s.server.Shutdown() }
 
-func listen(s *fasthttp.Server) (addr string, err error) {
-	ln, err := net.Listen("tcp", anyLoopbackAddress)
-	if err != nil {
-		return "", err
-	}
-	go func() { _ = s.Serve(ln) }()
-	return ln.Addr().String(), nil
-}
+// ResetConnections resets all connections to the store.
+func (s *Store) ResetConnections() { s.conns.reset() }
 
 // deepValue is a JSON value that is nested more deeply than decoders follow.
 var deepValue = strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -24,6 +24,8 @@
 	maxLease = 6 * time.Second
 	// maxStopTime is the longest time that a run takes to stop.
 	maxStopTime = 150 * time.Millisecond
+	// endDone is the reason of a run's end with success.
+	endDone = "done"
 )
 
 // Worker simulates running tasks. A task's spec is its run time in milliseconds. It
@@ -48,6 +50,8 @@
 	// up is unset from a crash until backAt.
 	up     bool
 	backAt time.Time
+	// comeback is as what it comes back then.
+	comeback comeback
 	// silentEntries holds when to remove the entries of crashed incarnations from
 	// the list, by ID.
 	silentEntries map[string]time.Time
@@ -202,7 +206,7 @@
 		case r.stopping:
 			w.endRun(t, r, "stopped")
 		case r.crashesAt.IsZero():
-			w.endRun(t, r, "done")
+			w.endRun(t, r, endDone)
 		}
 	}
 }
@@ -213,6 +217,9 @@
 	w.lastEnd++
 	w.ended = append(w.ended, endedRun{w.lastEnd, task, r.number, reason})
 	w.checker.end(task, w.id)
+	if reason == endDone {
+		w.checker.succeed(task)
+	}
 }
 
 // request is the body of every request to a worker.
@@ -338,7 +345,7 @@
 		return map[string]any{"reason": "fence"}
 	}
 	for len(w.ended) > 0 && w.ended[0].sequence <= req.Acknowledged {
-		if w.ended[0].reason == "done" {
+		if w.ended[0].reason == endDone {
 			w.checker.acknowledge(w.ended[0].task)
 		}
 		w.ended = w.ended[1:]
