--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -85,10 +85,11 @@
 	})).To(Succeed())
 }
 
-// newSoak starts a deployment of some daemons.
-func newSoak(t *testing.T, daemons int) *soak {
+// newSoak starts a deployment of some daemons, whose store and workers close idle
+// connections.
+func newSoak(t *testing.T, daemons int, idle IdleTimeouts) *soak {
 	g := NewWithT(t)
-	store, err := StartStore()
+	store, err := StartStore(idle)
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
 	// close reads the logs, so it must run before the cleanup of the directory removes
@@ -322,7 +323,7 @@
 // runSoak runs a soak until all accepted jobs have ended, which it expects.
 func runSoak(t *testing.T) *soak {
 	t.Logf("seed %d", *soakSeed)
-	s := newSoak(t, soakDaemons)
+	s := newSoak(t, soakDaemons, IdleTimeouts{})
 	r := rand.New(rand.NewPCG(*soakSeed, 1))
 	done := make(chan struct{})
 	var load sync.WaitGroup
--- a/standin/jobsim/stop_test.go
+++ b/standin/jobsim/stop_test.go
@@ -43,7 +43,7 @@
 // daemon may claim it, since the release of the duty is not stored.
 func TestStoppingDaemonSchedulesUntilItsDutiesAreReleased(t *testing.T) {
 	const first, id = "00000000000000aa", "00000000000000bb"
-	s := newSoak(t, 1)
+	s := newSoak(t, 1, IdleTimeouts{})
 	s.submitSteps(first)
 	s.g.Eventually(func() int { return s.checker.Started(first) }, firstAcceptance, time.Millisecond).Should(Equal(2))
 	s.submitSteps(id)
