Add two failing tests of jobs that stand after a loss of power

Cause: tasks that had just started when all workers of a pool crashed are suspects, and each isolates a worker; runs of a worker that was replaced are kept until its lease ends, of an earlier holder's longest one after a takeover. Both leave ready tasks of other jobs without a run for over 3 s while the pool is nearly empty. Neither is fixed here.

--- a/standin/jobsim/standing_test.go
+++ b/standin/jobsim/standing_test.go
@@ -22,6 +22,8 @@
 	// are idle in between: for longer than they keep connections.
 	bursts     = 3
 	burstPause = 2 * time.Second
+	// loadBeforeLoss is for how long jobs come before a loss of power.
+	loadBeforeLoss = 4 * time.Second
 	// lossDuration is how long a loss of power takes.
 	lossDuration = time.Second
 	// keptIdle is for how long the workers keep a connection that is idle.
@@ -154,3 +156,28 @@
 		w.PowerOff(lossDuration, as)
 	}
 }
+
+// Guards against jobs that stand because each task that had just started when all workers
+// lost power at once is started again alone on a worker.
+func TestNoJobStandsAfterBusyWorkersLosePower(t *testing.T) {
+	s := startStanding(t, IdleTimeouts{})
+	s.submitFor(loadBeforeLoss)
+	s.powerOffWorkers(comebackSame)
+	s.expectNoneStands(t)
+}
+
+// Guards against jobs that stand because the runs of workers that were replaced are kept
+// until leases of earlier holders have expired.
+func TestNoJobStandsAfterAllLosePowerAndWorkersAreReplaced(t *testing.T) {
+	s := startStanding(t, IdleTimeouts{})
+	s.submitFor(loadBeforeLoss)
+	s.powerOffWorkers(comebackReplaced)
+	for _, d := range s.daemons {
+		d.kill()
+	}
+	time.Sleep(lossDuration)
+	for _, d := range s.daemons {
+		s.g.Expect(d.start()).To(Succeed())
+	}
+	s.expectNoneStands(t)
+}
