Check kept connections in one place, also those to the own platform interface

Cause: the client of the platform's HTTP interface (httpplatform) has the same fault as the one of the fleet platform: an append on a connection that the platform had closed while it was idle failed with an unknown outcome. A connection counts as working only if the check finds it open and empty.

--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"context"
 	"net"
-	"syscall"
 	"time"
 
+	"greengagedeck/internal/keptconn"
 	"greengagedeck/internal/verdict"
 )
 
@@ -16,7 +16,7 @@
 type conn struct {
 	net.Conn
 	address string
-	raw     syscall.RawConn
+	probe   *keptconn.Probe
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	// bytesSent counts the bytes of the current request that the kernel
@@ -30,22 +30,15 @@
 	echoesAttempt bool
 	idleSince     time.Time
 
-	// interrupt and peek are created once per connection, because both are
-	// used for every request. peekWouldBlock is the result of peek.
-	interrupt      func()
-	peek           func(fd uintptr)
-	peekWouldBlock bool
+	// interrupt is created once per connection, because it is used for every request.
+	interrupt func()
 }
 
 func newConn(c net.Conn, address string) *conn {
-	cn := &conn{Conn: c, address: address}
-	if sc, ok := c.(syscall.Conn); ok {
-		cn.raw, _ = sc.SyscallConn()
-	}
+	cn := &conn{Conn: c, address: address, probe: keptconn.NewProbe(c)}
 	cn.br = bufio.NewReaderSize(c, readBufferBytes)
 	cn.bw = bufio.NewWriter(cn)
 	cn.interrupt = func() { _ = cn.SetDeadline(aLongTimeAgo) }
-	cn.peek = func(fd uintptr) { cn.peekWouldBlock = readWouldBlock(fd) }
 	return cn
 }
 
@@ -56,25 +49,6 @@
 	return n, err
 }
 
-// openAndEmpty reports whether the target has neither closed an idle connection
-// nor sent anything on it. Bytes on an idle connection belong to no request of
-// this client, so such a connection is not used again.
-func (c *conn) openAndEmpty() bool {
-	if c.raw == nil {
-		return false
-	}
-	c.peekWouldBlock = false
-	// Control, unlike Read, ignores the deadline set by the last exchange.
-	err := c.raw.Control(c.peek)
-	return err == nil && c.peekWouldBlock
-}
-
-func readWouldBlock(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
-}
-
 // dial opens a connection. If it fails, no byte of the request has been sent.
 func (c *Client) dial(ctx context.Context, deadline time.Time, address string) (*conn, *verdict.Error) {
 	ctx, cancel := withDeadline(ctx, deadline)
--- a/internal/attempt/conn_internal_test.go
+++ b/internal/attempt/conn_internal_test.go
@@ -49,9 +49,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			cn, far := connPair(t)
-			g.Expect(cn.openAndEmpty()).To(BeTrue())
+			g.Expect(cn.probe.OpenAndEmpty()).To(BeTrue())
 			g.Expect(act(far)).To(Succeed())
-			g.Eventually(cn.openAndEmpty).Should(BeFalse())
+			g.Eventually(cn.probe.OpenAndEmpty).Should(BeFalse())
 		})
 	}
 }
@@ -62,7 +62,7 @@
 	g := NewWithT(t)
 	cn, far := connPair(t)
 	g.Expect(errors.Join(far.SetLinger(0), far.Close())).To(Succeed())
-	g.Eventually(cn.openAndEmpty).Should(BeFalse())
+	g.Eventually(cn.probe.OpenAndEmpty).Should(BeFalse())
 	_, err := exchange(context.Background(), cn, time.Time{}, newOrderRequest(), "a", 1<<20)
 	g.Expect(err.Verdict).To(Equal(verdict.NotRun), "%v", err)
 	g.Expect(err.Reason).To(Equal(verdict.ReasonConnectionLost))
@@ -75,7 +75,7 @@
 	g := NewWithT(t)
 	cn, far := connPair(t)
 	g.Expect(far.CloseWrite()).To(Succeed())
-	g.Eventually(cn.openAndEmpty).Should(BeFalse())
+	g.Eventually(cn.probe.OpenAndEmpty).Should(BeFalse())
 	_, err := exchange(context.Background(), cn, time.Time{}, newOrderRequest(), "a", 1<<20)
 	g.Expect(err.Verdict).To(Equal(verdict.MayHaveRun), "%v", err)
 }
--- a/internal/attempt/pool.go
+++ b/internal/attempt/pool.go
@@ -71,7 +71,7 @@
 	if !idempotent && idle > p.client.opts.NonIdempotentMaxIdle {
 		return false
 	}
-	return cn.openAndEmpty()
+	return cn.probe.OpenAndEmpty()
 }
 
 // acquirePermit returns a permit to hold one connection. The connection is nil
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"greengagedeck/internal/keptconn"
 	"greengagedeck/internal/platform"
 )
 
@@ -62,25 +63,24 @@
 		base:    strings.TrimSuffix(opts.BaseURL, "/"),
 		timeout: opts.Timeout,
 		logger:  opts.Logger,
-		http:    newHTTPClient(opts.Timeout),
+		http:    newHTTPClient(opts.Timeout, opts.Scope.SubScope("platform")),
 		metrics: newMetrics(opts.Scope),
 	}
 }
 
 // newHTTPClient returns a client that sends every request at most once, because
-// an automatic retry could append a record twice.
-func newHTTPClient(timeout time.Duration) *fasthttp.Client {
+// an automatic retry could append a record twice. It passes over kept connections that
+// do not work any more.
+func newHTTPClient(timeout time.Duration, scope tally.Scope) *fasthttp.Client {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &fasthttp.Client{
-		Dial:                      dialFunc(dialer),
+		Dial:                      keptconn.NewDialer(dialFunc(dialer), maxIdle, scope).Dial,
 		MaxConnsPerHost:           maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxResponseBodySize:       maxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
+		MaxIdemponentCallAttempts: maxConns + 1,
 		NoDefaultUserAgentHeader:  true,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
+		RetryIfErr:                keptconn.Retry,
 	}
 }
 
@@ -178,7 +178,7 @@
 	case err == nil:
 		c.logReachability(false)
 		return nil
-	case errors.As(err, &dial), errors.Is(err, fasthttp.ErrNoFreeConns):
+	case errors.As(err, &dial), errors.Is(err, fasthttp.ErrNoFreeConns), errors.Is(err, keptconn.ErrUnusable):
 		c.logReachability(true)
 		return unavailable(err)
 	default:
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -112,3 +112,23 @@
 	cancel()
 	g.Eventually(failed, "10s").Should(Receive(MatchError(context.Canceled)))
 }
+
+// Guards against an append whose outcome is unknown because the platform had closed the
+// connection while it was idle.
+func TestAppendAfterIdleCloseIsSentOnNewConnection(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{}, 3)
+	url, requests := serveRaw(t, func(c *net.TCPConn) {
+		write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\xa0")(c)
+		_ = c.CloseWrite()
+		closed <- struct{}{}
+	})
+	c := httpplatform.New(httpplatform.Options{BaseURL: url})
+	for range cap(closed) {
+		_, err := c.Log().Append(context.Background(), platform.StreamControl, []byte("x"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Eventually(closed, "10s").Should(Receive())
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(requests.Load()).To(BeEquivalentTo(cap(closed)))
+}
