Tell a wait that goes on from one that has ended

While the log did not answer, the reason was "not-planned" as long as the append was younger than the plan. Workers that are isolated for a task that may crash them were told as ejected. Change: a wait has ended only if a run was active after the last check. "log-unanswered" counts from the last plan. Isolated workers have a reason, a count and a gauge of their own.

--- a/internal/scheduler/export_norun_test.go
+++ b/internal/scheduler/export_norun_test.go
@@ -18,7 +18,11 @@
 func NameEarlierLease(c *Core, workerID string) { c.unreached.recorded[workerID] = true }
 
 // MarkSuspect makes a run one of a task under which a worker has crashed.
-func MarkSuspect(c *Core, workerID string, r job.RunID) { c.workers[workerID].Runs[r].Suspect = true }
+func MarkSuspect(c *Core, workerID string, r job.RunID) {
+	ws := c.workers[workerID]
+	ws.Runs[r].Suspect = true
+	ws.SuspectRuns++
+}
 
 // DropFromQueue drops a job from the queue, which no event does.
 func DropFromQueue(c *Core, id job.ID) { c.waiting.remove(c.jobs[id]) }
--- a/internal/scheduler/norun.go
+++ b/internal/scheduler/norun.go
@@ -41,9 +41,10 @@
 	// lastActive is when a run was last known to be active, or none was needed.
 	lastActive time.Duration
 	// waiting is set while none is active although one should be, since is since when, and
-	// reason is why.
+	// reason is why. foundAt is when a check last found so.
 	waiting bool
 	since   time.Duration
+	foundAt time.Duration
 	reason  NoRunReason
 	// logged is set once a line tells of the wait. The last one came at loggedAt and gave
 	// loggedReason.
@@ -265,20 +266,16 @@
 // that is not active, or a waiting group, tells.
 func (c *Core) noteWaiting(k *noRunCheck, w *runWatch, stray NoRunReason) {
 	since := max(w.job.arrived, w.job.knownFrom, w.lastActive)
-	if w.waiting && since > w.since {
+	if w.waiting && since > w.foundAt {
 		// It had a run since the last check.
 		c.endWait(w, since)
 	}
 	reason := c.waitReasonOf(k, w, stray)
-	switch {
-	case !w.waiting:
-		w.waiting, w.since = true, since
-	case w.reason == NoRunEarlierSteps && reason != w.reason:
+	if w.waiting && w.reason == NoRunEarlierSteps && reason != w.reason {
 		// Its turn has come since the last check.
-		w.since = k.now
-		w.lastActive = k.now
+		since, w.lastActive = k.now, k.now
 	}
-	w.reason = reason
+	w.waiting, w.since, w.foundAt, w.reason = true, since, k.now, reason
 	c.countWait(k, w)
 }
 
--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -140,7 +140,7 @@
 // logWorkerCounts adds the workers by state.
 func logWorkerCounts(e *zerolog.Event, n WorkerCounts) {
 	e.Int("listed", n.Listed()).Int("accepting", n.Accepting).Int("unreachable", n.Unreachable).Int("unreconciled", n.Unreconciled).
-		Int("ejected", n.Ejected).Int("cordoned", n.Cordoned).Int("draining", n.Draining).Int("unlisted", n.Unlisted).Int("awaiting_lease", n.AwaitingLease)
+		Int("ejected", n.Ejected).Int("isolated", n.Isolated).Int("cordoned", n.Cordoned).Int("draining", n.Draining).Int("unlisted", n.Unlisted).Int("awaiting_lease", n.AwaitingLease)
 }
 
 // logRunsAgain logs that a job or task that was reported has a run again since a
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -37,9 +37,10 @@
 	NoRunUnreconciled NoRunReason = "workers-unreconciled"
 	NoRunDraining     NoRunReason = "workers-draining"
 	NoRunCordoned     NoRunReason = "workers-cordoned"
-	// NoRunEjected means that the workers that could take the task are ejected,
-	// stalled, or isolated for a task that may crash them.
-	NoRunEjected NoRunReason = "workers-ejected"
+	// NoRunEjected means that the workers that could take the task are ejected or
+	// stalled, and NoRunIsolated that they are isolated for a task that may crash them.
+	NoRunEjected  NoRunReason = "workers-ejected"
+	NoRunIsolated NoRunReason = "workers-isolated"
 	// NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit and NoRunNoResources are the
 	// reasons of the placement.
 	NoRunNoLabel     NoRunReason = "no-label"
@@ -93,7 +94,8 @@
 // noRunReasons are all reasons, for the metrics.
 var noRunReasons = []NoRunReason{
 	NoRunTakeover, NoRunEnded, NoRunFenced, NoRunLogSilent, NoRunNotPlanned,
-	NoRunListUnread, NoRunNoneListed, NoRunUnreachable, NoRunUnreconciled, NoRunDraining, NoRunCordoned, NoRunEjected,
+	NoRunListUnread, NoRunNoneListed, NoRunUnreachable, NoRunUnreconciled, NoRunDraining, NoRunCordoned,
+	NoRunEjected, NoRunIsolated,
 	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources,
 	NoRunNotLogged, NoRunStartNoDuty, NoRunStartUnreachable, NoRunStartOldList, NoRunStartEarlierLease, NoRunStartHeld,
 	NoRunStartNotSent, NoRunStartUnanswered, NoRunStopping, NoRunLease, NoRunEarlierLease,
@@ -128,7 +130,7 @@
 func (c *Core) queuedReason(pg pendingGroup, h HolderState, n WorkerCounts, now time.Duration) NoRunReason {
 	wait, explained := pg.job.waitReasons[pg.group.Step]
 	switch {
-	case h.AppendStarted > 0 && now-h.AppendStarted >= noRunAfter:
+	case h.AppendStarted > 0 && now-h.PlannedAt >= noRunAfter:
 		return NoRunLogSilent
 	case !explained || pg.job.unplacedVersion != pg.job.version || now-h.PlannedAt >= noRunAfter:
 		return NoRunNotPlanned
@@ -143,6 +145,9 @@
 	case placement.ReasonNodeLimit:
 		return NoRunNodeLimit
 	case placement.ReasonIsolated:
+		if n.Isolated > n.Ejected {
+			return NoRunIsolated
+		}
 		return NoRunEjected
 	default:
 		return NoRunNoResources
--- a/internal/scheduler/poolgauges.go
+++ b/internal/scheduler/poolgauges.go
@@ -13,8 +13,9 @@
 	noRun        map[NoRunReason]tally.Gauge
 	longestNoRun tally.Gauge
 
-	accepting, unreachable, unreconciled, ejected tally.Gauge
-	cordoned, draining, unlisted, awaitingLease   tally.Gauge
+	accepting, unreachable, unreconciled        tally.Gauge
+	ejected, isolated                           tally.Gauge
+	cordoned, draining, unlisted, awaitingLease tally.Gauge
 
 	listAge, planAge, appendAge tally.Gauge
 }
@@ -31,6 +32,7 @@
 		unreachable:   workers("unreachable"),
 		unreconciled:  workers("unreconciled"),
 		ejected:       workers("ejected"),
+		isolated:      workers("isolated"),
 		cordoned:      workers("cordoned"),
 		draining:      workers("draining"),
 		unlisted:      workers("unlisted"),
@@ -56,6 +58,7 @@
 	g.unreachable.Update(float64(rep.Workers.Unreachable))
 	g.unreconciled.Update(float64(rep.Workers.Unreconciled))
 	g.ejected.Update(float64(rep.Workers.Ejected))
+	g.isolated.Update(float64(rep.Workers.Isolated))
 	g.cordoned.Update(float64(rep.Workers.Cordoned))
 	g.draining.Update(float64(rep.Workers.Draining))
 	g.unlisted.Update(float64(rep.Workers.Unlisted))
--- a/internal/scheduler/workercounts.go
+++ b/internal/scheduler/workercounts.go
@@ -15,6 +15,9 @@
 	Draining, Cordoned int
 	// Ejected workers fail tasks or are stalled.
 	Ejected int
+	// Isolated workers have a task that may crash them, and take no other until they have
+	// survived its start.
+	Isolated int
 	// Accepting workers take new tasks.
 	Accepting int
 	// AwaitingLease are the workers, in whatever state, that do not answer and whose
@@ -24,7 +27,7 @@
 
 // Listed returns the number of workers that are listed.
 func (n WorkerCounts) Listed() int {
-	return n.Unreachable + n.Unreconciled + n.Draining + n.Cordoned + n.Ejected + n.Accepting
+	return n.Unreachable + n.Unreconciled + n.Draining + n.Cordoned + n.Ejected + n.Isolated + n.Accepting
 }
 
 // countWorkers counts the workers by state.
@@ -47,6 +50,8 @@
 			n.Cordoned++
 		case c.ejected(id, now):
 			n.Ejected++
+		case ws.Isolated(now):
+			n.Isolated++
 		default:
 			n.Accepting++
 		}
