--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -75,7 +75,7 @@
 		Count: func() { dropped.Inc(1) },
 		Log: func(w io.Writer, lines int) {
 			direct := named(w)
-			direct.Warn().Int("lines", lines).Msg("log lines dropped")
+			direct.Warn().Int("lines", lines).Msg(telemetry.DroppedMessage)
 		},
 	})
 	limiter := telemetry.NewLimiter(time.Now, m.scope, lifecycleMessages...)
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"greengagedeck/internal/telemetry"
 )
 
 // maxLineBytes bounds one line of a log.
@@ -79,25 +81,28 @@
 	return b.String()
 }
 
-// readLines returns the lines of a log that mention an ID. Lines in another
-// format are skipped.
+// tellsGap reports whether the line says that lines before it were dropped.
+func (l logLine) tellsGap() bool { return l.message == telemetry.DroppedMessage }
+
+// readLines returns the lines of a log that mention an ID, and those that tell of gaps in
+// it. Lines in another format are skipped.
 func readLines(r io.Reader, id string) ([]logLine, error) {
 	var out []logLine
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
-		if !strings.Contains(s.Text(), id) {
+		if !strings.Contains(s.Text(), id) && !strings.Contains(s.Text(), telemetry.DroppedMessage) {
 			continue
 		}
-		if l, ok := parseLine(s.Text()); ok && l.mentions(id) {
+		if l, ok := parseLine(s.Text()); ok && (l.mentions(id) || l.tellsGap()) {
 			out = append(out, l)
 		}
 	}
 	return out, s.Err()
 }
 
-// trace prints the lines that mention an ID from the logs of several daemons,
-// ordered by time.
+// trace prints the lines that mention an ID from the logs of several daemons, and those
+// that tell of gaps in these logs, ordered by time.
 func (a *app) trace(_ context.Context, args []string) error {
 	if len(args) < 2 {
 		return usagef("trace needs an ID and the files to search")
@@ -116,8 +121,8 @@
 		}
 		lines = append(lines, got...)
 	}
-	if len(lines) == 0 {
-		return eris.Errorf("no line in %d files names %s", len(files), id)
+	if !slices.ContainsFunc(lines, func(l logLine) bool { return l.mentions(id) }) {
+		return eris.Errorf("no line in %d files names %s, and %d tell of dropped lines", len(files), id, len(lines))
 	}
 	slices.SortStableFunc(lines, func(x, y logLine) int {
 		return cmp.Or(x.time.Compare(y.time), cmp.Compare(x.host, y.host))
--- a/internal/ctl/trace_test.go
+++ b/internal/ctl/trace_test.go
@@ -68,3 +68,18 @@
 	_, out, _ = runTrace("p", a)
 	g.Expect(out).To(ContainSubstring("jobs have no run jobs=12 no-resources=12 pool=p"))
 }
+
+// A trace must show where lines may be missing.
+func TestTraceShowsGaps(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	gap := `{"level":"warn","host":"b","lines":40,"time":"2026-03-21T16:19:25.2Z","message":"log lines dropped"}`
+	a := writeLog(g, dir, "a", `{"level":"info","host":"a","job":"00aa","time":"2026-03-21T16:19:25.1Z","message":"job accepted"}`)
+	b := writeLog(g, dir, "b", gap)
+	code, out, _ := runTrace("00aa", a, b)
+	g.Expect(code).To(Equal(ExitOK))
+	g.Expect(out).To(Equal("16:19:25.100 info  a: job accepted job=00aa\n16:19:25.200 warn  b: log lines dropped lines=40\n"))
+	code, _, errOut := runTrace("00aa", b)
+	g.Expect(code).To(Equal(ExitFailure))
+	g.Expect(errOut).To(ContainSubstring("no line in 1 files names 00aa, and 1 tell of dropped lines"))
+}
--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -101,7 +101,7 @@
 // logInactiveRun adds a run that is not active, and its worker.
 func logInactiveRun(e *zerolog.Event, ws *worker.State, r *worker.Run, now time.Duration) {
 	e.Int("step", r.ID.Task.Step).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
-		Dur("planned_or_sent", now-r.StateSince).Dur("silent", now-ws.LastAnswer).Int("unanswered_calls", ws.UnansweredCalls)
+		Dur("in_state", now-r.StateSince).Dur("silent", now-ws.LastAnswer).Int("unanswered_calls", ws.UnansweredCalls)
 	if r.StartSentAt > 0 {
 		e.Dur("start_sent", now-r.StartSentAt)
 	}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -20,6 +20,10 @@
 	maxKeptBuffer = 4 << 10
 )
 
+// DroppedMessage is the message of the lines about dropped lines, whose field "lines" says
+// how many there were.
+const DroppedMessage = "log lines dropped"
+
 // Drops handles the lines that a LogWriter drops. Either function may be nil.
 type Drops struct {
 	// Count is called for every line that is dropped.
