--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -37,9 +37,12 @@
 	if err != nil {
 		return err
 	}
+	// A planned stop ends ctx. The work goes on until the duties are handed over.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
 	c := dig.New()
 	constructors := []any{
-		func() context.Context { return ctx },
+		func() context.Context { return work },
 		func() platform.Settings { return settings },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
 		func() metrics { return m },
@@ -257,6 +260,7 @@
 	dir.elector = d.elector
 	d.schedulers = scheduler.NewManager(ctx, scheduler.ManagerOptions{
 		Lease:  d.elector,
+		GiveUp: d.elector.GiveUp,
 		Logger: l,
 		NewRunner: func(pool string, acquired duty.Acquisition, dt scheduler.Duty) *scheduler.Runner {
 			return scheduler.NewRunner(scheduler.RunnerOptions{
@@ -268,6 +272,7 @@
 					MaxLease:        settings.MaxLease,
 					StopTimeout:     settings.StopTime,
 					DutyLease:       duty.DefaultLease,
+					EarlierHolders:  acquired.PriorLeaseRemaining,
 					StatusRetention: settings.StatusTime,
 				},
 				Log:               log,
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -120,15 +121,16 @@
 
 // appendClaim appends a claim at the end of the claims known here, provided
 // that the duty's last claim still has the token expected: what was found out
-// about that holder does not apply to a later one. It reports whether the claim
-// was appended.
+// about that holder does not apply to a later one. A daemon that is stopping only
+// gives duties up. It reports whether the claim was appended.
 func (e *Elector) appendClaim(ctx context.Context, n Name, expected Token, c claimRecord) bool {
 	e.mu.Lock()
 	at := e.nextClaimOffset
+	outdated := e.leaving && !c.Released
 	last := e.table.claims[n].Token
 	c.PriorLeaseRemaining = max(c.PriorLeaseRemaining, e.table.priorLeaseRemaining(n, e.opt.Clock.Now()))
 	e.mu.Unlock()
-	if last != expected {
+	if outdated || last != expected {
 		return false
 	}
 	value, err := record.Encode(c)
@@ -186,32 +188,62 @@
 	}
 }
 
-// Release gives up every duty, so that other daemons can claim them at once. It
-// returns an error if the log did not accept a release; the other daemons then
-// wait for the lease to expire.
-func (e *Elector) Release(ctx context.Context) error {
+// Release gives up every duty but those to keep, so that other daemons can claim them at
+// once. The fleet duty must not be acted for any more when it is released. Release returns an
+// error if the log did not accept a release; the other daemons then wait until this process
+// has ended.
+func (e *Elector) Release(ctx context.Context, keep ...Name) error {
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
 	for {
-		n, token, ok := e.anyHeld()
+		n, token, ok := e.anyHeldExcept(keep)
 		if !ok {
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
 			return eris.Wrapf(verdict.NewNotRun(verdict.ReasonDeadline, "%v", err), "release %s", n)
 		}
-		if !e.appendClaim(ctx, n, token, claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: token}) {
-			clock.Sleep(ctx, retryPause)
-		}
+		e.tryRelease(ctx, n, token)
+	}
+}
+
+// tryRelease appends the release of a duty once, and pauses if that fails.
+func (e *Elector) tryRelease(ctx context.Context, n Name, t Token) {
+	c := claimRecord{Holder: e.opt.Self, Released: true, ReleasedToken: t}
+	if n != Fleet {
+		// A pool's holder acts until it knows that its release is in the log.
+		c.PriorLeaseRemaining = e.opt.Lease
+	}
+	if !e.appendClaim(ctx, n, t, c) {
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
-func (e *Elector) anyHeld() (Name, Token, bool) {
+// GiveUp gives up a duty that this daemon holds under a token and cannot act for, until it is
+// no longer held or ctx ends. Any daemon may claim it then.
+func (e *Elector) GiveUp(ctx context.Context, n Name, t Token) {
+	for ctx.Err() == nil && e.holds(n, t) {
+		e.tryRelease(ctx, n, t)
+	}
+}
+
+// holds reports whether this daemon holds a duty under a token.
+func (e *Elector) holds(n Name, t Token) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held, ok := e.held[n]
+	return ok && held == t
+}
+
+// anyHeldExcept returns a duty that this daemon holds and is not to keep.
+func (e *Elector) anyHeldExcept(keep []Name) (Name, Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n, t := range e.held {
-		return n, t, true
+		if !slices.Contains(keep, n) {
+			return n, t, true
+		}
 	}
 	return "", 0, false
 }
