--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -101,7 +101,7 @@
 // logInactiveRun adds a run that is not active, and its worker.
 func logInactiveRun(e *zerolog.Event, ws *worker.State, r *worker.Run, now time.Duration) {
 	e.Int("step", r.ID.Task.Step).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
-		Dur("planned_or_sent", now-r.StateSince).Dur("silent", now-ws.LastAnswer).Int("unanswered_calls", ws.UnansweredCalls)
+		Dur("in_state", now-r.StateSince).Dur("silent", now-ws.LastAnswer).Int("unanswered_calls", ws.UnansweredCalls)
 	if r.StartSentAt > 0 {
 		e.Dur("start_sent", now-r.StartSentAt)
 	}
@@ -140,7 +140,7 @@
 // logWorkerCounts adds the workers by state.
 func logWorkerCounts(e *zerolog.Event, n WorkerCounts) {
 	e.Int("listed", n.Listed()).Int("accepting", n.Accepting).Int("unreachable", n.Unreachable).Int("unreconciled", n.Unreconciled).
-		Int("ejected", n.Ejected).Int("cordoned", n.Cordoned).Int("draining", n.Draining).Int("unlisted", n.Unlisted).Int("awaiting_lease", n.AwaitingLease)
+		Int("ejected", n.Ejected).Int("isolated", n.Isolated).Int("cordoned", n.Cordoned).Int("draining", n.Draining).Int("unlisted", n.Unlisted).Int("awaiting_lease", n.AwaitingLease)
 }
 
 // logRunsAgain logs that a job or task that was reported has a run again since a
