Have the model reset connections, close idle ones and lose all power

Cause: the model in virtual time had calls without an answer, but no connections: none that the other end closes while idle, so that each fails the next call on it, and no reset that ends all calls at once. Nor did daemons and workers lose power together, holders end while they take over, or polls wait at the worker. Change: two tests play seeded schedules with up to six connections from a holder to a worker, the last used first, with a keep-alive time of each worker and of the log, with at most three starts in flight, pauses after failed stops, and polls that wait for an end. Resets end the calls in flight, carried out or not. Power is lost by all at once, also at the end; workers come back under their ID, with entries that lag, or under another ID and address; holders follow each other while they take over. A job of tasks that end may have none active for 3 s instead of 9, and a task held by a worker that answers is never excused. Holders that took over from one that has ended assume no lease of its duty, as the daemon does now. What other tests check is as it was, except that the model's takeovers after an end no longer wait for that lease.

--- a/internal/scheduler/export_liveness_test.go
+++ b/internal/scheduler/export_liveness_test.go
@@ -102,7 +102,11 @@
 
 // WorkerOf returns the worker of a task's first run, or "" if it has none.
 func WorkerOf(c *Core, t job.TaskID) string {
-	for _, r := range c.jobs[t.Job].Task(t).Runs {
+	j := c.jobs[t.Job]
+	if j == nil || j.Task(t) == nil {
+		return ""
+	}
+	for _, r := range j.Task(t).Runs {
 		return r.At.Worker.ID
 	}
 	return ""
--- a/internal/scheduler/sim_liveness_test.go
+++ b/internal/scheduler/sim_liveness_test.go
@@ -18,6 +18,8 @@
 	// and nothing was disturbed for calmTime.
 	lostAfter = 9 * time.Second
 	calmTime  = 7 * time.Second
+	// jobLostAfter is how long a job of tasks that end may then have none active.
+	jobLostAfter = 3 * time.Second
 	// roomFor is for how many tasks of the step there must be room.
 	roomFor = 2
 	// livenessInterval is the time between two checks.
@@ -52,6 +54,12 @@
 	cordoned  map[string]bool
 	// steady is set if long-running tasks do not fail.
 	steady bool
+	// strict is set if jobs of tasks that end have to go on after jobLostAfter, and
+	// tasks that are held by a worker that is well count as lost.
+	strict bool
+	// excusedAt is when a task last had to wait for a worker that does not answer, or
+	// had just been placed.
+	excusedAt map[job.TaskID]time.Duration
 	// lost are the longest violations by cause, and waits the longest waits that
 	// would be violations if an earlier run could not still be active.
 	lost, waits map[string]lostTask
@@ -66,6 +74,7 @@
 		noRoomAt:    map[worker.StepKey]time.Duration{},
 		heldUntil:   map[job.TaskID]time.Duration{},
 		cordoned:    map[string]bool{},
+		excusedAt:   map[job.TaskID]time.Duration{},
 		lost:        map[string]lostTask{},
 		waits:       map[string]lostTask{},
 	}
@@ -137,7 +146,11 @@
 		if l.activeAt[t] == 0 {
 			l.activeAt[t] = l.w.now
 		}
-		if idle := l.w.now - l.activeAt[t]; calm && room && idle >= lostAfter {
+		idle := l.w.now - l.activeAt[t]
+		if l.strict && idle > 0 {
+			l.excuse(t)
+		}
+		if calm && room && idle >= lostAfter {
 			l.report(t, idle)
 		}
 	}
@@ -157,12 +170,20 @@
 	if done == len(spec.Steps) {
 		return
 	}
-	if l.jobActiveAt[id] == 0 || done != l.stepsDone[id] {
+	if l.jobActiveAt[id] == 0 || !l.strict && done != l.stepsDone[id] {
 		l.stepsDone[id] = done
 		l.jobActiveAt[id] = l.w.now
 	}
+	allowed := lostAfter
+	if l.strict {
+		allowed = jobLostAfter
+	}
 	room := l.roomLasted(worker.StepKeyOf(next))
-	if idle := l.w.now - l.jobActiveAt[id]; calm && room && idle >= lostAfter {
+	idle := l.w.now - l.jobActiveAt[id]
+	if l.strict && idle > 0 {
+		l.excuse(next)
+	}
+	if calm && room && idle >= allowed {
 		l.report(next, idle)
 	}
 }
@@ -230,15 +251,9 @@
 // report records a violation, or a wait that safety demands, the longest for each
 // cause.
 func (l *liveness) report(t job.TaskID, idle time.Duration) {
-	cause, detail, until := scheduler.WaitCause(l.w.holder.core, t, l.w.now)
-	if cause == scheduler.CauseEarlierLease {
-		if sent, ok := l.w.unansweredStart[scheduler.WorkerOf(l.w.holder.core, t)]; ok {
-			until = max(until, scheduler.LateLeaseEnd(l.w.holder.core, sent))
-		}
-	}
-	l.heldUntil[t] = max(l.heldUntil[t], until)
+	cause, detail, excused := l.excuse(t)
 	into := l.lost
-	if l.w.now <= l.heldUntil[t] {
+	if excused {
 		into = l.waits
 	}
 	if idle <= into[cause].idle {
@@ -249,6 +264,34 @@
 	into[cause] = lostTask{idle, text}
 }
 
+// excuse returns why a task waits, and whether safety demands that it does, or in the
+// strict case did until jobLostAfter ago.
+func (l *liveness) excuse(t job.TaskID) (cause, detail string, excused bool) {
+	cause, detail, until := scheduler.WaitCause(l.w.holder.core, t, l.w.now)
+	if cause == scheduler.CauseEarlierLease {
+		if sent, ok := l.w.unansweredStart[scheduler.WorkerOf(l.w.holder.core, t)]; ok {
+			until = max(until, scheduler.LateLeaseEnd(l.w.holder.core, sent))
+		}
+	}
+	l.heldUntil[t] = max(l.heldUntil[t], until)
+	excused = l.w.now <= l.heldUntil[t]
+	if !l.strict {
+		return cause, detail, excused
+	}
+	if excused && (cause == scheduler.CauseStarting || !l.heldByWellWorker(t)) {
+		l.excusedAt[t] = l.w.now
+	}
+	return cause, detail, l.w.now-l.excusedAt[t] < jobLostAfter
+}
+
+// heldByWellWorker reports whether a task has a run at a worker that answers calls.
+func (l *liveness) heldByWellWorker(t job.TaskID) bool {
+	id := scheduler.WorkerOf(l.w.holder.core, t)
+	return slices.ContainsFunc(l.w.workers, func(s *simWorker) bool {
+		return s.id == id && s.up && !s.partitioned && !s.addressReused && s.replacedBy == nil
+	})
+}
+
 // TestTasksRunAgainAfterFaults runs a pool through the faults of TestInvariantsUnderRandomFaults and
 // through workers that are gone for good or restart repeatedly, addresses that are
 // reused, lists that are frozen, and starts that are carried out late. No task may
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -55,6 +55,8 @@
 
 	workers []*simWorker
 	holder  *simHolder
+	// earlierHoldersEnd is until when earlier holders may act.
+	earlierHoldersEnd time.Duration
 	// superseded are earlier holders that do not know yet that they were replaced.
 	superseded []*simHolder
 	token      int64
@@ -109,6 +111,8 @@
 	// start order that is being carried out.
 	crashes *crashModel
 	order   orderOrigin
+	// conns are the faults of connections, or nil if connections do not fail.
+	conns *connFaults
 	// listDown is set while no holder can read the list of workers.
 	listDown bool
 	// violations are the invariants found broken. Each begins with the kind:
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -43,6 +43,8 @@
 	// worker, and logCutOffUntil until when it does not reach the log.
 	cutOffUntil    map[string]time.Duration
 	logCutOffUntil time.Duration
+	// conns are its connections, or nil if the world does not simulate them.
+	conns *simConns
 }
 
 // takeOver makes a new daemon the holder, as if it had claimed the duty. The
@@ -54,7 +56,9 @@
 	}
 	if w.holder != nil && !w.holder.dead {
 		w.superseded = append(w.superseded, w.holder)
+		w.earlierHoldersEnd = w.now + simDutyLease
 	}
+	earlier := max(0, w.earlierHoldersEnd-w.now)
 	w.token++
 	w.epoch = w.token
 	h := &simHolder{
@@ -67,6 +71,7 @@
 		asleep:      map[string]bool{},
 		runWorkers:  map[job.RunID]string{},
 		cutOffUntil: map[string]time.Duration{},
+		conns:       newSimConns(w),
 		core: scheduler.NewCore(scheduler.Options{
 			Pool:            simPool,
 			Token:           w.token,
@@ -75,7 +80,7 @@
 			MaxLease:        simMaxLease,
 			StopTimeout:     simStopTimeout,
 			DutyLease:       simDutyLease,
-			EarlierHolders:  simDutyLease,
+			EarlierHolders:  earlier,
 			StatusRetention: w.retention,
 			Logger:          w.logger(),
 		}, w.now),
@@ -230,7 +235,7 @@
 	if h.dead {
 		return
 	}
-	if h.paused || !h.reachesLog() {
+	if h.paused || !h.reachesLog() || h.conns.logCallFails() {
 		h.w.after(50*time.Millisecond, func() { h.logBatch(b) })
 		return
 	}
@@ -267,67 +272,6 @@
 	}
 }
 
-// call sends an order over the faulty network. do carries it out at the worker
-// and returns the answer. answer receives it, or a timeout error if there is none.
-func (h *simHolder) call(s *simWorker, do func() error, answer func(err error)) {
-	w := h.w
-	timeout := verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer")
-	deliver := func(err error) {
-		w.after(w.networkDelay(), func() { h.runWhenActive(func() { answer(err) }) })
-	}
-	giveUp := func() {
-		w.after(simCallTimeout, func() { h.runWhenActive(func() { answer(timeout) }) })
-	}
-	roll := w.rng.Float64()
-	startedAt := s.startedAt
-	switch {
-	case s.addressReused || s.addressTaken():
-		deliver(worker.ErrWorkerReplaced)
-	case s.partitioned || w.now < h.cutOffUntil[s.id] || !s.up || roll < w.lostRate:
-		giveUp()
-	case roll < w.lostRate+w.delayedRate:
-		giveUp()
-		w.after(time.Duration(2000+w.rng.IntN(10000))*time.Millisecond, func() {
-			// A delayed order is lost when the worker restarts.
-			if s.up && s.startedAt == startedAt {
-				_ = do()
-			}
-		})
-	case roll < w.lostRate+w.delayedRate+w.unansweredRate:
-		giveUp()
-		w.after(w.networkDelay(), func() {
-			if s.up {
-				_ = do()
-			}
-		})
-	default:
-		w.after(w.networkDelay(), func() {
-			if !s.up || s.partitioned {
-				giveUp()
-				return
-			}
-			err := do()
-			if !s.up {
-				// The order crashed the worker before it answered.
-				giveUp()
-				return
-			}
-			deliver(err)
-		})
-	}
-}
-
-// runWhenActive calls do as soon as the holder is not paused, unless it is dead.
-func (h *simHolder) runWhenActive(do func()) {
-	switch {
-	case h.dead:
-	case h.paused:
-		h.w.after(50*time.Millisecond, func() { h.runWhenActive(do) })
-	default:
-		do()
-	}
-}
-
 func (h *simHolder) worker(id string) *simWorker {
 	for _, s := range h.w.workers {
 		if s.id == id {
@@ -340,6 +284,10 @@
 func (h *simHolder) start(run job.RunID) {
 	s := h.worker(h.runWorkers[run])
 	retry := func() { h.w.after(50*time.Millisecond, func() { h.runWhenActive(func() { h.start(run) }) }) }
+	if h.conns.busy(s) {
+		h.w.after(simTick, func() { h.runWhenActive(func() { h.start(run) }) })
+		return
+	}
 	o, send := h.core.StartOrder(run, s.id, h.w.now, h.remaining())
 	if send == scheduler.SendLater {
 		retry()
@@ -348,14 +296,16 @@
 		return
 	}
 	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
-	h.call(s, func() error { return s.startFrom(origin, o.Order) }, func(err error) {
+	h.conns.orderSent(s, 1)
+	h.call(simCall{to: s, do: func() error { return s.startFrom(origin, o.Order) }, answer: func(err error) {
+		h.conns.orderSent(s, -1)
 		if err != nil && verdict.Of(err) == verdict.MayHaveRun {
 			h.w.unansweredStart[s.id] = max(h.w.unansweredStart[s.id], origin.sentAt)
 		}
 		if h.core.StartAnswered(o, s.clock(), err, h.w.times()) {
 			retry()
 		}
-	})
+	}})
 }
 
 func (h *simHolder) sendStops() {
@@ -365,9 +315,9 @@
 	})
 	for _, stop := range stops {
 		s := h.worker(stop.Worker)
-		h.call(s, func() error { return s.stop(stop.Run, stop.Token) }, func(err error) {
-			h.core.StopAnswered(stop, s.clock(), err, h.w.times())
-		})
+		h.call(simCall{to: s, do: func() error { return s.stop(stop.Run, stop.Token) }, answer: func(err error) {
+			h.conns.afterStop(h, err, func() { h.core.StopAnswered(stop, s.clock(), err, h.w.times()) })
+		}})
 	}
 }
 
@@ -390,7 +340,7 @@
 		rep, err = s.poll(p.Request)
 		return err
 	}
-	h.call(s, do, func(err error) {
+	c := simCall{to: s, do: do, answer: func(err error) {
 		h.polling[s.id] = false
 		h.lastPoll[s.id] = h.w.now
 		if err != nil {
@@ -398,5 +348,10 @@
 			return
 		}
 		h.core.PollSucceeded(p, rep, h.w.times())
-	})
+	}}
+	if h.conns != nil {
+		c.wait = p.Request.Wait
+		c.do = h.w.waitForEnd(s, p.Request, &rep)
+	}
+	h.call(c)
 }
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -48,6 +48,8 @@
 	listedCapacity job.Resources
 	// replacedBy is the worker with another ID that came up in place of this one.
 	replacedBy *simWorker
+	// oldEntry is the worker's entry in the list until it has written it again, or nil.
+	oldEntry *worker.Listing
 	// failing is set if every run that starts here will fail.
 	failing bool
 }
@@ -81,6 +83,9 @@
 		s.w.runEnded(s, r, job.EndWorkerLost)
 	}
 	s.running = map[job.TaskID]*simRun{}
+	if s.w.conns != nil && s.w.conns.refused {
+		s.w.failCalls(func(to *simWorker) bool { return to == s })
+	}
 }
 
 // firstStart is the time of the first start of every worker.
@@ -99,6 +104,9 @@
 }
 
 func (s *simWorker) listing() worker.Listing {
+	if s.oldEntry != nil {
+		return *s.oldEntry
+	}
 	return worker.Listing{
 		Incarnation: job.Incarnation{ID: s.id, StartedAt: s.startedAt},
 		Address:     s.address,
@@ -172,6 +180,11 @@
 		s.extendLease(req.LeaseUntil)
 	}
 	s.acknowledge(req.Acknowledged)
+	return s.report(), nil
+}
+
+// report returns the worker's active and ended runs.
+func (s *simWorker) report() worker.Report {
 	listed := min(len(s.ended), s.w.maxEnds)
 	rep := worker.Report{StartedAt: s.startedAt, Clock: s.clock(), Ended: slices.Clone(s.ended[:listed]), Partial: listed == s.w.maxEnds}
 	for _, r := range s.running {
@@ -185,7 +198,7 @@
 	slices.SortFunc(rep.Running, func(a, b worker.RunStatus) int {
 		return cmp.Compare(a.Run.Task.String(), b.Run.Task.String())
 	})
-	return rep, nil
+	return rep
 }
 
 func (s *simWorker) acknowledge(upTo int64) {
