Use a worker again whose time of day was set back between two lives

Cause: an entry in the list with an earlier start than the known one counted as lagging, for ever. A worker that came back at another address with its time of day set back stayed known at the old address: it was polled there every 500 ms, never answered, and got no task again. Change: an entry lags if it was taken from the list before and the worker has named another incarnation since, or if it names an earlier start while the known incarnation answers. Any other is the worker's next life.

--- a/internal/scheduler/crashpool_test.go
+++ b/internal/scheduler/crashpool_test.go
@@ -133,7 +133,7 @@
 		return
 	}
 	poll := p.core.Poll(id, p.now.Now, time.Second)
-	if !w.up {
+	if !w.up || poll.Target.Address != w.listing.Address {
 		p.core.PollFailed(poll, verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer"), p.now)
 		return
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -60,25 +60,26 @@
 	switch {
 	case ws == nil:
 		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID))
+		ws.EntryStartedAt = l.Incarnation.StartedAt
 		c.workers[l.Incarnation.ID] = ws
 		c.wakePoll(l.Incarnation.ID)
 		c.applyCordon(ws)
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
 		return
-	case l.Incarnation.StartedAt < ws.Incarnation.StartedAt:
+	case l.Incarnation.StartedAt != ws.Incarnation.StartedAt && ws.EntryLags(l):
 		// The list lags behind what the worker itself reported. Until it has caught up,
 		// the worker counts as not listed.
 		return
-	case l.Incarnation.StartedAt > ws.Incarnation.StartedAt:
+	case l.Incarnation.StartedAt != ws.Incarnation.StartedAt:
 		c.workerRestarted(ws, l, t)
-		ws.Listed = true
+		ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
 		return
 	}
 	if l.Draining && !ws.Draining {
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Dur("remaining", l.DrainRemaining).Int("runs", len(ws.Runs)).Msg("worker is draining")
 	}
 	ws.Listing = l
-	ws.Listed = true
+	ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
 	if !reachable(ws) {
 		c.wakePoll(l.Incarnation.ID)
 	}
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -20,13 +20,13 @@
 // unaccounted for may have got. A further restart extends the wait only for starts
 // that were sent since.
 func (s *State) ReplaceIncarnation(l Listing, now time.Duration, longest LeaseBounds) {
-	runs, listed := s.Runs, s.Listed
+	runs, listed, entry := s.Runs, s.Listed, s.EntryStartedAt
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
 		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, longest))
 	}
 	*s = *NewState(l, now, s.earlierLeasesEnd)
-	s.Listed = listed
+	s.Listed, s.EntryStartedAt = listed, entry
 	s.priorLeaseExpiry = priorLeaseExpiry
 	for _, r := range runs {
 		r.carryOver(now)
@@ -34,6 +34,17 @@
 	}
 }
 
+// EntryLags reports whether an entry in the list that names another incarnation is
+// older than what is known: it was taken from the list before, and the worker has named
+// another one since, or the worker answers. The times at which incarnations started do
+// not tell alone, since the time of day may have been set back between them.
+func (s *State) EntryLags(l Listing) bool {
+	if l.Incarnation.StartedAt == s.EntryStartedAt {
+		return true
+	}
+	return l.Incarnation.StartedAt < s.Incarnation.StartedAt && s.UnansweredCalls == 0
+}
+
 // strayLeaseExpiry returns when the lease has expired that a run gets if its start
 // is carried out by an incarnation other than the one that it was sent to, or 0 if
 // that cannot happen.
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -157,6 +157,9 @@
 	Listing
 	// Listed is set if the platform's list names the worker at present.
 	Listed bool
+	// EntryStartedAt is the start of the incarnation that was last taken from the list,
+	// or 0 if none was.
+	EntryStartedAt int64
 	// Fenced is set once this incarnation has seen the holder's token. From
 	// then on orders of earlier holders have no effect.
 	Fenced bool
