Suspect no tasks for a crash of most workers at one moment

Cause: when all workers of a pool lose power at one moment and come back, each task that had just been started becomes a suspect. A suspect holds a whole worker alone, one after the other, while the other jobs of the pool stand with its workers idle ("every worker is ejected, or isolated for a task that may crash it"). Change: the holder notes when each worker that is known to have crashed answered last and was first silent. If at least three workers and 66 % of the listed ones may have crashed at one moment (learnt within 1.5 s) and more first suspects than workers result, first crashes do not count but for jobs with a suspected run on every one of them; counts made before are taken back, also the avoided worker and the marks of runs. Once a minute at most. Uncertain crashes, tasks with an earlier count, and crashes of incarnations that never answered this holder count as before. One log line, the metric scheduler_correlated_crashes, docs. Packages scheduler, job, worker, placement pass.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// TakeBackCrash removes the count of a task if the crash of a worker is all that it
+// counts. It reports whether it did.
+func (j *Job) TakeBackCrash(t TaskID, worker string) bool {
+	before := len(j.Crashes)
+	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool {
+		return c.isOf(t) && c.total() == 1 && c.Worker == worker
+	})
+	return len(j.Crashes) < before
+}
+
 // crashCountOf returns the count of a task, which it adds if there is none.
 func (j *Job) crashCountOf(t TaskID) *CrashCount {
 	i := slices.IndexFunc(j.Crashes, func(c CrashCount) bool { return c.isOf(t) })
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -120,6 +120,22 @@
 	g.Expect(j.CrashCount(TaskID{Job: j.Spec.ID, Index: 1})).To(BeZero())
 }
 
+// A crash that is taken back must leave no count, and no other crash may be forgotten with
+// it.
+func TestTakeBackCrashRemovesOnlyThatCrash(t *testing.T) {
+	g := NewWithT(t)
+	j := New(Spec{ID: "00000000000000aa", Steps: []Step{{Count: 1}}}, Terms{MaxAttempts: 3})
+	task := TaskID{Job: j.Spec.ID}
+	crashOn(j, "a", EndCrashSuspected)
+	g.Expect(j.TakeBackCrash(task, "b")).To(BeFalse(), "of another worker")
+	g.Expect(j.TakeBackCrash(task, "a")).To(BeTrue())
+	g.Expect(j.HasCrashes()).To(BeFalse())
+	crashOn(j, "a", EndCrashSuspected)
+	crashOn(j, "b", EndCrashPossible)
+	g.Expect(j.TakeBackCrash(task, "a")).To(BeFalse(), "once another crash is counted")
+	g.Expect(j.CrashCount(task)).To(Equal(2))
+}
+
 // Counts of tasks that are done must leave the record of a job.
 func TestDoneTaskHasNoCrashes(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/scheduler/avoid.go
+++ b/internal/scheduler/avoid.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// stopAvoiding has a task avoid a worker no more.
+func (j *trackedJob) stopAvoiding(t job.TaskID, workerID string) {
+	delete(j.avoided[t], workerID)
+	if len(j.avoided[t]) == 0 {
+		delete(j.avoided, t)
+	}
+}
+
 // avoidedByGang returns the workers that any task of a gang avoids.
 func (j *trackedJob) avoidedByGang(g job.TaskGroup) avoidedWorkers {
 	var out avoidedWorkers
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,6 +85,7 @@
 	cordons map[string]*cordon
 	demand  demandEstimate
 	health  map[string]*workerHealth
+	crashes crashMonitor
 	// durationRatios tell, by entry, how long tasks take relative to their
 	// estimates.
 	durationRatios map[string]*durationRatio
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,7 @@
 	polls, pollsFailed                       tally.Counter
 	approvalRequests, approvalRequestsFailed tally.Counter
 	appends, records                         tally.Counter
+	correlatedCrashes                        tally.Counter
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
@@ -51,6 +52,7 @@
 		approvalRequestsFailed: scope.Counter("questions_failed"),
 		appends:                scope.Counter("appends"),
 		records:                scope.Counter("records"),
+		correlatedCrashes:      scope.Counter("correlated_crashes"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(scope.Tagged(map[string]string{"pool": pool})),
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -127,7 +127,7 @@
 		c.startRejected(ws, r, rejection, t)
 		return false
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
-		ws.RecordUnanswered()
+		ws.RecordUnanswered(t.Now)
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start did not reach the worker")
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 		return false
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,6 +21,8 @@
 	Progress []logstore.Entry
 	// JobDurations are how long the jobs took that ended since the last plan.
 	JobDurations []time.Duration
+	// CorrelatedCrashes counts the crashes of many workers at one moment since then.
+	CorrelatedCrashes int64
 
 	starts []plannedStart
 	jobs   map[*trackedJob]jobVersion
@@ -61,8 +63,8 @@
 		c.healthCheckedAt = t.Now
 		c.detectStalls(t.Now)
 	}
-	b := &Batch{JobDurations: c.jobDurations, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
-	c.jobDurations = nil
+	b := &Batch{JobDurations: c.jobDurations, CorrelatedCrashes: c.crashes.found, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
+	c.jobDurations, c.crashes.found = nil, 0
 	c.place(b, t, checkHealth)
 	if err := c.encodeBatch(b, t); err != nil {
 		return nil, err
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -148,7 +148,7 @@
 	if errors.As(err, &rejection) && c.checkFenced(rejection) {
 		return
 	}
-	ws.RecordUnanswered()
+	ws.RecordUnanswered(t.Now)
 	if ws.UnansweredCalls == 1 {
 		c.opt.Logger.Warn().Err(err).Str("worker", p.Worker).Int("runs", len(ws.Runs)).Msg("worker does not answer")
 	}
@@ -160,6 +160,7 @@
 func (c *Core) addressReassigned(ws *worker.State, t Times) {
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers at the worker's address")
 	ws.MarkCrash(true)
+	c.noteCrash(ws, t.Now)
 	c.countLapsed(ws, t)
 	for _, r := range sortedRuns(ws) {
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -305,6 +305,7 @@
 	for _, duration := range b.JobDurations {
 		r.metrics.jobDuration.RecordDuration(duration)
 	}
+	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
 	var runs []job.RunID
 	r.update(func(t Times) {
 		runs = r.core.Committed(b, t)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -90,6 +90,7 @@
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
 	ws.MarkCrash(true)
+	c.noteCrash(ws, t.Now)
 	c.countLapsed(ws, t)
 	ws.ReplaceIncarnation(l, t.Now, c.leaseBounds())
 	c.wakePoll(l.Incarnation.ID)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -204,8 +204,10 @@
 	// last one that was acknowledged to the worker.
 	LastEndSeen, LastEndLogged, LastEndAcknowledged int64
 
-	// UnansweredCalls is the number of consecutive calls without an answer.
+	// UnansweredCalls is the number of consecutive calls without an answer, and
+	// SilentSince when the first of them failed, if there is any.
 	UnansweredCalls int
+	SilentSince     time.Duration
 	// LastAnswer is when the worker last answered a call.
 	LastAnswer time.Duration
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
@@ -348,7 +350,12 @@
 }
 
 // RecordUnanswered records a call that was not answered.
-func (s *State) RecordUnanswered() { s.UnansweredCalls++ }
+func (s *State) RecordUnanswered(now time.Duration) {
+	if s.UnansweredCalls == 0 {
+		s.SilentSince = now
+	}
+	s.UnansweredCalls++
+}
 
 // ExtendLease returns the end of a lease of the given length from now on, in
 // milliseconds of the worker's clock, and records that an order names it. A
