Say with a job that has no run how many jobs may crash workers

Cause: "workers-isolated" did not say whether one task or dozens keep the workers. Change: the lines about jobs without a run have crash_jobs, the jobs with tasks under which workers may have crashed.

--- a/internal/scheduler/norun.go
+++ b/internal/scheduler/norun.go
@@ -93,6 +93,8 @@
 	// due are the waits to be logged in this check, and leftOut how many more are due.
 	due     []*runWatch
 	leftOut int
+	// crashJobs is how many jobs have tasks under which workers may have crashed.
+	crashJobs int
 }
 
 // CheckRuns finds the jobs that have ready tasks and no active run, and the lasting
@@ -108,6 +110,9 @@
 		if j.Phase.Final() {
 			continue
 		}
+		if j.HasCrashes() {
+			k.crashJobs++
+		}
 		if j.lasting {
 			c.checkLasting(k, j)
 		}
--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -86,6 +86,7 @@
 		e.Dur("list_age", c.listAge(k.now))
 	}
 	logWorkerCounts(e, k.rep.Workers)
+	e.Int("crash_jobs", k.crashJobs)
 	e.Msg("job has no run")
 }
 
@@ -171,6 +172,7 @@
 	e.Int("jobs", total).Int("lines_left_out", c.noRuns.leftOut).Dur("longest", k.rep.Longest).Int64("token", c.opt.Token)
 	logHolderState(e, k.holder, k.now)
 	logWorkerCounts(e, k.rep.Workers)
+	e.Int("crash_jobs", k.crashJobs)
 	e.Msg("jobs have no run")
 	c.noRuns.summaryAt, c.noRuns.leftOut = k.now, 0
 }
