--- a/internal/scheduler/hostlife.go
+++ b/internal/scheduler/hostlife.go
@@ -39,8 +39,7 @@
 	for _, id := range ended {
 		ws := c.workers[id]
 		c.opt.Logger.Info().Str("worker", id).Str("on", ws.Host).Str("newer", c.newestOnHost[ws.Host].ID).Int("runs", len(ws.Runs)).Msg("another worker has been started on the worker's host")
-		ws.MarkCrash(true)
-		c.countLapsed(ws, t)
+		c.recordCrash(ws, t)
 		for _, r := range sortedRuns(ws) {
 			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 		}
