Have the model's workers come back at other addresses and set back in time

Cause: in the model a worker that came back under its ID kept its address and had started later. Change: after a loss of power some are at another address, and the time of day of some was set back. A call to an address at which its worker is no more gets no answer, or is refused.

--- a/internal/scheduler/sim_power_test.go
+++ b/internal/scheduler/sim_power_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -15,6 +16,9 @@
 	simBackSpread = 1000
 	// simCalmEnd is how long a schedule goes on after its last fault.
 	simCalmEnd = 30 * time.Second
+	// simSetBack is by how much the start of a worker seems earlier after its time of day
+	// was set back. Workers start less often.
+	simSetBack = 100
 	// simManyEnds is more ends than a worker lists.
 	simManyEnds = 500
 )
@@ -68,11 +72,24 @@
 		l.w.crashes.replace(s)
 		return
 	}
+	if l.w.rng.IntN(4) == 0 {
+		l.w.moveWorker(s)
+	}
+	if l.w.rng.IntN(4) == 0 {
+		// Its time of day is set back.
+		s.startedAt -= simSetBack
+	}
 	l.w.restartWorker(s)
 	s.oldEntry = &entry
 	l.w.after(l.w.milliseconds(0, 1500), func() { s.oldEntry = nil })
 }
 
+// moveWorker has a worker come back at an address that none had.
+func (w *simWorld) moveWorker(s *simWorker) {
+	w.crashes.replacements++
+	s.address = fmt.Sprintf("10.0.2.%d:1", w.crashes.replacements)
+}
+
 // restartHolders has a holder take over after the last one has ended, and end up to n-1
 // times soon after that.
 func (w *simWorld) restartHolders(n int) {
--- a/internal/scheduler/simcalls_test.go
+++ b/internal/scheduler/simcalls_test.go
@@ -24,7 +24,8 @@
 // simCall is a call of a holder to a worker. do carries it out there and returns the
 // answer. answer receives it, or an error if there is none.
 type simCall struct {
-	to *simWorker
+	to      *simWorker
+	address string
 	// wait is how long the worker may delay its answer.
 	wait   time.Duration
 	do     func() error
@@ -55,7 +56,7 @@
 	switch {
 	case s.addressReused || s.addressTaken():
 		deliver(worker.ErrWorkerReplaced)
-	case s.partitioned || w.now < h.cutOffUntil[s.id] || !s.up || roll < w.lostRate:
+	case c.address != s.address || s.partitioned || w.now < h.cutOffUntil[s.id] || !s.up || roll < w.lostRate:
 		giveUp()
 	case roll < w.lostRate+w.delayedRate:
 		giveUp()
@@ -194,15 +195,15 @@
 func (h *simHolder) callOnConn(c simCall) {
 	w, s := h.w, c.to
 	lost := verdict.NewMayHaveRun(verdict.ReasonConnectionLost, "the server closed the connection")
-	idle := h.conns.idle[s.address]
+	idle := h.conns.idle[c.address]
 	if len(idle) > 0 {
 		conn := idle[len(idle)-1]
-		h.conns.idle[s.address] = idle[:len(idle)-1]
+		h.conns.idle[c.address] = idle[:len(idle)-1]
 		if !h.conns.usable(conn, s) && !s.partitioned && (s.up || w.conns.refused) {
 			w.after(w.networkDelay(), func() { h.runWhenActive(func() { c.answer(lost) }) })
 			return
 		}
-	} else if !s.up && w.conns.refused && !s.addressTaken() && !s.addressReused {
+	} else if (!s.up || c.address != s.address) && w.conns.refused && !s.addressTaken() && !s.addressReused {
 		refused := verdict.NewNotRun(verdict.ReasonConnect, "connection refused")
 		w.after(w.networkDelay(), func() { h.runWhenActive(func() { c.answer(refused) }) })
 		return
@@ -219,7 +220,7 @@
 	call.fail = func() { h.runWhenActive(func() { end(lost) }) }
 	h.conns.inFlight = append(h.conns.inFlight, call)
 	do := c.do
-	h.callOverNetwork(simCall{to: s, wait: c.wait, do: func() error {
+	h.callOverNetwork(simCall{to: s, address: c.address, wait: c.wait, do: func() error {
 		if call.reset && w.rng.IntN(2) == 0 {
 			return lost
 		}
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -297,7 +297,7 @@
 	}
 	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
 	h.conns.orderSent(s, 1)
-	h.call(simCall{to: s, do: func() error { return s.startFrom(origin, o.Order) }, answer: func(err error) {
+	h.call(simCall{to: s, address: o.Target.Address, do: func() error { return s.startFrom(origin, o.Order) }, answer: func(err error) {
 		h.conns.orderSent(s, -1)
 		if err != nil && verdict.Of(err) == verdict.MayHaveRun {
 			h.w.unansweredStart[s.id] = max(h.w.unansweredStart[s.id], origin.sentAt)
@@ -315,7 +315,7 @@
 	})
 	for _, stop := range stops {
 		s := h.worker(stop.Worker)
-		h.call(simCall{to: s, do: func() error { return s.stop(stop.Run, stop.Token) }, answer: func(err error) {
+		h.call(simCall{to: s, address: stop.Target.Address, do: func() error { return s.stop(stop.Run, stop.Token) }, answer: func(err error) {
 			h.conns.afterStop(h, err, func() { h.core.StopAnswered(stop, s.clock(), err, h.w.times()) })
 		}})
 	}
@@ -340,7 +340,7 @@
 		rep, err = s.poll(p.Request)
 		return err
 	}
-	c := simCall{to: s, do: do, answer: func(err error) {
+	c := simCall{to: s, address: p.Target.Address, do: do, answer: func(err error) {
 		h.polling[s.id] = false
 		h.lastPoll[s.id] = h.w.now
 		if err != nil {
