Add a failing test of jobs that stand after busy workers were replaced

Cause: with the daemons up, runs of workers that lost power and came back under new IDs are kept until their leases have ended. Ending them sooner makes their tasks suspects, which isolate the workers, so a fix of one of the two causes alone does not do. Neither is fixed here.

--- a/standin/jobsim/standing_test.go
+++ b/standin/jobsim/standing_test.go
@@ -166,6 +166,15 @@
 	s.expectNoneStands(t)
 }
 
+// Guards against jobs that stand because the runs of workers that were replaced are kept
+// until their leases have expired, or are started again alone on a worker.
+func TestNoJobStandsAfterBusyWorkersAreReplaced(t *testing.T) {
+	s := startStanding(t, IdleTimeouts{})
+	s.submitFor(loadBeforeLoss)
+	s.powerOffWorkers(comebackReplaced)
+	s.expectNoneStands(t)
+}
+
 // Guards against jobs that stand because the runs of workers that were replaced are kept
 // until leases of earlier holders have expired.
 func TestNoJobStandsAfterAllLosePowerAndWorkersAreReplaced(t *testing.T) {
