Count no replacement of a crashed worker as one that has not crashed

Cause: when all workers of a pool lost power and came back as other workers of their hosts, jobs stood for 7.3 s: the share of the workers that had crashed together was taken of all that were listed, and the list showed the crashed ones and their replacements, so that it was half, and each task that had just been started stayed a suspect. Change: a listed worker on the host of one that has crashed does not count.

--- a/internal/scheduler/correlatedcrash.go
+++ b/internal/scheduler/correlatedcrash.go
@@ -43,7 +43,7 @@
 // workerCrash is the crash of a worker, after its last answer and before it was first
 // noticed.
 type workerCrash struct {
-	worker        string
+	worker, host  string
 	after, before time.Duration
 	learntAt      time.Duration
 	runs          []suspectedRun
@@ -80,7 +80,7 @@
 
 // newWorkerCrash describes the crash of a worker.
 func (c *Core) newWorkerCrash(ws *worker.State, now time.Duration) *workerCrash {
-	crash := &workerCrash{worker: ws.Incarnation.ID, after: ws.LastAnswer, before: now, learntAt: now}
+	crash := &workerCrash{worker: ws.Incarnation.ID, host: ws.Host, after: ws.LastAnswer, before: now, learntAt: now}
 	if ws.UnansweredCalls > 0 {
 		crash.before = ws.SilentSince
 	}
@@ -132,7 +132,7 @@
 		}
 	}
 	crashed := workersOf(together)
-	listed := c.countListedOr(crashed)
+	listed := len(crashed) + c.countOthersListed(crashed, hostsOf(together))
 	if len(crashed) < minCorrelatedWorkers || 100*len(crashed) < minCorrelatedPercent*listed {
 		return
 	}
@@ -170,12 +170,23 @@
 	return n
 }
 
-// countListedOr returns how many workers are listed or among those given. The entry of
-// one that has restarted may not be in the list yet.
-func (c *Core) countListedOr(crashed map[string]bool) int {
-	n := len(crashed)
+// hostsOf returns the hosts of the workers that crashed, as far as they are known.
+func hostsOf(crashes []*workerCrash) map[string]bool {
+	out := map[string]bool{}
+	for _, w := range crashes {
+		if w.host != "" {
+			out[w.host] = true
+		}
+	}
+	return out
+}
+
+// countOthersListed returns how many workers are listed that have not crashed. One on
+// the host of a worker that has was started after the crash.
+func (c *Core) countOthersListed(crashed, hosts map[string]bool) int {
+	n := 0
 	for id, ws := range c.workers {
-		if ws.Listed && !crashed[id] {
+		if ws.Listed && !crashed[id] && !hosts[ws.Host] {
 			n++
 		}
 	}
--- a/internal/scheduler/correlatedcrash_test.go
+++ b/internal/scheduler/correlatedcrash_test.go
@@ -115,6 +115,36 @@
 	}
 }
 
+// Guards against the same after all workers came back as others, each on the host of one
+// that has crashed, while the entries of those are still listed.
+func TestTasksArePlacedAgainAfterAllWorkersAreReplaced(t *testing.T) {
+	p := newPowerPool(t)
+	for _, w := range p.workers {
+		w.listing.Host = "host of " + w.listing.Incarnation.ID
+	}
+	p.list()
+	p.submit(1, powerTasks, 1)
+	p.tick()
+	p.g.Expect(p.running()).To(Equal(powerTasks), "tasks that are started")
+	lost := p.workers
+	for _, w := range lost {
+		w.crash()
+	}
+	p.wait(10 * time.Millisecond)
+	p.pollWorkers()
+	p.wait(bootTime)
+	for _, w := range lost {
+		id := w.listing.Incarnation.ID + "+"
+		p.addWorker(id, id)
+		next := p.worker(id)
+		next.listing.Host = w.listing.Host
+		next.listing.Incarnation.StartedAt = w.listing.Incarnation.StartedAt + 1
+	}
+	p.ticks(placedAgainTime)
+	p.g.Expect(p.running()).To(Equal(powerTasks), "tasks that are started again")
+	p.g.Expect(scheduler.SuspectTasks(p.core)).To(BeZero(), "suspects")
+}
+
 // Guards against tasks that stay suspects because the crash of their worker was counted
 // before the other crashes were known.
 func TestCountsBeforeOtherCrashesAreKnownAreTakenBack(t *testing.T) {
