Take a worker for replaced only once another one answers on its host

Cause: an entry in the list of workers alone counted as proof that the worker started earlier on the same host had ended. One call without an answer to a live worker then ended its runs and started their tasks elsewhere, while its lease ran: after the time of day had been set back between two lives of a host, for as long as the holder acted, or with an entry of another program that names the host. Change: a worker that does not answer has ended if another one of the pool on its host answers, and first did so after the silent one's last answer. A silent worker whose host was moved to another pool is waited for until its lease expires, as before.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -74,8 +74,6 @@
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
-	// newestOnHost is the worker that was started last on each host.
-	newestOnHost map[string]job.Incarnation
 	// listReadAt is when the list of workers was last read.
 	listReadAt time.Duration
 	// wakes are the workers whose next poll may be due sooner than NextPoll last
@@ -153,7 +151,6 @@
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
-		newestOnHost:     map[string]job.Incarnation{},
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
--- a/internal/scheduler/hostlife.go
+++ b/internal/scheduler/hostlife.go
@@ -7,38 +7,26 @@
 	"greengagedeck/internal/worker"
 )
 
-// noteHost records which worker was started last on a host, going by the list of workers
-// of all pools.
-func (c *Core) noteHost(l worker.Listing) {
-	if l.Host == "" {
-		return
-	}
-	if last, known := c.newestOnHost[l.Host]; !known || l.Incarnation.StartedAt > last.StartedAt {
-		c.newestOnHost[l.Host] = l.Incarnation
-	}
-}
-
-// replacedOnHost reports whether another worker has been started on a worker's host
-// since. One host runs one worker at a time, so the earlier one has ended, with all of its
-// runs.
-func (c *Core) replacedOnHost(ws *worker.State) bool {
-	newest, known := c.newestOnHost[ws.Host]
-	return ws.Host != "" && known && newest.ID != ws.Incarnation.ID && newest.StartedAt > ws.Incarnation.StartedAt
-}
-
 // endReplaced ends the runs of workers that do not answer and whose hosts run other
 // workers: their leases need not be waited for.
 func (c *Core) endReplaced(t Times) {
 	var ended []string
+	var newest map[string]*worker.State
 	for id, ws := range c.workers {
-		if len(ws.Runs) > 0 && ws.UnansweredCalls > 0 && c.replacedOnHost(ws) {
+		if len(ws.Runs) == 0 || ws.UnansweredCalls == 0 || ws.Host == "" {
+			continue
+		}
+		if newest == nil {
+			newest = c.newestOnHosts()
+		}
+		if replaces(newest[ws.Host], ws) {
 			ended = append(ended, id)
 		}
 	}
 	slices.Sort(ended)
 	for _, id := range ended {
 		ws := c.workers[id]
-		c.opt.Logger.Info().Str("worker", id).Str("on", ws.Host).Str("newer", c.newestOnHost[ws.Host].ID).Int("runs", len(ws.Runs)).Msg("another worker has been started on the worker's host")
+		c.opt.Logger.Info().Str("worker", id).Str("on", ws.Host).Str("newer", newest[ws.Host].Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers on the worker's host")
 		ws.MarkCrash(true)
 		c.countLapsed(ws, t)
 		for _, r := range sortedRuns(ws) {
@@ -47,3 +35,26 @@
 		c.dropIdle(id)
 	}
 }
+
+// newestOnHosts returns, by host, the worker that was the last to answer for the first
+// time, of those that answer.
+func (c *Core) newestOnHosts() map[string]*worker.State {
+	out := map[string]*worker.State{}
+	for _, ws := range c.workers {
+		if ws.Host == "" || !reachable(ws) {
+			continue
+		}
+		if other := out[ws.Host]; other == nil || ws.FencedAt > other.FencedAt {
+			out[ws.Host] = ws
+		}
+	}
+	return out
+}
+
+// replaces reports whether one worker on a host has replaced another: it first answered
+// after the other had last answered. One host runs one worker at a time, so the other has
+// ended, with all of its runs. The list alone does not show that: other programs write to
+// it, and the times in it are times of day, which may be set back.
+func replaces(newer, ws *worker.State) bool {
+	return newer != nil && newer != ws && newer.FencedAt > ws.LastAnswer
+}
--- a/internal/scheduler/hostlife_test.go
+++ b/internal/scheduler/hostlife_test.go
@@ -23,16 +23,19 @@
 func TestTasksOfRestartedHostRunAgainAtOnce(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// next is the entry that is listed once worker a does not answer any more.
-		next worker.Listing
-		// ended is set if the entry shows that worker a has ended.
+		// next is the entry that is listed once worker a does not answer any more, and
+		// answers is set if its worker answers.
+		next    worker.Listing
+		answers bool
+		// ended is set if that shows that worker a has ended.
 		ended bool
 	}{
-		{"another life in the pool", lifeOf("h1", "c", simPool, 2), true},
-		{"another life in another pool", lifeOf("h1", "c", "other", 2), true},
-		{"an earlier life", lifeOf("h1", "c", simPool, 0), false},
-		{"another host", lifeOf("h3", "c", simPool, 2), false},
-		{"no host", lifeOf("", "c", simPool, 2), false},
+		{"another life", lifeOf("h1", "c", simPool, 2), true, true},
+		{"another life, with the time of day set back", lifeOf("h1", "c", simPool, 0), true, true},
+		{"another life that has not answered", lifeOf("h1", "c", simPool, 2), false, false},
+		{"an entry of another pool", lifeOf("h1", "c", "other", 2), false, false},
+		{"another host", lifeOf("h3", "c", simPool, 2), true, false},
+		{"no host", lifeOf("", "c", simPool, 2), true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -49,7 +52,10 @@
 
 			now.Now += time.Second
 			core.UpdateWorkers([]worker.Listing{c.next}, nil, now)
-			g.Expect(planStarts(g, core, now)).To(BeEmpty(), "the worker still answers")
+			if c.answers {
+				core.PollSucceeded(core.Poll("c", now.Now, simDutyLease), worker.Report{StartedAt: c.next.Incarnation.StartedAt, Clock: now.Now.Milliseconds()}, now)
+			}
+			g.Expect(planStarts(g, core, now)).To(BeEmpty(), "no call to worker a has failed")
 			core.PollFailed(core.Poll("a", now.Now, simDutyLease), errNotConnected, now)
 
 			next := planStarts(g, core, now)
@@ -57,7 +63,37 @@
 				g.Expect(next).To(BeEmpty())
 				return
 			}
-			g.Expect(next).To(ConsistOf(scheduler.PlannedStart{Run: job.RunID{Task: first[0].Run.Task, Number: 2}, Worker: "b"}))
+			g.Expect(next).To(HaveLen(1))
+			g.Expect(next[0].Run).To(Equal(job.RunID{Task: first[0].Run.Task, Number: 2}))
+			g.Expect(next[0].Worker).NotTo(Equal("a"))
+		})
+	}
+}
+
+// Guards against a task that is started twice: an entry in the list alone counted as proof
+// that a worker had ended which missed one poll.
+func TestTasksOfWorkerThatMissesAPollAreNotStartedTwice(t *testing.T) {
+	for name, other := range map[string]worker.Listing{
+		"an earlier life, listed with a later time of day": lifeOf("h1", "c", simPool, 9),
+		"an entry of another writer":                       lifeOf("h1", "c", "unknown", 9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := scheduler.Times{Now: 2 * time.Hour, Wall: 1_700_000_000_000}
+			core := newLostWorkerCore(now)
+			core.UpdateWorkers([]worker.Listing{other}, nil, now)
+			core.UpdateWorkers(nil, []string{"c"}, now)
+			core.UpdateWorkers([]worker.Listing{lifeOf("h1", "a", simPool, 1)}, nil, now)
+			first := planStarts(g, core, now)
+			g.Expect(first).To(HaveLen(1))
+			o, send := core.StartOrder(first[0].Run, "a", now.Now, simDutyLease)
+			g.Expect(send).To(Equal(scheduler.SendNow))
+			core.StartAnswered(o, now.Now.Milliseconds(), nil, now)
+			listWorkers(core, now, "b")
+
+			now.Now += time.Second
+			core.PollFailed(core.Poll("a", now.Now, simDutyLease), errNotConnected, now)
+			g.Expect(planStarts(g, core, now)).To(BeEmpty(), "worker a holds a lease, and nothing shows that it has ended")
 		})
 	}
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -19,7 +19,6 @@
 func (c *Core) UpdateWorkers(listed []worker.Listing, removed []string, t Times) {
 	c.listReadAt = t.Now
 	for _, l := range listed {
-		c.noteHost(l)
 		if l.Pool != c.opt.Pool {
 			removed = append(removed, l.Incarnation.ID)
 			continue
