Acknowledge to a worker only ends that it has not forgotten yet

Cause: every poll repeated the number of the last end that was logged. A request is sent on another connection now if the worker has closed the kept one, as one does that restarts: the poll then reached the next incarnation, whose ends have the same numbers, with that acknowledgement. An end that it had listed to nobody would be forgotten, and its task started again. Change: a poll acknowledges only if the worker has not answered one yet that did. Figures: TestEndsAreAcknowledgedOnce fails without the change.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -104,7 +104,9 @@
 		// numbered differently.
 		return p
 	}
-	p.Request.Acknowledged = ws.LastEndLogged
+	if ws.LastEndLogged > ws.LastEndAcknowledged {
+		p.Request.Acknowledged = ws.LastEndLogged
+	}
 	if c.mayHaveRuns(ws) && remaining > 0 && c.mayExtendLease(ws) {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		switch {
