Stop scheduling before a daemon refuses the calls of others

Cause: a stopping daemon closed its listener for other daemons, waited for the calls under way, and only then ended its work. A daemon that refuses connections counts as ended, and the next holder of a pool now waits for no lease of its duty. If the release of the pool had failed, the old holder still extended leases meanwhile. Change: the work ends first.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -43,8 +43,9 @@
 type fleetComponents struct {
 	dig.In
 
-	// Work ends when the daemon has stopped.
+	// Work ends with a call of StopWork, when the daemon has stopped.
 	Work         context.Context
+	StopWork     context.CancelFunc
 	Settings     platform.Settings
 	Self         duty.Member
 	Logger       zerolog.Logger
@@ -138,6 +139,8 @@
 	if err := callers.Close(); err != nil {
 		d.Logger.Warn().Err(eris.Wrap(err, "close listener")).Msg("closing the callers' listener failed")
 	}
+	// A daemon that refuses connections counts as ended, so it must not act any more.
+	d.StopWork()
 	d.Node.Close()
 	d.Logger.Info().Int64("open", d.Frontend.OpenConnections()).Msg("stopped")
 }
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -43,6 +43,7 @@
 	c := dig.New()
 	constructors := []any{
 		func() context.Context { return work },
+		func() context.CancelFunc { return stopWork },
 		func() platform.Settings { return settings },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
 		func() metrics { return m },
