--- a/internal/scheduler/hostlife_test.go
+++ b/internal/scheduler/replacedworker_test.go
@@ -11,8 +11,8 @@
 	"greengagedeck/internal/worker"
 )
 
-// lifeOf is a worker's entry in the list, as the life of a host.
-func lifeOf(host, id, pool string, startedAt int64) worker.Listing {
+// entryOf is a worker's entry in the list.
+func entryOf(host, id, pool string, startedAt int64) worker.Listing {
 	return worker.Listing{
 		Incarnation: job.Incarnation{ID: id, StartedAt: startedAt}, Address: id, Pool: pool, Host: host, Capacity: job.Resources{CPU: 4000},
 	}
@@ -30,24 +30,24 @@
 		// ended is set if that shows that worker a has ended.
 		ended bool
 	}{
-		{"another life", lifeOf("h1", "c", simPool, 2), true, true},
-		{"another life, with the time of day set back", lifeOf("h1", "c", simPool, 0), true, true},
-		{"another life that has not answered", lifeOf("h1", "c", simPool, 2), false, false},
-		{"an entry of another pool", lifeOf("h1", "c", "other", 2), false, false},
-		{"another host", lifeOf("h3", "c", simPool, 2), true, false},
-		{"no host", lifeOf("", "c", simPool, 2), true, false},
+		{"another worker", entryOf("h1", "c", simPool, 2), true, true},
+		{"another worker, with the time of day set back", entryOf("h1", "c", simPool, 0), true, true},
+		{"another worker that has not answered", entryOf("h1", "c", simPool, 2), false, false},
+		{"an entry of another pool", entryOf("h1", "c", "other", 2), false, false},
+		{"another host", entryOf("h3", "c", simPool, 2), true, false},
+		{"no host", entryOf("", "c", simPool, 2), true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			now := scheduler.Times{Now: 2 * time.Hour, Wall: 1_700_000_000_000}
 			core := newLostWorkerCore(now)
-			core.UpdateWorkers([]worker.Listing{lifeOf("h1", "a", simPool, 1)}, nil, now)
+			core.UpdateWorkers([]worker.Listing{entryOf("h1", "a", simPool, 1)}, nil, now)
 			first := planStarts(g, core, now)
 			g.Expect(first).To(HaveLen(1))
 			o, send := core.StartOrder(first[0].Run, "a", now.Now, simDutyLease)
 			g.Expect(send).To(Equal(scheduler.SendNow))
 			core.StartAnswered(o, now.Now.Milliseconds(), nil, now)
-			core.UpdateWorkers([]worker.Listing{lifeOf("h2", "b", simPool, 1)}, nil, now)
+			core.UpdateWorkers([]worker.Listing{entryOf("h2", "b", simPool, 1)}, nil, now)
 			listWorkers(core, now, "b")
 
 			now.Now += time.Second
@@ -74,8 +74,8 @@
 // that a worker had ended which missed one poll.
 func TestTasksOfWorkerThatMissesAPollAreNotStartedTwice(t *testing.T) {
 	for name, other := range map[string]worker.Listing{
-		"an earlier life, listed with a later time of day": lifeOf("h1", "c", simPool, 9),
-		"an entry of another writer":                       lifeOf("h1", "c", "unknown", 9),
+		"an earlier worker, listed with a later time of day": entryOf("h1", "c", simPool, 9),
+		"an entry of another writer":                         entryOf("h1", "c", "unknown", 9),
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -83,7 +83,7 @@
 			core := newLostWorkerCore(now)
 			core.UpdateWorkers([]worker.Listing{other}, nil, now)
 			core.UpdateWorkers(nil, []string{"c"}, now)
-			core.UpdateWorkers([]worker.Listing{lifeOf("h1", "a", simPool, 1)}, nil, now)
+			core.UpdateWorkers([]worker.Listing{entryOf("h1", "a", simPool, 1)}, nil, now)
 			first := planStarts(g, core, now)
 			g.Expect(first).To(HaveLen(1))
 			o, send := core.StartOrder(first[0].Run, "a", now.Now, simDutyLease)
--- a/internal/scheduler/setback_test.go
+++ b/internal/scheduler/setback_test.go
@@ -11,8 +11,8 @@
 // back.
 const setBackPatience = 10 * time.Second
 
-// Guards against a worker that is never used again: the time of day was set back between
-// two of its lives, so that the later one seems to have started first.
+// Guards against a worker that is never used again: its time of day was set back before
+// it came back, so that it seems to have started earlier than it had.
 func TestWorkerIsUsedAgainAfterItsTimeOfDayWasSetBack(t *testing.T) {
 	for name, address := range map[string]string{"at its address": "a", "at another address": "a2"} {
 		t.Run(name, func(t *testing.T) {
