Let pools that do not answer in a test take longer than they are waited for

Cause: TestSubmissionsWaitOnceForPoolsThatDoNotAnswer failed once (2.001 s, to be < 2 s): the pools of the test gave up after exactly the second for which they are asked, so that it was chance whether the first calls ended by their limit, after which the others are short, or a moment before it. The callers' own limit in intake ends with the same context. Change: the pools of the test take twice that time. The bound is as it was.

--- a/internal/scheduler/elsewhere_test.go
+++ b/internal/scheduler/elsewhere_test.go
@@ -41,7 +41,7 @@
 func TestSubmissionsWaitOnceForPoolsThatDoNotAnswer(t *testing.T) {
 	g := NewWithT(t)
 	left, took := dropElsewhere(t, 4*maxElsewhereCalls, func(ctx context.Context, _ *joblog.Submission) bool {
-		clock.Sleep(ctx, time.Second)
+		clock.Sleep(ctx, 2*maxElsewhereTime)
 		return false
 	})
 	g.Expect(left).To(Equal(4 * maxElsewhereCalls))
