Read the results of probes before witnesses write to them

Cause: while daemons in other zones were asked about holders, which sets a field of the results, the same results were read to see whether heartbeats are needed: a data race. Change: that is found out before.

--- a/internal/duty/monitor.go
+++ b/internal/duty/monitor.go
@@ -102,9 +102,10 @@
 		return
 	}
 	results := m.probe(ctx, m.dueChecks())
+	needsHeartbeats := slices.ContainsFunc(results, checkResult.needsHeartbeats)
 	var questions sync.WaitGroup
 	questions.Go(func() { m.askWitnesses(ctx, results) })
-	if slices.ContainsFunc(results, checkResult.needsHeartbeats) {
+	if needsHeartbeats {
 		// Only the newest heartbeats show whether a holder is unreachable for
 		// every daemon or for this one alone, and which daemons can claim.
 		m.readHeartbeats(ctx)
