--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -91,9 +91,7 @@
 // ended, which the first poll of the new incarnation confirms.
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
-	ws.MarkCrash(true)
-	c.noteCrash(ws, t.Now)
-	c.countLapsed(ws, t)
+	c.recordCrash(ws, t)
 	ws.ReplaceIncarnation(l, t.Now, c.leaseBounds())
 	c.wakePoll(l.Incarnation.ID)
 	c.applyCordon(ws)
@@ -159,6 +157,14 @@
 	c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("phase", j.Phase).Dur("after", t.Now-j.arrived).Dur("objective", j.objective).Msg("job ended")
 }
 
+// recordCrash records that an incarnation of a worker is known to have ended, before the
+// ends of its runs are recorded.
+func (c *Core) recordCrash(ws *worker.State, t Times) {
+	ws.MarkCrash(true)
+	c.noteCrash(ws, t.Now)
+	c.countLapsed(ws, t)
+}
+
 // countLapsed counts the crash of a worker for the runs whose leases had expired
 // before the crash was known. A task that a worker has survived meanwhile is not the
 // cause.
