--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -150,7 +150,7 @@
 	if errors.As(err, &rejection) && c.checkFenced(rejection) {
 		return
 	}
-	ws.RecordUnanswered()
+	ws.RecordUnanswered(t.Now)
 	if ws.UnansweredCalls == 1 {
 		c.opt.Logger.Warn().Err(err).Str("worker", p.Worker).Int("runs", len(ws.Runs)).Msg("worker does not answer")
 	}
@@ -161,8 +161,7 @@
 // addresses are reused only after their worker has ended.
 func (c *Core) addressReassigned(ws *worker.State, t Times) {
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers at the worker's address")
-	ws.MarkCrash(true)
-	c.countLapsed(ws, t)
+	c.recordCrash(ws, t)
 	for _, r := range sortedRuns(ws) {
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 	}
--- a/internal/scheduler/replacedworker.go
+++ b/internal/scheduler/replacedworker.go
@@ -27,8 +27,7 @@
 	for _, id := range ended {
 		ws := c.workers[id]
 		c.opt.Logger.Info().Str("worker", id).Str("on", ws.Host).Str("newer", newest[ws.Host].Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers on the worker's host")
-		ws.MarkCrash(true)
-		c.countLapsed(ws, t)
+		c.recordCrash(ws, t)
 		for _, r := range sortedRuns(ws) {
 			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 		}
