Hold a pool for a while before its duty is given up

Cause: an error that lies in what the log holds of a pool would have gone from daemon to daemon, with a claim, a release and a read of the whole pool each time, as fast as daemons claim. Change: a pool is held for at least 2 s. Figures: TestDutyOfPoolThatIsNotScheduledIsGivenUp, with the new bound, and the tests of duty and platform/ pass.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -126,11 +126,11 @@
 func (e *Elector) appendClaim(ctx context.Context, n Name, expected Token, c claimRecord) bool {
 	e.mu.Lock()
 	at := e.nextClaimOffset
-	outdated := e.leaving && !c.Released
+	stopping := e.leaving && !c.Released
 	last := e.table.claims[n].Token
 	c.PriorLeaseRemaining = max(c.PriorLeaseRemaining, e.table.priorLeaseRemaining(n, e.opt.Clock.Now()))
 	e.mu.Unlock()
-	if outdated || last != expected {
+	if stopping || last != expected {
 		return false
 	}
 	value, err := record.Encode(c)
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -7,9 +7,14 @@
 
 	"github.com/rs/zerolog"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/duty"
 )
 
+// minHoldTime is the least time for which a pool is held. An error that any daemon would
+// meet with the pool must not have its duty change hands all the time.
+const minHoldTime = 2 * time.Second
+
 // Lease tells how long a duty may still be acted on.
 type Lease interface {
 	Remaining(n duty.Name, t duty.Token) time.Duration
@@ -79,14 +84,20 @@
 	}
 	m.heldPools[pool] = p
 	m.loops.Go(func() { p.runner.Watch(ctx) })
-	m.loops.Go(func() {
-		err := p.runner.Run(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		m.opt.Logger.Warn().Err(err).Str("pool", pool).Int64("token", int64(t)).Msg("scheduling the pool stopped on an error, giving up its duty")
-		m.opt.GiveUp(ctx, n, t)
-	})
+	m.loops.Go(func() { m.schedule(ctx, p, n) })
+}
+
+// schedule schedules a pool until ctx ends. If it cannot, it gives the pool's duty up.
+func (m *Manager) schedule(ctx context.Context, p *heldPool, n duty.Name) {
+	started := time.Now()
+	err := p.runner.Run(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	m.opt.Logger.Warn().Err(err).Str("duty", string(n)).Int64("token", int64(p.token)).Msg("scheduling the pool stopped on an error, giving up its duty")
+	if clock.Sleep(ctx, minHoldTime-time.Since(started)) {
+		m.opt.GiveUp(ctx, n, p.token)
+	}
 }
 
 // Lost stops scheduling a pool.
--- a/internal/scheduler/manager_test.go
+++ b/internal/scheduler/manager_test.go
@@ -81,6 +81,8 @@
 					log = rejectingLog{log, test.rejection}
 				}
 				givenUp := acquirePool(ctx, log, test.change)
+				time.Sleep(minHoldTime - planInterval)
+				g.Expect(givenUp).NotTo(Receive(), "too soon")
 				time.Sleep(2 * planInterval)
 				synctest.Wait()
 				g.Expect(givenUp).To(Receive(Equal(duty.Token(7))))
