--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -41,8 +41,7 @@
 type Run struct {
 	ID        job.RunID
 	Resources job.Resources
-	// Key groups the runs of one step, for limits on how many of them a worker
-	// takes.
+	// Key groups the runs of one step, for limits on how many of them a worker takes.
 	Key   StepKey
 	State RunState
 	// StartUnanswered is set if an order to start the run was not answered and
@@ -157,8 +156,7 @@
 	Listing
 	// Listed is set if the platform's list names the worker at present.
 	Listed bool
-	// EntryStartedAt is the start of the incarnation that was last taken from the list,
-	// or 0 if none was.
+	// EntryStartedAt is the start of the incarnation last taken from the list, or 0.
 	EntryStartedAt int64
 	// Fenced is set once this incarnation has seen the holder's token. From
 	// then on orders of earlier holders have no effect.
@@ -167,8 +165,7 @@
 	// incarnation was fenced. Until then a run of an earlier holder or incarnation
 	// that no report has listed may be at the worker or may have ended there.
 	Reconciled bool
-	// FencedAt is when the holder learned that the incarnation has seen its
-	// token.
+	// FencedAt is when the holder learned that the incarnation has seen its token.
 	FencedAt time.Duration
 	// Runs are the runs that the worker has or may have.
 	Runs map[job.RunID]*Run
@@ -207,8 +204,7 @@
 	// last one that was acknowledged to the worker.
 	LastEndSeen, LastEndLogged, LastEndAcknowledged int64
 
-	// UnansweredCalls is the number of consecutive calls without an answer, and
-	// SilentSince when the first of them failed, if there is any.
+	// UnansweredCalls counts the calls in a row without an answer, SilentSince is when the first failed.
 	UnansweredCalls int
 	SilentSince     time.Duration
 	// LastAnswer is when the worker last answered a call.
