Measure where the time of a pool's holder goes, and how late its work is

Cause: neither metrics nor logs told how late a pool's holder plans, starts and polls, or which part of its work takes the time. Change: time by stage, waits before stages and the longest wait as metrics of each pool held, and one line when the holder falls behind and when it has caught up; a plan is made in two parts so that encoding is told apart. A worker's target names its zone.

--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	var version int
-	r.update(func(t Times) { version = r.core.Submit(s, t) })
+	r.update(StageSubmit, func(t Times) { version = r.core.Submit(s, t) })
 	err := r.awaitLogged(ctx, s.Spec.ID, version)
 	if err == nil {
 		return nil
@@ -58,7 +58,7 @@
 		return err
 	}
 	version, known := 0, false
-	r.update(func(t Times) { version, known = r.core.Cancel(id, t) })
+	r.update(StageSubmit, func(t Times) { version, known = r.core.Cancel(id, t) })
 	if !known {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -18,12 +18,14 @@
 	// orders in flight.
 	wake       chan struct{}
 	orderSlots chan struct{}
-	// lastPoll is when the last poll ended.
-	lastPoll time.Duration
+	// lastPoll is when the last poll ended, and wokenAt when the agent was last woken.
+	lastPoll, wokenAt time.Duration
 }
 
-// startRun sends the start of a run until it is answered or no longer wanted.
-func (r *Runner) startRun(ctx context.Context, a *agent, run job.RunID) {
+// startRun sends the start of a run, which is in the log since committedAt, until it is
+// answered or no longer wanted.
+func (r *Runner) startRun(ctx context.Context, a *agent, run job.RunID, committedAt time.Duration) {
+	r.work.waited(StageStart, r.opt.Clock.Now()-committedAt)
 	for ctx.Err() == nil {
 		resend := r.sendStart(ctx, a, run)
 		if !resend || !clock.Sleep(ctx, startRetry) {
@@ -39,13 +41,13 @@
 	defer func() { <-a.orderSlots }()
 	var s StartOrder
 	var send SendDecision
-	r.update(func(t Times) { s, send = r.core.StartOrder(run, a.id, t.Now, r.opt.Duty.Remaining()) })
+	r.update(StageStart, func(t Times) { s, send = r.core.StartOrder(run, a.id, t.Now, r.opt.Duty.Remaining()) })
 	if send != SendNow {
 		return send == SendLater
 	}
 	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
 	r.metrics.startAnswered(err)
-	r.update(func(t Times) { resend = r.core.StartAnswered(s, clock, err, t) })
+	r.update(StageStart, func(t Times) { resend = r.core.StartAnswered(s, clock, err, t) })
 	return resend
 }
 
@@ -57,14 +59,14 @@
 		// The core has the stop sent again as soon as it knows of the error.
 		clock.Sleep(context.Background(), startRetry)
 	}
-	r.update(func(t Times) { r.core.StopAnswered(s, reading, err, t) })
+	r.update(StageStart, func(t Times) { r.core.StopAnswered(s, reading, err, t) })
 }
 
 // sendSpeed sends a change of speed.
 func (r *Runner) sendSpeed(s SpeedOrder) {
 	err := r.opt.Control.SetSpeed(context.Background(), s.Target, s.Run, s.Percent, s.Token)
 	r.metrics.speedAnswered(err)
-	r.update(func(Times) { r.core.SpeedAnswered(s, err) })
+	r.update(StageStart, func(Times) { r.core.SpeedAnswered(s, err) })
 }
 
 // pollLoop polls one worker until the core no longer tracks it.
@@ -77,10 +79,12 @@
 			r.mu.Unlock()
 			return
 		}
+		wokenAt := a.wokenAt
 		r.mu.Unlock()
+		now := r.opt.Clock.Now()
 		wait := idleCheck
 		if ok {
-			wait = at - r.opt.Clock.Now()
+			wait = at - now
 		}
 		if wait > 0 {
 			t := time.NewTimer(wait)
@@ -92,6 +96,7 @@
 			t.Stop()
 			continue
 		}
+		r.work.waited(StagePoll, now-max(at, wokenAt))
 		r.poll(ctx, a)
 	}
 }
@@ -107,7 +112,8 @@
 	r.mu.Unlock()
 	rep, err := r.opt.Control.Poll(ctx, p.Target, p.Request)
 	r.metrics.pollAnswered(err)
-	r.update(func(t Times) {
+	r.work.spent(StageDecode, rep.DecodeTime)
+	r.update(StagePoll, func(t Times) {
 		if err != nil {
 			r.core.PollFailed(p, err, t)
 		} else {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -21,6 +21,8 @@
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
+	// poolScope has the pool's tag.
+	poolScope tally.Scope
 }
 
 // jobBuckets are the histogram bounds of the time from a job's arrival to its
@@ -38,6 +40,7 @@
 
 func newMetrics(scope tally.Scope, pool string) metrics {
 	scope = scope.SubScope("scheduler")
+	poolScope := scope.Tagged(map[string]string{"pool": pool})
 	return metrics{
 		starts:                 scope.Counter("starts"),
 		startsRejected:         scope.Counter("starts_refused"),
@@ -55,7 +58,8 @@
 		correlatedCrashes:      scope.Counter("correlated_crashes"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
-		pool:                   newPoolGauges(scope.Tagged(map[string]string{"pool": pool})),
+		pool:                   newPoolGauges(poolScope),
+		poolScope:              poolScope,
 	}
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -54,6 +54,12 @@
 // Plan decides which runs to start and returns the records to log. Every batch
 // must be passed to Committed before the next plan is made.
 func (c *Core) Plan(t Times) (*Batch, error) {
+	b := c.Decide(t)
+	return b, c.Encode(b, t)
+}
+
+// Decide is the first part of Plan: it returns a batch without records.
+func (c *Core) Decide(t Times) *Batch {
 	c.needsPlan = false
 	c.endReplaced(t)
 	c.expireLeases(t)
@@ -67,10 +73,7 @@
 	b := &Batch{JobDurations: c.jobDurations, CorrelatedCrashes: c.crashes.found, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
 	c.jobDurations, c.crashes.found = nil, 0
 	c.place(b, t, checkHealth)
-	if err := c.encodeBatch(b, t); err != nil {
-		return nil, err
-	}
-	return b, nil
+	return b
 }
 
 // releaseDue starts the occurrences that are due.
@@ -268,9 +271,9 @@
 	c.markDirty(j)
 }
 
-// encodeBatch adds to a batch the progress of every job that changed, and which
-// ends reported by workers that progress covers.
-func (c *Core) encodeBatch(b *Batch, t Times) error {
+// Encode is the second part of Plan: it adds to a batch the progress of every job that
+// changed, and which ends reported by workers that progress covers.
+func (c *Core) Encode(b *Batch, t Times) error {
 	for _, j := range c.dirty {
 		j.dirty = false
 		if err := c.encodeJob(b, j); err != nil {
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -65,6 +65,7 @@
 type Runner struct {
 	opt      RunnerOptions
 	metrics  metrics
+	work     *workMeter
 	progress *progress
 	// planWake wakes the plan loop.
 	planWake chan struct{}
@@ -97,9 +98,11 @@
 // NewRunner returns a runner that does nothing until Run is called.
 func NewRunner(o RunnerOptions) *Runner {
 	o.Options.Logger = o.Logger
+	m := newMetrics(o.Scope, o.Pool)
 	return &Runner{
 		opt:          o,
-		metrics:      newMetrics(o.Scope, o.Pool),
+		metrics:      m,
+		work:         newWorkMeter(m.poolScope, o.Clock.Now()),
 		progress:     newProgress(o.Clock.Now()),
 		planWake:     make(chan struct{}, 1),
 		approvalSlot: make(chan struct{}, 1),
@@ -157,15 +160,17 @@
 // enter records that a phase begins.
 func (r *Runner) enter(p Phase) { r.progress.enter(p, r.opt.Clock.Now()) }
 
-// update applies a change to the core and at once sends the orders that follow
-// from it.
-func (r *Runner) update(change func(Times)) {
+// update applies a change to the core, which is work of a stage, and at once sends the
+// orders that follow from it.
+func (r *Runner) update(stage Stage, change func(Times)) {
 	r.mu.Lock()
-	change(r.times())
+	t := r.times()
+	change(t)
 	stops := r.core.StopOrders()
 	speeds := r.core.SpeedOrders()
 	needsPlan := r.core.NeedsPlan()
-	r.wakeAgents()
+	r.wakeAgents(t.Now)
+	r.work.spent(stage, r.opt.Clock.Now()-t.Now)
 	r.mu.Unlock()
 	for _, s := range stops {
 		go r.sendStop(s)
@@ -174,15 +179,17 @@
 		go r.sendSpeed(s)
 	}
 	if needsPlan {
+		r.work.planWanted(t.Now)
 		notify(r.planWake)
 	}
 }
 
 // wakeAgents wakes the agents whose workers may have to be polled sooner. It must be
 // called with mu held.
-func (r *Runner) wakeAgents() {
+func (r *Runner) wakeAgents(now time.Duration) {
 	for _, id := range r.core.Wakes() {
 		if a := r.agents[id]; a != nil {
+			a.wokenAt = now
 			notify(a.wake)
 		}
 	}
@@ -198,7 +205,7 @@
 
 // applyWorkerChange applies a change of the list of workers.
 func (r *Runner) applyWorkerChange(ctx context.Context, c worker.ListChange) {
-	r.update(func(t Times) {
+	r.update(StageList, func(t Times) {
 		if c.Full {
 			r.core.ReplaceWorkers(c.Listed, t)
 		} else {
@@ -236,11 +243,7 @@
 			return nil
 		}
 		r.enter(PhasePlanning)
-		r.mu.Lock()
-		r.trackIntakeLag()
-		batch, err := r.core.Plan(r.times())
-		fenced := r.core.fenced
-		r.mu.Unlock()
+		batch, fenced, err := r.plan()
 		switch {
 		case err != nil:
 			return err
@@ -256,6 +259,21 @@
 	}
 }
 
+// plan makes a plan. It reports whether a worker takes no orders of this holder.
+func (r *Runner) plan() (b *Batch, fenced bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trackIntakeLag()
+	t := r.times()
+	r.work.planStarted(t.Now)
+	b = r.core.Decide(t)
+	decided := r.opt.Clock.Now()
+	r.work.spent(StagePlan, decided-t.Now)
+	err = r.core.Encode(b, t)
+	r.work.spent(StageEncode, r.opt.Clock.Now()-decided)
+	return b, r.core.fenced, err
+}
+
 // sendApprovalRequests sends the approval requests of a plan, one at a time:
 // the service answers each caller in turn.
 func (r *Runner) sendApprovalRequests(ctx context.Context) {
@@ -268,7 +286,7 @@
 			defer func() { <-r.approvalSlot }()
 			tickets, validity, err := r.opt.Approver.Approve(ctx, req.StepName(), req.WorkerIDs(), req.Expected)
 			r.metrics.approvalAnswered(err)
-			r.update(func(t Times) { r.core.ApprovalReceived(req, tickets, validity, err, t) })
+			r.update(StageStart, func(t Times) { r.core.ApprovalReceived(req, tickets, validity, err, t) })
 		}()
 	}
 }
@@ -297,11 +315,13 @@
 		return nil
 	}
 	r.enter(PhaseAppending)
-	start := time.Now()
-	r.setAppendStarted(r.opt.Clock.Now())
+	start := r.opt.Clock.Now()
+	r.setAppendStarted(start)
 	err := j.Append(ctx, b.Progress)
 	r.setAppendStarted(0)
-	r.metrics.appended(len(b.Progress), time.Since(start))
+	took := r.opt.Clock.Now() - start
+	r.work.spent(StageAppend, took)
+	r.metrics.appended(len(b.Progress), took)
 	if errors.Is(err, logstore.ErrFenced) {
 		r.opt.Logger.Warn().Int64("token", r.opt.Token).Msg("another daemon has taken over the pool's log")
 	}
@@ -315,7 +335,9 @@
 	}
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
 	var runs []job.RunID
-	r.update(func(t Times) {
+	var committedAt time.Duration
+	r.update(StageStart, func(t Times) {
+		committedAt = t.Now
 		runs = r.core.Committed(b, t)
 		r.notifyLogged(b.Versions())
 	})
@@ -330,7 +352,7 @@
 	}
 	r.mu.Unlock()
 	for i, run := range runs {
-		go r.startRun(ctx, agents[i], run)
+		go r.startRun(ctx, agents[i], run, committedAt)
 	}
 }
 
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -55,7 +55,7 @@
 
 // ChangeCordons cordons and uncordons workers.
 func (r *Runner) ChangeCordons(changes []CordonChange) {
-	r.update(func(Times) {
+	r.update(StageList, func(Times) {
 		for _, c := range changes {
 			if c.Uncordon {
 				r.core.Uncordon(c.Worker)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -117,6 +117,7 @@
 
 // applyIntake applies records of an intake partition that were read from start on.
 func (r *Runner) applyIntake(ctx context.Context, p logstore.Partition, recs []logstore.Record, start time.Duration) {
+	decodeStart := r.opt.Clock.Now()
 	decoded := make([]joblog.IntakeRecord, 0, len(recs))
 	for _, rec := range recs {
 		intake, ok, err := joblog.DecodeIntake(rec)
@@ -127,8 +128,9 @@
 			decoded = append(decoded, intake)
 		}
 	}
+	r.work.spent(StageDecode, r.opt.Clock.Now()-decodeStart)
 	decoded = r.dropAcceptedElsewhere(ctx, decoded)
-	r.update(func(t Times) {
+	r.update(StageSubmit, func(t Times) {
 		r.intakeReadUpTo[p] = max(r.intakeReadUpTo[p], start)
 		if len(decoded) > 0 {
 			r.core.ApplyIntake(decoded, t)
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -26,6 +26,7 @@
 	loops.Go(func() { r.watchRuns(ctx) })
 	loops.Wait()
 	r.metrics.clearPool()
+	r.work.clear()
 }
 
 // watchRuns looks for jobs without a run until ctx ends.
@@ -37,6 +38,7 @@
 		rep := r.core.CheckRuns(t, h)
 		r.mu.Unlock()
 		r.metrics.poolChecked(rep, h, t.Now)
+		r.work.report(t.Now, r.opt.Logger)
 	}
 }
 
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -233,7 +233,9 @@
 }
 
 // Target returns the address for orders to the worker.
-func (s *State) Target() Target { return Target{ID: s.Incarnation.ID, Address: s.Address} }
+func (s *State) Target() Target {
+	return Target{ID: s.Incarnation.ID, Address: s.Address, Zone: s.Zone}
+}
 
 // BusyUntil returns when the last of the worker's runs is expected to end.
 func (s *State) BusyUntil(now time.Duration) time.Duration { return max(now, s.busyUntil) }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -44,6 +44,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Zone is the worker's availability zone, or empty if it is not known.
+	Zone string
 }
 
 // StartOrder is an order to start a run.
@@ -107,6 +109,8 @@
 	// Partial is set if the worker may have more ends to list than one answer holds. A
 	// run that such a report does not list may have ended in any way.
 	Partial bool
+	// DecodeTime is how long this daemon took to decode the answer.
+	DecodeTime time.Duration
 }
 
 // Control sends orders to workers. An error is a *RejectedError,
