Send a pool's orders to workers through idle daemons

Cause: at a turn of demand one process calls up to a thousand workers, 3,000 starts and as many polls a second, each an HTTP exchange; a profile of the holder shows these calls as the largest part, and jobs start too late while 140 other hosts are idle. Change: the holder hands the orders of all but a few workers to daemons without a duty in the workers' zones, many in one message, and collects the answers likewise. It alone decides, under its token. A relay that does not answer is left out for a while: starts then may have run, all else is repeated by the holder. The fleet daemon serves profiles. The soak has daemons that relay.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"github.com/valyala/fasthttp/pprofhandler"
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/duty"
@@ -114,6 +115,7 @@
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	page := promhttp.HandlerFor(d.Metrics.registry, promhttp.HandlerOpts{})
 	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(page))
+	r.GET("/debug/pprof/{name:*}", pprofhandler.PprofHandler)
 	return r.Handler
 }
 
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -19,6 +19,7 @@
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
+	"greengagedeck/internal/relay"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/worker"
 	"greengagedeck/platform"
@@ -54,6 +55,7 @@
 		func() *policy.Current { return &policy.Current{} },
 		newStage,
 		newWorkers,
+		newControl,
 		newApprover,
 		newRegistry,
 		newMemberResolver,
@@ -113,10 +115,25 @@
 	return netip.AddrPortFrom(settings.IP, settings.FirstPort+port).String()
 }
 
-func newWorkers(l zerolog.Logger, m metrics) worker.Control {
+func newWorkers(l zerolog.Logger, m metrics) *platform.Workers {
 	return platform.NewWorkers(platform.Metrics{Scope: m.scope, Logger: l})
 }
 
+// newControl returns how the orders for workers are sent: by this daemon or by relays, as
+// which this daemon serves others.
+func newControl(self duty.Member, w *platform.Workers, n *peer.Node, dir *memberResolver, cl clock.Clock, l zerolog.Logger, m metrics) worker.Control {
+	o := relay.Options{
+		Self:   self,
+		Caller: n,
+		Idle:   func() []duty.Member { return dir.elector.IdlePeers() },
+		Clock:  cl,
+		Logger: l,
+		Scope:  m.scope,
+	}
+	relay.NewServer(w, o).Register(n)
+	return relay.NewControl(w, o)
+}
+
 func newRegistry(log logstore.Log, l zerolog.Logger, m metrics) *worker.Registry {
 	return worker.NewRegistry(worker.RegistryOptions{
 		Log:       log,
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -194,6 +194,27 @@
 	return out
 }
 
+// IdlePeers returns the other live daemons that hold no duty and are not stopping, as far
+// as is known.
+func (e *Elector) IdlePeers() []Member {
+	now := e.opt.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holders := map[string]bool{e.opt.Self.Host: true}
+	for _, c := range e.table.claims {
+		if !c.Released {
+			holders[c.Holder.Host] = true
+		}
+	}
+	var out []Member
+	for _, p := range e.table.livePeers(now, maxHeartbeatAge) {
+		if !p.Leaving && !holders[p.Host] {
+			out = append(out, p.Member)
+		}
+	}
+	return out
+}
+
 // Run claims and keeps duties until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
--- a/standin/jobsim/daemon_test.go
+++ b/standin/jobsim/daemon_test.go
@@ -32,10 +32,15 @@
 	return m.Run()
 }
 
+// coreShare is the share of a core that a host is said to have: so little that the orders
+// for most workers go through other daemons.
+const coreShare = 0.0125
+
 // daemon is an entry host with its settings file and its current process.
 type daemon struct {
 	name          string
 	callerAddress string
+	adminAddress  string
 	settingsFile  string
 	logFile       string
 	cmd           *exec.Cmd
@@ -50,12 +55,13 @@
 	d := &daemon{
 		name:          name,
 		callerAddress: fmt.Sprintf("127.0.0.1:%d", firstPort),
+		adminAddress:  fmt.Sprintf("127.0.0.1:%d", firstPort+3),
 		settingsFile:  filepath.Join(dir, name+".conf"),
 		logFile:       filepath.Join(dir, name+".log"),
 	}
 	text := fmt.Sprintf("nodeName=%s\nzone=a\nlistenAddresses.frontend=%s\nlistenAddresses.ready=127.0.0.1:%d\ninternalPorts=%d,%d\n"+
-		"platform.address=%s\ncloud.address=%s\nbounds.holdMaxMs=%d\nbounds.graceS=3\n",
-		name, d.callerAddress, firstPort+1, firstPort+2, firstPort+3, store, store, maxLease.Milliseconds())
+		"platform.address=%s\ncloud.address=%s\nbounds.holdMaxMs=%d\nbounds.graceS=3\nlimits.cores=1\nlimits.cpuShare=%g\nlimits.linkMbps=1000\n",
+		name, d.callerAddress, firstPort+1, firstPort+2, firstPort+3, store, store, maxLease.Milliseconds(), coreShare)
 	return d, os.WriteFile(d.settingsFile, []byte(text), 0o600)
 }
 
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,7 +28,8 @@
 )
 
 const (
-	soakDaemons = 3
+	// soakDaemons are more than there are duties: the others carry orders.
+	soakDaemons = 5
 	soakWorkers = 6
 	// movedWorkers is how many workers the pool has to which the queue is moved at times.
 	movedWorkers = 3
@@ -311,6 +314,25 @@
 	}
 	s.g.Expect(s.accepted).NotTo(BeEmpty())
 	s.g.Expect(s.checker.JudgedShrunk()).To(BeNumerically(">=", minJudgedShrunk), "starts that a shrunk capacity limited")
+	s.g.Expect(s.relayedOrders()).To(BeNumerically(">", 0), "orders that went through other daemons")
+}
+
+// relayedOrders returns how many orders the daemons have carried out for others, since
+// each was started.
+func (s *soak) relayedOrders() int {
+	sum := 0
+	for _, d := range s.daemons {
+		_, page, err := s.client.Get(nil, "http://"+d.adminAddress+"/metrics")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		for line := range strings.Lines(string(page)) {
+			if count, ok := strings.CutPrefix(strings.TrimSpace(line), "greengaged_relay_orders_carried_out "); ok {
+				n, err := strconv.Atoi(count)
+				s.g.Expect(err).NotTo(HaveOccurred())
+				sum += n
+			}
+		}
+	}
+	return sum
 }
 
 // Guards against jobs that are shown as failed because of crashes which the task of
