Report no holder as behind that may not act, and no first poll as late

Change: the wait for a first poll counts from when the worker became known; without its duty a holder reports nothing.

--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -224,7 +224,7 @@
 func (r *Runner) agent(ctx context.Context, id string) *agent {
 	a := r.agents[id]
 	if a == nil {
-		a = &agent{id: id, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersPerWorker)}
+		a = &agent{id: id, wokenAt: r.opt.Clock.Now(), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersPerWorker)}
 		r.agents[id] = a
 		go r.pollLoop(ctx, a)
 	}
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -38,7 +38,9 @@
 		rep := r.core.CheckRuns(t, h)
 		r.mu.Unlock()
 		r.metrics.poolChecked(rep, h, t.Now)
-		r.work.report(t.Now, r.opt.Logger)
+		if h.DutyRemaining > 0 {
+			r.work.report(t.Now, r.opt.Logger)
+		}
 	}
 }
 
