Keep the nodes of a plan from one plan to the next

Cause: each plan passed over all workers five times, every few milliseconds: for those whose runs have ended with their host, whose leases have expired, that drain, to describe their nodes, and for ends that are not logged. Change: the state of a worker records that it has changed; plans compute only the changed ones again and keep an index of nodes and sets of silent, draining and unlogged workers. Models check before and after each plan that these equal what a look at all workers gives.

--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -16,7 +16,7 @@
 type Index struct {
 	nodes   []*Node
 	buckets [indexBuckets][]*Node
-	// maxCPU is the most free CPU time of any node when the Index was made.
+	// maxCPU is the most free CPU time of any node since the buckets were last laid out.
 	maxCPU int
 	// highest is the last bucket that may hold a node.
 	highest int
@@ -24,14 +24,57 @@
 
 // NewIndex returns an Index of nodes.
 func NewIndex(nodes []*Node) *Index {
-	x := &Index{nodes: nodes, highest: indexBuckets - 1}
-	for _, n := range nodes {
+	x := &Index{nodes: nodes}
+	for i, n := range nodes {
+		n.listed = i
+	}
+	x.layOut()
+	return x
+}
+
+// layOut lays out the buckets anew.
+func (x *Index) layOut() {
+	x.buckets = [indexBuckets][]*Node{}
+	x.maxCPU, x.highest = 0, 0
+	for _, n := range x.nodes {
 		x.maxCPU = max(x.maxCPU, n.Free.CPU)
 	}
-	for _, n := range nodes {
+	for _, n := range x.nodes {
 		x.insert(n)
 	}
-	return x
+}
+
+// Add adds a node.
+func (x *Index) Add(n *Node) {
+	n.listed = len(x.nodes)
+	x.nodes = append(x.nodes, n)
+	x.place(n)
+}
+
+// Remove removes a node.
+func (x *Index) Remove(n *Node) {
+	x.remove(n)
+	last := x.nodes[len(x.nodes)-1]
+	x.nodes[n.listed] = last
+	last.listed = n.listed
+	x.nodes = x.nodes[:len(x.nodes)-1]
+}
+
+// Update replaces the description of a node.
+func (x *Index) Update(n *Node, to Node) {
+	x.remove(n)
+	to.listed = n.listed
+	*n = to
+	x.place(n)
+}
+
+// place puts a node into its bucket.
+func (x *Index) place(n *Node) {
+	if n.Free.CPU > x.maxCPU {
+		x.layOut()
+		return
+	}
+	x.insert(n)
 }
 
 // Nodes returns all nodes of the index.
@@ -44,6 +87,7 @@
 
 func (x *Index) insert(n *Node) {
 	n.bucket = x.bucketOf(n.Free.CPU)
+	x.highest = max(x.highest, n.bucket)
 	n.slot = len(x.buckets[n.bucket])
 	x.buckets[n.bucket] = append(x.buckets[n.bucket], n)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,15 +28,18 @@
 	// of its own users.
 	Serving bool
 	// Isolated marks a node that takes no further task for a while, and RecentStart
-	// one on which a task has started just now.
-	Isolated    bool
-	RecentStart bool
+	// one on which a task has started just now. So has one until RecentStartUntil, by
+	// the same clock as Request.Now.
+	Isolated         bool
+	RecentStart      bool
+	RecentStartUntil time.Duration
 	// BestEffortCPU is the CPU time that the node's best-effort tasks could
 	// use, in thousandths of a core.
 	BestEffortCPU int
 
-	// bucket and slot are the node's position in an Index.
-	bucket, slot int
+	// bucket and slot are the node's position in an Index, and listed its position among
+	// all nodes there.
+	bucket, slot, listed int
 }
 
 // Request describes one task to place.
@@ -54,7 +57,8 @@
 	// Avoided tells, by ID, since when nodes are avoided. They are used only when
 	// no other fits, the one that has been avoided the longest first.
 	Avoided map[string]time.Duration
-	// ExpectedEnd is when the task is expected to end.
+	// Now is the present, and ExpectedEnd when the task is expected to end.
+	Now         time.Duration
 	ExpectedEnd time.Duration
 	// AllowEjected is set for a task that may fail any number of times.
 	AllowEjected bool
@@ -220,13 +224,13 @@
 // avoidsStartOn reports whether the task is not to start beside those that a node has
 // just started.
 func (r Request) avoidsStartOn(n *Node) bool {
-	return (r.Suspect || r.AvoidRecentStart) && n.RecentStart
+	return (r.Suspect || r.AvoidRecentStart) && (n.RecentStart || r.Now < n.RecentStartUntil)
 }
 
 // addedBusySteps returns by how many steps of busyTimeStep the task extends the
 // time for which a node is busy.
 func (r Request) addedBusySteps(n *Node) int {
-	return int(max(0, r.ExpectedEnd-n.BusyUntil) / busyTimeStep)
+	return int(max(0, r.ExpectedEnd-max(r.Now, n.BusyUntil)) / busyTimeStep)
 }
 
 // spareCPU returns the CPU time that one more best-effort task could use.
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -81,7 +81,7 @@
 // the approval of its worker if the step needs one. A stalled job may use ejected
 // workers.
 func (c *Core) approvedRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
-	req := c.placementRequest(j, g)
+	req := c.placementRequest(j, g, now)
 	req.AllowEjected = req.AllowEjected || j.stalled(now)
 	if j.Terms.Approval == nil {
 		return req
@@ -114,7 +114,7 @@
 	if a.pending || now < a.retryAt {
 		return
 	}
-	req := c.placementRequest(pg.job, pg.group)
+	req := c.placementRequest(pg.job, pg.group, now)
 	limit := min(maxWorkersPerRequest, len(pg.group.Waiting)+spareWorkers)
 	var expired, unasked []job.Incarnation
 	for _, n := range nodes {
--- a/internal/scheduler/cordon.go
+++ b/internal/scheduler/cordon.go
@@ -37,6 +37,7 @@
 		dirty:  true,
 	}
 	ws.CordonReason = reason
+	c.touch(id)
 	c.wakePoll(id)
 	c.needsPlan = true
 	c.opt.Logger.Info().Str("worker", id).Str("reason", reason).Bool("evacuate", evacuate).Int("runs", len(ws.Runs)).Msg("worker cordoned")
@@ -52,6 +53,7 @@
 	cn.dirty = true
 	if ws := c.workers[id]; ws != nil {
 		ws.CordonReason = ""
+		c.touch(id)
 	}
 	c.needsPlan = true
 	c.opt.Logger.Info().Str("worker", id).Str("reason", cn.Reason).Msg("worker uncordoned")
@@ -79,6 +81,7 @@
 	case cn == nil || cn.lifted:
 	case cn.Worker == ws.Incarnation:
 		ws.CordonReason = cn.Reason
+		c.touch(ws.Incarnation.ID)
 	default:
 		// The cordon was meant for an earlier incarnation.
 		c.Uncordon(ws.Incarnation.ID)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -11,7 +11,6 @@
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
-	"greengagedeck/internal/placement"
 	"greengagedeck/internal/sharing"
 	"greengagedeck/internal/worker"
 )
@@ -71,6 +70,7 @@
 	restoredProgress map[job.ID]*job.Progress
 
 	workers map[string]*worker.State
+	index   workerIndex
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
@@ -117,8 +117,6 @@
 	// milliseconds since 1970.
 	healthCheckedAt time.Duration
 	endedCheckedAt  int64
-	// nodeBuffer holds the nodes of the last plan.
-	nodeBuffer []placement.Node
 	// leftInIntake are the ended jobs of which the intake may hold records, and
 	// journalDeletes those whose submission is to be deleted from the progress
 	// partition.
@@ -152,6 +150,7 @@
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
+		index:            newWorkerIndex(),
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
@@ -313,7 +312,7 @@
 		if ws == nil {
 			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEndAt(at.Worker.ID))
 			ws.Listed = false
-			c.workers[at.Worker.ID] = ws
+			c.addWorker(ws)
 		}
 		// Only a poll that starts from now on can show whether the run is
 		// there.
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -104,11 +104,23 @@
 
 // recordSuccess records a successful run on a worker.
 func (c *Core) recordSuccess(id string) {
-	h := c.healthOf(id)
+	h := c.health[id]
+	if h == nil {
+		return
+	}
 	if h.ejection > 0 {
 		c.opt.Logger.Info().Str("worker", id).Msg("ejected worker completed a task, ejection reset")
 	}
 	*h = workerHealth{stalled: h.stalled}
+	if !h.stalled {
+		c.forgetHealth(id)
+	}
+}
+
+// forgetHealth records that a worker is well.
+func (c *Core) forgetHealth(id string) {
+	delete(c.health, id)
+	c.touch(id)
 }
 
 // recordFailure records the failure of a job on a worker. Several failures of
@@ -138,14 +150,19 @@
 
 // markEjected marks ejected workers. Where more than maxEjectedShare are ejected,
 // they are only avoided.
-func (c *Core) markEjected(nodes []*placement.Node, now time.Duration) {
+func (c *Core) markEjected(now time.Duration) {
 	var ejected []*placement.Node
-	for _, n := range nodes {
-		if c.ejected(n.ID, now) {
+	for id := range c.health {
+		n := c.index.byID[id]
+		if n == nil {
+			continue
+		}
+		n.Avoid, n.Ejected = false, false
+		if c.ejected(id, now) {
 			ejected = append(ejected, n)
 		}
 	}
-	avoid := float64(len(ejected)) > maxEjectedShare*float64(len(nodes))
+	avoid := float64(len(ejected)) > maxEjectedShare*float64(len(c.index.byID))
 	for _, n := range ejected {
 		n.Avoid, n.Ejected = avoid, !avoid
 	}
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -12,18 +12,19 @@
 
 // freeNodes returns the workers that get new tasks, without the places on them
 // that are promised. They are valid until the next call.
-func (c *Core) freeNodes(now time.Duration) []*placement.Node {
-	nodes := c.nodes(now)
-	c.markEjected(nodes, now)
+func (c *Core) freeNodes(now time.Duration) *placement.Index {
+	c.refreshWorkers(now)
+	c.markEjected(now)
+	x := c.index.nodes
 	promised := c.places
 	c.places = map[job.TaskID]string{}
 	for _, t := range sortedTasks(promised) {
-		i := slices.IndexFunc(nodes, func(n *placement.Node) bool { return n.ID == promised[t] })
-		if i >= 0 && c.needsPlace(t, nodes[i].ID, now) {
-			c.reserve(t, nodes[i:i+1], now)
+		n := c.index.byID[promised[t]]
+		if n != nil && c.needsPlace(t, n.ID, now) {
+			c.reserve(t, x, n, now)
 		}
 	}
-	return nodes
+	return x
 }
 
 // sortedTasks returns the tasks with a promised place in order.
@@ -31,18 +32,23 @@
 	return slices.SortedFunc(maps.Keys(places), compareTasks)
 }
 
-// reserve promises a task a place on one of the nodes and takes it from that
-// node. It reports whether any node has one.
-func (c *Core) reserve(t job.TaskID, nodes []*placement.Node, now time.Duration) bool {
+// reserve promises a task a place on a node and takes it from there: on only, if that is
+// not nil, else on any node. It reports whether there is one.
+func (c *Core) reserve(t job.TaskID, x *placement.Index, only *placement.Node, now time.Duration) bool {
 	j := c.jobs[t.Job]
-	req := c.placementRequest(j, job.TaskGroup{Occurrence: t.Occurrence, Step: t.Step})
+	req := c.placementRequest(j, job.TaskGroup{Occurrence: t.Occurrence, Step: t.Step}, now)
 	req.Avoided = j.avoided[t]
 	req.ExpectedEnd = now + c.expectedDuration(j.Step(t))
-	n := placement.Choose(nodes, req)
+	n := only
 	if n == nil {
+		n = x.Choose(req)
+	}
+	if n == nil || !req.Feasible(n) {
 		return false
 	}
-	req.Reserve(n)
+	x.Reserve(req, n)
+	// The next plan takes the place from the node again if the task still needs it.
+	c.touch(n.ID)
 	c.places[t] = n.ID
 	return true
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -104,7 +103,7 @@
 	if c.fenced {
 		return
 	}
-	x := placement.NewIndex(c.freeNodes(t.Now))
+	x := c.freeNodes(t.Now)
 	c.placeMoved(b, t.Now)
 	p := c.newPreemptor(t.Now)
 	for _, pg := range c.queue(t.Now) {
@@ -127,49 +126,15 @@
 	}
 }
 
-// nodes returns the workers that accept new tasks. They are valid until the next
-// call.
-func (c *Core) nodes(now time.Duration) []*placement.Node {
-	c.nodeBuffer = slices.Grow(c.nodeBuffer[:0], len(c.workers))
-	out := make([]*placement.Node, 0, len(c.workers))
-	for _, ws := range c.workers {
-		if !c.acceptsTasks(ws) {
-			continue
-		}
-		c.nodeBuffer = append(c.nodeBuffer, c.node(ws, now))
-		out = append(out, &c.nodeBuffer[len(c.nodeBuffer)-1])
-	}
-	return out
-}
-
-// node describes a worker to the placement.
-func (c *Core) node(ws *worker.State, now time.Duration) placement.Node {
-	return placement.Node{
-		ID:            ws.Incarnation.ID,
-		Free:          ws.FreeResources(),
-		Rack:          ws.Rack,
-		Labels:        ws.Labels,
-		BusyUntil:     ws.BusyUntil(now),
-		Serving:       ws.ServingRuns > 0,
-		BestEffortCPU: ws.BestEffortCPU,
-		Isolated:      ws.Isolated(now),
-		RecentStart:   ws.RecentStart(now),
-	}
-}
-
-// acceptsTasks reports whether a worker takes new tasks.
-func (c *Core) acceptsTasks(ws *worker.State) bool {
-	return ws.Listed && !ws.Draining && ws.CordonReason == "" && reachable(ws) && ws.Reconciled
-}
-
 // placementRequest returns the requirements of one task of a group.
-func (c *Core) placementRequest(j *trackedJob, g job.TaskGroup) placement.Request {
+func (c *Core) placementRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
 	s := j.Spec.Steps[g.Step]
 	key := worker.StepKey{Job: j.Spec.ID, Occurrence: g.Occurrence, Step: g.Step}
 	return placement.Request{
 		Resources:  s.ReservedResources(),
 		Label:      s.Label,
 		DataRack:   s.DataRack,
+		Now:        now,
 		TaskCount:  func(id string) int { return c.countTasks(id, key) },
 		MaxPerNode: s.MaxPerWorker,
 		Serving:    s.TailLatencyTarget > 0,
@@ -285,10 +250,13 @@
 	if err := c.encodeCordons(b); err != nil {
 		return err
 	}
-	for id, ws := range c.workers {
-		if ws.LastEndSeen > ws.LastEndLogged {
-			b.ends[id] = endPosition{ws.Incarnation.StartedAt, ws.LastEndSeen}
+	for id := range c.index.unlogged {
+		ws := c.workers[id]
+		if ws == nil || ws.LastEndSeen <= ws.LastEndLogged {
+			delete(c.index.unlogged, id)
+			continue
 		}
+		b.ends[id] = endPosition{ws.Incarnation.StartedAt, ws.LastEndSeen}
 	}
 	// A submission is deleted before the progress that tells that its job has ended.
 	for _, id := range c.journalDeletes {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -165,7 +165,7 @@
 	for _, r := range sortedRuns(ws) {
 		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
 	}
-	delete(c.workers, ws.Incarnation.ID)
+	c.removeWorker(ws.Incarnation.ID)
 	c.wakePoll(ws.Incarnation.ID)
 	c.Uncordon(ws.Incarnation.ID)
 }
@@ -184,6 +184,7 @@
 		c.workerRestarted(ws, listing, t)
 		// Only the list tells what capacity the next incarnation has.
 		ws.Listed = ws.Listed && !later
+		c.touch(p.Worker)
 		return
 	}
 	if ws.UnansweredCalls > 0 {
@@ -195,6 +196,7 @@
 	ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
 	if !ws.Fenced {
 		ws.Fenced = true
+		c.touch(p.Worker)
 		ws.FencedAt = t.Now
 		c.needsPlan = true
 	}
@@ -221,6 +223,7 @@
 			continue
 		}
 		ws.LastEndSeen = e.Number
+		c.index.unlogged[ws.Incarnation.ID] = true
 		if r := ws.Runs[e.Run]; r != nil {
 			c.recordEnd(ws, r, e.Reason, e.Checkpoint, t)
 		}
@@ -306,6 +309,7 @@
 	firstAnswer := !ws.Reconciled
 	if firstAnswer {
 		ws.Reconciled = true
+		c.touch(p.Worker)
 		c.needsPlan = true
 	}
 	for _, r := range sortedRuns(ws) {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -153,7 +153,7 @@
 // most MaxUnavailable long-running ones of a step at once.
 func (c *Core) evacuate(t Times) {
 	c.unplacedMoves = c.unplacedMoves[:0]
-	workers := c.evacuating()
+	workers := c.evacuating(t.Now)
 	if len(workers) == 0 {
 		return
 	}
@@ -184,7 +184,7 @@
 type evacuation struct {
 	core  *Core
 	now   time.Duration
-	nodes []*placement.Node
+	nodes *placement.Index
 	// seen are the steps whose inactive tasks have been looked for.
 	seen map[worker.StepKey]bool
 	// temporary are the tasks that hold a place for this evacuation only: inactive
@@ -199,7 +199,7 @@
 		e.seen[key] = true
 		e.reserveForInactive(j, t)
 	}
-	return e.core.reserve(t, e.nodes, e.now)
+	return e.core.reserve(t, e.nodes, nil, e.now)
 }
 
 // reserveForInactive reserves places for the tasks of a step that have to start
@@ -210,7 +210,7 @@
 		if _, promised := e.core.places[t]; promised || !e.core.hasToStart(t) {
 			continue
 		}
-		if !e.core.reserve(t, e.nodes, e.now) {
+		if !e.core.reserve(t, e.nodes, nil, e.now) {
 			return
 		}
 		e.temporary = append(e.temporary, t)
@@ -219,11 +219,15 @@
 
 // evacuating returns the workers to evacuate. Draining ones come first: tasks
 // that are moved off them count as unavailable for the others.
-func (c *Core) evacuating() []*worker.State {
+func (c *Core) evacuating(now time.Duration) []*worker.State {
+	c.refreshWorkers(now)
 	var out []*worker.State
-	for id, ws := range c.workers {
-		cn := c.cordons[id]
-		if ws.Draining || cn != nil && !cn.lifted && cn.Evacuate {
+	for id := range c.index.draining {
+		out = append(out, c.workers[id])
+	}
+	for id, cn := range c.cordons {
+		ws := c.workers[id]
+		if ws != nil && !ws.Draining && !cn.lifted && cn.Evacuate {
 			out = append(out, ws)
 		}
 	}
--- a/internal/scheduler/replacedworker.go
+++ b/internal/scheduler/replacedworker.go
@@ -10,10 +10,12 @@
 // endReplaced ends the runs of workers that do not answer and whose hosts run other
 // workers: their leases need not be waited for.
 func (c *Core) endReplaced(t Times) {
+	c.refreshWorkers(t.Now)
 	var ended []string
 	var newest map[string]*worker.State
-	for id, ws := range c.workers {
-		if len(ws.Runs) == 0 || ws.UnansweredCalls == 0 || ws.Host == "" {
+	for id := range c.index.silent {
+		ws := c.workers[id]
+		if ws.UnansweredCalls == 0 || ws.Host == "" {
 			continue
 		}
 		if newest == nil {
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -219,10 +219,16 @@
 
 func (h *simHolder) plan() {
 	h.plannedAt = h.w.now
+	if difference := scheduler.CheckIndex(h.core, h.w.now); difference != "" {
+		h.w.t.Fatal(difference)
+	}
 	b, err := h.core.Plan(h.w.times())
 	if err != nil {
 		h.w.t.Fatal(err)
 	}
+	if difference := scheduler.CheckIndex(h.core, h.w.now); difference != "" {
+		h.w.t.Fatal(difference)
+	}
 	for _, s := range scheduler.BatchStarts(b) {
 		h.runWorkers[s.Run] = s.Worker
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -29,6 +29,7 @@
 	for _, id := range removed {
 		if ws := c.workers[id]; ws != nil && ws.Listed {
 			ws.Listed = false
+			c.touch(id)
 			ws.MarkLapsed()
 			c.countLapsed(ws, t)
 			c.opt.Logger.Info().Str("worker", id).Int("runs", len(ws.Runs)).Msg("worker is no longer listed")
@@ -61,7 +62,7 @@
 	case ws == nil:
 		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID))
 		ws.EntryStartedAt = l.Incarnation.StartedAt
-		c.workers[l.Incarnation.ID] = ws
+		c.addWorker(ws)
 		c.wakePoll(l.Incarnation.ID)
 		c.applyCordon(ws)
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Str("address", l.Address).Msg("worker listed")
@@ -73,6 +74,7 @@
 	case l.Incarnation.StartedAt != ws.Incarnation.StartedAt:
 		c.workerRestarted(ws, l, t)
 		ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
+		c.touch(l.Incarnation.ID)
 		return
 	}
 	if l.Draining && !ws.Draining {
@@ -80,6 +82,7 @@
 	}
 	ws.Listing = l
 	ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
+	c.touch(l.Incarnation.ID)
 	if !reachable(ws) {
 		c.wakePoll(l.Incarnation.ID)
 	}
@@ -100,7 +103,7 @@
 // dropIdle removes a worker that is not listed and has no runs.
 func (c *Core) dropIdle(id string) {
 	if ws := c.workers[id]; ws != nil && !ws.Listed && len(ws.Runs) == 0 {
-		delete(c.workers, id)
+		c.removeWorker(id)
 		c.wakePoll(id)
 		delete(c.health, id)
 		delete(c.governors, id)
@@ -269,10 +272,11 @@
 // expireLeases ends the runs of workers that do not answer, once every lease
 // granted to them has expired.
 func (c *Core) expireLeases(t Times) {
+	c.refreshWorkers(t.Now)
 	var expired []string
-	for id, ws := range c.workers {
+	for id := range c.index.silent {
+		ws := c.workers[id]
 		switch {
-		case len(ws.Runs) == 0 || reachable(ws):
 		case ws.LeaseExpired(t.Now):
 			expired = append(expired, id)
 		default:
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -126,6 +126,7 @@
 // Acquit records that a run is no suspect any more.
 func (s *State) Acquit(r *Run) {
 	if r.Suspect {
+		s.touch()
 		r.Suspect = false
 		s.SuspectRuns--
 	}
@@ -187,8 +188,14 @@
 	return false
 }
 
-// RecentStart reports whether a run was started less than crashWindow ago.
-func (s *State) RecentStart(now time.Duration) bool { return now < s.lastRunAdded+crashWindow }
+// RecentStartUntil returns until when a run counts as started just now, or 0 if none ever
+// was.
+func (s *State) RecentStartUntil() time.Duration {
+	if s.lastRunAdded == 0 {
+		return 0
+	}
+	return s.lastRunAdded + crashWindow
+}
 
 // Isolated reports whether the worker takes no further task because a suspect has
 // started there, or is about to, and no poll has found yet that the worker survived
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -20,13 +20,14 @@
 // unaccounted for may have got. A further restart extends the wait only for starts
 // that were sent since.
 func (s *State) ReplaceIncarnation(l Listing, now time.Duration, longest LeaseBounds) {
-	runs, listed, entry := s.Runs, s.Listed, s.EntryStartedAt
+	runs, listed, entry, touched := s.Runs, s.Listed, s.EntryStartedAt, s.touched
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
 		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, longest))
 	}
 	*s = *NewState(l, now, s.earlierLeasesEnd)
-	s.Listed, s.EntryStartedAt = listed, entry
+	s.Listed, s.EntryStartedAt, s.touched = listed, entry, touched
+	s.touch()
 	s.priorLeaseExpiry = priorLeaseExpiry
 	for _, r := range runs {
 		r.carryOver(now)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -212,6 +212,8 @@
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
 	// leases expired while the worker was silent and listed.
 	Lapsed []*Run
+	// touched is where to record that the state has changed, or nil.
+	touched map[string]bool
 	// KeptRunsLoggedAt is when it was last logged that the worker's runs are kept
 	// although it does not answer.
 	KeptRunsLoggedAt time.Duration
@@ -232,6 +234,17 @@
 	}
 }
 
+// OnChange has the worker's ID recorded in touched with every change by a method of this
+// type.
+func (s *State) OnChange(touched map[string]bool) { s.touched = touched }
+
+// touch records that the state has changed.
+func (s *State) touch() {
+	if s.touched != nil {
+		s.touched[s.Incarnation.ID] = true
+	}
+}
+
 // Target returns the address for orders to the worker.
 func (s *State) Target() Target {
 	return Target{ID: s.Incarnation.ID, Address: s.Address, Zone: s.Zone}
@@ -252,6 +265,7 @@
 
 // AddRun adds a run and the resources it takes.
 func (s *State) AddRun(r *Run) {
+	s.touch()
 	s.Runs[r.ID] = r
 	s.Used = s.Used.Add(r.Resources)
 	s.busyUntil = max(s.busyUntil, r.expectedEnd())
@@ -271,6 +285,7 @@
 	if !ok {
 		return
 	}
+	s.touch()
 	delete(s.Runs, id)
 	s.Used = s.Used.Sub(r.Resources)
 	if r.TailLatencyTarget > 0 {
@@ -291,6 +306,7 @@
 
 // SetRunState changes the state of one of the worker's runs.
 func (s *State) SetRunState(r *Run, st RunState, now time.Duration) {
+	s.touch()
 	r.State = st
 	r.StateSince = now
 	s.busyUntil = max(s.busyUntil, r.expectedEnd())
@@ -310,12 +326,20 @@
 // RecordAnswer records an answer that is known to be from this incarnation, and
 // the reading of the worker's clock in it.
 func (s *State) RecordAnswer(clock int64, now time.Duration) {
-	s.UnansweredCalls = 0
-	s.LastAnswer = now
+	s.recordCallAnswered(now)
 	s.workerClock = clock
 	s.workerClockAt = now
 }
 
+// recordCallAnswered records that a call was answered.
+func (s *State) recordCallAnswered(now time.Duration) {
+	if s.UnansweredCalls > 0 {
+		s.touch()
+	}
+	s.UnansweredCalls = 0
+	s.LastAnswer = now
+}
+
 // RecordOrderAnswer records an answer to an order, which does not say which
 // incarnation gave it. If the clock in it has jumped, another incarnation
 // answered, and the worker has to be polled again. clock is 0 if the answer
@@ -323,8 +347,7 @@
 func (s *State) RecordOrderAnswer(clock int64, now time.Duration) {
 	switch {
 	case clock == 0:
-		s.UnansweredCalls = 0
-		s.LastAnswer = now
+		s.recordCallAnswered(now)
 	case s.clockJumped(clock, now):
 		s.Unfence()
 	default:
@@ -333,7 +356,10 @@
 }
 
 // Unfence records that the runs at the worker are not known any more.
-func (s *State) Unfence() { s.Fenced, s.Reconciled = false, false }
+func (s *State) Unfence() {
+	s.touch()
+	s.Fenced, s.Reconciled = false, false
+}
 
 // clockJumped reports whether a reading cannot come from the clock that was
 // read before.
@@ -352,6 +378,7 @@
 
 // RecordUnanswered records a call that was not answered.
 func (s *State) RecordUnanswered(now time.Duration) {
+	s.touch()
 	if s.UnansweredCalls == 0 {
 		s.SilentSince = now
 	}
