--- a/cmd/greengaged/fleet.go
+++ b/cmd/greengaged/fleet.go
@@ -65,8 +65,9 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitShare))
 }
 
-// newFleetLogger returns the daemon's logger, and a function that writes its last lines.
-func newFleetLogger(w io.Writer, level zerolog.Level, settings platform.Settings, m metrics) (l zerolog.Logger, closeLog func()) {
+// newFleetLogger returns the daemon's logger, its limiter, and a function that writes its
+// last lines.
+func newFleetLogger(w io.Writer, level zerolog.Level, settings platform.Settings, m metrics) (l zerolog.Logger, limiter *telemetry.Limiter, closeLog func()) {
 	named := func(w io.Writer) zerolog.Logger {
 		return zerolog.New(w).Level(level).With().Timestamp().Str("host", settings.Host).Str("zone", settings.Zone).Logger()
 	}
@@ -78,8 +79,8 @@
 			direct.Warn().Int("lines", lines).Msg(telemetry.DroppedMessage)
 		},
 	})
-	limiter := telemetry.NewLimiter(time.Now, m.scope, lifecycleMessages...)
-	return named(out).Hook(limiter), func() { _ = out.Close() }
+	limiter = telemetry.NewLimiter(time.Now, m.scope, lifecycleMessages...)
+	return named(out).Hook(limiter), limiter, func() { _ = out.Close() }
 }
 
 func runFleet(args []string) int {
@@ -99,13 +100,13 @@
 	setMemoryLimit(settings)
 	zerolog.TimeFieldFormat = logTimeFormat
 	m := newMetrics()
-	logger, closeLog := newFleetLogger(os.Stdout, s.LogLevel, settings, m)
+	logger, limiter, closeLog := newFleetLogger(os.Stdout, s.LogLevel, settings, m)
 	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reload := &reloader{path: s.SettingsFile, current: settings, logger: logger, apply: setMemoryLimit}
 	go reload.run(ctx)
-	if err := serveFleet(ctx, settings, m, logger); err != nil {
+	if err := serveFleet(ctx, settings, m, logger, limiter); err != nil {
 		logger.Error().Err(err).Msg("stopped")
 		return exitFailure
 	}
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -21,6 +21,7 @@
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/relay"
 	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/telemetry"
 	"greengagedeck/internal/worker"
 	"greengagedeck/platform"
 )
@@ -32,7 +33,7 @@
 )
 
 // serveFleet builds the fleet daemon and runs it until ctx ends.
-func serveFleet(ctx context.Context, settings platform.Settings, m metrics, logger zerolog.Logger) error {
+func serveFleet(ctx context.Context, settings platform.Settings, m metrics, logger zerolog.Logger, limiter *telemetry.Limiter) error {
 	store := platform.NewStore(settings.Store, platform.Metrics{Scope: m.scope, Logger: logger})
 	self, err := newFleetMember(ctx, settings, store, logger)
 	if err != nil {
@@ -47,6 +48,7 @@
 		func() context.CancelFunc { return stopWork },
 		func() platform.Settings { return settings },
 		func() zerolog.Logger { return logger.With().Str("daemon", self.ID()).Logger() },
+		func() *telemetry.Limiter { return limiter },
 		func() metrics { return m },
 		func() duty.Member { return self },
 		func() *logstore.Tracked { return logstore.NewTracked(store, clock.System{}) },
@@ -262,7 +264,7 @@
 	return platform.NewApprovalClient(settings.Advice, platform.Metrics{Scope: m.scope, Logger: l})
 }
 
-func newDutyObserver(ctx context.Context, settings platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.Current, w worker.Control, a scheduler.Approver, n *peer.Node, dir *memberResolver, r *worker.Registry, l zerolog.Logger, m metrics) *dutyObserver {
+func newDutyObserver(ctx context.Context, settings platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.Current, w worker.Control, a scheduler.Approver, n *peer.Node, dir *memberResolver, r *worker.Registry, l zerolog.Logger, limiter *telemetry.Limiter, m metrics) *dutyObserver {
 	d := &dutyObserver{}
 	d.elector = duty.NewElector(duty.Options{
 		Self:     self,
@@ -292,6 +294,7 @@
 					DutyLease:       duty.DefaultLease,
 					EarlierHolders:  acquired.PriorLeaseRemaining,
 					StatusRetention: settings.StatusTime,
+					Admits:          limiter.Admits,
 				},
 				Log:               log,
 				Clock:             cl,
--- a/cmd/greengaged/logger_test.go
+++ b/cmd/greengaged/logger_test.go
@@ -28,7 +28,7 @@
 func TestLineAboutDroppedLinesNamesHostAndTime(t *testing.T) {
 	g := NewWithT(t)
 	held := &heldOutput{release: make(chan struct{})}
-	logger, closeLog := newFleetLogger(held, zerolog.InfoLevel, platform.Settings{Host: "gw-1", Zone: "a"}, newMetrics())
+	logger, _, closeLog := newFleetLogger(held, zerolog.InfoLevel, platform.Settings{Host: "gw-1", Zone: "a"}, newMetrics())
 	for n := range 10_000 {
 		logger.Error().Int("n", n).Msg("broken")
 	}
--- a/internal/placement/index_test.go
+++ b/internal/placement/index_test.go
@@ -90,3 +90,61 @@
 		}
 	})
 }
+
+// A summary of nodes must explain why a task waits as a look at all nodes does, wherever
+// it explains it at all.
+func TestSummaryExplainsLikeExplain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes, _ := drawNodes(rt)
+		for _, n := range nodes {
+			n.Ejected = rapid.Bool().Draw(rt, "ejected")
+		}
+		r := request(rapid.IntRange(0, 2000).Draw(rt, "request"))
+		r.AllowEjected = rapid.Bool().Draw(rt, "allow_ejected")
+		r.MaxPerNode = rapid.IntRange(0, 1).Draw(rt, "max_per_node")
+		r.TaskCount = func(string) int { return 0 }
+		reason, free, ok := Summarize(nodes).Explain(r)
+		if ok != (r.MaxPerNode == 0) {
+			rt.Fatalf("explained: %v", ok)
+		}
+		if wantReason, wantFree := Explain(nodes, r); ok && (reason != wantReason || free != wantFree) {
+			rt.Fatalf("%s with %d free, want %s with %d", reason, free, wantReason, wantFree)
+		}
+	})
+}
+
+// Nodes that are added, changed and removed one by one must be found like those of a new
+// index.
+func TestChangedIndexChoosesLikeNewOne(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes, _ := drawNodes(rt)
+		x := NewIndex(nil)
+		kept := map[string]*Node{}
+		for step := range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			if len(nodes) == 0 {
+				return
+			}
+			drawn := *rapid.SampledFrom(nodes).Draw(rt, "node")
+			drawn.Free.CPU += 700 * step
+			switch n := kept[drawn.ID]; {
+			case n == nil:
+				kept[drawn.ID] = &drawn
+				x.Add(&drawn)
+			case rapid.IntRange(0, 3).Draw(rt, "remove") == 0:
+				x.Remove(n)
+				delete(kept, drawn.ID)
+			default:
+				x.Update(n, drawn)
+			}
+			var list []*Node
+			for _, n := range kept {
+				list = append(list, n)
+			}
+			r := request(rapid.IntRange(0, 9000).Draw(rt, "request"))
+			got, want := x.Choose(r), Choose(list, r)
+			if got != want || len(x.Nodes()) != len(kept) || want != nil && !x.MayFit(r.Resources) {
+				rt.Fatalf("index of %d chose %v, want %v of %d", len(x.Nodes()), got, want, len(kept))
+			}
+		}
+	})
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -158,6 +158,55 @@
 	}
 }
 
+// Summary is what Explain needs to know of the nodes for a task that any node may run, if
+// it has the resources.
+type Summary struct {
+	nodes int
+	// open tells whether any node takes tasks, and maxFreeCPU the most free CPU time of one
+	// that does. The second of each is for tasks that may use ejected nodes.
+	open       [2]bool
+	maxFreeCPU [2]int
+}
+
+// Summarize returns the summary of nodes.
+func Summarize(nodes []*Node) Summary {
+	s := Summary{nodes: len(nodes)}
+	for _, n := range nodes {
+		if n.Isolated {
+			continue
+		}
+		s.add(1, n)
+		if !n.Ejected {
+			s.add(0, n)
+		}
+	}
+	return s
+}
+
+func (s *Summary) add(i int, n *Node) {
+	s.open[i] = true
+	s.maxFreeCPU[i] = max(s.maxFreeCPU[i], n.Free.CPU)
+}
+
+// Explain returns what Explain returns for the nodes. ok is false if the summary does not
+// tell.
+func (s Summary) Explain(r Request) (reason UnplacedReason, maxFreeCPU int, ok bool) {
+	i := 0
+	if r.AllowEjected {
+		i = 1
+	}
+	switch {
+	case r.Label != "" || r.Approved != nil || r.MaxPerNode > 0:
+		return "", 0, false
+	case s.nodes == 0:
+		return ReasonNoNodes, 0, true
+	case !s.open[i]:
+		return ReasonIsolated, 0, true
+	default:
+		return ReasonNoResources, s.maxFreeCPU[i], true
+	}
+}
+
 // Choose returns the best node for a task, or nil when none fits. It prefers
 // nodes on the rack of the task's data, among those the ones whose busy time the
 // task extends least, and among those the one with the least free CPU time.
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -16,8 +16,10 @@
 	// of.
 	workersPerCore = 320
 	// ownShare is the part of the workers that this daemon could carry the orders of
-	// which it does itself: it also decides for them.
-	ownShare = 0.25
+	// up to which it does: it also decides for them. Above ownFactor times as many, relays
+	// carry the orders of all.
+	ownShare  = 0.25
+	ownFactor = 2
 	// assignmentIdle is how long a worker without orders stays assigned to a relay.
 	assignmentIdle = 10 * time.Second
 	// directPeriod is how long the orders for a worker that a relay did not reach are
@@ -58,14 +60,19 @@
 	for _, m := range relays {
 		a.relays[m.ID()] = m
 	}
+	tooMany := float64(len(a.byWorker)) > ownFactor*a.ownLimit()
 	for id, as := range a.byWorker {
 		_, known := a.relays[as.relay]
-		if now-as.usedAt > assignmentIdle || as.relay != direct && !known {
+		ended := !known && (as.relay != direct || tooMany)
+		if ended || now-as.usedAt > assignmentIdle {
 			a.remove(id, as)
 		}
 	}
 }
 
+// ownLimit returns up to how many workers this daemon sends the orders itself.
+func (a *assignments) ownLimit() float64 { return ownShare * capacity(a.self) }
+
 func (a *assignments) remove(workerID string, as *assignment) {
 	delete(a.byWorker, workerID)
 	if a.counts[as.relay]--; a.counts[as.relay] <= 0 {
@@ -99,7 +106,7 @@
 // workers, else the relay in the worker's zone that is loaded the least. Without one
 // that can take the worker, it is this daemon.
 func (a *assignments) choose(to worker.Target) string {
-	if float64(a.counts[direct]) < ownShare*capacity(a.self) {
+	if float64(len(a.byWorker)) < a.ownLimit() {
 		return direct
 	}
 	var open []duty.Member
--- a/internal/relay/assign_test.go
+++ b/internal/relay/assign_test.go
@@ -25,6 +25,8 @@
 		g.Expect(a.relayOf(target(i, "a"), 0)).To(Equal(direct))
 	}
 	g.Expect(a.relayOf(target(32, "a"), 0)).To(Equal("r#1"))
+	a.setRelays([]duty.Member{member("r", "a", 0.8)}, 0)
+	g.Expect(a.relayOf(target(0, "a"), 0)).To(Equal(direct))
 }
 
 // Guards against a holder with a thousand workers that sends their orders itself, and
@@ -51,7 +53,11 @@
 			g.Expect(zoneOf[id]).To(Equal(to.Zone))
 		}
 	}
-	g.Expect(a.counts[direct]).To(Equal(64))
+	a.setRelays(relays, 0)
+	for i := range 1000 {
+		a.relayOf(target(i, zones[i%3]), 0)
+	}
+	g.Expect(a.counts[direct]).To(BeZero())
 	for _, r := range relays {
 		g.Expect(float64(a.counts[r.ID()])).To(BeNumerically("<=", capacity(r)))
 	}
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -71,6 +71,13 @@
 	l.silent[id], l.gone[id] = silent, gone
 }
 
+// count returns how many messages were sent.
+func (l *links) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.messages[MethodOrders] + l.messages[MethodCollect]
+}
+
 // deliver passes a message to a daemon and returns its response. silent is set if the
 // daemon does not respond.
 func (l *links) deliver(ctx context.Context, to string, m peer.Method, msg any) (body []byte, silent bool, err error) {
--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -18,8 +18,9 @@
 	// orders in flight.
 	wake       chan struct{}
 	orderSlots chan struct{}
-	// lastPoll is when the last poll ended, and wokenAt when the agent was last woken.
-	lastPoll, wokenAt time.Duration
+	// lastPoll is when the last poll ended, wokenAt when the agent was last woken, and
+	// notDueAt when no poll was due last.
+	lastPoll, wokenAt, notDueAt time.Duration
 }
 
 // startRun sends the start of a run, which is in the log since committedAt, until it is
@@ -87,6 +88,7 @@
 			wait = at - now
 		}
 		if wait > 0 {
+			a.notDueAt = now
 			t := time.NewTimer(wait)
 			select {
 			case <-ctx.Done():
@@ -96,7 +98,7 @@
 			t.Stop()
 			continue
 		}
-		r.work.waited(StagePoll, now-max(at, wokenAt))
+		r.work.waited(StagePoll, now-max(at, wokenAt, a.notDueAt))
 		r.poll(ctx, a)
 	}
 }
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -201,6 +201,9 @@
 
 // dropApprovals removes the approvals for a job that has ended.
 func (c *Core) dropApprovals(id job.ID) {
+	if len(c.approvals) == 0 {
+		return
+	}
 	maps.DeleteFunc(c.approvals, func(k worker.StepKey, _ *stepApprovals) bool { return k.Job == id })
 }
 
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
@@ -32,7 +30,7 @@
 		cn.logged = true
 	}
 	c.earlierLeasesLogged(b)
-	c.settleJobs()
+	c.settleJobs(b)
 	var out []job.RunID
 	for _, s := range b.starts {
 		if c.commitStart(s, t) {
@@ -64,22 +62,26 @@
 }
 
 // settleJobs moves jobs that have ended, are logged and have no run left to
-// endedJobs.
-func (c *Core) settleJobs() {
-	c.openJobs = slices.DeleteFunc(c.openJobs, func(j *trackedJob) bool {
-		if !j.Phase.Final() || j.dirty || j.loggedPhase != j.Phase || !j.Finalize() {
-			return false
-		}
-		id := j.Spec.ID
-		delete(c.jobs, id)
-		c.dropApprovals(id)
-		c.endedJobs[id] = job.Progress{Phase: j.Phase, EndedAt: j.EndedAt}
-		if j.inIntake {
-			c.leftInIntake.add(id)
+// endedJobs. Only a job in the last batch can have become one.
+func (c *Core) settleJobs(b *Batch) {
+	for _, j := range b.encoded {
+		if !j.settled && j.Phase.Final() && !j.dirty && j.loggedPhase == j.Phase && j.Finalize() {
+			c.settle(j)
 		}
-		if j.inJournal {
-			c.journalDeletes = append(c.journalDeletes, id)
-		}
-		return true
-	})
+	}
+}
+
+// settle moves a job to endedJobs.
+func (c *Core) settle(j *trackedJob) {
+	id := j.Spec.ID
+	c.closeJob(j)
+	delete(c.jobs, id)
+	c.dropApprovals(id)
+	c.endedJobs[id] = job.Progress{Phase: j.Phase, EndedAt: j.EndedAt}
+	if j.inIntake {
+		c.leftInIntake.add(id)
+	}
+	if j.inJournal {
+		c.journalDeletes = append(c.journalDeletes, id)
+	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -36,6 +36,9 @@
 	// StatusRetention is how long the state of an ended job is kept.
 	StatusRetention time.Duration
 	Logger          zerolog.Logger
+	// Admits reports whether an info line with a message would be written now: a line for
+	// each run is built only then. If it is nil, all are.
+	Admits func(msg string) bool
 }
 
 // Times holds the readings of both clocks at one moment.
@@ -54,10 +57,12 @@
 	earlierLeasesEnd time.Duration
 	unreached        unreachedWorkers
 
-	jobs map[job.ID]*trackedJob
-	// openJobs are the jobs that are not settled, in the order in which they
-	// became known.
-	openJobs []*trackedJob
+	jobs     map[job.ID]*trackedJob
+	openJobs openJobs
+	// repeating are the open jobs that are repeated.
+	repeating []*trackedJob
+	// running counts the running jobs by priority.
+	running map[int]int
 	// submitted counts the jobs that became known.
 	submitted int64
 	// earlyCancels are the cancels of jobs that are not known yet, each with the time
@@ -79,6 +84,8 @@
 	// wakes are the workers whose next poll may be due sooner than NextPoll last
 	// returned, and those that are not tracked any more.
 	wakes map[string]bool
+	// wakeBuffer holds the last result of Wakes.
+	wakeBuffer []string
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
@@ -161,6 +168,8 @@
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
 		noRuns:           newNoRuns(),
+		waiting:          newWaitQueue(),
+		running:          map[int]int{},
 	}
 	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
@@ -257,7 +266,7 @@
 	delete(c.jobs, id)
 	isWithdrawn := func(other *trackedJob) bool { return other == j }
 	c.dirty = slices.DeleteFunc(c.dirty, isWithdrawn)
-	c.openJobs = slices.DeleteFunc(c.openJobs, isWithdrawn)
+	c.closeJob(j)
 	c.waiting.remove(j)
 	return true
 }
@@ -292,7 +301,11 @@
 	c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", j.Phase).
 		Dur("age", t.Now-j.arrived).Dur("objective", j.objective).Msg("job added to the pool")
 	c.jobs[id] = j
-	c.openJobs = append(c.openJobs, j)
+	c.openJobs.add(j)
+	if j.Spec.Repeat > 0 {
+		c.repeating = append(c.repeating, j)
+	}
+	c.countRunning(j)
 	c.waiting.jobChanged(j)
 	c.adoptRuns(j, t.Now)
 	c.stopRedundant(j)
@@ -350,10 +363,37 @@
 		j.dirty = true
 		c.dirty = append(c.dirty, j)
 	}
+	c.countRunning(j)
 	c.waiting.jobChanged(j)
 	c.needsPlan = true
 }
 
+// countRunning brings the number of running jobs up to date after a change of a job's
+// phase.
+func (c *Core) countRunning(j *trackedJob) {
+	running := j.Phase == job.Running && !j.settled
+	if running == j.countedRunning {
+		return
+	}
+	j.countedRunning = running
+	if running {
+		c.running[j.Terms.Priority]++
+		return
+	}
+	if c.running[j.Terms.Priority]--; c.running[j.Terms.Priority] == 0 {
+		delete(c.running, j.Terms.Priority)
+	}
+}
+
+// closeJob removes a job from the open ones.
+func (c *Core) closeJob(j *trackedJob) {
+	c.openJobs.remove(j)
+	c.countRunning(j)
+	if j.Spec.Repeat > 0 {
+		c.repeating = slices.DeleteFunc(c.repeating, func(other *trackedJob) bool { return other == j })
+	}
+}
+
 // NeedsPlan reports whether there is something to plan or to log.
 func (c *Core) NeedsPlan() bool { return c.needsPlan }
 
@@ -390,7 +430,7 @@
 // QueuedJobs returns how many jobs of an entry have started no task.
 func (c *Core) QueuedJobs(entry string) int {
 	n := 0
-	for _, j := range c.openJobs {
+	for j := range c.openJobs.all() {
 		if j.Phase == job.Queued && j.Terms.Entry == entry {
 			n++
 		}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -17,6 +18,16 @@
 	keptRunsInterval = 2 * time.Second
 )
 
+// The messages of the lines that come for each run.
+const (
+	msgRunPlaced  = "run placed"
+	msgRunStarted = "run started"
+	msgRunEnded   = "run ended"
+)
+
+// admits reports whether an info line with a message is to be built.
+func (c *Core) admits(msg string) bool { return c.opt.Admits == nil || c.opt.Admits(msg) }
+
 // waitReason is why a step's tasks were not placed when that was last checked.
 type waitReason struct {
 	reason placement.UnplacedReason
@@ -25,30 +36,63 @@
 	maxFreeCPU int
 }
 
-// recordWait records that a group cannot be placed, and logs the reason when it
-// differs from the last one.
-func (c *Core) recordWait(pg pendingGroup, nodes []*placement.Node, now time.Duration) {
-	if pg.job.stalledSince == 0 && !pg.job.HasActiveRuns() {
-		pg.job.stalledSince = now
+// maxExplained bounds the groups for which one plan looks why they wait.
+const maxExplained = 32
+
+// recordWaits records which jobs that have changed since the last plan wait without a run,
+// and logs for some of their groups why they wait.
+func (c *Core) recordWaits(x *placement.Index, now time.Duration) {
+	explained := 0
+	for _, j := range c.waiting.unplanned {
+		if len(j.queued) == 0 || j.settled {
+			continue
+		}
+		if j.stalledSince == 0 && !j.HasActiveRuns() {
+			j.stalledSince = now
+		}
+		for _, pg := range j.queued {
+			if explained < maxExplained && pg.waits() {
+				explained++
+				c.explainWait(pg, x, now)
+			}
+		}
 	}
-	pg.job.unplacedVersion = pg.job.version
-	last, seen := pg.job.waitReasons[pg.group.Step]
+}
+
+// waits reports whether any task of the group has no run.
+func (pg *pendingGroup) waits() bool {
+	return slices.ContainsFunc(pg.group.Waiting, func(k int) bool {
+		task := pg.job.Task(pg.task(k))
+		return task != nil && len(task.Runs) == 0 && !task.Done
+	})
+}
+
+// explainWait returns why a group waits. It looks again if the last look was
+// explainInterval ago, and logs the reason when it differs from the last one.
+func (c *Core) explainWait(pg *pendingGroup, x *placement.Index, now time.Duration) waitReason {
+	j, step := pg.job, pg.group.Step
+	last, seen := j.waitReasons[step]
 	if seen && now < last.at+explainInterval {
-		return
+		return last
+	}
+	req := c.approvedRequest(j, pg.group, now)
+	reason, maxFreeCPU, ok := c.index.summaryAt(now).Explain(req)
+	if !ok {
+		reason, maxFreeCPU = placement.Explain(x.Nodes(), req)
 	}
-	req := c.approvedRequest(pg.job, pg.group, now)
-	reason, maxFreeCPU := placement.Explain(nodes, req)
-	if pg.job.waitReasons == nil {
-		pg.job.waitReasons = map[int]waitReason{}
+	if j.waitReasons == nil {
+		j.waitReasons = map[int]waitReason{}
 	}
-	pg.job.waitReasons[pg.group.Step] = waitReason{reason: reason, at: now, maxFreeCPU: maxFreeCPU}
+	wait := waitReason{reason: reason, at: now, maxFreeCPU: maxFreeCPU}
+	j.waitReasons[step] = wait
 	if seen && last.reason == reason {
-		return
+		return wait
 	}
-	c.opt.Logger.Info().Str("job", string(pg.job.Spec.ID)).Int("step", pg.group.Step).Int("tasks", len(pg.group.Waiting)).
-		Str("limit", string(reason)).Int("workers", len(nodes)).Int("listed", len(c.workers)).Int("most_free_cpu", maxFreeCPU).
+	c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Int("step", step).Int("tasks", len(pg.group.Waiting)).
+		Str("limit", string(reason)).Int("workers", len(x.Nodes())).Int("listed", len(c.workers)).Int("most_free_cpu", maxFreeCPU).
 		Int("needs_cpu", req.Resources.CPU).Int("needs_mb", req.Resources.MemoryMB).
-		Int("priority", pg.job.Terms.Priority).Dur("slack", pg.slack(now)).Dur("waited", now-pg.job.arrived).Msg("tasks cannot be placed")
+		Int("priority", j.Terms.Priority).Dur("slack", pg.slack(now)).Dur("waited", now-j.arrived).Msg("tasks cannot be placed")
+	return wait
 }
 
 // logKeptRuns logs that the runs of a worker that does not answer count as
@@ -71,6 +115,9 @@
 
 // logPlaced logs that a run is in the log and its start will be sent.
 func (c *Core) logPlaced(j *trackedJob, r *worker.Run, ws *worker.State, now time.Duration) {
+	if !c.admits(msgRunPlaced) {
+		return
+	}
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
 		Int("free_cpu", ws.FreeResources().CPU).Dur("since_answer", now-ws.LastAnswer).Dur("after", now-j.arrived)
 	if wait, ok := j.waitReasons[r.ID.Task.Step]; ok {
@@ -79,11 +126,22 @@
 	if j.Checkpoint(r.ID.Task) != "" {
 		e.Bool("checkpoint", true)
 	}
-	e.Msg("run placed")
+	e.Msg(msgRunPlaced)
+}
+
+// logStarted logs that a worker has answered the start of a run.
+func (c *Core) logStarted(r *worker.Run, workerID string, now time.Duration) {
+	if !c.admits(msgRunStarted) {
+		return
+	}
+	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", workerID).Dur("order", now-r.StartSentAt).Msg(msgRunStarted)
 }
 
 // logEnd logs the end of a run.
 func (c *Core) logEnd(j *trackedJob, ws *worker.State, r *worker.Run, reason job.EndReason, now time.Duration) {
+	if !c.admits(msgRunEnded) {
+		return
+	}
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
 		Str("how", string(reason)).Dur("ran", now-r.StateSince).Bool("confirmed", r.State == worker.RunConfirmed)
 	if r.StopReason != "" {
@@ -95,5 +153,5 @@
 	if crashes := j.CrashCount(r.ID.Task); crashes > 0 {
 		e.Int("crashed_workers", crashes)
 	}
-	e.Msg("run ended")
+	e.Msg(msgRunEnded)
 }
--- a/internal/scheduler/export_index_test.go
+++ b/internal/scheduler/export_index_test.go
@@ -7,9 +7,6 @@
 	"greengagedeck/internal/placement"
 )
 
-// Refreshed returns how many workers plans have computed again.
-func Refreshed(c *Core) int { return c.index.refreshed }
-
 // CheckIndex compares what is kept of the workers between plans with what a look at all of
 // them gives. It returns the first difference, or "".
 func CheckIndex(c *Core, now time.Duration) string {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -189,9 +189,17 @@
 	return ok && now > at
 }
 
+// earliestOverdue returns a moment before which a run is certainly not overdue.
+func earliestOverdue(r *worker.Run) time.Duration {
+	return r.StateSince + time.Duration(overdueFactor*float64(r.Estimate)) + overdueSlack
+}
+
 // stalled reports whether a run takes much longer than expected and its worker has
 // listed it since.
 func (c *Core) stalled(r *worker.Run) bool {
+	if r.LastReported <= earliestOverdue(r) {
+		return false
+	}
 	at, ok := c.overdueAt(r)
 	return ok && r.LastReported > at
 }
@@ -202,6 +210,9 @@
 func (c *Core) untilOverdue(ws *worker.State, now time.Duration) time.Duration {
 	wait := pollWait
 	for _, r := range ws.Runs {
+		if earliestOverdue(r) >= now+wait {
+			continue
+		}
 		if at, ok := c.overdueAt(r); ok && r.LastReported <= at {
 			wait = min(wait, max(0, at-now))
 		}
@@ -250,7 +261,7 @@
 // placeCopies starts a second run of speculative tasks whose only run is
 // overdue.
 func (c *Core) placeCopies(b *Batch, x *placement.Index, now time.Duration) {
-	for _, j := range c.openJobs {
+	for j := range c.openJobs.all() {
 		if j.Phase.Final() || !j.speculative {
 			continue
 		}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -18,6 +18,7 @@
 	approvalRequests, approvalRequestsFailed tally.Counter
 	appends, records                         tally.Counter
 	correlatedCrashes                        tally.Counter
+	planWorkers, planGroups                  tally.Counter
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
@@ -56,6 +57,8 @@
 		appends:                scope.Counter("appends"),
 		records:                scope.Counter("records"),
 		correlatedCrashes:      scope.Counter("correlated_crashes"),
+		planWorkers:            scope.Counter("plan_workers"),
+		planGroups:             scope.Counter("plan_groups"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(poolScope),
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -22,7 +22,10 @@
 	silent, draining map[string]bool
 	// unlogged are the workers with ends that the log may not hold yet.
 	unlogged map[string]bool
-	// refreshed counts the workers that were computed again.
+	// summary is that of the nodes at the moment summarizedAt.
+	summary      placement.Summary
+	summarizedAt time.Duration
+	// refreshed counts the workers that were computed again since the last plan.
 	refreshed int
 }
 
@@ -38,6 +41,14 @@
 	}
 }
 
+// summaryAt returns a summary of the nodes that is no older than the present.
+func (x *workerIndex) summaryAt(now time.Duration) placement.Summary {
+	if x.summarizedAt != now {
+		x.summary, x.summarizedAt = placement.Summarize(x.nodes.Nodes()), now
+	}
+	return x.summary
+}
+
 // setMember adds a worker to a set or removes it.
 func setMember(set map[string]bool, id string, member bool) {
 	if member {
--- a/internal/scheduler/norun.go
+++ b/internal/scheduler/norun.go
@@ -104,9 +104,10 @@
 		Reasons: map[NoRunReason]int{}, Workers: c.countWorkers(t.Now), ListAge: c.listAge(t.Now),
 	}}
 	c.noRuns.check++
+	c.refreshWorkers(t.Now)
 	c.findRuns()
 	c.findQueued(t.Now)
-	for _, j := range c.openJobs {
+	for j := range c.openJobs.all() {
 		if j.Phase.Final() {
 			continue
 		}
@@ -167,9 +168,7 @@
 
 // findQueued finds the waiting groups.
 func (c *Core) findQueued(now time.Duration) {
-	queue := c.queue(now)
-	for i := range queue {
-		pg := &queue[i]
+	for pg := range c.queue(now) {
 		if pg.longRunning {
 			for _, k := range pg.group.Waiting {
 				c.watchOf(pg.job, pg.task(k)).group = pg
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -128,14 +128,13 @@
 
 // queuedReason returns why the tasks of a group wait.
 func (c *Core) queuedReason(pg pendingGroup, h HolderState, n WorkerCounts, now time.Duration) NoRunReason {
-	wait, explained := pg.job.waitReasons[pg.group.Step]
 	switch {
 	case h.AppendStarted > 0 && now-h.PlannedAt >= noRunAfter:
 		return NoRunLogSilent
-	case !explained || pg.job.unplacedVersion != pg.job.version || now-h.PlannedAt >= noRunAfter:
+	case pg.job.unplanned || now-h.PlannedAt >= noRunAfter:
 		return NoRunNotPlanned
 	}
-	switch wait.reason {
+	switch c.explainWait(&pg, c.index.nodes, now).reason {
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -108,7 +108,7 @@
 	case err == nil:
 		ws.RecordOrderAnswer(clock, t.Now)
 		if r.State != worker.RunConfirmed {
-			c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Dur("order", t.Now-r.StartSentAt).Msg("run started")
+			c.logStarted(r, s.Worker, t.Now)
 			ws.SetRunState(r, worker.RunConfirmed, t.Now)
 		}
 		if r.BestEffort {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -22,9 +22,13 @@
 	JobDurations []time.Duration
 	// CorrelatedCrashes counts the crashes of many workers at one moment since then.
 	CorrelatedCrashes int64
+	// Work is what was looked at for the plan.
+	Work PlanWork
 
 	starts []plannedStart
 	jobs   map[*trackedJob]jobVersion
+	// encoded are the keys of jobs in the order in which they were encoded.
+	encoded []*trackedJob
 	// ends are the last ends that the batch covers, by worker ID.
 	ends    map[string]endPosition
 	cordons []*cordon
@@ -32,6 +36,13 @@
 	earlierLeases *joblog.EarlierLeases
 }
 
+// PlanWork counts what a plan looks at.
+type PlanWork struct {
+	// Workers counts the workers that had changed, and Groups the groups of waiting tasks
+	// that were considered.
+	Workers, Groups int
+}
+
 // jobVersion is the state of a job that a batch contains.
 type jobVersion struct {
 	phase   job.Phase
@@ -72,12 +83,14 @@
 	b := &Batch{JobDurations: c.jobDurations, CorrelatedCrashes: c.crashes.found, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
 	c.jobDurations, c.crashes.found = nil, 0
 	c.place(b, t, checkHealth)
+	b.Work.Workers = c.index.refreshed
+	c.index.refreshed = 0
 	return b
 }
 
 // releaseDue starts the occurrences that are due.
 func (c *Core) releaseDue(t Times) {
-	for _, j := range c.openJobs {
+	for _, j := range c.repeating {
 		if j.Release(t.Wall) {
 			c.markDirty(j)
 		}
@@ -89,7 +102,7 @@
 func (c *Core) Due(wall int64) (time.Duration, bool) {
 	next := int64(0)
 	found := false
-	for _, j := range c.openJobs {
+	for _, j := range c.repeating {
 		if due, ok := j.NextDue(); ok && (!found || due < next) {
 			next, found = due, true
 		}
@@ -106,26 +119,40 @@
 	x := c.freeNodes(t.Now)
 	c.placeMoved(b, t.Now)
 	p := c.newPreemptor(t.Now)
-	for _, pg := range c.queue(t.Now) {
-		if pg.job.Terms.Approval != nil {
-			c.requestMissingApprovals(pg, x.Nodes(), t.Now)
-		}
-		if pg.job.Spec.Steps[pg.group.Step].Gang {
-			if !c.placeGang(b, pg, x, t.Now) {
-				c.recordWait(pg, x.Nodes(), t.Now)
-			}
+	for pg := range c.queue(t.Now) {
+		b.Work.Groups++
+		if c.placeGroup(b, *pg, x, t.Now) {
 			continue
 		}
-		if !c.placeTasks(b, pg, x, t.Now) {
-			c.recordWait(pg, x.Nodes(), t.Now)
-			p.preempt(pg, x.Nodes())
+		p.preempt(*pg, x.Nodes())
+		if c.restWaits(*pg, x, p) {
+			break
 		}
 	}
+	c.recordWaits(x, t.Now)
+	c.waiting.planned()
 	if copies {
 		c.placeCopies(b, x, t.Now)
 	}
 }
 
+// placeGroup places the tasks of a group. It reports whether every task found a worker.
+func (c *Core) placeGroup(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
+	if pg.job.Terms.Approval != nil {
+		c.requestMissingApprovals(pg, x.Nodes(), now)
+	}
+	if pg.job.Spec.Steps[pg.group.Step].Gang {
+		return c.placeGang(b, pg, x, now)
+	}
+	return c.placeTasks(b, pg, x, now)
+}
+
+// restWaits reports whether nothing can be done for any group after one that waits: no
+// worker takes the smallest task, no run is to be stopped and no approval requested.
+func (c *Core) restWaits(pg pendingGroup, x *placement.Index, p *preemptor) bool {
+	return c.waiting.approvals == 0 && !p.mayPreempt(pg) && !x.MayFit(job.Resources{CPU: c.waiting.leastNeed()})
+}
+
 // placementRequest returns the requirements of one task of a group.
 func (c *Core) placementRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
 	s := j.Spec.Steps[g.Step]
@@ -286,6 +313,7 @@
 	}
 	b.Progress = append(b.Progress, e)
 	b.jobs[j] = jobVersion{j.Phase, j.version}
+	b.encoded = append(b.encoded, j)
 	j.batchedVersion = j.version
 	return nil
 }
--- a/internal/scheduler/plan_bench_test.go
+++ b/internal/scheduler/plan_bench_test.go
@@ -18,16 +18,27 @@
 // when a holder has the most work, and returns a function that makes a plan.
 func newFullPool(tb testing.TB, workers, jobs int) (plan func()) {
 	tb.Helper()
-	_, plan = newFullPoolCore(tb, workers, jobs)
-	return plan
+	p := newFullPoolCore(tb, workers, jobs)
+	return func() { p.plan() }
 }
 
-// newFullPoolCore does what newFullPool does and returns the Core too.
-func newFullPoolCore(tb testing.TB, workers, jobs int) (c *scheduler.Core, plan func()) {
+// fullPool is a pool whose workers are full while many jobs wait.
+type fullPool struct {
+	tb   testing.TB
+	core *scheduler.Core
+	now  scheduler.Times
+	// running are the runs that were started, oldest first.
+	running []scheduler.PlannedStart
+	// ends counts the ends of each worker.
+	ends map[string]int64
+}
+
+// newFullPoolCore returns a pool that was not planned yet.
+func newFullPoolCore(tb testing.TB, workers, jobs int) *fullPool {
 	tb.Helper()
 	now := time.Hour
 	t := scheduler.Times{Now: now, Wall: 1_700_000_000_000}
-	c = scheduler.NewCore(scheduler.Options{
+	c := scheduler.NewCore(scheduler.Options{
 		Pool: simPool, Token: 1, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
 		DutyLease: simDutyLease, StatusRetention: 2 * time.Minute, Logger: zerolog.Nop(),
 	}, now-time.Minute)
@@ -54,18 +65,35 @@
 			AcceptedAt: t.Wall,
 		}, t)
 	}
-	return c, func() {
-		t.Now += 10 * time.Millisecond
-		batch, err := c.Plan(t)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		c.Committed(batch, t)
-		for _, s := range scheduler.BatchStarts(batch) {
-			start, _ := c.StartOrder(s.Run, s.Worker, t.Now, time.Second)
-			c.StartAnswered(start, 0, nil, t)
-		}
+	return &fullPool{tb: tb, core: c, now: t, ends: map[string]int64{}}
+}
+
+// plan makes a plan and has its runs started.
+func (p *fullPool) plan() *scheduler.Batch {
+	p.now.Now += 10 * time.Millisecond
+	batch, err := p.core.Plan(p.now)
+	if err != nil {
+		p.tb.Fatal(err)
+	}
+	p.core.Committed(batch, p.now)
+	for _, s := range scheduler.BatchStarts(batch) {
+		start, _ := p.core.StartOrder(s.Run, s.Worker, p.now.Now, time.Second)
+		p.core.StartAnswered(start, 0, nil, p.now)
+		p.running = append(p.running, s)
+	}
+	return batch
+}
+
+// end has the oldest runs end, n of them.
+func (p *fullPool) end(n int) {
+	for _, s := range p.running[:n] {
+		p.ends[s.Worker]++
+		poll := p.core.Poll(s.Worker, p.now.Now, time.Second)
+		p.core.PollSucceeded(poll, worker.Report{StartedAt: 1, Partial: true, Ended: []worker.RunEnd{
+			{Number: p.ends[s.Worker], Run: s.Run, Reason: job.EndDone},
+		}}, p.now)
 	}
+	p.running = p.running[n:]
 }
 
 func fullPoolSpec(i int) job.Spec {
@@ -99,6 +127,48 @@
 	}
 }
 
+// Guards against late first starts at a turn of demand: the work of a plan must follow what
+// has changed since the last one, not the size of the pool and of its queue.
+func TestPlanCostsWhatHasChanged(t *testing.T) {
+	const ended = 20
+	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
+		t.Run(fmt.Sprintf("workers=%d", size.workers), func(t *testing.T) {
+			g := NewWithT(t)
+			p := newFullPoolCore(t, size.workers, size.jobs)
+			p.plan()
+			p.plan()
+			idle := p.plan()
+			g.Expect(idle.Work.Workers).To(BeZero())
+			g.Expect(idle.Work.Groups).To(BeNumerically("<=", maxIdleGroups))
+			g.Expect(testing.AllocsPerRun(20, func() { p.plan() })).To(BeNumerically("<=", maxIdleAllocs))
+			for range 10 {
+				p.end(ended)
+				busy := p.plan()
+				placed := len(scheduler.BatchStarts(busy))
+				g.Expect(placed).To(BeNumerically(">", 0))
+				g.Expect(busy.Work.Workers).To(BeNumerically("<=", 2*ended+2*placed))
+				g.Expect(busy.Work.Groups).To(BeNumerically("<=", maxIdleGroups+placed))
+			}
+			runs := 0
+			allocs := testing.AllocsPerRun(10, func() {
+				p.end(ended)
+				runs = len(scheduler.BatchStarts(p.plan()))
+			})
+			g.Expect(allocs/float64(max(1, runs))).To(BeNumerically("<=", maxRunAllocs), "for each of %d runs", runs)
+		})
+	}
+}
+
+const (
+	// maxIdleGroups bounds the groups that a plan considers although nothing has changed:
+	// those for which runs may be preempted.
+	maxIdleGroups = 160
+	// maxIdleAllocs bounds the allocations of a plan for which nothing has changed, and
+	// maxRunAllocs those for a run that ends and another that is placed and started.
+	maxIdleAllocs = 40
+	maxRunAllocs  = 150
+)
+
 func BenchmarkPlanFullPool(b *testing.B) {
 	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
@@ -117,13 +187,13 @@
 func BenchmarkCheckRunsFullPool(b *testing.B) {
 	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
-			c, plan := newFullPoolCore(b, size.workers, size.jobs)
-			plan()
+			p := newFullPoolCore(b, size.workers, size.jobs)
+			p.plan()
 			t := scheduler.Times{Now: time.Hour, Wall: 1_700_000_000_000}
 			b.ReportAllocs()
 			for b.Loop() {
 				t.Now += scheduler.NoRunInterval
-				c.CheckRuns(t, scheduler.HolderState{Phase: scheduler.PhaseWaiting, PlannedAt: t.Now, DutyRemaining: time.Second})
+				p.core.CheckRuns(t, scheduler.HolderState{Phase: scheduler.PhaseWaiting, PlannedAt: t.Now, DutyRemaining: time.Second})
 			}
 		})
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -74,10 +72,14 @@
 func (c *Core) wakePoll(id string) { c.wakes[id] = true }
 
 // Wakes returns the workers for which NextPoll has to be called again, since the last
-// call of Wakes.
+// call of Wakes. The result is valid until the next call.
 func (c *Core) Wakes() []string {
-	out := slices.Sorted(maps.Keys(c.wakes))
+	out := c.wakeBuffer[:0]
+	for id := range c.wakes {
+		out = append(out, id)
+	}
 	clear(c.wakes)
+	c.wakeBuffer = out
 	return out
 }
 
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -20,6 +20,9 @@
 	// maxPreemptSearches bounds for how many groups one plan searches for runs
 	// to stop.
 	maxPreemptSearches = 8
+	// maxPreemptGroups bounds the waiting groups that one plan considers for that, the
+	// most urgent first.
+	maxPreemptGroups = 128
 )
 
 // preemptor finds the runs of a pool that may be stopped for more urgent jobs.
@@ -33,34 +36,40 @@
 	// candidatesByWorker are the runs that may be stopped, by worker, those
 	// first whose stop loses the least work.
 	candidatesByWorker map[string][]*worker.Run
-	// searches counts the groups for which runs to stop were searched.
-	searches int
+	// groups counts the groups that were considered, and searches those for which runs to
+	// stop were searched.
+	groups, searches int
 }
 
 // newPreemptor returns a preemptor for one plan.
 func (c *Core) newPreemptor(now time.Duration) *preemptor {
 	p := &preemptor{core: c, now: now}
-	for _, j := range c.openJobs {
-		if j.Phase == job.Running {
-			p.leastUrgent = max(p.leastUrgent, j.Terms.Priority)
-		}
+	for priority := range c.running {
+		p.leastUrgent = max(p.leastUrgent, priority)
 	}
 	return p
 }
 
+// mayPreempt reports whether runs may be stopped at all for a group.
+func (p *preemptor) mayPreempt(pg pendingGroup) bool {
+	return p.groups < maxPreemptGroups && p.searches < maxPreemptSearches && pg.job.Terms.Priority < p.leastUrgent
+}
+
 // preempt frees resources for a group that fits on no worker by stopping runs
 // of less urgent jobs on one worker. The most urgent group is placed first once
 // these resources are free.
 func (p *preemptor) preempt(pg pendingGroup, nodes []*placement.Node) {
-	if pg.job.Terms.Priority >= p.leastUrgent || pg.class(p.now) == classLate {
+	if !p.mayPreempt(pg) || pg.job.Spec.Steps[pg.group.Step].Gang {
 		return
 	}
-	if p.now < max(pg.job.arrived, pg.job.lastPreemption)+preemptDelay {
+	p.groups++
+	if pg.class(p.now) == classLate {
 		return
 	}
-	if p.searches++; p.searches > maxPreemptSearches {
+	if p.now < max(pg.job.arrived, pg.job.lastPreemption)+preemptDelay {
 		return
 	}
+	p.searches++
 	id, runs := p.cheapest(pg, nodes)
 	if runs == nil {
 		return
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"iter"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/google/btree"
+
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
@@ -18,6 +22,10 @@
 	latestStart time.Duration
 	// longRunning is set for tasks that run until their job is cancelled.
 	longRunning bool
+	// sequence is the job's position in the order in which jobs became known.
+	sequence int64
+	// cpu is the processor time that one task reserves, in thousandths of a core.
+	cpu int
 }
 
 // slack returns how much longer the group can wait without making its job late.
@@ -31,15 +39,16 @@
 	return job.TaskID{Job: pg.job.Spec.ID, Occurrence: pg.group.Occurrence, Step: pg.group.Step, Index: k}
 }
 
-// compare orders groups by priority and urgency, except that it does not tell
-// late groups from others. Groups of one job keep their order.
-func (pg pendingGroup) compare(other pendingGroup) int {
+// less orders the groups of one priority by urgency, except that it does not tell late
+// groups from others. Groups of one job keep their order.
+func (pg *pendingGroup) less(other *pendingGroup) bool {
 	return cmp.Or(
-		cmp.Compare(pg.job.Terms.Priority, other.job.Terms.Priority),
 		compareBool(other.longRunning, pg.longRunning),
 		cmp.Compare(pg.latestStart, other.latestStart),
-		cmp.Compare(pg.job.sequence, other.job.sequence),
-	)
+		cmp.Compare(pg.sequence, other.sequence),
+		cmp.Compare(pg.group.Occurrence, other.group.Occurrence),
+		cmp.Compare(pg.group.Step, other.group.Step),
+	) < 0
 }
 
 // compareBool orders false before true.
@@ -75,16 +84,35 @@
 	}
 }
 
-// waitQueue holds the groups of tasks that wait. Only the groups of jobs that
-// have changed are looked up and sorted again, so that the many jobs that wait
-// unchanged in a full pool cost a plan next to nothing.
+// waitQueue holds the groups of tasks that wait. Only the groups of jobs that have
+// changed are looked up and sorted again, so that the many jobs that wait unchanged in
+// a full pool cost a plan nothing.
 type waitQueue struct {
-	// groups are in the order of pendingGroup.compare.
-	groups []pendingGroup
-	// changed are the jobs whose groups may have changed.
-	changed []*trackedJob
-	// merged and ordered are buffers for the next result.
-	merged, ordered []pendingGroup
+	// byPriority are the groups of each priority, in the order of pendingGroup.less.
+	byPriority map[int]*btree.BTreeG[*pendingGroup]
+	// priorities are the keys of byPriority in order.
+	priorities []int
+	// needs counts the groups by the processor time that one of their tasks reserves.
+	needs *btree.BTreeG[needCount]
+	// approvals counts the groups whose workers have to be approved.
+	approvals int
+	// changed are the jobs whose groups may have changed, and unplanned those that have
+	// changed since the last plan.
+	changed, unplanned []*trackedJob
+}
+
+// needCount is the number of groups whose tasks reserve an amount of processor time, in
+// thousandths of a core.
+type needCount struct{ cpu, groups int }
+
+// treeDegree is the degree of the queue's trees.
+const treeDegree = 16
+
+func newWaitQueue() waitQueue {
+	return waitQueue{
+		byPriority: map[int]*btree.BTreeG[*pendingGroup]{},
+		needs:      btree.NewG(treeDegree, func(a, b needCount) bool { return a.cpu < b.cpu }),
+	}
 }
 
 // jobChanged records that the waiting groups of a job may have changed.
@@ -93,86 +121,129 @@
 		j.requeue = true
 		q.changed = append(q.changed, j)
 	}
+	if !j.unplanned {
+		j.unplanned = true
+		q.unplanned = append(q.unplanned, j)
+	}
 }
 
 // remove drops a job that is not run.
 func (q *waitQueue) remove(j *trackedJob) {
-	q.changed = slices.DeleteFunc(q.changed, func(other *trackedJob) bool { return other == j })
-	q.groups = slices.DeleteFunc(q.groups, func(pg pendingGroup) bool { return pg.job == j })
+	isRemoved := func(other *trackedJob) bool { return other == j }
+	q.changed = slices.DeleteFunc(q.changed, isRemoved)
+	q.unplanned = slices.DeleteFunc(q.unplanned, isRemoved)
+	q.dequeue(j)
 }
 
-// update applies the changes of jobs to groups.
+// update applies the changes of jobs to the queue.
 func (q *waitQueue) update() {
-	if len(q.changed) == 0 {
-		return
-	}
-	var fresh []pendingGroup
-	for _, j := range q.changed {
-		fresh = append(fresh, j.pendingGroups()...)
-	}
-	slices.SortStableFunc(fresh, pendingGroup.compare)
-	out := q.merged[:0]
-	for _, pg := range q.groups {
-		if pg.job.requeue {
-			continue
-		}
-		for len(fresh) > 0 && fresh[0].compare(pg) < 0 {
-			out = append(out, fresh[0])
-			fresh = fresh[1:]
-		}
-		out = append(out, pg)
-	}
-	out = append(out, fresh...)
-	clear(q.groups)
-	q.groups, q.merged = out, q.groups
 	for _, j := range q.changed {
 		j.requeue = false
+		q.dequeue(j)
+		q.enqueue(j)
 	}
 	clear(q.changed)
 	q.changed = q.changed[:0]
 }
 
-// inOrder returns the groups in the order in which they are placed. The result
-// is valid until the next call.
-func (q *waitQueue) inOrder(now time.Duration) []pendingGroup {
-	q.update()
-	q.ordered = q.ordered[:0]
-	for rest := q.groups; len(rest) > 0; {
-		n := slices.IndexFunc(rest, func(pg pendingGroup) bool { return pg.job.Terms.Priority != rest[0].job.Terms.Priority })
-		if n < 0 {
-			n = len(rest)
-		}
-		q.ordered = appendByClass(q.ordered, rest[:n], now)
-		rest = rest[n:]
+// planned records that a plan has considered every group.
+func (q *waitQueue) planned() {
+	for _, j := range q.unplanned {
+		j.unplanned = false
+	}
+	clear(q.unplanned)
+	q.unplanned = q.unplanned[:0]
+}
+
+// enqueue adds the groups of a job.
+func (q *waitQueue) enqueue(j *trackedJob) {
+	groups := j.pendingGroups()
+	for i := range groups {
+		pg := &groups[i]
+		j.queued = append(j.queued, pg)
+		q.tree(j.Terms.Priority).ReplaceOrInsert(pg)
+		q.countNeed(pg, 1)
+	}
+}
+
+// dequeue removes the groups of a job.
+func (q *waitQueue) dequeue(j *trackedJob) {
+	for _, pg := range j.queued {
+		q.tree(j.Terms.Priority).Delete(pg)
+		q.countNeed(pg, -1)
+	}
+	j.queued = nil
+}
+
+// tree returns the groups of a priority.
+func (q *waitQueue) tree(priority int) *btree.BTreeG[*pendingGroup] {
+	t := q.byPriority[priority]
+	if t == nil {
+		t = btree.NewG(treeDegree, (*pendingGroup).less)
+		q.byPriority[priority] = t
+		at, _ := slices.BinarySearch(q.priorities, priority)
+		q.priorities = slices.Insert(q.priorities, at, priority)
+	}
+	return t
+}
+
+// countNeed adds n to the number of groups with the need of one.
+func (q *waitQueue) countNeed(pg *pendingGroup, n int) {
+	if pg.job.Terms.Approval != nil {
+		q.approvals += n
+	}
+	c, _ := q.needs.Get(needCount{cpu: pg.cpu})
+	c.cpu = pg.cpu
+	c.groups += n
+	if c.groups == 0 {
+		q.needs.Delete(c)
+		return
 	}
-	return q.ordered
+	q.needs.ReplaceOrInsert(c)
+}
+
+// leastNeed returns the least processor time that a task of any group reserves, in
+// thousandths of a core.
+func (q *waitQueue) leastNeed() int {
+	least, _ := q.needs.Min()
+	return least.cpu
 }
 
-// appendByClass appends the groups of one priority by their classes. Among the
-// groups that are not long-running the late ones come first in groups.
-func appendByClass(out, groups []pendingGroup, now time.Duration) []pendingGroup {
-	isClass := func(class int) func(pendingGroup) bool {
-		return func(pg pendingGroup) bool { return pg.class(now) == class }
+// inOrder returns the groups in the order in which they are placed: those of one
+// priority by their classes. The queue must not be updated meanwhile.
+func (q *waitQueue) inOrder(now time.Duration) iter.Seq[*pendingGroup] {
+	q.update()
+	return func(yield func(*pendingGroup) bool) {
+		for _, p := range q.priorities {
+			if !eachOfPriority(q.byPriority[p], now, yield) {
+				return
+			}
+		}
 	}
-	firstShort := indexOrLen(groups, func(pg pendingGroup) bool { return !pg.longRunning })
-	short := groups[firstShort:]
-	firstOnTime := indexOrLen(short, isClass(classOnTime))
-	out = append(out, groups[:firstShort]...)
-	out = append(out, short[firstOnTime:]...)
-	return append(out, short[:firstOnTime]...)
 }
 
-// indexOrLen returns the index of the first group for which f holds, or the
-// number of groups.
-func indexOrLen(groups []pendingGroup, f func(pendingGroup) bool) int {
-	if i := slices.IndexFunc(groups, f); i >= 0 {
-		return i
+// eachOfPriority passes the groups of one priority to yield until that returns false. It
+// reports whether it passed all.
+func eachOfPriority(t *btree.BTreeG[*pendingGroup], now time.Duration, yield func(*pendingGroup) bool) bool {
+	goOn := true
+	pass := func(pg *pendingGroup) bool {
+		goOn = yield(pg)
+		return goOn
+	}
+	firstShort := &pendingGroup{latestStart: math.MinInt64, sequence: math.MinInt64}
+	firstOnTime := &pendingGroup{latestStart: now, sequence: math.MinInt64}
+	t.AscendLessThan(firstShort, pass)
+	if goOn {
+		t.AscendGreaterOrEqual(firstOnTime, pass)
+	}
+	if goOn {
+		t.AscendRange(firstShort, firstOnTime, pass)
 	}
-	return len(groups)
+	return goOn
 }
 
 // queue returns the groups that wait, the most urgent first.
-func (c *Core) queue(now time.Duration) []pendingGroup { return c.waiting.inOrder(now) }
+func (c *Core) queue(now time.Duration) iter.Seq[*pendingGroup] { return c.waiting.inOrder(now) }
 
 // pendingGroups returns the groups of a job that wait.
 func (j *trackedJob) pendingGroups() []pendingGroup {
@@ -183,11 +254,14 @@
 	latestStart := j.arrived + j.objective - j.RemainingCriticalPath()
 	out := make([]pendingGroup, 0, len(groups))
 	for _, g := range groups {
+		st := j.Spec.Steps[g.Step]
 		out = append(out, pendingGroup{
 			job:         j,
 			group:       g,
 			latestStart: latestStart,
-			longRunning: j.Spec.Steps[g.Step].LongRunning,
+			longRunning: st.LongRunning,
+			sequence:    j.sequence,
+			cpu:         st.ReservedResources().CPU,
 		})
 	}
 	return out
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 // open jobs, sorted.
 func sortedFromScratch(c *Core, now time.Duration) []pendingGroup {
 	var out []pendingGroup
-	for _, j := range c.openJobs {
+	for j := range c.openJobs.all() {
 		out = append(out, j.pendingGroups()...)
 	}
 	slices.SortStableFunc(out, func(a, b pendingGroup) int {
@@ -31,6 +32,15 @@
 	return out
 }
 
+// collect returns the groups of a sequence.
+func collect(groups iter.Seq[*pendingGroup]) []pendingGroup {
+	var out []pendingGroup
+	for pg := range groups {
+		out = append(out, *pg)
+	}
+	return out
+}
+
 func describe(groups []pendingGroup) []string {
 	var out []string
 	for _, pg := range groups {
@@ -60,7 +70,7 @@
 			default:
 				changeRuns(rt, c, c.jobs[rapid.SampledFrom(ids).Draw(rt, "changed")])
 			}
-			if got, want := describe(c.queue(times.Now)), describe(sortedFromScratch(c, times.Now)); !slices.Equal(got, want) {
+			if got, want := describe(collect(c.queue(times.Now))), describe(sortedFromScratch(c, times.Now)); !slices.Equal(got, want) {
 				rt.Fatalf("queue %v, want %v", got, want)
 			}
 		}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,14 +70,14 @@
 	var waiting []stepTasks
 	var stalled []UnplacedTasks
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
-	for _, pg := range c.queue(now) {
+	for pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
 		needed := s.ReservedResources().Times(len(pg.group.Waiting))
 		rep.Waiting = rep.Waiting.Add(needed)
 		switch pg.class(now) {
 		case classLongRunning:
 			rep.LongRunning = rep.LongRunning.Add(needed)
-			if pg.job.unplacedVersion != pg.job.version {
+			if pg.job.unplanned {
 				// The next plan may place them.
 				continue
 			}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -334,6 +334,8 @@
 		r.metrics.jobDuration.RecordDuration(duration)
 	}
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
+	r.metrics.planWorkers.Inc(int64(b.Work.Workers))
+	r.metrics.planGroups.Inc(int64(b.Work.Groups))
 	var runs []job.RunID
 	var committedAt time.Duration
 	r.update(StageStart, func(t Times) {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -76,7 +76,7 @@
 	}
 	r.mu.Lock()
 	r.ready = true
-	jobs := len(r.core.openJobs)
+	jobs := r.core.openJobs.count()
 	r.mu.Unlock()
 	r.opt.Logger.Info().Int64("token", r.opt.Token).Int("jobs", jobs).Msg("pool taken over")
 	return nil
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -25,15 +26,17 @@
 	objective time.Duration
 	// speculative is set if any step of the job may have copies.
 	speculative bool
-	// dirty is set while the job is in Core.dirty, and requeue while it is in the
-	// waitQueue's list of changed jobs.
-	dirty, requeue bool
+	// dirty is set while the job is in Core.dirty, and requeue and unplanned while it is in
+	// the waitQueue's lists of changed jobs and of those that no plan has considered since.
+	dirty, requeue, unplanned bool
+	// queued are the job's groups in the waitQueue.
+	queued []*pendingGroup
+	// countedRunning is set while the job counts as a running one of its priority, and
+	// settled once it is not open any more.
+	countedRunning, settled bool
 	// version counts the changes of the job. batchedVersion is the last version
 	// in a batch, and committedVersion the last in the log.
 	version, batchedVersion, committedVersion int
-	// unplacedVersion is the version of which a plan last found no worker for some
-	// of the job's tasks, or -1.
-	unplacedVersion int
 	// loggedPhase is the phase that the log holds.
 	loggedPhase job.Phase
 	// lastPreemption is when runs were last preempted for the job.
@@ -63,8 +66,6 @@
 		objective:   objective(&s.Spec, s.Terms),
 		lasting:     slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.LongRunning }),
 		speculative: slices.ContainsFunc(s.Spec.Steps, func(st job.Step) bool { return st.Speculative }),
-
-		unplacedVersion: -1,
 	}
 }
 
@@ -77,3 +78,37 @@
 func sinceAccepted(accepted, wall int64) time.Duration {
 	return min(maxAge, max(0, time.Duration(wall-accepted)*time.Millisecond))
 }
+
+// openJobs are the jobs that are not settled, in the order in which they became known.
+// Removed ones are dropped once they are half of the list.
+type openJobs struct {
+	jobs    []*trackedJob
+	removed int
+}
+
+// add adds a job.
+func (o *openJobs) add(j *trackedJob) { o.jobs = append(o.jobs, j) }
+
+// remove removes a job that was added.
+func (o *openJobs) remove(j *trackedJob) {
+	j.settled = true
+	o.removed++
+	if 2*o.removed > len(o.jobs) {
+		o.jobs = slices.DeleteFunc(o.jobs, func(j *trackedJob) bool { return j.settled })
+		o.removed = 0
+	}
+}
+
+// count returns the number of jobs.
+func (o *openJobs) count() int { return len(o.jobs) - o.removed }
+
+// all returns the jobs.
+func (o *openJobs) all() iter.Seq[*trackedJob] {
+	return func(yield func(*trackedJob) bool) {
+		for _, j := range o.jobs {
+			if !j.settled && !yield(j) {
+				return
+			}
+		}
+	}
+}
--- a/internal/scheduler/unplaced.go
+++ b/internal/scheduler/unplaced.go
@@ -138,7 +138,7 @@
 // hasStalledJob reports whether a job is stalled because no worker takes its
 // tasks: what the pool has free in total may be on workers that take no tasks.
 func (c *Core) hasStalledJob(now time.Duration) bool {
-	for _, j := range c.openJobs {
+	for j := range c.openJobs.all() {
 		if !j.Phase.Final() && j.stalled(now) {
 			return true
 		}
--- a/internal/telemetry/limit.go
+++ b/internal/telemetry/limit.go
@@ -59,11 +59,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := l.messages[msg]
-	if m == nil {
-		m = &messageState{limit: rate.NewLimiter(linesPerSecond, lineBurst)}
-		l.messages[msg] = m
-	}
+	m := l.state(msg)
 	if !m.limit.AllowN(l.now(), 1) {
 		m.suppressed++
 		l.suppressed.Inc(1)
@@ -75,3 +71,27 @@
 		m.suppressed = 0
 	}
 }
+
+// Admits reports whether an info line with a message would be written now. If not, the line
+// counts as suppressed, and its caller need not build it.
+func (l *Limiter) Admits(msg string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.state(msg)
+	if l.exempt[msg] || m.limit.TokensAt(l.now()) >= 1 {
+		return true
+	}
+	m.suppressed++
+	l.suppressed.Inc(1)
+	return false
+}
+
+// state returns the state of a message. It must be called with mu held.
+func (l *Limiter) state(msg string) *messageState {
+	m := l.messages[msg]
+	if m == nil {
+		m = &messageState{limit: rate.NewLimiter(linesPerSecond, lineBurst)}
+		l.messages[msg] = m
+	}
+	return m
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -160,3 +161,25 @@
 	}
 	g.Expect(w.Close()).To(Succeed())
 }
+
+// Guards against lines that are built only to be dropped, and against ones that are left
+// out without being counted.
+func TestLimiterTellsBeforeALineIsBuilt(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	var out bytes.Buffer
+	l := NewLimiter(func() time.Time { return now }, tally.NoopScope)
+	logger := zerolog.New(&out).Hook(l)
+	admitted := 0
+	for range 2 * lineBurst {
+		if l.Admits("run") {
+			admitted++
+			logger.Info().Msg("run")
+		}
+	}
+	g.Expect(admitted).To(Equal(lineBurst))
+	now = now.Add(time.Second)
+	g.Expect(l.Admits("run")).To(BeTrue())
+	logger.Info().Msg("run")
+	g.Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`"left_out":%d`, lineBurst)))
+}
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -51,8 +51,10 @@
 	UnansweredSince time.Duration
 	// StateSince is when the run entered its state.
 	StateSince time.Duration
-	// ExpectedDuration is how long the run is expected to be active.
+	// ExpectedDuration is how long the run is expected to be active, and Estimate what its
+	// job says of that, or 0.
 	ExpectedDuration time.Duration
+	Estimate         time.Duration
 	// StartSentAt is when the last order to start the run was sent.
 	StartSentAt time.Duration
 	// Adopted is set for a run that an earlier holder of the pool planned.
@@ -115,6 +117,7 @@
 		State:             st,
 		StateSince:        now,
 		ExpectedDuration:  expectedDuration,
+		Estimate:          s.Estimate,
 		TailLatencyTarget: s.TailLatencyTarget,
 		BestEffort:        s.BestEffort,
 		Speed:             FullSpeed,
