Carry out no orders of long ago, and repeat no acknowledgement

Cause: a relay that was paused would send orders on which their holder had given up, and a poll that is repeated without its relay could acknowledge ends of a later start of its worker. Change: messages name when they were sent, and a relay declines those that were under way for 500 ms longer than the fastest one; declined orders are sent by the holder. A poll whose relay is silent is repeated without acknowledgement. Stages are timed by the process's clock, which costs no system call.

--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -106,6 +106,13 @@
 // Poll implements worker.Control.
 func (c *Control) Poll(ctx context.Context, to worker.Target, r worker.PollRequest) (worker.Report, error) {
 	a, err := c.relay(to, order{Kind: kindPoll, Token: r.Token, LeaseUntil: r.LeaseUntil, Acknowledged: r.Acknowledged, Wait: r.Wait}, "")
+	if errors.Is(err, errLost) {
+		// The worker may have restarted under its ID meanwhile, and numbers its ends anew.
+		r.Acknowledged = 0
+		rep, err := c.local.Poll(ctx, to, r)
+		rep.Unacknowledged = true
+		return rep, err
+	}
 	if err != nil {
 		return c.local.Poll(ctx, to, r)
 	}
@@ -129,7 +136,11 @@
 		c.recordSilent(s, err)
 		return answer{}, err
 	}
-	if a.Outcome == outcomeNotRun || a.Outcome == outcomeUnknown {
+	switch a.Outcome {
+	case outcomeDeclined:
+		c.metrics.declined.Inc(1)
+		return answer{}, errNotHandedOver
+	case outcomeNotRun, outcomeUnknown:
 		c.bypass(to)
 	}
 	return a, nil
@@ -152,7 +163,7 @@
 	s := c.sessions[id]
 	if s == nil || s.ended() {
 		c.lastSession++
-		s = newSession(c.opt.Caller, id, c.lastSession)
+		s = newSession(c.opt.Caller, c.opt.Clock, id, c.lastSession)
 		c.sessions[id] = s
 	}
 	return s
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -31,6 +31,8 @@
 // ordersMessage is the body of MethodOrders.
 type ordersMessage struct {
 	Session uint64 `cbor:"1,keyasint"`
+	// SentAt is when the message was sent, by the sender's clock.
+	SentAt time.Duration `cbor:"4,keyasint"`
 	// Payloads are the payloads of jobs. The starts of a job's tasks share one.
 	Payloads []string `cbor:"2,keyasint,omitempty"`
 	Orders   []order  `cbor:"3,keyasint"`
@@ -102,6 +104,8 @@
 	// outcomeNotRun and outcomeUnknown are those of a verdict.Error.
 	outcomeNotRun
 	outcomeUnknown
+	// outcomeDeclined means that the relay has not sent the order to the worker.
+	outcomeDeclined
 )
 
 // answer is the answer to one order.
@@ -191,7 +195,7 @@
 		return worker.ErrWorkerReplaced
 	case outcomeRejected:
 		return &worker.RejectedError{Reason: worker.Reason(a.Reason), Clock: a.Clock}
-	case outcomeNotRun:
+	case outcomeNotRun, outcomeDeclined:
 		return verdict.NewNotRun(verdict.Reason(a.Reason), "%s", a.Detail)
 	default:
 		return verdict.NewMayHaveRun(verdict.Reason(a.Reason), "%s", a.Detail)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -14,10 +14,10 @@
 
 // controlMetrics count the orders that relays carry out for this daemon.
 type controlMetrics struct {
-	relayed, lost tally.Counter
+	relayed, lost, declined tally.Counter
 }
 
 func newControlMetrics(scope tally.Scope) controlMetrics {
 	scope = scope.SubScope("relay")
-	return controlMetrics{relayed: scope.Counter("orders_handed_over"), lost: scope.Counter("orders_lost")}
+	return controlMetrics{relayed: scope.Counter("orders_handed_over"), lost: scope.Counter("orders_lost"), declined: scope.Counter("orders_declined")}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,11 +84,15 @@
 	runInVirtualTime(t, func(ctx context.Context, g *WithT) {
 		w := newWorld()
 		w.links.set(w.relay.ID(), true, false)
-		for range 3 {
-			_, err := w.control.Poll(ctx, testTarget, worker.PollRequest{Token: 1})
+		for i := range 3 {
+			rep, err := w.control.Poll(ctx, testTarget, worker.PollRequest{Token: 1, Acknowledged: 4})
 			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(rep.Unacknowledged).To(Equal(i == 0))
 		}
-		g.Expect(w.own.polls).To(HaveLen(3))
+		// The ends of a worker that has restarted meanwhile must not be acknowledged.
+		acknowledged := func(r worker.PollRequest) int64 { return r.Acknowledged }
+		g.Expect(w.own.polls).To(HaveExactElements(
+			WithTransform(acknowledged, BeZero()), WithTransform(acknowledged, BeEquivalentTo(4)), WithTransform(acknowledged, BeEquivalentTo(4))))
 		w.links.set(w.relay.ID(), false, false)
 		time.Sleep(silentPeriod)
 		before := w.relayed.calls()
@@ -160,6 +164,23 @@
 	})
 }
 
+// Guards against a relay that was paused and sends orders which their holder has long given
+// up on: an acknowledgement could reach a later start of its worker.
+func TestOrdersOfLongAgoAreNotCarriedOut(t *testing.T) {
+	runInVirtualTime(t, func(ctx context.Context, g *WithT) {
+		w := newWorld()
+		_, err := w.control.Poll(ctx, testTarget, worker.PollRequest{Token: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		before := w.relayed.calls()
+		w.links.latency = maxOrderAge + 100*time.Millisecond
+		_, err = w.control.Poll(ctx, testTarget, worker.PollRequest{Token: 1, Acknowledged: 5})
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Minute)
+		g.Expect(w.relayed.calls()).To(Equal(before))
+		g.Expect(w.own.polls).To(HaveLen(1))
+	})
+}
+
 // Guards against an answer with an outcome that this version does not know and that
 // counts as success.
 func TestUnknownOutcomeProvesNothing(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -22,10 +22,15 @@
 	maxCollectWait = time.Second
 	// gatherTime is how long a response with answers waits for more of them.
 	gatherTime = 5 * time.Millisecond
+	// maxSenders bounds the daemons of which the server keeps anything.
+	maxSenders = 1024
 	// maxAnswers bounds the answers in one response.
 	maxAnswers = 512
 	// sessionIdle is how long a session is kept that is not asked for answers.
 	sessionIdle = 5 * time.Second
+	// maxOrderAge is how much longer than the fastest one a message with orders may have
+	// been under way: its sender has given up on older ones, and may have repeated them.
+	maxOrderAge = 500 * time.Millisecond
 )
 
 // Server carries out the orders of other daemons.
@@ -37,6 +42,9 @@
 
 	mu       sync.Mutex
 	sessions map[sessionKey]*outbox
+	// leads is, by daemon, the least difference between this host's clock when a message of
+	// it arrived and its own when it was sent.
+	leads map[string]time.Duration
 }
 
 // sessionKey identifies a session by the daemon that opened it and its number.
@@ -64,6 +72,7 @@
 		metrics:  newServerMetrics(o.Scope),
 		slots:    make(chan struct{}, maxInFlight),
 		sessions: map[sessionKey]*outbox{},
+		leads:    map[string]time.Duration{},
 	}
 }
 
@@ -74,7 +83,12 @@
 		if err := record.Decode(body, &msg); err != nil {
 			return nil, err
 		}
-		s.accept(context.WithoutCancel(ctx), s.outbox(sessionKey{from, msg.Session}), msg)
+		out := s.outbox(sessionKey{from, msg.Session})
+		if age := s.age(from, msg.SentAt); age > maxOrderAge {
+			s.reject(out, msg, age)
+		} else {
+			s.accept(context.WithoutCancel(ctx), out, msg)
+		}
 		return nil, nil
 	})
 	m.Handle(MethodCollect, func(ctx context.Context, from string, body cbor.RawMessage) (any, error) {
@@ -105,20 +119,45 @@
 	return o
 }
 
+// age returns how much longer than the fastest one a message of a daemon has been under
+// way, for example because this process was paused.
+func (s *Server) age(from string, sentAt time.Duration) time.Duration {
+	lead := s.clock.Now() - sentAt
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least, known := s.leads[from]
+	if !known && len(s.leads) >= maxSenders {
+		clear(s.leads)
+	}
+	if !known || lead < least {
+		s.leads[from] = lead
+		return 0
+	}
+	return lead - least
+}
+
+// reject answers the orders of a message that is too old to be carried out.
+func (s *Server) reject(out *outbox, msg ordersMessage, age time.Duration) {
+	s.metrics.rejected.Inc(int64(len(msg.Orders)))
+	for i := range msg.Orders {
+		out.add(msg.Orders[i].decline(verdict.NewNotRun(verdict.ReasonDeadline, "the order was under way for %v", age)))
+	}
+}
+
 // accept starts to carry out the orders of a message.
 func (s *Server) accept(ctx context.Context, out *outbox, msg ordersMessage) {
 	s.metrics.orders.Inc(int64(len(msg.Orders)))
 	for _, o := range msg.Orders {
 		payload, err := msg.payloadOf(&o)
 		if err != nil {
-			out.add(o.fail(err))
+			out.add(o.decline(err))
 			continue
 		}
 		select {
 		case s.slots <- struct{}{}:
 		default:
 			s.metrics.rejected.Inc(1)
-			out.add(o.fail(verdict.NewNotRun(verdict.ReasonQueueFull, "the relay carries out %d orders", maxInFlight)))
+			out.add(o.decline(verdict.NewNotRun(verdict.ReasonQueueFull, "the relay carries out %d orders", maxInFlight)))
 			continue
 		}
 		go func() {
@@ -129,7 +168,7 @@
 }
 
 // payloadOf returns the payload of a start, and "" for any other order.
-func (m *ordersMessage) payloadOf(o *order) (string, error) {
+func (m *ordersMessage) payloadOf(o *order) (string, *verdict.Error) {
 	if o.Kind != kindStart {
 		return "", nil
 	}
@@ -139,11 +178,9 @@
 	return m.Payloads[o.Payload], nil
 }
 
-// fail returns the answer to an order that failed.
-func (o *order) fail(err error) answer {
-	a := answer{Number: o.Number}
-	a.setError(err)
-	return a
+// decline returns the answer to an order that is not sent to its worker.
+func (o *order) decline(err *verdict.Error) answer {
+	return answer{Number: o.Number, Outcome: outcomeDeclined, Reason: string(err.Reason), Detail: err.Detail}
 }
 
 // carryOut sends one order to its worker and returns the answer.
@@ -162,7 +199,7 @@
 		r, err = s.control.Poll(ctx, o.target(), o.poll())
 		a.setReport(r)
 	default:
-		err = verdict.NewNotRun(verdict.ReasonBadRequest, "unknown order %d", o.Kind)
+		return o.decline(verdict.NewNotRun(verdict.ReasonBadRequest, "unknown order %d", o.Kind))
 	}
 	a.setError(err)
 	return a
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"greengagedeck/internal/clock"
 	"greengagedeck/internal/peer"
 )
 
@@ -38,6 +39,7 @@
 // of every order that it has then is lost.
 type session struct {
 	caller peer.Caller
+	clock  clock.Clock
 	relay  string
 	number uint64
 
@@ -74,8 +76,8 @@
 
 // newSession returns a session with a relay. Each session of a daemon has another
 // number.
-func newSession(caller peer.Caller, relayID string, number uint64) *session {
-	return &session{caller: caller, relay: relayID, number: number, pending: map[uint64]*pendingOrder{}}
+func newSession(caller peer.Caller, cl clock.Clock, relayID string, number uint64) *session {
+	return &session{caller: caller, clock: cl, relay: relayID, number: number, pending: map[uint64]*pendingOrder{}}
 }
 
 // do hands over an order and waits for its answer.
@@ -132,7 +134,7 @@
 
 // message returns the message with some orders.
 func (s *session) message(batch []queuedOrder) ordersMessage {
-	m := ordersMessage{Session: s.number, Orders: make([]order, 0, len(batch))}
+	m := ordersMessage{Session: s.number, SentAt: s.clock.Now(), Orders: make([]order, 0, len(batch))}
 	index := map[string]int{}
 	for _, q := range batch {
 		if q.order.Kind == kindStart {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -195,7 +195,9 @@
 	}
 	ws.RecordAnswer(report.Clock, t.Now)
 	ws.Lapsed = nil
-	ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
+	if !report.Unacknowledged {
+		ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
+	}
 	if !ws.Fenced {
 		ws.Fenced = true
 		c.touch(p.Worker)
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -164,13 +164,14 @@
 // orders that follow from it.
 func (r *Runner) update(stage Stage, change func(Times)) {
 	r.mu.Lock()
+	start := time.Now()
 	t := r.times()
 	change(t)
 	stops := r.core.StopOrders()
 	speeds := r.core.SpeedOrders()
 	needsPlan := r.core.NeedsPlan()
 	r.wakeAgents(t.Now)
-	r.work.spent(stage, r.opt.Clock.Now()-t.Now)
+	r.work.spent(stage, time.Since(start))
 	r.mu.Unlock()
 	for _, s := range stops {
 		go r.sendStop(s)
@@ -266,11 +267,12 @@
 	r.trackIntakeLag()
 	t := r.times()
 	r.work.planStarted(t.Now)
+	start := time.Now()
 	b = r.core.Decide(t)
-	decided := r.opt.Clock.Now()
-	r.work.spent(StagePlan, decided-t.Now)
+	decided := time.Now()
+	r.work.spent(StagePlan, decided.Sub(start))
 	err = r.core.Encode(b, t)
-	r.work.spent(StageEncode, r.opt.Clock.Now()-decided)
+	r.work.spent(StageEncode, time.Since(decided))
 	return b, r.core.fenced, err
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -109,6 +109,9 @@
 	// Partial is set if the worker may have more ends to list than one answer holds. A
 	// run that such a report does not list may have ended in any way.
 	Partial bool
+	// Unacknowledged is set if the poll that was answered acknowledged nothing, whatever was
+	// requested.
+	Unacknowledged bool
 	// DecodeTime is how long this daemon took to decode the answer.
 	DecodeTime time.Duration
 }
