--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -120,7 +120,7 @@
 	}
 	best := slices.MinFunc(open, func(x, y duty.Member) int {
 		return cmp.Or(
-			compareBool(x.Zone != to.Zone, y.Zone != to.Zone),
+			cmp.Compare(zoneRank(x, to), zoneRank(y, to)),
 			cmp.Compare(y.Weight, x.Weight),
 			cmp.Compare(a.rank(x), a.rank(y)),
 		)
@@ -137,14 +137,10 @@
 // capacity returns how many workers a daemon can carry the orders of.
 func capacity(m duty.Member) float64 { return m.Weight * workersPerCore }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
+// zoneRank orders relays in the zone of a worker before others.
+func zoneRank(m duty.Member, to worker.Target) int {
+	if m.Zone == to.Zone {
 		return 0
-	case b:
-		return -1
-	default:
-		return 1
 	}
+	return 1
 }
