--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// CustomerID is the name of a customer. The empty one stands for work of no customer.
+type CustomerID string
+
 // Terms are the scheduling settings that a job takes from its catalogue entry
 // when it is accepted.
 type Terms struct {
@@ -25,6 +28,9 @@
 	// Approval, if set, means that a service must approve the workers of each
 	// step.
 	Approval *ApprovalSettings `cbor:"8,keyasint,omitempty"`
+	// Customer is the customer that submitted the job, or empty if the entry is public or
+	// the configuration has no customers.
+	Customer CustomerID `cbor:"9,keyasint,omitempty"`
 }
 
 // ApprovalSettings describes the service that approves workers for a step.
@@ -48,6 +54,7 @@
 // New returns a job that has not started a task.
 func New(spec Spec, terms Terms) *Job {
 	j := &Job{Spec: spec, Terms: terms}
+	j.Customer = terms.Customer
 	if spec.Repeat == 0 {
 		j.Occurrences = []*Occurrence{newOccurrence(0, spec.Steps)}
 		j.NextOccurrence = 1
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -171,4 +171,7 @@
 	// Crashes are the counts of the tasks under which workers have crashed and
 	// which are not done.
 	Crashes []CrashCount `cbor:"5,keyasint,omitempty"`
+	// Customer is the customer that the job belongs to. It is kept with the phase of an
+	// ended job.
+	Customer CustomerID `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 )
 
@@ -30,6 +31,8 @@
 	Timeout time.Duration
 	// Approval is set if workers must be approved for each step.
 	Approval *job.ApprovalSettings
+	// Public is set if callers of the entry need no key. Its jobs belong to no customer.
+	Public bool
 	// Earlier are the entries that served the same requests under configurations that
 	// this process has seen and that referred to another pool or had another name.
 	// Current sets it.
@@ -75,6 +78,8 @@
 	Entries []Entry
 	Pools   map[string]Pool
 	Limits  Limits
+	// Customers are the customers and their keys, or nil if the configuration has none.
+	Customers *customer.Directory
 	// Skipped tells of the entries and pools that could not be decoded.
 	Skipped []error
 
