--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -80,7 +80,8 @@
 	Limits  Limits
 	// Customers are the customers and their keys, or nil if the configuration has none.
 	Customers *customer.Directory
-	// Skipped tells of the entries and pools that could not be decoded.
+	// Skipped tells of the entries, pools and customers that could not be decoded. The
+	// errors name no key.
 	Skipped []error
 
 	// entriesByHost holds the entries of each host, longest path prefix first, and
