--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -35,6 +35,8 @@
 type CancelRequest struct {
 	Pool string `cbor:"1,keyasint"`
 	ID   job.ID `cbor:"2,keyasint"`
+	// By is who cancels the job.
+	By job.Requester `cbor:"3,keyasint,omitzero"`
 }
 
 // Outcome is the result of a submit or cancel request at a holder.
@@ -57,6 +59,9 @@
 	// OutcomeMoved means that a newer configuration than that of the request sends the
 	// entry's jobs to another pool. The request had no effect.
 	OutcomeMoved
+	// OutcomeOtherCustomer means that the job belongs to another customer. The request had
+	// no effect.
+	OutcomeOtherCustomer
 )
 
 // HolderResponse is the response to a SubmitRequest or a CancelRequest.
@@ -81,6 +86,8 @@
 		return HolderResponse{Outcome: OutcomeUnknownJob, Lag: unknown.Lag}
 	case errors.Is(err, errMoved):
 		return HolderResponse{Outcome: OutcomeMoved}
+	case errors.Is(err, scheduler.ErrOtherCustomer):
+		return HolderResponse{Outcome: OutcomeOtherCustomer}
 	case errors.Is(err, scheduler.ErrPoolNotHeld):
 		return HolderResponse{Outcome: OutcomeNotHeld}
 	case verdict.Of(err) == verdict.NotRun:
@@ -101,6 +108,8 @@
 		return &scheduler.UnknownJobError{Lag: r.Lag}
 	case OutcomeMoved:
 		return errMoved
+	case OutcomeOtherCustomer:
+		return scheduler.ErrOtherCustomer
 	case OutcomeRejected:
 		return verdict.NewNotRun(verdict.ReasonNotReady, "%s", r.Reason)
 	default:
@@ -145,30 +154,32 @@
 	if !ok {
 		return scheduler.ErrPoolNotHeld
 	}
-	return r.Cancel(ctx, req.ID)
+	return r.Cancel(ctx, req.ID, req.By)
 }
 
 // Submit accepts a job for an entry. Once it returns nil, the job is stored and
-// will run. Otherwise the error's verdict tells whether the job may still run.
+// will run. Otherwise the error's verdict tells whether the job may still run. It is
+// scheduler.ErrOtherCustomer if the ID belongs to a job that the requester may not access.
 //
 // The pool's holder logs the job together with its first plan for the job. When
 // the holder does not answer, the job is appended to the intake log, from which
 // the next holder reads it. A job that is stored in both ways runs only once.
-func (s *Service) Submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
+func (s *Service) Submit(ctx context.Context, e policy.Entry, by job.Requester, version int64, spec job.Spec) error {
 	start := s.opt.Clock.Now()
-	err := s.submit(ctx, e, version, spec)
+	err := s.submit(ctx, e, by, version, spec)
 	s.metrics.countSubmission(err)
-	s.logOutcome("job accepted", "job not accepted", spec.ID, e, start, err)
+	s.logOutcome("job accepted", "job not accepted", spec.ID, e, by, start, err)
 	return err
 }
 
 // submit does what Submit does, without logging the outcome.
-func (s *Service) submit(ctx context.Context, e policy.Entry, version int64, spec job.Spec) error {
-	accepted, err := s.acceptedEarlier(ctx, e, spec.ID)
+func (s *Service) submit(ctx context.Context, e policy.Entry, by job.Requester, version int64, spec job.Spec) error {
+	accepted, err := s.acceptedEarlier(ctx, e, by, spec.ID)
 	if accepted || err != nil {
 		return err
 	}
 	sub := joblog.Submission{Spec: spec, Terms: e.Terms(version), AcceptedAt: s.opt.Clock.Wall().UnixMilli()}
+	sub.Terms.Customer = by.Customer
 	err = s.sendToHolder(ctx, e.Pool, MethodSubmit, SubmitRequest{sub}, func(ctx context.Context) error {
 		return s.submitLocally(ctx, &sub)
 	})
@@ -188,7 +199,7 @@
 // this daemon lately. That is safe, because a rejected request has no effect at the
 // holder.
 func (s *Service) finallyRejected(err error) bool {
-	if errors.Is(err, errMoved) {
+	if errors.Is(err, errMoved) || errors.Is(err, scheduler.ErrOtherCustomer) {
 		return true
 	}
 	if errors.Is(err, scheduler.ErrPoolNotHeld) || verdict.Of(err) != verdict.NotRun {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,6 +41,8 @@
 type StateRequest struct {
 	Pool string `cbor:"1,keyasint"`
 	ID   job.ID `cbor:"2,keyasint"`
+	// By is who asks.
+	By job.Requester `cbor:"3,keyasint,omitzero"`
 }
 
 // StateResponse is the response to a StateRequest.
@@ -52,6 +54,9 @@
 	Phase job.Phase `cbor:"3,keyasint,omitempty"`
 	// Lag is the age of the holder's view of submissions.
 	Lag time.Duration `cbor:"4,keyasint,omitempty"`
+	// OtherCustomers is set if the job is known and belongs to another customer than the
+	// requester. Known is not set then.
+	OtherCustomers bool `cbor:"5,keyasint,omitempty"`
 }
 
 // QueuedJobsRequest is the request of MethodQueuedJobs.
@@ -84,9 +89,14 @@
 	logLookupsPerSecond = 4
 )
 
-// ErrUnknownJob means that no daemon accepted the job.
+// ErrUnknownJob means that no daemon accepted the job, or that the requester may not
+// access it.
 var ErrUnknownJob = eris.New("unknown job")
 
+// ErrOtherCustomer means that the ID of a submitted job belongs to a job of another
+// customer.
+var ErrOtherCustomer = scheduler.ErrOtherCustomer
+
 // Holders returns which daemon holds a pool.
 type Holders interface {
 	Holder(n duty.Name) (duty.Claim, bool)
@@ -163,7 +173,14 @@
 	if !ok {
 		return StateResponse{}
 	}
-	return StateResponse{Held: true, Known: a.Known, Phase: a.Phase, Lag: a.Now - a.KnownUpTo}
+	resp := StateResponse{Held: true, Lag: a.Now - a.KnownUpTo}
+	switch {
+	case a.Known && !q.By.MayAccess(a.Owner):
+		resp.OtherCustomers = true
+	case a.Known:
+		resp.Known, resp.Phase = true, a.Phase
+	}
+	return resp
 }
 
 func (s *Service) localQueuedJobs(q QueuedJobsRequest) QueuedJobsResponse {
@@ -176,15 +193,21 @@
 }
 
 // logOutcome logs and times the outcome of a caller's submit or cancel request.
-func (s *Service) logOutcome(done, failed string, id job.ID, e policy.Entry, start time.Duration, err error) {
+func (s *Service) logOutcome(done, failed string, id job.ID, e policy.Entry, by job.Requester, start time.Duration, err error) {
 	line := s.opt.Logger.Info()
 	msg := done
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrUnknownJob):
+		line, msg = line.Err(err), failed
+	case err != nil:
 		line = s.opt.Logger.Warn().Err(err).Stringer("verdict", verdict.Of(err))
 		msg = failed
 	}
 	took := s.opt.Clock.Now() - start
 	s.metrics.requestTime.RecordDuration(took)
+	if by.Customer != "" {
+		line = line.Str("customer", string(by.Customer))
+	}
 	line.Str("job", string(id)).Str("entry", e.Name).Str("pool", e.Pool).Str("holder", s.holderLabel(e.Pool)).Dur("took", took).Msg(msg)
 }
 
@@ -199,19 +222,20 @@
 }
 
 // State returns the phase of a job. The error is ErrUnknownJob when no daemon
-// accepted the job, and another one when that is not known at present.
-func (s *Service) State(ctx context.Context, e policy.Entry, id job.ID) (job.Phase, error) {
+// accepted the job or the requester may not access it, and another one when that is not
+// known at present.
+func (s *Service) State(ctx context.Context, e policy.Entry, by job.Requester, id job.ID) (job.Phase, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryLimit)
 	defer cancel()
 	for {
-		a, err := s.queryState(ctx, e.Pool, id)
+		a, err := s.queryState(ctx, e.Pool, by, id)
 		if err == nil && a.Known {
 			return a.Phase, nil
 		}
 		if err == nil && a.Lag < maxLag {
-			return s.findInOtherPools(ctx, e.Pool, id)
+			return s.findInOtherPools(ctx, e.Pool, by, id)
 		}
-		if phase, ok := s.findInLog(ctx, e.Pool, id); ok {
+		if phase, ok := s.findInLog(ctx, e.Pool, by, id); ok {
 			return phase, nil
 		}
 		if !clock.Sleep(ctx, queryRetry) {
@@ -223,13 +247,13 @@
 
 // findInOtherPools looks for a job in all pools but one. The job's entry may have
 // referred to another pool when the job was accepted.
-func (s *Service) findInOtherPools(ctx context.Context, exclude string, id job.ID) (job.Phase, error) {
+func (s *Service) findInOtherPools(ctx context.Context, exclude string, by job.Requester, id job.ID) (job.Phase, error) {
 	pools := s.otherPools(exclude)
 	answers := make([]StateResponse, len(pools))
 	errs := make([]error, len(pools))
 	var wg sync.WaitGroup
 	for i, p := range pools {
-		wg.Go(func() { answers[i], errs[i] = s.queryState(ctx, p, id) })
+		wg.Go(func() { answers[i], errs[i] = s.queryState(ctx, p, by, id) })
 	}
 	wg.Wait()
 	for i, a := range answers {
@@ -250,8 +274,8 @@
 var errPoolNotHeld = eris.New("the pool is not held there")
 
 // queryState queries the pool's holder for the state of a job.
-func (s *Service) queryState(ctx context.Context, pool string, id job.ID) (StateResponse, error) {
-	q := StateRequest{Pool: pool, ID: id}
+func (s *Service) queryState(ctx context.Context, pool string, by job.Requester, id job.ID) (StateResponse, error) {
+	q := StateRequest{Pool: pool, ID: id, By: by}
 	var a StateResponse
 	err := s.queryHolder(ctx, pool, MethodState, q, &a, func() { a = s.localState(q) })
 	if err == nil && !a.Held {
@@ -321,12 +345,12 @@
 // findInLog reads a job's phase from the log. It returns false when it finds no
 // record: that a record is absent at one moment does not prove that the job is
 // unknown.
-func (s *Service) findInLog(ctx context.Context, pool string, id job.ID) (job.Phase, bool) {
+func (s *Service) findInLog(ctx context.Context, pool string, by job.Requester, id job.ID) (job.Phase, bool) {
 	s.logLookupLimiter.SetLimit(rate.Limit(logLookupsPerSecond / float64(max(1, s.opt.Daemons()))))
 	if !s.logLookupLimiter.Allow() {
 		return 0, false
 	}
-	phase, err := joblog.FindPhase(ctx, s.opt.Log, pool, id)
+	phase, err := joblog.FindPhase(ctx, s.opt.Log, pool, id, by)
 	if err != nil {
 		if !errors.Is(err, joblog.ErrNotFound) {
 			s.opt.Logger.Debug().Err(err).Str("job", string(id)).Msg("looking up the job in the log failed")
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,6 +29,8 @@
 var (
 	entry = policy.Entry{Name: "e", Pool: "p", MaxAttempts: 1}
 	spec  = job.Spec{ID: id, Steps: []job.Step{{Count: 1}}}
+	// anyone is the requester while the configuration has no customers.
+	anyone job.Requester
 )
 
 // fakeHolders reports another daemon as the holder of each pool if known is set,
@@ -117,8 +119,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			for what, err := range map[string]error{
-				"submit": newTestService(log, c.known, c.holder, c.age).Submit(ctx, entry, 1, spec),
-				"cancel": newTestService(log, c.known, c.holder, c.age).Cancel(ctx, entry, id),
+				"submit": newTestService(log, c.known, c.holder, c.age).Submit(ctx, entry, anyone, 1, spec),
+				"cancel": newTestService(log, c.known, c.holder, c.age).Cancel(ctx, entry, anyone, id),
 			} {
 				if c.want == 0 {
 					g.Expect(err).NotTo(HaveOccurred(), what)
@@ -145,24 +147,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		log := logtest.New()
-		phase, err := newTestService(log, true, respondState(StateResponse{Held: true, Known: true, Phase: job.Running}), 0).State(t.Context(), entry, id)
+		phase, err := newTestService(log, true, respondState(StateResponse{Held: true, Known: true, Phase: job.Running}), 0).State(t.Context(), entry, anyone, id)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(phase).To(Equal(job.Running))
 
 		// A holder that has not read the newest submissions cannot tell that a job
 		// is unknown, and neither can the log.
-		_, err = newTestService(log, true, respondState(StateResponse{Held: true, Lag: maxLag}), 0).State(t.Context(), entry, id)
+		_, err = newTestService(log, true, respondState(StateResponse{Held: true, Lag: maxLag}), 0).State(t.Context(), entry, anyone, id)
 		g.Expect(err).NotTo(MatchError(ErrUnknownJob))
 		g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
 
 		s := newTestService(log, true, respondState(StateResponse{Held: true}), 0)
 		s.opt.Policy.Set(policy.New(1, nil, nil, policy.Limits{}))
-		_, err = s.State(t.Context(), entry, id)
+		_, err = s.State(t.Context(), entry, anyone, id)
 		g.Expect(err).To(MatchError(ErrUnknownJob))
 
-		g.Expect(newTestService(log, true, respondOutcome(OutcomeStored), 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
-		g.Expect(newTestService(log, false, nil, 0).Submit(t.Context(), entry, 1, spec)).To(Succeed())
-		phase, err = newTestService(log, false, nil, 0).State(t.Context(), entry, id)
+		g.Expect(newTestService(log, true, respondOutcome(OutcomeStored), 0).Submit(t.Context(), entry, anyone, 1, spec)).To(Succeed())
+		g.Expect(newTestService(log, false, nil, 0).Submit(t.Context(), entry, anyone, 1, spec)).To(Succeed())
+		phase, err = newTestService(log, false, nil, 0).State(t.Context(), entry, anyone, id)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(phase).To(Equal(job.Queued))
 	})
@@ -187,16 +189,16 @@
 		s := newTestService(logtest.New(), true, nil, 0)
 		s.opt.Caller, s.opt.Clock = h, bubbleClock{time.Now()}
 		start := time.Now()
-		g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		g.Expect(s.Submit(t.Context(), entry, anyone, 1, spec)).To(Succeed())
 		g.Expect(time.Since(start)).To(BeNumerically(">=", maxHolderTime))
 		start = time.Now()
 		for range 20 {
-			g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+			g.Expect(s.Submit(t.Context(), entry, anyone, 1, spec)).To(Succeed())
 		}
 		g.Expect(time.Since(start)).To(BeNumerically("<", silentPeriod))
 		g.Expect(h.calls.Load()).To(Equal(int64(1)))
 		time.Sleep(silentPeriod)
-		g.Expect(s.Submit(t.Context(), entry, 1, spec)).To(Succeed())
+		g.Expect(s.Submit(t.Context(), entry, anyone, 1, spec)).To(Succeed())
 		g.Expect(h.calls.Load()).To(Equal(int64(2)), "the holder is asked again")
 	})
 }
@@ -216,7 +218,7 @@
 		log.SetFault(func(logtest.Call) logtest.Fault { return logtest.Fault{NoResponse: true} })
 		for _, age := range []time.Duration{maxLogAge, 2 * longOutage} {
 			start := time.Now()
-			err := newTestService(log, true, notSent, age).Submit(t.Context(), entry, 1, spec)
+			err := newTestService(log, true, notSent, age).Submit(t.Context(), entry, anyone, 1, spec)
 			g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
 			g.Expect(verdict.RetryAfter(err)).To(BeNumerically(">=", minRetryAfter))
 			g.Expect(verdict.RetryAfter(err)).To(BeNumerically("<", minRetryAfter+retrySpread))
@@ -239,7 +241,7 @@
 			s.opt.Daemons = func() int { return daemons }
 			lookups.Go(func() {
 				for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); {
-					_, err := s.State(t.Context(), entry, id)
+					_, err := s.State(t.Context(), entry, anyone, id)
 					g.Expect(err).To(HaveOccurred())
 				}
 			})
--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -10,7 +10,6 @@
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
-	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/verdict"
@@ -73,8 +72,9 @@
 }
 
 // acceptedEarlier reports whether a pool that served the entry lately has accepted a
-// job. It fails with the verdict not-run if such a pool cannot tell.
-func (s *Service) acceptedEarlier(ctx context.Context, e policy.Entry, id job.ID) (bool, error) {
+// job. It fails with the verdict not-run if such a pool cannot tell, or if the job belongs
+// to another customer.
+func (s *Service) acceptedEarlier(ctx context.Context, e policy.Entry, by job.Requester, id job.ID) (bool, error) {
 	if s.awaitMoves(ctx) {
 		e = s.opt.Policy.Refresh(e)
 	}
@@ -87,7 +87,10 @@
 	defer cancel()
 	for {
 		sure := true
-		for pool, a := range s.queryStates(ctx, pools, id) {
+		for pool, a := range s.queryStates(ctx, pools, by, id) {
+			if a.err == nil && a.OtherCustomers {
+				return false, scheduler.ErrOtherCustomer
+			}
 			if a.err == nil && a.Known {
 				s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", pool).Msg("job was accepted by the pool that served its entry before")
 				return true, nil
@@ -111,13 +114,13 @@
 }
 
 // queryStates queries the holders of pools for the state of a job.
-func (s *Service) queryStates(ctx context.Context, pools map[string]time.Time, id job.ID) map[string]poolState {
+func (s *Service) queryStates(ctx context.Context, pools map[string]time.Time, by job.Requester, id job.ID) map[string]poolState {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := map[string]poolState{}
 	for pool := range pools {
 		wg.Go(func() {
-			a, err := s.queryState(ctx, pool, id)
+			a, err := s.queryState(ctx, pool, by, id)
 			mu.Lock()
 			defer mu.Unlock()
 			out[pool] = poolState{a, err}
@@ -146,7 +149,7 @@
 	defer cancel()
 	for {
 		answered := true
-		for _, a := range s.queryStates(ctx, pools, sub.Spec.ID) {
+		for _, a := range s.queryStates(ctx, pools, sub.Terms.Requester(), sub.Spec.ID) {
 			if a.err == nil && a.Known {
 				return true
 			}
@@ -170,81 +173,3 @@
 	}
 	return slices.DeleteFunc(p.WorkerPools(), func(pool string) bool { return pool == exclude })
 }
-
-// Cancel cancels a job, in whichever pool it is. Once it returns nil, the cancel is
-// stored there, or for every pool that may have the job.
-func (s *Service) Cancel(ctx context.Context, e policy.Entry, id job.ID) error {
-	start := s.opt.Clock.Now()
-	err := s.cancelIn(ctx, e.Pool, id)
-	if err != nil && !s.finallyRejected(err) {
-		err = s.cancelElsewhere(ctx, e, id, err)
-	}
-	s.metrics.countCancel(err)
-	s.logOutcome("cancel accepted", "cancel not accepted", id, e, start, err)
-	return err
-}
-
-// cancelIn cancels a job at the holder of a pool.
-func (s *Service) cancelIn(ctx context.Context, pool string, id job.ID) error {
-	req := CancelRequest{Pool: pool, ID: id}
-	return s.sendToHolder(ctx, pool, MethodCancel, req, func(ctx context.Context) error { return s.cancelLocally(ctx, req) })
-}
-
-// cancelElsewhere cancels a job that the holder of its entry's pool did not cancel,
-// with the error ownErr. If no other holder knows the job, the cancel is stored for the
-// entry's pool, which may yet read the submission, and for each pool whose holder cannot
-// tell.
-func (s *Service) cancelElsewhere(ctx context.Context, e policy.Entry, id job.ID, ownErr error) error {
-	start := time.Now()
-	earlier := s.earlierPools(e)
-	others := s.otherPools(e.Pool)
-	errs := make([]error, len(others))
-	var calls sync.WaitGroup
-	for i, pool := range others {
-		calls.Go(func() { errs[i] = s.cancelIn(ctx, pool, id) })
-	}
-	calls.Wait()
-	store := map[string]error{e.Pool: ownErr}
-	for i, pool := range others {
-		if errs[i] == nil {
-			s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", pool).Msg("cancelled in a pool that served the entry before")
-			return nil
-		}
-		limit := maxLag
-		if until, served := earlier[pool]; served {
-			limit = sureLag(start, until)
-		}
-		var unknown *scheduler.UnknownJobError
-		if !errors.As(errs[i], &unknown) || unknown.Lag > limit {
-			store[pool] = errs[i]
-		}
-	}
-	return s.storeCancels(ctx, store, id)
-}
-
-// storeCancels stores the cancel of a job for pools, whose holders did not cancel it
-// with the given errors. All of them must succeed.
-func (s *Service) storeCancels(ctx context.Context, pools map[string]error, id job.ID) error {
-	cancel := func() (logstore.Entry, error) { return joblog.CancelEntry(id), nil }
-	var mu sync.Mutex
-	var appends sync.WaitGroup
-	var failed error
-	stored := false
-	for pool, holderErr := range pools {
-		appends.Go(func() {
-			err := s.appendToIntakeLog(ctx, pool, id, holderErr, cancel)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				stored = true
-			} else if failed == nil || verdict.Of(err) != verdict.NotRun {
-				failed = err
-			}
-		})
-	}
-	appends.Wait()
-	if failed != nil && stored && verdict.Of(failed) == verdict.NotRun {
-		return verdict.NewMayHaveRun(verdict.ReasonPeerLost, "the cancel is stored for some pools only: %v", failed)
-	}
-	return failed
-}
--- a/internal/intake/moved_test.go
+++ b/internal/intake/moved_test.go
@@ -29,6 +29,8 @@
 // heldPool is a pool at its holder: its jobs, each with whether it is cancelled.
 type heldPool struct {
 	jobs map[job.ID]bool
+	// owners are the owners of the jobs.
+	owners map[job.ID]job.Owner
 	// early are the cancels of jobs that the pool does not know.
 	early map[job.ID]bool
 	// down is set while the holder does not answer, and lag is its lag.
@@ -61,7 +63,7 @@
 func newMovingEntry() *movingEntry {
 	m := &movingEntry{log: logtest.New(), pools: map[string]*heldPool{}}
 	for _, name := range movePools {
-		m.pools[name] = &heldPool{jobs: map[job.ID]bool{}, early: map[job.ID]bool{}, read: map[int]int64{}}
+		m.pools[name] = &heldPool{jobs: map[job.ID]bool{}, owners: map[job.ID]job.Owner{}, early: map[job.ID]bool{}, read: map[int]int64{}}
 	}
 	m.s = newTestService(m.log, true, nil, 0)
 	m.s.opt.Caller = m
@@ -93,8 +95,7 @@
 		if !m.answers(q.Submission.Terms.Pool) {
 			return peer.ErrNotSent
 		}
-		p.submit(q.Submission.Spec.ID)
-		*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
+		*resp.(*HolderResponse) = p.submit(&q.Submission)
 	case CancelRequest:
 		p := m.pools[q.Pool]
 		if !m.answers(q.Pool) {
@@ -102,6 +103,8 @@
 		}
 		_, known := p.jobs[q.ID]
 		switch {
+		case known && !q.By.MayAccess(p.owners[q.ID]):
+			*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeOtherCustomer}
 		case known:
 			p.jobs[q.ID] = true
 			*resp.(*HolderResponse) = HolderResponse{Outcome: OutcomeStored}
@@ -114,7 +117,8 @@
 			return peer.ErrNotSent
 		}
 		_, known := p.jobs[q.ID]
-		*resp.(*StateResponse) = StateResponse{Held: true, Known: known, Lag: p.lag}
+		accessible := q.By.MayAccess(p.owners[q.ID])
+		*resp.(*StateResponse) = StateResponse{Held: true, Known: known && accessible, OtherCustomers: known && !accessible, Lag: p.lag}
 	case struct{}:
 		resp.(*MovesResponse).Moves = m.s.opt.Policy.Moves()
 	case QueuedJobsRequest:
@@ -137,10 +141,15 @@
 func (m *movingEntry) Send(context.Context, string, peer.Method, any) error { return nil }
 
 // submit adds a job unless the pool has it.
-func (p *heldPool) submit(id job.ID) {
+func (p *heldPool) submit(s *joblog.Submission) HolderResponse {
+	id := s.Spec.ID
 	if _, known := p.jobs[id]; !known {
-		p.jobs[id] = p.early[id]
+		p.jobs[id], p.owners[id] = p.early[id], s.Terms.Owner()
 	}
+	if !s.Terms.Requester().MayAccess(p.owners[id]) {
+		return HolderResponse{Outcome: OutcomeOtherCustomer}
+	}
+	return HolderResponse{Outcome: OutcomeStored}
 }
 
 // readIntake has the holder of a pool read what its intake got since.
@@ -163,7 +172,7 @@
 					p.jobs[rec.ID] = true
 				}
 			} else {
-				p.submit(rec.ID)
+				p.submit(rec.Submission)
 			}
 		}
 	}
@@ -175,7 +184,7 @@
 // submit submits a job, and reports whether it was accepted.
 func (m *movingEntry) submit(id job.ID) bool {
 	spec := job.Spec{ID: id, Steps: []job.Step{{Count: 1}}}
-	return m.s.Submit(context.Background(), m.entry, m.version, spec) == nil
+	return m.s.Submit(context.Background(), m.entry, anyone, m.version, spec) == nil
 }
 
 // Guards against a cancel that is acknowledged and has no effect (UNASKED): a
@@ -185,13 +194,13 @@
 	m := newMovingEntry()
 	g.Expect(m.submit(id)).To(BeTrue())
 	m.moveTo("q")
-	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
+	g.Expect(m.s.Cancel(t.Context(), m.entry, anyone, id)).To(Succeed())
 	g.Expect(m.pools["p"].jobs).To(HaveKeyWithValue(id, true))
 	m.moveTo("p")
 	m.moveTo("r")
 	g.Expect(m.submit(jobID(2))).To(BeTrue())
 	m.moveTo("p")
-	g.Expect(m.s.Cancel(t.Context(), m.entry, jobID(2))).To(Succeed())
+	g.Expect(m.s.Cancel(t.Context(), m.entry, anyone, jobID(2))).To(Succeed())
 	g.Expect(m.pools["r"].jobs).To(HaveKeyWithValue(jobID(2), true), "moved there and back")
 }
 
@@ -203,7 +212,7 @@
 	g.Expect(m.submit(id)).To(BeTrue())
 	m.moveTo("q")
 	m.pools["p"].down = true
-	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
+	g.Expect(m.s.Cancel(t.Context(), m.entry, anyone, id)).To(Succeed())
 	m.pools["p"].down = false
 	m.readIntake("p")
 	g.Expect(m.pools["p"].jobs).To(HaveKeyWithValue(id, true))
@@ -222,7 +231,7 @@
 	g.Expect(m.pools["q"].jobs).To(BeEmpty())
 	m.moveTo("r")
 	m.pools["p"].down = true
-	err := m.s.Submit(t.Context(), m.entry, m.version, job.Spec{ID: id, Steps: []job.Step{{Count: 1}}})
+	err := m.s.Submit(t.Context(), m.entry, anyone, m.version, job.Spec{ID: id, Steps: []job.Step{{Count: 1}}})
 	g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun), "its pool cannot tell")
 	g.Expect(m.pools["r"].jobs).To(BeEmpty())
 }
@@ -259,8 +268,8 @@
 	g := NewWithT(t)
 	m := newMovingEntry()
 	m.pools["p"].down = true
-	g.Expect(m.s.Cancel(t.Context(), m.entry, id)).To(Succeed())
-	_, err := joblog.FindPhase(t.Context(), m.log.Client("reader"), "p", id)
+	g.Expect(m.s.Cancel(t.Context(), m.entry, anyone, id)).To(Succeed())
+	_, err := joblog.FindPhase(t.Context(), m.log.Client("reader"), "p", id, anyone)
 	g.Expect(err).To(MatchError(joblog.ErrNotFound))
 }
 
@@ -284,7 +293,7 @@
 		}
 		return []string{"d1"}
 	})
-	g.Expect(started.Submit(t.Context(), e, m.version, spec)).To(Succeed(), "it was accepted before")
+	g.Expect(started.Submit(t.Context(), e, anyone, m.version, spec)).To(Succeed(), "it was accepted before")
 	g.Expect(m.pools["q"].jobs).To(BeEmpty(), "the job waits until the daemon has fetched of the move")
 	g.Expect(started.opt.Policy.Get().Entries[0].Earlier).To(HaveLen(1))
 }
@@ -313,7 +322,7 @@
 			accepted[id] = m.submit(id) || accepted[id]
 		case 2:
 			id := drawJob()
-			ok := m.s.Cancel(context.Background(), m.entry, id) == nil
+			ok := m.s.Cancel(context.Background(), m.entry, anyone, id) == nil
 			cancelled[id] = cancelled[id] || ok && accepted[id]
 		case 3:
 			name := rapid.SampledFrom(movePools).Draw(rt, "holder")
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -54,7 +54,7 @@
 // New returns a job that has not started a task.
 func New(spec Spec, terms Terms) *Job {
 	j := &Job{Spec: spec, Terms: terms}
-	j.Customer = terms.Customer
+	j.takeOwner()
 	if spec.Repeat == 0 {
 		j.Occurrences = []*Occurrence{newOccurrence(0, spec.Steps)}
 		j.NextOccurrence = 1
@@ -64,7 +64,18 @@
 
 // Restore returns a job with progress that was read from the log.
 func Restore(spec Spec, terms Terms, p Progress) *Job {
-	return &Job{Spec: spec, Terms: terms, Progress: p}
+	j := &Job{Spec: spec, Terms: terms, Progress: p}
+	if j.Customer == "" {
+		// A holder of an earlier release drops the owner when it logs progress.
+		j.takeOwner()
+	}
+	return j
+}
+
+// takeOwner sets the owner in the progress from the terms.
+func (j *Job) takeOwner() {
+	owner := j.Terms.Owner()
+	j.Customer, j.Entry = owner.Customer, owner.Entry
 }
 
 // occurrence returns the occurrence with the given number, or nil when it was
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -171,7 +171,11 @@
 	// Crashes are the counts of the tasks under which workers have crashed and
 	// which are not done.
 	Crashes []CrashCount `cbor:"5,keyasint,omitempty"`
-	// Customer is the customer that the job belongs to. It is kept with the phase of an
-	// ended job.
+	// Customer is the customer that the job belongs to, and Entry the catalogue entry of
+	// such a job. Both are kept with the phase of an ended job.
 	Customer CustomerID `cbor:"6,keyasint,omitempty"`
+	Entry    string     `cbor:"7,keyasint,omitempty"`
 }
+
+// Owner returns whose job it is.
+func (p *Progress) Owner() Owner { return Owner{Customer: p.Customer, Entry: p.Entry} }
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -172,21 +172,22 @@
 			_, err = c.Append(ctx, p, []logstore.Entry{e}, logstore.Condition{})
 			g.Expect(err).NotTo(HaveOccurred())
 		}
-		_, err := FindPhase(ctx, c, pool, id)
+		_, err := FindPhase(ctx, c, pool, id, job.Requester{})
 		g.Expect(err).To(MatchError(ErrNotFound))
 		e, err := IntakeSubmissionEntry(Submission{Spec: job.Spec{ID: id}})
 		put(IntakePartition(pool, id), e, err)
 		other, err := IntakeSubmissionEntry(Submission{Spec: job.Spec{ID: "00000000000000ab"}})
 		put(IntakePartition(pool, "00000000000000ab"), other, err)
-		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Queued))
+		g.Expect(FindPhase(ctx, c, pool, id, job.Requester{})).To(Equal(job.Queued))
 		e, err = ProgressEntry(id, &job.Progress{Phase: job.Running})
 		put(ProgressPartition(pool), e, err)
-		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Running))
-		put(IntakePartition(pool, id), CancelEntry(id), nil)
-		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Cancelled))
+		g.Expect(FindPhase(ctx, c, pool, id, job.Requester{})).To(Equal(job.Running))
+		e, err = CancelEntry(id, job.Requester{})
+		put(IntakePartition(pool, id), e, err)
+		g.Expect(FindPhase(ctx, c, pool, id, job.Requester{})).To(Equal(job.Cancelled))
 		e, err = ProgressEntry(id, &job.Progress{Phase: job.Completed})
 		put(ProgressPartition(pool), e, err)
-		g.Expect(FindPhase(ctx, c, pool, id)).To(Equal(job.Completed))
+		g.Expect(FindPhase(ctx, c, pool, id, job.Requester{})).To(Equal(job.Completed))
 	})
 }
 
@@ -204,7 +205,11 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, e := range []logstore.Entry{e, p, l, {Key: "x"}, {Key: "", Value: []byte("v")}, {Key: "w1", Value: []byte{0xff}}, CancelEntry(id)} {
+	c, err := CancelEntry(id, job.Requester{Customer: "a", OwnersChecked: true})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, e := range []logstore.Entry{e, p, l, c, {Key: "x"}, {Key: "", Value: []byte("v")}, {Key: "w1", Value: []byte{0xff}}, {Key: "c" + string(id), Value: []byte{1}}} {
 		f.Add(e.Key, e.Value)
 	}
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -5,6 +5,8 @@
 package joblog
 
 import (
+	"bytes"
+	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,7 +48,9 @@
 }
 
 // The kind of a record is the first byte of its key. The rest of the key is the
-// ID of the job or worker.
+// ID of the job or worker. In the intake partition, separator and the digest of a
+// customer follow the ID in the records of customers: the log keeps the newest record of
+// a key, and the submission or cancel of one customer must not replace that of another.
 const (
 	// kindJob is a job in the intake partition, and its progress in the
 	// progress partition.
@@ -58,8 +62,25 @@
 	kindSubmitted = "s"
 	// kindCordon is a cordoned worker.
 	kindCordon = "w"
+	// separator separates the ID in a key from the digest of a customer.
+	separator = "."
 )
 
+// intakeKey returns the key of a record in the intake partition. It has the digest of
+// the given bytes, if any, which say on whose behalf the record was written.
+func intakeKey(kind string, id job.ID, requester []byte) string {
+	if len(requester) == 0 {
+		return kind + string(id)
+	}
+	return fmt.Sprintf("%s%s%s%016x", kind, id, separator, xxhash.Sum64(requester))
+}
+
+// splitIntakeKey returns the ID of a job in a key without its kind.
+func splitIntakeKey(rest string) job.ID {
+	id, _, _ := strings.Cut(rest, separator)
+	return job.ID(id)
+}
+
 // Submission is an accepted job.
 type Submission struct {
 	Spec  job.Spec  `cbor:"1,keyasint"`
@@ -73,7 +94,7 @@
 // partition.
 func IntakeSubmissionEntry(s Submission) (logstore.Entry, error) {
 	value, err := record.Encode(s)
-	return logstore.Entry{Key: kindJob + string(s.Spec.ID), Value: value}, err
+	return logstore.Entry{Key: intakeKey(kindJob, s.Spec.ID, []byte(s.Terms.Customer)), Value: value}, err
 }
 
 // ProgressSubmissionEntry returns the entry of an accepted job in the progress
@@ -89,15 +110,28 @@
 	return logstore.Entry{Key: kindSubmitted + string(id)}
 }
 
-// CancelEntry returns the entry of a cancel in the intake partition.
-func CancelEntry(id job.ID) logstore.Entry {
-	return logstore.Entry{Key: kindCancel + string(id), Value: []byte{1}}
+// cancelByAny is the value of a cancel that holds no requester: owners are not checked, or
+// an earlier release has written it.
+var cancelByAny = []byte{1}
+
+// CancelEntry returns the entry of a cancel in the intake partition. Who applies it checks
+// whether the requester may access the job.
+func CancelEntry(id job.ID, by job.Requester) (logstore.Entry, error) {
+	if by == (job.Requester{}) {
+		return logstore.Entry{Key: kindCancel + string(id), Value: cancelByAny}, nil
+	}
+	value, err := record.Encode(by)
+	return logstore.Entry{Key: intakeKey(kindCancel, id, value), Value: value}, err
 }
 
-// DeleteIntake returns the entries that delete a job and its cancel from the
-// intake partition.
-func DeleteIntake(id job.ID) []logstore.Entry {
-	return []logstore.Entry{{Key: kindJob + string(id)}, {Key: kindCancel + string(id)}}
+// DeleteIntake returns the entries that delete a job and its cancel from the intake
+// partition. keys are the keys of the job's records that name a customer.
+func DeleteIntake(id job.ID, keys ...string) []logstore.Entry {
+	out := []logstore.Entry{{Key: kindJob + string(id)}, {Key: kindCancel + string(id)}}
+	for _, key := range keys {
+		out = append(out, logstore.Entry{Key: key})
+	}
+	return out
 }
 
 // IntakeRecord is a decoded record of the intake partition. Either Submission or
@@ -105,8 +139,11 @@
 type IntakeRecord struct {
 	ID         job.ID
 	Submission *Submission
-	// Cancelled is set when the record is a cancel.
+	// Cancelled is set when the record is a cancel, which By requested.
 	Cancelled bool
+	By        job.Requester
+	// CustomerKey is the key of the record if it names a customer.
+	CustomerKey string
 }
 
 // DecodeIntake decodes a record of the intake partition. It returns ok false for
@@ -115,18 +152,29 @@
 	if len(r.Value) == 0 {
 		return IntakeRecord{}, false, nil
 	}
-	if id, is := strings.CutPrefix(r.Key, kindCancel); is {
-		return IntakeRecord{ID: job.ID(id), Cancelled: true}, true, nil
+	if strings.Contains(r.Key, separator) {
+		rec.CustomerKey = r.Key
 	}
-	id, is := strings.CutPrefix(r.Key, kindJob)
+	if rest, is := strings.CutPrefix(r.Key, kindCancel); is {
+		rec.ID, rec.Cancelled = splitIntakeKey(rest), true
+		rec.By, err = decodeCancel(r.Value)
+		return rec, err == nil, eris.Wrapf(err, "cancel of job %.40q", rec.ID)
+	}
+	rest, is := strings.CutPrefix(r.Key, kindJob)
 	if !is {
 		return IntakeRecord{}, false, eris.Errorf("intake key %.40q is of no known kind", r.Key)
 	}
-	s, err := decodeSubmission(id, r.Value)
-	if err != nil {
-		return IntakeRecord{}, false, err
+	rec.ID = splitIntakeKey(rest)
+	rec.Submission, err = decodeSubmission(string(rec.ID), r.Value)
+	return rec, err == nil, err
+}
+
+// decodeCancel returns who requested a cancel.
+func decodeCancel(value []byte) (by job.Requester, err error) {
+	if !bytes.Equal(value, cancelByAny) {
+		err = record.Decode(value, &by)
 	}
-	return IntakeRecord{ID: job.ID(id), Submission: s}, true, nil
+	return by, err
 }
 
 // decodeSubmission decodes a submitted job and checks its form. Another daemon, perhaps of
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -21,14 +21,33 @@
 // over yet.
 var ErrPoolNotHeld = eris.New("the pool is not held here")
 
+// ErrOtherCustomer means that a job belongs to a customer other than that of a request,
+// which had no effect.
+var ErrOtherCustomer = verdict.NewNotRun(verdict.ReasonDuplicate, "the job belongs to another customer")
+
+// accessible reports whether a requester may access a job. Any may, if it is not known.
+func (c *Core) accessible(id job.ID, by job.Requester) bool {
+	owner, known := c.Owner(id)
+	return !known || by.MayAccess(owner)
+}
+
 // Submit accepts a job. Once it returns nil the log holds the job. Errors other
-// than ErrPoolNotHeld carry a verdict.
+// than ErrPoolNotHeld carry a verdict. It returns ErrOtherCustomer if the ID belongs to a
+// job of another customer.
 func (r *Runner) Submit(ctx context.Context, s *joblog.Submission) error {
 	if err := r.checkAccepting(); err != nil {
 		return err
 	}
 	var version int
-	r.update(StageSubmit, func(t Times) { version = r.core.Submit(s, t) })
+	taken := false
+	r.update(StageSubmit, func(t Times) {
+		if taken = !r.core.accessible(s.Spec.ID, s.Terms.Requester()); !taken {
+			version = r.core.Submit(s, t)
+		}
+	})
+	if taken {
+		return ErrOtherCustomer
+	}
 	err := r.awaitLogged(ctx, s.Spec.ID, version)
 	if err == nil {
 		return nil
@@ -52,14 +71,22 @@
 	return fmt.Sprintf("the pool has no such job, as of %v ago", e.Lag)
 }
 
-// Cancel cancels a job. It returns an *UnknownJobError when the job is not known here.
-func (r *Runner) Cancel(ctx context.Context, id job.ID) error {
+// Cancel cancels a job. It returns an *UnknownJobError when the job is not known here, and
+// ErrOtherCustomer when the requester may not access it.
+func (r *Runner) Cancel(ctx context.Context, id job.ID, by job.Requester) error {
 	if err := r.checkAccepting(); err != nil {
 		return err
 	}
-	version, known := 0, false
-	r.update(StageSubmit, func(t Times) { version, known = r.core.Cancel(id, t) })
-	if !known {
+	version, known, foreign := 0, false, false
+	r.update(StageSubmit, func(t Times) {
+		if foreign = !r.core.accessible(id, by); !foreign {
+			version, known = r.core.Cancel(id, t)
+		}
+	})
+	switch {
+	case foreign:
+		return ErrOtherCustomer
+	case !known:
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		return &UnknownJobError{Lag: r.opt.Clock.Now() - r.submissionsKnownUpTo()}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -65,9 +65,8 @@
 	running map[int]int
 	// submitted counts the jobs that became known.
 	submitted int64
-	// earlyCancels are the cancels of jobs that are not known yet, each with the time
-	// of day at which it was read, in milliseconds since 1970.
-	earlyCancels map[job.ID]int64
+	// earlyCancels are the cancels of jobs that are not known yet.
+	earlyCancels map[job.ID][]earlyCancel
 	// endedJobs are settled jobs whose state may still be queried.
 	endedJobs map[job.ID]job.Progress
 	// restoredProgress is the logged progress of jobs whose submission was not
@@ -124,6 +123,8 @@
 	// milliseconds since 1970.
 	healthCheckedAt time.Duration
 	endedCheckedAt  int64
+	// customerKeys are the keys of the intake's records that name a customer.
+	customerKeys customerKeys
 	// leftInIntake are the ended jobs of which the intake may hold records, and
 	// journalDeletes those whose submission is to be deleted from the progress
 	// partition.
@@ -152,7 +153,8 @@
 	c := &Core{
 		opt:              opt,
 		jobs:             map[job.ID]*trackedJob{},
-		earlyCancels:     map[job.ID]int64{},
+		earlyCancels:     map[job.ID][]earlyCancel{},
+		customerKeys:     customerKeys{},
 		leftInIntake:     leftovers{},
 		endedJobs:        map[job.ID]job.Progress{},
 		restoredProgress: map[job.ID]*job.Progress{},
--- a/internal/scheduler/expire.go
+++ b/internal/scheduler/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"greengagedeck/internal/clock"
@@ -40,8 +41,20 @@
 	}
 }
 
+// customerKeys are, by job, the keys of the records in the intake that name a customer.
+type customerKeys map[job.ID][]string
+
+// add records the key of a record, unless it names no customer.
+func (k customerKeys) add(rec joblog.IntakeRecord) {
+	if rec.CustomerKey != "" && !slices.Contains(k[rec.ID], rec.CustomerKey) {
+		k[rec.ID] = append(k[rec.ID], rec.CustomerKey)
+	}
+}
+
 // noteInIntake records that the intake holds a record of a job.
-func (c *Core) noteInIntake(id job.ID) {
+func (c *Core) noteInIntake(rec joblog.IntakeRecord) {
+	id := rec.ID
+	c.customerKeys.add(rec)
 	if j := c.jobs[id]; j != nil {
 		j.inIntake = true
 		return
@@ -65,14 +78,24 @@
 			b.Progress = append(b.Progress, joblog.DeleteProgress(id))
 		}
 	}
-	for id, since := range c.earlyCancels {
-		if expired(since) {
+	for id, early := range c.earlyCancels {
+		if !slices.ContainsFunc(early, func(e earlyCancel) bool { return !expired(e.readAt) }) {
 			delete(c.earlyCancels, id)
 			c.leftInIntake.add(id)
 		}
 	}
 }
 
+// intakeDeleted records that the records of the jobs in done were deleted from the intake.
+func (c *Core) intakeDeleted(done leftovers) {
+	c.leftInIntake.deleted(done)
+	for id := range done {
+		if c.leftInIntake[id] == 0 {
+			delete(c.customerKeys, id)
+		}
+	}
+}
+
 // deleteLoop deletes what the intake holds of ended jobs. A deletion that fails is
 // repeated after deleteInterval.
 func (r *Runner) deleteLoop(ctx context.Context) {
@@ -87,14 +110,14 @@
 	r.mu.Lock()
 	for id, n := range r.core.leftInIntake {
 		p := joblog.IntakePartition(r.opt.Pool, id)
-		if len(jobs[p]) >= maxDeletes {
+		if len(entries[p]) >= maxDeletes {
 			continue
 		}
 		if jobs[p] == nil {
 			jobs[p] = leftovers{}
 		}
 		jobs[p][id] = n
-		entries[p] = append(entries[p], joblog.DeleteIntake(id)...)
+		entries[p] = append(entries[p], joblog.DeleteIntake(id, r.core.customerKeys[id]...)...)
 	}
 	r.mu.Unlock()
 	for p, list := range entries {
@@ -103,13 +126,13 @@
 			continue
 		}
 		r.mu.Lock()
-		r.core.leftInIntake.deleted(jobs[p])
+		r.core.intakeDeleted(jobs[p])
 		r.mu.Unlock()
 	}
 }
 
-// maxDeletes bounds the jobs of one deletion, so that it fits into one append.
-const maxDeletes = 10_000
+// maxDeletes bounds the entries of one deletion, so that it fits into one append.
+const maxDeletes = 20_000
 
 // trackIntakeLag records whether the intake has not been read for so long that the
 // submission of a job may be unread whose state is about to be forgotten. It must be
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -10,6 +10,8 @@
 type JobStatus struct {
 	Phase job.Phase
 	Known bool
+	// Owner tells whose job it is, if it is known.
+	Owner job.Owner
 	// KnownUpTo is a moment up to which the holder knows every submission, and
 	// Now is the moment of the lookup, both by the holder's clock.
 	KnownUpTo, Now time.Duration
@@ -24,6 +26,7 @@
 	}
 	status := JobStatus{KnownUpTo: r.submissionsKnownUpTo(), Now: r.opt.Clock.Now()}
 	status.Phase, status.Known = r.core.Lookup(id)
+	status.Owner, _ = r.core.Owner(id)
 	return status, true
 }
 
--- a/internal/scheduler/stopretry_test.go
+++ b/internal/scheduler/stopretry_test.go
@@ -63,7 +63,7 @@
 		Terms: job.Terms{Entry: "e", Pool: "p", MaxAttempts: 3},
 	})).To(Succeed())
 	g.Eventually(u.started.Load, agentPatience, time.Millisecond).ShouldNot(BeNil())
-	g.Expect(r.Cancel(ctx, "00000000000000aa")).To(Succeed())
+	g.Expect(r.Cancel(ctx, "00000000000000aa", job.Requester{})).To(Succeed())
 	time.Sleep(rejectedTime)
 	g.Expect(u.stops.Load()).To(BeNumerically(">", 1), "stops of a cancelled job")
 	g.Expect(u.stops.Load()).To(BeNumerically("<=", maxRejectedStops), "stops sent in %v", rejectedTime)
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -13,15 +13,41 @@
 func (c *Core) ApplyIntake(records []joblog.IntakeRecord, t Times) {
 	for _, rec := range records {
 		if rec.Cancelled {
-			c.cancel(rec.ID, t)
-		} else if j := c.submit(rec.Submission, t); j != nil {
-			j.submission = nil
+			c.cancel(rec.ID, rec.By, t)
+		} else {
+			c.applySubmission(rec.Submission, t)
 		}
-		c.noteInIntake(rec.ID)
+		c.noteInIntake(rec)
 	}
 	c.needsPlan = true
 }
 
+// applySubmission adds a job whose submission the intake holds.
+func (c *Core) applySubmission(s *joblog.Submission, t Times) {
+	j := c.submit(s, t)
+	if j == nil {
+		return
+	}
+	if j.Terms.Customer == s.Terms.Customer {
+		j.submission = nil
+		return
+	}
+	// The intake does not hold the submission of the job that is known here. Its progress
+	// is logged, so that later holders decide between the two submissions alike.
+	c.logForeignSubmission(s, j.Owner())
+	c.markDirty(j)
+}
+
+// logForeignSubmission logs that a submission is dropped because its ID belongs to the job
+// of an owner to which the submitter has no access.
+func (c *Core) logForeignSubmission(s *joblog.Submission, owner job.Owner) {
+	if s.Terms.Requester().MayAccess(owner) {
+		return
+	}
+	c.opt.Logger.Info().Str("job", string(s.Spec.ID)).Str("entry", s.Terms.Entry).Str("customer", string(s.Terms.Customer)).
+		Msg("submission dropped, its ID belongs to a job of another customer")
+}
+
 // Submit adds a job that reached the holder before the log. It returns the
 // version of the job from which on the log holds it.
 func (c *Core) Submit(s *joblog.Submission, t Times) int {
@@ -45,10 +71,24 @@
 	if j == nil {
 		return 0, false
 	}
-	c.cancel(id, t)
+	c.cancelJob(j, t)
 	return j.version, true
 }
 
+// Owner returns whose a job is, or false when the job is not known.
+func (c *Core) Owner(id job.ID) (job.Owner, bool) {
+	if j := c.jobs[id]; j != nil {
+		return j.Owner(), true
+	}
+	if p, ended := c.endedJobs[id]; ended {
+		return p.Owner(), true
+	}
+	if p := c.restoredProgress[id]; p != nil {
+		return p.Owner(), true
+	}
+	return job.Owner{}, false
+}
+
 // Withdraw removes a job that no batch contains yet, so that it certainly never
 // runs. It reports whether it did.
 func (c *Core) Withdraw(id job.ID) bool {
@@ -75,10 +115,14 @@
 		return nil
 	}
 	p := c.restoredProgress[id]
+	if p != nil && p.Customer != "" && p.Customer != s.Terms.Customer {
+		c.logForeignSubmission(s, p.Owner())
+		return nil
+	}
 	if p != nil && !p.Fits(&s.Spec) {
 		c.opt.Logger.Error().Str("job", string(id)).Msg("the logged progress does not fit the job, which counts as failed")
 		delete(c.restoredProgress, id)
-		c.endedJobs[id] = job.Progress{Phase: job.Failed, EndedAt: t.Wall}
+		c.endedJobs[id] = job.Progress{Phase: job.Failed, EndedAt: t.Wall, Customer: p.Customer, Entry: p.Entry}
 		return nil
 	}
 	j := c.newTrackedJob(s, t)
@@ -91,8 +135,11 @@
 		j.Job = job.New(s.Spec, s.Terms)
 		c.demand.add(t.Now, estimatedWork(&s.Spec))
 	}
-	c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", j.Phase).
-		Dur("age", t.Now-j.arrived).Dur("objective", j.objective).Msg("job added to the pool")
+	line := c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", j.Phase)
+	if j.Customer != "" {
+		line = line.Str("customer", string(j.Customer))
+	}
+	line.Dur("age", t.Now-j.arrived).Dur("objective", j.objective).Msg("job added to the pool")
 	c.jobs[id] = j
 	c.openJobs.add(j)
 	if j.Spec.Repeat > 0 {
@@ -102,14 +149,30 @@
 	c.waiting.jobChanged(j)
 	c.adoptRuns(j, t.Now)
 	c.stopRedundant(j)
-	if _, cancelled := c.earlyCancels[id]; cancelled {
-		delete(c.earlyCancels, id)
-		j.inIntake = true
-		c.cancel(id, t)
-	}
+	c.applyEarlyCancels(j, t)
 	return j
 }
 
+// earlyCancel is a cancel of a job that is not known yet.
+type earlyCancel struct {
+	by job.Requester
+	// readAt is the time of day at which it was read, in milliseconds since 1970.
+	readAt int64
+}
+
+// applyEarlyCancels applies the cancels of a job that were read before the job.
+func (c *Core) applyEarlyCancels(j *trackedJob, t Times) {
+	early, ok := c.earlyCancels[j.Spec.ID]
+	if !ok {
+		return
+	}
+	delete(c.earlyCancels, j.Spec.ID)
+	j.inIntake = true
+	for _, e := range early {
+		c.cancel(j.Spec.ID, e.by, t)
+	}
+}
+
 // adoptRuns tracks the runs that an earlier holder logged for a job. Each may
 // be on its worker until that worker has been polled.
 func (c *Core) adoptRuns(j *trackedJob, now time.Duration) {
@@ -133,17 +196,37 @@
 	})
 }
 
-// cancel cancels a job, or remembers the cancel until the job is submitted.
-func (c *Core) cancel(id job.ID, t Times) {
+// cancel cancels a job on behalf of a requester, or remembers the cancel until the job is
+// submitted. The daemon that stored the cancel did not know whose job it is.
+func (c *Core) cancel(id job.ID, by job.Requester, t Times) {
 	j := c.jobs[id]
-	if j == nil {
-		if _, ended := c.endedJobs[id]; !ended {
-			c.earlyCancels[id] = t.Wall
-		}
+	switch {
+	case j == nil:
+		c.rememberCancel(id, by, t)
+	case !by.MayAccess(j.Owner()):
+		c.opt.Logger.Info().Str("job", string(id)).Str("customer", string(by.Customer)).Msg("cancel dropped, the job belongs to another customer")
+	default:
+		c.cancelJob(j, t)
+	}
+}
+
+// rememberCancel remembers the cancel of a job that is not known, unless it has ended.
+func (c *Core) rememberCancel(id job.ID, by job.Requester, t Times) {
+	if _, ended := c.endedJobs[id]; ended {
 		return
 	}
+	early := c.earlyCancels[id]
+	if i := slices.IndexFunc(early, func(e earlyCancel) bool { return e.by == by }); i >= 0 {
+		early[i].readAt = t.Wall
+		return
+	}
+	c.earlyCancels[id] = append(early, earlyCancel{by, t.Wall})
+}
+
+// cancelJob cancels a job.
+func (c *Core) cancelJob(j *trackedJob, t Times) {
 	if j.Cancel(t.Wall) {
-		c.opt.Logger.Info().Str("job", string(id)).Msg("job cancelled")
+		c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Msg("job cancelled")
 		c.markDirty(j)
 		c.stopRedundant(j)
 	}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -180,6 +180,7 @@
 			continue
 		}
 		r.opt.Logger.Info().Str("job", string(rec.ID)).Msg("submission dropped, another pool has accepted the job")
+		r.core.customerKeys.add(rec)
 		r.core.leftInIntake.add(rec.ID)
 	}
 	return kept
