--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -360,38 +360,6 @@
 	return s
 }
 
-func newPolicyFollower(log logstore.Log, p *policy.Current, w *fleet.WaveSet, cl clock.Clock, l zerolog.Logger) *policy.Follower {
-	return &policy.Follower{
-		Log:       log,
-		Partition: platform.OperatorPartition,
-		Logger:    l,
-		Apply: func(r logstore.Record) error {
-			wave, ok, err := platform.DecodeWave(r)
-			if ok {
-				w.Add(wave, cl.Now())
-			}
-			if ok || err != nil {
-				return err
-			}
-			next, err := platform.DecodePolicy(r)
-			if err != nil || next == nil {
-				return err
-			}
-			if p.Set(next) {
-				for _, skipped := range next.Skipped {
-					l.Warn().Err(skipped).Str("list", "configuration").Int64("version", next.Version).Msg("ignoring a malformed row")
-				}
-				l.Info().Int64("version", next.Version).Int("entries", len(next.Entries)).Int("pools", len(next.Pools)).Msg("configuration applied")
-			}
-			return nil
-		},
-	}
-}
-
-func newFrontend(p *policy.Current, s *intake.Service, l zerolog.Logger) *platform.Frontend {
-	return platform.NewFrontend(p, s, l)
-}
-
 // listenError adds the purpose and the address of a listener to err.
 func listenError(purpose, addr string, err error) error {
 	return eris.Wrap(err, fmt.Sprintf("listen for %s on %s", purpose, addr))
