Take the configuration from other daemons while the log does not answer

Cause: a daemon that does not get through to the log accepted revoked keys and rejected new ones until the log answered it. The others are those that were live when the heartbeats were last read.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -55,6 +55,7 @@
 	Log          *logstore.Tracked
 	Policy       *policy.Current
 	Follower     *policy.Follower
+	Fetcher      *policy.Fetcher
 	Registry     *worker.Registry
 	DutyObserver *dutyObserver
 	FleetRunner  *fleetRunner
@@ -74,6 +75,7 @@
 	}
 	d.Intake.StartFetchingMoves(d.Work, d.DutyObserver.elector.LivePeers)
 	go d.Follower.Run(d.Work)
+	go d.Fetcher.Run(d.Work)
 	go d.Registry.Run(d.Work)
 	go d.DutyObserver.elector.Run(d.Work)
 	d.Stage.set(stageServing)
--- a/cmd/greengaged/fleetpolicy.go
+++ b/cmd/greengaged/fleetpolicy.go
@@ -7,6 +7,7 @@
 	"greengagedeck/internal/fleet"
 	"greengagedeck/internal/intake"
 	"greengagedeck/internal/logstore"
+	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/telemetry"
 	"greengagedeck/platform"
@@ -30,6 +31,25 @@
 	}
 }
 
+// newPolicyFetcher returns how this daemon gets the configuration while the log does not
+// answer it, and serves others.
+func newPolicyFetcher(settings platform.Settings, p *policy.Current, log *logstore.Tracked, d *dutyObserver, n *peer.Node, cl clock.Clock, l zerolog.Logger, m metrics) *policy.Fetcher {
+	f := policy.NewFetcher(policy.FetcherOptions{
+		Current:           p,
+		CustomersRequired: settings.CustomersRequired,
+		Caller:            n,
+		Peers:             d.elector.LivePeers,
+		Address:           d.elector.Address,
+		LogAge:            log.Age,
+		Apply:             func(r logstore.Record) error { return applyPolicy(p, r, l) },
+		Clock:             cl,
+		Logger:            l,
+		Scope:             m.scope,
+	})
+	f.Register(n)
+	return f
+}
+
 // applyPolicy puts the configuration of an operator's record into force, if it holds one
 // that is newer than the one in force.
 func applyPolicy(p *policy.Current, r logstore.Record, l zerolog.Logger) error {
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -68,6 +68,7 @@
 		newCommitter,
 		newIntake,
 		newPolicyFollower,
+		newPolicyFetcher,
 		newFrontend,
 	}
 	for _, f := range constructors {
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -79,10 +79,12 @@
 	// refreshNow triggers a read of the claims.
 	claimsChanged, heartbeatNow, refreshNow chan struct{}
 
-	mu      sync.Mutex
-	table   *table
-	leaving bool
-	held    map[Name]Token
+	mu    sync.Mutex
+	table *table
+	// heartbeatsReadAt is when the heartbeats were last read.
+	heartbeatsReadAt time.Duration
+	leaving          bool
+	held             map[Name]Token
 	// confirmedAt is a time up to which all claims are known here.
 	confirmedAt time.Duration
 	// nextClaimOffset is the offset after the last claim known here.
@@ -180,13 +182,13 @@
 	return len(e.table.livePeers(now, maxHeartbeatAge))
 }
 
-// LivePeers returns the IDs of the other live daemons, as far as is known.
+// LivePeers returns the IDs of the other daemons that were live when this one last read the
+// heartbeats: while the log does not answer it, the others are what it can turn to.
 func (e *Elector) LivePeers() []string {
-	now := e.opt.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var out []string
-	for _, p := range e.table.livePeers(now, maxHeartbeatAge) {
+	for _, p := range e.table.livePeers(e.heartbeatsReadAt, maxHeartbeatAge) {
 		if p.Host != e.opt.Self.Host {
 			out = append(out, p.ID())
 		}
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// Guards against a daemon that knows of no other one once it has not reached the log for
+// longer than heartbeats are valid, and cannot ask them for a configuration.
+func TestOthersAreKnownDuringALogOutage(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		n := newCluster()
+		a, b, gone := n.start(ctx, "a", 0.8), n.start(ctx, "b", 0.8), n.start(ctx, "c", 0.8)
+		advance(5 * time.Second)
+		n.kill(gone)
+		advance(maxHeartbeatAge + heartbeatReadInterval + monitorInterval)
+		n.log.SetFault(func(c logtest.Call) logtest.Fault { return logtest.Fault{Rejected: c.Client == "a"} })
+		advance(time.Minute)
+		g.Expect(a.LivePeers()).To(ConsistOf(b.self.ID()))
+	})
+}
+
 func TestPartitionedHolderStopsBeforeSuccessorActs(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g *WithT) {
 		n := newCluster(pool)
--- a/internal/duty/monitor.go
+++ b/internal/duty/monitor.go
@@ -368,5 +368,5 @@
 			m.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("ignoring undecodable heartbeat record")
 		}
 	}
-	m.lastRead = start
+	m.lastRead, m.heartbeatsReadAt = start, now
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,6 +10,7 @@
 
 	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/logstore"
 )
 
 // Entry is one catalogue entry: a queue of jobs with its limits.
@@ -80,6 +81,9 @@
 	Limits  Limits
 	// Customers are the customers and their keys, or nil if the configuration has none.
 	Customers *customer.Directory
+	// Source is the operator's record of the configuration. It holds keys, which are
+	// secrets.
+	Source logstore.Record
 	// Skipped tells of the entries, pools and customers that could not be decoded. The
 	// errors name no key.
 	Skipped []error
