--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -86,18 +86,19 @@
 	ctx, cancel := context.WithTimeout(ctx, limitToFraction(ctx, queryLimit))
 	defer cancel()
 	for {
-		sure := true
+		sure, foreign := true, false
 		for pool, a := range s.queryStates(ctx, pools, by, id) {
-			if a.err == nil && a.OtherCustomers {
-				return false, scheduler.ErrOtherCustomer
-			}
 			if a.err == nil && a.Known {
 				s.opt.Logger.Info().Str("job", string(id)).Str("entry", e.Name).Str("pool", pool).Msg("job was accepted by the pool that served its entry before")
 				return true, nil
 			}
 			sure = sure && a.err == nil && a.Lag <= sureLag(start, pools[pool])
+			foreign = foreign || a.err == nil && a.OtherCustomers
 		}
-		if sure {
+		switch {
+		case foreign:
+			return false, scheduler.ErrOtherCustomer
+		case sure:
 			return false, nil
 		}
 		if !clock.Sleep(ctx, queryRetry) {
