--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// CustomerID is the name of a customer. The empty one stands for work of no customer.
+type CustomerID string
+
 // Terms are the scheduling settings that a job takes from its catalogue entry
 // when it is accepted.
 type Terms struct {
@@ -25,6 +28,9 @@
 	// Approval, if set, means that a service must approve the workers of each
 	// step.
 	Approval *ApprovalSettings `cbor:"8,keyasint,omitempty"`
+	// Customer is the customer that submitted the job, or empty if the entry is public or
+	// the configuration has no customers.
+	Customer CustomerID `cbor:"9,keyasint,omitempty"`
 }
 
 // ApprovalSettings describes the service that approves workers for a step.
@@ -48,6 +54,7 @@
 // New returns a job that has not started a task.
 func New(spec Spec, terms Terms) *Job {
 	j := &Job{Spec: spec, Terms: terms}
+	j.takeOwner()
 	if spec.Repeat == 0 {
 		j.Occurrences = []*Occurrence{newOccurrence(0, spec.Steps)}
 		j.NextOccurrence = 1
@@ -57,7 +64,18 @@
 
 // Restore returns a job with progress that was read from the log.
 func Restore(spec Spec, terms Terms, p Progress) *Job {
-	return &Job{Spec: spec, Terms: terms, Progress: p}
+	j := &Job{Spec: spec, Terms: terms, Progress: p}
+	if j.Customer == "" {
+		// A holder of an earlier release drops the owner when it logs progress.
+		j.takeOwner()
+	}
+	return j
+}
+
+// takeOwner sets the owner in the progress from the terms.
+func (j *Job) takeOwner() {
+	owner := j.Terms.Owner()
+	j.Customer, j.Entry = owner.Customer, owner.Entry
 }
 
 // occurrence returns the occurrence with the given number, or nil when it was
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/logstore"
 )
 
 // Entry is one catalogue entry: a queue of jobs with its limits.
@@ -30,6 +32,8 @@
 	Timeout time.Duration
 	// Approval is set if workers must be approved for each step.
 	Approval *job.ApprovalSettings
+	// Public is set if callers of the entry need no key. Its jobs belong to no customer.
+	Public bool
 	// Earlier are the entries that served the same requests under configurations that
 	// this process has seen and that referred to another pool or had another name.
 	// Current sets it.
@@ -75,7 +79,13 @@
 	Entries []Entry
 	Pools   map[string]Pool
 	Limits  Limits
-	// Skipped tells of the entries and pools that could not be decoded.
+	// Customers are the customers and their keys, or nil if the configuration has none.
+	Customers *customer.Directory
+	// Source is the operator's record of the configuration. It holds keys, which are
+	// secrets.
+	Source logstore.Record
+	// Skipped tells of the entries, pools and customers that could not be decoded. The
+	// errors name no key.
 	Skipped []error
 
 	// entriesByHost holds the entries of each host, longest path prefix first, and
