Tell what each customer runs and waits for in a pool, and explain a job

Change: Runner.Customers and Runner.Explain, read-only; since when a group of tasks waits is kept from plan to plan; Core.shares is where grants and shares are to come from, with the reasons customer-limit and customer-share.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -115,6 +115,8 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
+	// shares tells what customers may use, or is nil if nothing limits them.
+	shares customerShares
 	// noRuns are the jobs and tasks that have no active run.
 	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -44,6 +44,7 @@
 func (c *Core) recordWaits(x *placement.Index, now time.Duration) {
 	explained := 0
 	for _, j := range c.waiting.unplanned {
+		j.trackWaits(now)
 		if len(j.queued) == 0 || j.settled {
 			continue
 		}
--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -140,6 +140,8 @@
 		p.submit(noRunJob, task(scriptCapacity+1))
 		p.commit()
 	},
+	scheduler.NoRunCustomerLimit: func(p *noRunPool) { p.waitForShare(scheduler.NoRunCustomerLimit) },
+	scheduler.NoRunCustomerShare: func(p *noRunPool) { p.waitForShare(scheduler.NoRunCustomerShare) },
 	scheduler.NoRunNotLogged: func(p *noRunPool) {
 		p.add("a")
 		p.submit(noRunJob, task(1000))
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -96,7 +96,7 @@
 	NoRunTakeover, NoRunEnded, NoRunFenced, NoRunLogSilent, NoRunNotPlanned,
 	NoRunListUnread, NoRunNoneListed, NoRunUnreachable, NoRunUnreconciled, NoRunDraining, NoRunCordoned,
 	NoRunEjected, NoRunIsolated,
-	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources,
+	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources, NoRunCustomerLimit, NoRunCustomerShare,
 	NoRunNotLogged, NoRunStartNoDuty, NoRunStartUnreachable, NoRunStartOldList, NoRunStartEarlierLease, NoRunStartHeld,
 	NoRunStartNotSent, NoRunStartUnanswered, NoRunStopping, NoRunLease, NoRunEarlierLease,
 	NoRunEarlierSteps, NoRunNotReleased, NoRunNotQueued, NoRunUntracked, NoRunNoTask,
@@ -105,7 +105,7 @@
 // usual reports whether jobs wait for the reason in a pool that works and is full.
 func (n NoRunReason) usual() bool {
 	switch n {
-	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunEarlierSteps:
+	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunCustomerLimit, NoRunCustomerShare, NoRunEarlierSteps:
 		return true
 	default:
 		return false
@@ -128,13 +128,31 @@
 
 // queuedReason returns why the tasks of a group wait.
 func (c *Core) queuedReason(pg pendingGroup, h HolderState, n WorkerCounts, now time.Duration) NoRunReason {
+	if reason := c.unplannedReason(pg.job, h, now); reason != "" {
+		return reason
+	}
+	if reason := c.customerWait(pg.job, pg.group); reason != "" {
+		return reason
+	}
+	return c.unplacedReason(c.explainWait(&pg, c.index.nodes, now).reason, n)
+}
+
+// unplannedReason returns why no plan has considered a job in its present state, or "" if
+// one has.
+func (c *Core) unplannedReason(j *trackedJob, h HolderState, now time.Duration) NoRunReason {
 	switch {
 	case h.AppendStarted > 0 && now-h.PlannedAt >= noRunAfter:
 		return NoRunLogSilent
-	case pg.job.unplanned || now-h.PlannedAt >= noRunAfter:
+	case j.unplanned || now-h.PlannedAt >= noRunAfter:
 		return NoRunNotPlanned
+	default:
+		return ""
 	}
-	switch c.explainWait(&pg, c.index.nodes, now).reason {
+}
+
+// unplacedReason returns the reason for which tasks wait that no worker takes.
+func (c *Core) unplacedReason(r placement.UnplacedReason, n WorkerCounts) NoRunReason {
+	switch r {
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -54,6 +54,9 @@
 	watch     runWatch
 	// waitReasons tell, by step, why its tasks were not placed.
 	waitReasons map[int]waitReason
+	// waits are the groups that wait, by occurrence and step, as of the last plan that has
+	// considered the job.
+	waits []groupWait
 }
 
 // newTrackedJob returns the state of a submitted job, without its progress.
