Answer operators' queries about customers and jobs on every daemon of a fleet

Cause: an operator had to read the logs of all daemons to learn what a customer runs, or why a job waits. Change: internal/fleetview asks the holders of all pools at once (pool.customers, pool.job), merges the answers and names the pools that gave none; the administration port serves /v1/customers, /v1/customers/NAME and /v1/jobs/ID.

--- a/cmd/greengaged/fleetdaemon.go
+++ b/cmd/greengaged/fleetdaemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/dig"
 
 	"greengagedeck/internal/duty"
+	"greengagedeck/internal/fleetview"
 	"greengagedeck/internal/intake"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/peer"
@@ -60,6 +61,8 @@
 	FleetRunner  *fleetRunner
 	Node         *peer.Node
 	Intake       *intake.Service
+	View         *fleetview.Service
+	ViewWatch    *fleetview.Watch
 	Frontend     *platform.Frontend
 }
 
@@ -76,6 +79,7 @@
 	go d.Follower.Run(d.Work)
 	go d.Registry.Run(d.Work)
 	go d.DutyObserver.elector.Run(d.Work)
+	go d.ViewWatch.Run(d.Work)
 	d.Stage.set(stageServing)
 	d.Logger.Info().Str("release", release.String()).Str("callers", d.Settings.Callers.String()).Msg("serving")
 	<-ctx.Done()
@@ -116,6 +120,7 @@
 	page := promhttp.HandlerFor(d.Metrics.registry, promhttp.HandlerOpts{})
 	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(page))
 	r.GET("/debug/pprof/{name:*}", pprofhandler.PprofHandler)
+	d.View.Route(r)
 	return r.Handler
 }
 
--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -67,6 +67,7 @@
 		newFleetRunner,
 		newCommitter,
 		newIntake,
+		newFleetView,
 		newPolicyFollower,
 		newFrontend,
 	}
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
@@ -152,3 +154,11 @@
 	share := v.core.shares.customerShare(s.Customer)
 	s.Grant, s.Weight, s.Share = share.Grant, share.Weight, share.Share
 }
+
+// nameCustomer adds the customer of the job to a line, if it has one.
+func (j *trackedJob) nameCustomer(e *zerolog.Event) *zerolog.Event {
+	if j.Terms.Customer == "" {
+		return e
+	}
+	return e.Str("customer", string(j.Terms.Customer))
+}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -89,7 +89,7 @@
 	if seen && last.reason == reason {
 		return wait
 	}
-	c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Int("step", step).Int("tasks", len(pg.group.Waiting)).
+	j.nameCustomer(c.opt.Logger.Info().Str("job", string(j.Spec.ID))).Int("step", step).Int("tasks", len(pg.group.Waiting)).
 		Str("limit", string(reason)).Int("workers", len(x.Nodes())).Int("listed", len(c.workers)).Int("most_free_cpu", maxFreeCPU).
 		Int("needs_cpu", req.Resources.CPU).Int("needs_mb", req.Resources.MemoryMB).
 		Int("priority", j.Terms.Priority).Dur("slack", pg.slack(now)).Dur("waited", now-j.arrived).Msg("tasks cannot be placed")
--- a/internal/scheduler/norunlog.go
+++ b/internal/scheduler/norunlog.go
@@ -92,7 +92,7 @@
 
 // name adds the job, and the task if it lasts.
 func (w *runWatch) name(e *zerolog.Event) *zerolog.Event {
-	e.Str("job", string(w.job.Spec.ID))
+	w.job.nameCustomer(e.Str("job", string(w.job.Spec.ID)))
 	if w.lasting {
 		e.Stringer("task", w.task)
 	}
