--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -81,6 +81,9 @@
 	if len(args) != 2 {
 		return usagef("explain needs KIND and NAME, such as: explain host ph-north-a-w01")
 	}
+	if done, err := a.explainFleet(args[0], args[1]); done {
+		return err
+	}
 	body, err := a.client().get("/v1/explain/"+url.PathEscape(args[0])+"/"+url.PathEscape(args[1]), nil)
 	if err != nil || a.output == "json" {
 		return a.writeBodyOrError(body, err)
