Show limited resources of a grant at 0, and no duration as a dash

Cause: a table left out a resource of which a pool has no grant, and the waiting columns of jobs and tasks had the same title. Change: grants are shown for the resources that the limit names; the columns are titled apart.

--- a/internal/ctl/customers.go
+++ b/internal/ctl/customers.go
@@ -51,7 +51,7 @@
 }
 
 func (a *app) printCustomers(list fleetview.CustomerList) error {
-	t := newTable(a.out, "CUSTOMER", "WEIGHT", "LIMIT", "USED", "WANTED", "JOBS", "WAITING", "TASKS", "WAITING", "OLDEST WAIT", "POOLS", "WAITS FOR")
+	t := newTable(a.out, "CUSTOMER", "WEIGHT", "LIMIT", "USED", "WANTED", "JOBS", "JOBS WAITING", "TASKS", "TASKS WAITING", "OLDEST WAIT", "POOLS", "WAITS FOR")
 	for _, c := range list.Customers {
 		t.row(c.Name, weight(c.Configured, c.Weight), limit(c.Limit), amount(c.Used), amount(c.Wanted),
 			strconv.Itoa(c.JobsRunning), strconv.Itoa(c.JobsWaiting), strconv.Itoa(c.TasksRunning), strconv.Itoa(c.TasksWaiting),
@@ -81,11 +81,11 @@
 	if !c.Configured && c.Name != fleetview.NoCustomer {
 		fmt.Fprintln(a.out, "the configuration does not have the customer any more")
 	}
-	t := newTable(a.out, "POOL", "GRANT", "USED", "WANTED", "SHARE", "WEIGHT", "JOBS", "WAITING", "TASKS", "WAITING", "OLDEST WAIT", "WAITS FOR", "DAEMON")
+	t := newTable(a.out, "POOL", "GRANT", "USED", "WANTED", "SHARE", "WEIGHT", "JOBS", "JOBS WAITING", "TASKS", "TASKS WAITING", "OLDEST WAIT", "WAITS FOR", "DAEMON")
 	for _, p := range c.ByPool {
 		grant := "-"
 		if p.Grant != nil {
-			grant = amount(*p.Grant)
+			grant = grantOf(*p.Grant, c.Limit)
 		}
 		t.row(p.Pool, grant, amount(p.Used), amount(p.Wanted), share(p), weight(p.Weight > 0, p.Weight),
 			strconv.Itoa(p.JobsRunning), strconv.Itoa(p.JobsWaiting), strconv.Itoa(p.TasksRunning), strconv.Itoa(p.TasksWaiting),
@@ -191,7 +191,7 @@
 	if pools > 0 {
 		fmt.Fprintf(a.out, "%d of %d pools did not answer and are left out:\n", len(unanswered), pools)
 	} else {
-		fmt.Fprintf(a.out, "%d pools did not answer:\n", len(unanswered))
+		fmt.Fprintln(a.out, "pools that did not answer:")
 	}
 	for _, u := range unanswered {
 		fmt.Fprintf(a.out, "  pool %s, held by %s: %s\n", u.Pool, cmp.Or(u.Daemon, "no daemon"), u.Reason)
@@ -199,13 +199,25 @@
 }
 
 // amount returns resources in a table.
-func amount(r fleetview.Resources) string {
+func amount(r fleetview.Resources) string { return amountOf(r, r) }
+
+// grantOf returns a grant in a table. Resources that the limit does not name have none.
+func grantOf(grant, limit fleetview.Resources) string {
+	if limit == (fleetview.Resources{}) {
+		// The daemon that answered has another configuration than the holder.
+		limit = grant
+	}
+	return amountOf(grant, limit)
+}
+
+// amountOf returns the amounts in r of those resources that shown has.
+func amountOf(r, shown fleetview.Resources) string {
 	var parts []string
 	for _, p := range []struct {
-		name string
-		n    int
-	}{{"cpu", r.CPU}, {"mb", r.MemoryMB}, {"gpu", r.GPU}} {
-		if p.n != 0 {
+		name     string
+		n, shown int
+	}{{"cpu", r.CPU, shown.CPU}, {"mb", r.MemoryMB, shown.MemoryMB}, {"gpu", r.GPU, shown.GPU}} {
+		if p.shown != 0 {
 			parts = append(parts, fmt.Sprintf("%s %d", p.name, p.n))
 		}
 	}
@@ -240,7 +252,12 @@
 }
 
 // millis returns a duration in a table.
-func millis(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+func millis(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
 
 // waits returns how many tasks wait for each reason, most first.
 func waits(counts map[scheduler.NoRunReason]int) string {
