--- a/internal/fleetview/fleetview_test.go
+++ b/internal/fleetview/fleetview_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,3 +202,26 @@
 		g.Expect(body).NotTo(ContainSubstring(secret))
 	}
 }
+
+// Guards against a type of an answer or message that could carry a key.
+func TestAnswersHaveNoRoomForKeys(t *testing.T) {
+	g := NewWithT(t)
+	var walk func(v reflect.Type)
+	walk = func(v reflect.Type) {
+		g.Expect(v).NotTo(BeElementOf(reflect.TypeFor[customer.Row](), reflect.TypeFor[customer.Directory]()))
+		switch v.Kind() {
+		case reflect.Pointer, reflect.Slice, reflect.Map:
+			walk(v.Elem())
+		case reflect.Struct:
+			for i := range v.NumField() {
+				g.Expect(v.Field(i).Name).NotTo(MatchRegexp("(?i)key|secret|token"))
+				if v != reflect.TypeFor[time.Time]() {
+					walk(v.Field(i).Type)
+				}
+			}
+		}
+	}
+	for _, v := range []any{CustomerList{}, CustomerView{}, JobView{}, errorBody{}, CustomersRequest{}, CustomersResponse{}, JobRequest{}, JobResponse{}} {
+		walk(reflect.TypeOf(v))
+	}
+}
--- a/internal/scheduler/customers_test.go
+++ b/internal/scheduler/customers_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -182,3 +183,31 @@
 	p.customers()
 	g.Expect(p.c.ApprovalRequests()).To(BeEmpty())
 }
+
+// Guards against a query that compares every waiting group with every worker while plans
+// wait, against groups that it does not count for that, and against an explanation as large
+// as the job.
+func TestQueriesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	p := newNoRunPool(g)
+	p.add("a")
+	const jobs = 200
+	for n := range jobs {
+		st := task(1000)
+		st.Label = "fast"
+		p.submitFor("labada", job.ID(fmt.Sprintf("%016x", 1000+n)), st)
+	}
+	p.commit()
+	waits := p.customers()[0].Waits
+	g.Expect(waits[scheduler.NoRunNotChecked]).To(BeNumerically(">", 0))
+	g.Expect(waits[scheduler.NoRunNotChecked] + waits[scheduler.NoRunNoLabel]).To(Equal(jobs))
+	p.pass(scheduler.NoRunAfter)
+	g.Expect(p.customers()[0].Waits).To(Equal(map[scheduler.NoRunReason]int{scheduler.NoRunNoLabel: jobs}), "the check for jobs without a run has compared all")
+
+	p.submit(noRunJob, tasks(job.MaxTasks+500, 0))
+	p.commit()
+	x := p.explain(noRunJob)
+	g.Expect(x.Runs).To(HaveLen(job.MaxTasks))
+	g.Expect(x.RunsLeftOut).To(Equal(500))
+	g.Expect(x.Steps[0].Running).To(Equal(job.MaxTasks + 500))
+}
