--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -75,6 +75,8 @@
 
 	workers map[string]*worker.State
 	index   workerIndex
+	// accounts count what customers use and want.
+	accounts customerAccounts
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
@@ -114,8 +116,10 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
-	// shares tells what customers may use, or is nil if nothing limits them.
+	// shares tells what customers may use.
 	shares customerShares
+	// overtaken are groups that wait for room while others after them are placed.
+	overtaken map[worker.StepKey]*overtakenGroup
 	// noRuns are the jobs and tasks that have no active run.
 	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
@@ -162,6 +166,7 @@
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
 		index:            newWorkerIndex(),
+		accounts:         newCustomerAccounts(),
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
@@ -171,12 +176,14 @@
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
+		overtaken:        map[worker.StepKey]*overtakenGroup{},
 		noRuns:           newNoRuns(),
-		waiting:          newWaitQueue(),
 		running:          map[int]int{},
 	}
+	c.waiting = newWaitQueue(&c.accounts)
 	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
+	c.shares = accountShares{c}
 	return c
 }
 
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -2,163 +2,190 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"time"
-
-	"github.com/rs/zerolog"
 
 	"greengagedeck/internal/customer"
+	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
-	"greengagedeck/internal/worker"
+	"greengagedeck/internal/limits"
 )
 
-// CustomerStatus is what a customer runs and waits for in one pool.
-type CustomerStatus struct {
-	Customer customer.ID `cbor:"1,keyasint,omitempty"`
-	// JobsRunning counts the jobs with a run that may be active, and JobsWaiting those
-	// without one whose tasks wait.
-	JobsRunning int `cbor:"2,keyasint,omitempty"`
-	JobsWaiting int `cbor:"3,keyasint,omitempty"`
-	// TasksRunning counts the tasks with a run that may be active, and TasksWaiting those
-	// that could start.
-	TasksRunning int `cbor:"4,keyasint,omitempty"`
-	TasksWaiting int `cbor:"5,keyasint,omitempty"`
-	// Runs counts all runs that reserve resources. Besides the tasks that run these are
-	// copies and runs that are being stopped.
-	Runs int `cbor:"6,keyasint,omitempty"`
-	// Used is what the runs reserve, and Wanted what the waiting tasks need.
-	Used   job.Resources `cbor:"7,keyasint"`
-	Wanted job.Resources `cbor:"8,keyasint"`
-	// OldestWait is for how long the tasks have waited that have waited longest.
-	OldestWait time.Duration `cbor:"9,keyasint,omitempty"`
-	// Waits counts the waiting tasks by reason.
-	Waits map[NoRunReason]int `cbor:"10,keyasint,omitempty"`
-	// Grant is the part of the customer's limit that the pool may use, or nil if there is
-	// none or it is not known here.
-	Grant *job.Resources `cbor:"11,keyasint,omitempty"`
-	// Weight is the customer's weight, and Share the part of the pool's processor or
-	// memory that it uses, whichever is larger. Both are 0 if they are not known here.
-	Weight float64 `cbor:"12,keyasint,omitempty"`
-	Share  float64 `cbor:"13,keyasint,omitempty"`
+// SetCustomers puts the customers of a configuration into effect. With nil there are none,
+// and nothing is limited.
+func (c *Core) SetCustomers(d *customer.Directory) {
+	a := &c.accounts
+	if a.directory == d {
+		return
+	}
+	a.directory = d
+	a.weights = fairshare.NewWeights(d)
+	maps.DeleteFunc(a.byID, func(id customer.ID, acc *customerAccount) bool {
+		_, known := d.Get(id)
+		return !known && acc.runs == 0 && acc.waiting == 0 && !acc.heldBack
+	})
+	for _, acc := range a.byID {
+		a.configure(acc)
+	}
+	if d == nil {
+		clear(c.overtaken)
+	}
+	c.waiting.setByCustomer(d != nil, c.openJobs.all())
+	c.waiting.dropEmpty()
+	c.needsPlan = true
 }
 
-// Customers returns what each customer with open jobs or runs uses and waits for, by
-// customer. The result is nil before the pool is taken over, and not nil after that.
-func (r *Runner) Customers() []CustomerStatus {
-	h := r.holderState()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.ready {
-		return nil
+// SetGrants puts the grants of the pool into effect.
+func (c *Core) SetGrants(g limits.Grants) {
+	c.accounts.grants = g
+	for _, acc := range c.accounts.byID {
+		c.accounts.configure(acc)
 	}
-	return r.core.Customers(r.opt.Clock.Now(), h)
+	c.needsPlan = true
+}
+
+// configure sets what the configuration and the grants say of a customer.
+func (a *customerAccounts) configure(acc *customerAccount) {
+	entry, _ := a.directory.Get(acc.id)
+	acc.limit = entry.Limit
+	acc.grant, acc.granted = a.grants.ByCustomer[acc.id]
 }
 
-// Customers does what Runner.Customers does. It changes nothing.
-func (c *Core) Customers(now time.Duration, h HolderState) []CustomerStatus {
-	v := customerView{
-		core: c, now: now, explainer: c.newWaitExplainer(h, now),
-		byID: map[customer.ID]*CustomerStatus{}, running: map[*trackedJob]bool{},
+// limited reports whether grants bound what the customer runs.
+func (acc *customerAccount) limited() bool { return acc.limit != job.Resources{} }
+
+// allowed returns how many of count tasks that need an amount each the customer's grant
+// allows to start now.
+func (acc *customerAccount) allowed(need job.Resources, count int) int {
+	if !acc.limited() {
+		return count
 	}
-	v.addRuns()
-	v.addWaits()
-	out := make([]CustomerStatus, 0, len(v.byID))
-	for _, s := range v.byID {
-		v.addShare(s)
-		out = append(out, *s)
+	if !acc.granted {
+		return 0
 	}
-	slices.SortFunc(out, func(a, b CustomerStatus) int { return cmp.Compare(a.Customer, b.Customer) })
-	return out
+	return acc.within(acc.grant.Sub(acc.used), need, count)
 }
 
-// customerView collects what customers use and wait for.
-type customerView struct {
-	core      *Core
-	now       time.Duration
-	explainer *waitExplainer
-	byID      map[customer.ID]*CustomerStatus
-	// running are the jobs with a run that may be active.
-	running map[*trackedJob]bool
+// within returns how many of count tasks that need an amount each fit into an amount of the
+// limited resources.
+func (acc *customerAccount) within(room, need job.Resources, count int) int {
+	count = unitsWithin(acc.limit.CPU, room.CPU, need.CPU, count)
+	count = unitsWithin(acc.limit.MemoryMB, room.MemoryMB, need.MemoryMB, count)
+	return unitsWithin(acc.limit.GPU, room.GPU, need.GPU, count)
 }
 
-// of returns the status of a job's customer.
-func (v *customerView) of(j *trackedJob) *CustomerStatus {
-	s := v.byID[j.Terms.Customer]
-	if s == nil {
-		s = &CustomerStatus{Customer: j.Terms.Customer, Waits: map[NoRunReason]int{}}
-		v.byID[j.Terms.Customer] = s
+// unitsWithin returns how many of count units fit into room. A limit of 0 is none.
+func unitsWithin(limit, room, need, count int) int {
+	switch {
+	case limit <= 0:
+		return count
+	case room < 0:
+		return 0
+	case need <= 0:
+		return count
+	default:
+		return min(count, room/need)
 	}
-	return s
 }
 
-// addRuns adds the runs at all workers.
-func (v *customerView) addRuns() {
-	for _, ws := range v.core.workers {
-		for _, r := range ws.Runs {
-			if j := v.core.jobs[r.ID.Task.Job]; j != nil {
-				v.addRun(j, r)
-			}
-		}
-	}
+// taskKind is what one start of a waiting group needs: members tasks start together.
+type taskKind struct {
+	need    job.Resources
+	members int
 }
 
-// addRun adds a run. A task with copies counts once.
-func (v *customerView) addRun(j *trackedJob, r *worker.Run) {
-	s := v.of(j)
-	s.Runs++
-	s.Used = s.Used.Add(r.Resources)
-	if j.Redundant(r.ID) {
-		return
+// kind returns what one start of the group needs.
+func (pg *pendingGroup) kind() taskKind {
+	if pg.gang {
+		return taskKind{pg.need, pg.tasks}
 	}
-	if runs := j.Task(r.ID.Task).Runs; len(runs) > 0 && runs[0].Number == r.ID.Number {
-		s.TasksRunning++
+	return taskKind{pg.need, 1}
+}
+
+// maxKinds bounds the kinds of waiting tasks of a customer that are looked at one by one.
+const maxKinds = 64
+
+// allowsAny reports whether the grant allows any of the customer's waiting tasks. It may be
+// wrong about a customer with more than maxKinds kinds of tasks, for which it is true.
+func (acc *customerAccount) allowsAny() bool {
+	if !acc.limited() || len(acc.kinds) > maxKinds {
+		return true
 	}
-	if !v.running[j] {
-		v.running[j] = true
-		s.JobsRunning++
+	for k := range acc.kinds {
+		if acc.allowed(k.need, k.members) == k.members {
+			return true
+		}
 	}
+	return false
 }
 
-// addWaits adds the groups of tasks that wait.
-func (v *customerView) addWaits() {
-	for j := range v.core.openJobs.all() {
-		if j.Phase.Final() {
-			continue
-		}
-		waits := false
-		for g := range j.waitingGroups() {
-			waits = true
-			v.addWait(j, g)
-		}
-		if waits && !v.running[j] {
-			v.of(j).JobsWaiting++
-		}
+// largestNeed returns, for each resource, the most that one start of the customer's waiting
+// tasks needs.
+func (acc *customerAccount) largestNeed() job.Resources {
+	var out job.Resources
+	for k := range acc.kinds {
+		need := k.need.Times(k.members)
+		out.CPU, out.MemoryMB, out.GPU = max(out.CPU, need.CPU), max(out.MemoryMB, need.MemoryMB), max(out.GPU, need.GPU)
 	}
+	return out
 }
 
-// addWait adds a group of tasks that wait.
-func (v *customerView) addWait(j *trackedJob, g job.TaskGroup) {
-	s, n := v.of(j), len(g.Waiting)
-	s.TasksWaiting += n
-	s.Wanted = s.Wanted.Add(j.Spec.Steps[g.Step].ReservedResources().Times(n))
-	s.OldestWait = max(s.OldestWait, v.now-j.waitingSince(g, v.now))
-	reason, _ := v.explainer.explain(j, g)
-	s.Waits[reason] += n
+// addWaiting adds a waiting group, or removes it if n is -1.
+func (acc *customerAccount) addWaiting(pg *pendingGroup, n int) {
+	acc.waiting += n * pg.tasks
+	acc.wanted = acc.wanted.Add(pg.need.Times(n * pg.tasks))
+	k := pg.kind()
+	if acc.kinds == nil {
+		acc.kinds = map[taskKind]int{}
+	}
+	if acc.kinds[k] += n; acc.kinds[k] == 0 {
+		delete(acc.kinds, k)
+	}
 }
 
-// addShare adds what a customer may use, if the core knows.
-func (v *customerView) addShare(s *CustomerStatus) {
-	if v.core.shares == nil {
-		return
+// turnoverShare is the part of a pool's capacity that a customer may want although it is in
+// use: about what ends between two exchanges of grants, with tasks of two seconds.
+const turnoverShare = 8
+
+// CustomerDemand returns what each limited customer uses and wants in the pool, by customer.
+// It holds every limited customer that has runs or waiting tasks, since one that gets no
+// grant starts nothing. What is wanted is what the waiting tasks reserve, but no more than
+// the pool may be able to start soon: quota that waits for capacity here would be missing
+// in other pools.
+func (c *Core) CustomerDemand() []limits.Demand {
+	c.waiting.update()
+	soon, known := c.startableSoon()
+	var out []limits.Demand
+	for _, acc := range c.accounts.byID {
+		if !acc.limited() || acc.runs == 0 && acc.waiting == 0 {
+			continue
+		}
+		d := limits.Demand{Customer: acc.id, Used: acc.used, Wanted: acc.wanted}
+		if known {
+			most := acc.largestNeed()
+			d.Wanted.CPU = min(d.Wanted.CPU, max(soon.CPU, most.CPU))
+			d.Wanted.MemoryMB = min(d.Wanted.MemoryMB, max(soon.MemoryMB, most.MemoryMB))
+			d.Wanted.GPU = min(d.Wanted.GPU, max(soon.GPU, most.GPU))
+		}
+		out = append(out, d)
 	}
-	share := v.core.shares.customerShare(s.Customer)
-	s.Grant, s.Weight, s.Share = share.Grant, share.Weight, share.Share
+	slices.SortFunc(out, func(a, b limits.Demand) int { return cmp.Compare(a.Customer, b.Customer) })
+	return out
 }
 
-// nameCustomer adds the customer of the job to a line, if it has one.
-func (j *trackedJob) nameCustomer(e *zerolog.Event) *zerolog.Event {
-	if j.Terms.Customer == "" {
-		return e
+// startableSoon returns the resources that are free on the workers that accept tasks or
+// may become free soon, or false if no worker accepts tasks.
+func (c *Core) startableSoon() (soon job.Resources, known bool) {
+	for id := range c.index.byID {
+		ws := c.workers[id]
+		if ws == nil {
+			continue
+		}
+		known = true
+		free := ws.FreeResources()
+		soon.CPU += max(0, free.CPU) + ws.Capacity.CPU/turnoverShare
+		soon.MemoryMB += max(0, free.MemoryMB) + ws.Capacity.MemoryMB/turnoverShare
+		soon.GPU += max(0, free.GPU) + ws.Capacity.GPU/turnoverShare
 	}
-	return e.Str("customer", string(j.Terms.Customer))
+	return soon, known
 }
--- a/internal/scheduler/customers_test.go
+++ b/internal/scheduler/customerstatus_test.go
@@ -49,8 +49,8 @@
 	return x
 }
 
-// tasks returns a step of tasks.
-func tasks(count, cpu int) job.Step {
+// cpuTasks returns a step of tasks that reserve processor time only.
+func cpuTasks(count, cpu int) job.Step {
 	st := task(cpu)
 	st.Count = count
 	return st
@@ -63,11 +63,11 @@
 	p := newNoRunPool(g)
 	p.add("a")
 	half := scriptCapacity / 2
-	p.submitFor("labada", "00000000000000a1", tasks(2, half))
+	p.submitFor("labada", "00000000000000a1", cpuTasks(2, half))
 	p.start()
-	p.submitFor("labada", "00000000000000a2", tasks(3, half))
-	p.submitFor("imbak", "00000000000000b1", tasks(1, half))
-	p.submit("00000000000000c1", tasks(1, scriptCapacity+1))
+	p.submitFor("labada", "00000000000000a2", cpuTasks(3, half))
+	p.submitFor("imbak", "00000000000000b1", cpuTasks(1, half))
+	p.submit("00000000000000c1", cpuTasks(1, scriptCapacity+1))
 	p.commit()
 	p.pass(3 * time.Second)
 	waits := func(n int) map[scheduler.NoRunReason]int {
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	p := newNoRunPool(g)
 	p.add("a")
-	st := tasks(2, scriptCapacity)
+	st := cpuTasks(2, scriptCapacity)
 	st.After = []int{0}
 	p.submit(noRunJob, task(1000), st)
 	s := p.start()[0]
@@ -144,7 +144,7 @@
 	p.add("a", "b")
 	labelled, last := task(1000), task(1000)
 	labelled.Label, last.After = "fast", []int{1}
-	p.submitFor("labada", noRunJob, tasks(2, scriptCapacity), labelled, last)
+	p.submitFor("labada", noRunJob, cpuTasks(2, scriptCapacity), labelled, last)
 	starts := p.start()
 	p.silence("b")
 	p.pass(time.Second)
@@ -204,7 +204,7 @@
 	p.pass(scheduler.NoRunAfter)
 	g.Expect(p.customers()[0].Waits).To(Equal(map[scheduler.NoRunReason]int{scheduler.NoRunNoLabel: jobs}), "the check for jobs without a run has compared all")
 
-	p.submit(noRunJob, tasks(job.MaxTasks+500, 0))
+	p.submit(noRunJob, cpuTasks(job.MaxTasks+500, 0))
 	p.commit()
 	x := p.explain(noRunJob)
 	g.Expect(x.Runs).To(HaveLen(job.MaxTasks))
--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -140,7 +140,12 @@
 		p.submit(noRunJob, task(scriptCapacity+1))
 		p.commit()
 	},
-	scheduler.NoRunCustomerLimit: func(p *noRunPool) { p.waitForShare(scheduler.NoRunCustomerLimit) },
+	scheduler.NoRunCustomerLimit: func(p *noRunPool) {
+		p.add("a")
+		p.c.SetCustomers(newDirectory(limitedTo("a", 1000)))
+		p.submitFor("a", noRunJob, task(1000))
+		p.commit()
+	},
 	scheduler.NoRunCustomerShare: func(p *noRunPool) { p.waitForShare(scheduler.NoRunCustomerShare) },
 	scheduler.NoRunNotLogged: func(p *noRunPool) {
 		p.add("a")
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -47,6 +47,8 @@
 	NoRunNotApproved NoRunReason = "not-approved"
 	NoRunNodeLimit   NoRunReason = "limit-per-worker"
 	NoRunNoResources NoRunReason = "no-resources"
+	// NoRunCustomerLimit means that the grant of the job's customer does not allow the task.
+	NoRunCustomerLimit NoRunReason = "customer-limit"
 )
 
 // The reasons for which a run that was planned is not active.
@@ -102,7 +104,8 @@
 	NoRunEarlierSteps, NoRunNotReleased, NoRunNotQueued, NoRunUntracked, NoRunNoTask,
 }
 
-// usual reports whether jobs wait for the reason in a pool that works and is full.
+// usual reports whether jobs wait for the reason in a pool that works and is full, or whose
+// customers use what they may.
 func (n NoRunReason) usual() bool {
 	switch n {
 	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunCustomerLimit, NoRunCustomerShare, NoRunEarlierSteps:
@@ -134,7 +137,7 @@
 	if reason := c.customerWait(pg.job, pg.group); reason != "" {
 		return reason
 	}
-	return c.unplacedReason(c.explainWait(&pg, c.index.nodes, now).reason, n)
+	return c.noPlaceReason(c.explainWait(&pg, c.index.nodes, now).reason, n)
 }
 
 // unplannedReason returns why no plan has considered a job in its present state, or "" if
@@ -150,9 +153,11 @@
 	}
 }
 
-// unplacedReason returns the reason for which tasks wait that no worker takes.
-func (c *Core) unplacedReason(r placement.UnplacedReason, n WorkerCounts) NoRunReason {
+// noPlaceReason returns the reason for which tasks wait that no worker takes.
+func (c *Core) noPlaceReason(r placement.UnplacedReason, n WorkerCounts) NoRunReason {
 	switch r {
+	case reasonCustomerLimit:
+		return NoRunCustomerLimit
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"iter"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/google/btree"
 
+	"greengagedeck/internal/customer"
+	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
@@ -24,8 +25,13 @@
 	longRunning bool
 	// sequence is the job's position in the order in which jobs became known.
 	sequence int64
-	// cpu is the processor time that one task reserves, in thousandths of a core.
-	cpu int
+	// need is what one task reserves, and tasks the number of tasks that waited when the
+	// group was queued. gang is set if they start together.
+	need  job.Resources
+	tasks int
+	gang  bool
+	// tree is the one that holds the group.
+	tree *groupTree
 }
 
 // slack returns how much longer the group can wait without making its job late.
@@ -68,19 +74,23 @@
 const (
 	classLongRunning = iota
 	classOnTime
+	classExcess
 	classLate
 )
 
-// class puts long-running tasks first, since every moment without them counts,
-// and jobs that can no longer finish in time last.
+// class puts long-running tasks first, since every moment without them counts, and jobs
+// that can no longer finish in time last. Before those come the jobs that their customers
+// have submitted beyond what they are entitled to.
 func (pg pendingGroup) class(now time.Duration) int {
 	switch {
 	case pg.longRunning:
 		return classLongRunning
-	case pg.latestStart >= now:
-		return classOnTime
-	default:
+	case pg.latestStart < now:
 		return classLate
+	case pg.job.excess:
+		return classExcess
+	default:
+		return classOnTime
 	}
 }
 
@@ -88,14 +98,22 @@
 // changed are looked up and sorted again, so that the many jobs that wait unchanged in
 // a full pool cost a plan nothing.
 type waitQueue struct {
-	// byPriority are the groups of each priority, in the order of pendingGroup.less.
-	byPriority map[int]*btree.BTreeG[*pendingGroup]
+	// byPriority are the groups of each priority.
+	byPriority map[int]*priorityQueue
 	// priorities are the keys of byPriority in order.
 	priorities []int
 	// needs counts the groups by the processor time that one of their tasks reserves.
 	needs *btree.BTreeG[needCount]
 	// approvals counts the groups whose workers have to be approved.
 	approvals int
+	// byCustomer is set if customers take turns. Otherwise all groups are in the queue of
+	// the customer "".
+	byCustomer bool
+	// turns and finished are those of the present plan, see turnOrder.
+	turns    fairshare.Turns[classTurn]
+	finished map[customer.ID]bool
+	// accounts count the waiting tasks of each customer.
+	accounts *customerAccounts
 	// changed are the jobs whose groups may have changed, and unplanned those that have
 	// changed since the last plan.
 	changed, unplanned []*trackedJob
@@ -108,9 +126,11 @@
 // treeDegree is the degree of the queue's trees.
 const treeDegree = 16
 
-func newWaitQueue() waitQueue {
+func newWaitQueue(a *customerAccounts) waitQueue {
 	return waitQueue{
-		byPriority: map[int]*btree.BTreeG[*pendingGroup]{},
+		accounts:   a,
+		finished:   map[customer.ID]bool{},
+		byPriority: map[int]*priorityQueue{},
 		needs:      btree.NewG(treeDegree, func(a, b needCount) bool { return a.cpu < b.cpu }),
 	}
 }
@@ -161,39 +181,41 @@
 	for i := range groups {
 		pg := &groups[i]
 		j.queued = append(j.queued, pg)
-		q.tree(j.Terms.Priority).ReplaceOrInsert(pg)
-		q.countNeed(pg, 1)
+		pg.tree = q.priority(j.Terms.Priority).of(q.queueKey(j)).tree(j)
+		pg.tree.ReplaceOrInsert(pg)
+		q.count(pg, 1)
 	}
 }
 
 // dequeue removes the groups of a job.
 func (q *waitQueue) dequeue(j *trackedJob) {
 	for _, pg := range j.queued {
-		q.tree(j.Terms.Priority).Delete(pg)
-		q.countNeed(pg, -1)
+		pg.tree.Delete(pg)
+		q.count(pg, -1)
 	}
 	j.queued = nil
 }
 
-// tree returns the groups of a priority.
-func (q *waitQueue) tree(priority int) *btree.BTreeG[*pendingGroup] {
-	t := q.byPriority[priority]
-	if t == nil {
-		t = btree.NewG(treeDegree, (*pendingGroup).less)
-		q.byPriority[priority] = t
+// priority returns the groups of a priority.
+func (q *waitQueue) priority(priority int) *priorityQueue {
+	pq := q.byPriority[priority]
+	if pq == nil {
+		pq = &priorityQueue{}
+		q.byPriority[priority] = pq
 		at, _ := slices.BinarySearch(q.priorities, priority)
 		q.priorities = slices.Insert(q.priorities, at, priority)
 	}
-	return t
+	return pq
 }
 
-// countNeed adds n to the number of groups with the need of one.
-func (q *waitQueue) countNeed(pg *pendingGroup, n int) {
+// count counts a group that is added, or one that is removed if n is -1.
+func (q *waitQueue) count(pg *pendingGroup, n int) {
+	q.accounts.of(pg.job.Terms.Customer).addWaiting(pg, n)
 	if pg.job.Terms.Approval != nil {
 		q.approvals += n
 	}
-	c, _ := q.needs.Get(needCount{cpu: pg.cpu})
-	c.cpu = pg.cpu
+	c, _ := q.needs.Get(needCount{cpu: pg.need.CPU})
+	c.cpu = pg.need.CPU
 	c.groups += n
 	if c.groups == 0 {
 		q.needs.Delete(c)
@@ -209,40 +231,23 @@
 	return least.cpu
 }
 
-// inOrder returns the groups in the order in which they are placed: those of one
-// priority by their classes. The queue must not be updated meanwhile.
+// inOrder returns the groups by priority and customer, those of one customer by their
+// classes. The queue must not be updated meanwhile.
 func (q *waitQueue) inOrder(now time.Duration) iter.Seq[*pendingGroup] {
 	q.update()
+	bounds := newClassBounds(now)
 	return func(yield func(*pendingGroup) bool) {
 		for _, p := range q.priorities {
-			if !eachOfPriority(q.byPriority[p], now, yield) {
-				return
+			for _, cq := range q.byPriority[p].customers {
+				if !bounds.eachByClass(cq.usual, yield) || !bounds.eachByClass(cq.excess, yield) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// eachOfPriority passes the groups of one priority to yield until that returns false. It
-// reports whether it passed all.
-func eachOfPriority(t *btree.BTreeG[*pendingGroup], now time.Duration, yield func(*pendingGroup) bool) bool {
-	goOn := true
-	pass := func(pg *pendingGroup) bool {
-		goOn = yield(pg)
-		return goOn
-	}
-	firstShort := &pendingGroup{latestStart: math.MinInt64, sequence: math.MinInt64}
-	firstOnTime := &pendingGroup{latestStart: now, sequence: math.MinInt64}
-	t.AscendLessThan(firstShort, pass)
-	if goOn {
-		t.AscendGreaterOrEqual(firstOnTime, pass)
-	}
-	if goOn {
-		t.AscendRange(firstShort, firstOnTime, pass)
-	}
-	return goOn
-}
-
-// queue returns the groups that wait, the most urgent first.
+// queue returns the groups that wait, the most urgent of each priority and customer first.
 func (c *Core) queue(now time.Duration) iter.Seq[*pendingGroup] { return c.waiting.inOrder(now) }
 
 // pendingGroups returns the groups of a job that wait.
@@ -261,7 +266,9 @@
 			latestStart: latestStart,
 			longRunning: st.LongRunning,
 			sequence:    j.sequence,
-			cpu:         st.ReservedResources().CPU,
+			need:        st.ReservedResources(),
+			tasks:       len(g.Waiting),
+			gang:        st.Gang,
 		})
 	}
 	return out
--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -9,15 +9,9 @@
 	"greengagedeck/internal/worker"
 )
 
-// The reasons for which tasks of a customer wait.
-const (
-	// NoRunCustomerLimit means that the tasks exceed what the limit of their customer
-	// leaves for the pool at present.
-	NoRunCustomerLimit NoRunReason = "customer-limit"
-	// NoRunCustomerShare means that the pool is full and that the customer has its share
-	// of it.
-	NoRunCustomerShare NoRunReason = "customer-share"
-)
+// NoRunCustomerShare means that the pool is full and that another customer, which waits too,
+// has less of it in proportion to its weight.
+const NoRunCustomerShare NoRunReason = "customer-share"
 
 // The reasons that only explanations of single steps and customers name.
 const (
@@ -41,7 +35,7 @@
 }
 
 // customerShares tells what customers may use in a pool, and which groups wait because of
-// that. A core that enforces grants and shares sets Core.shares to an implementation.
+// that.
 type customerShares interface {
 	// customerShare returns what a customer may use.
 	customerShare(id customer.ID) CustomerShare
@@ -53,9 +47,6 @@
 // customerWait returns why a group waits if its customer's limit or share is the reason,
 // else "".
 func (c *Core) customerWait(j *trackedJob, g job.TaskGroup) NoRunReason {
-	if c.shares == nil {
-		return ""
-	}
 	return c.shares.customerWait(j, g)
 }
 
@@ -100,7 +91,7 @@
 	if !ok {
 		return NoRunNotChecked, 0
 	}
-	return c.unplacedReason(unplaced, e.workers), maxFreeCPU
+	return c.noPlaceReason(unplaced, e.workers), maxFreeCPU
 }
 
 // unplaced returns why no worker takes the tasks of a group, or what was last found once
@@ -123,7 +114,7 @@
 func (e *waitExplainer) request(j *trackedJob, g job.TaskGroup) placement.Request {
 	c := e.core
 	req := c.placementRequest(j, g, e.now)
-	req.AllowEjected = req.AllowEjected || j.stalled(e.now)
+	req.AllowEjected = req.AllowEjected || c.jobStalled(j, e.now)
 	if j.Terms.Approval == nil {
 		return req
 	}
