Keep customers within their limits across pools

Cause: a customer's limit covers all pools, and each pool has a holder of its own. Change: internal/limits: an allocator on the holder of the fleet duty splits each limit into grants; bounds are logged by conditional appends before a raised grant is sent; holders of pools register, apply grants and acknowledge lower ones. Wired for the fleet duty and for each pool that is held.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -16,6 +16,7 @@
 	"greengagedeck/internal/fleet"
 	"greengagedeck/internal/intake"
 	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/limits"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
@@ -61,6 +62,7 @@
 		newApprover,
 		newRegistry,
 		newMemberResolver,
+		newCustomerLimits,
 		newDutyObserver,
 		fleet.NewWaveSet,
 		newFleetNode,
@@ -171,12 +173,14 @@
 	d.fleet.lost(n)
 }
 
-// fleetRunner runs the fleet controller while this daemon holds the fleet duty.
+// fleetRunner runs the fleet controller and the allocator of customers' limits while this
+// daemon holds the fleet duty.
 type fleetRunner struct {
 	ctx        context.Context
 	host       string
 	elector    *duty.Elector
 	controller *fleet.Controller
+	limits     *limits.Service
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -205,7 +209,9 @@
 	if predecessor.Holder == f.host {
 		predecessor.Holder = ""
 	}
-	f.runs.Go(func() { f.controller.Run(ctx, int64(g.Token), fleetLease{f.elector, g.Token}, predecessor) })
+	lease := fleetLease{f.elector, g.Token}
+	f.runs.Go(func() { f.controller.Run(ctx, int64(g.Token), lease, predecessor) })
+	f.runs.Go(func() { f.limits.Run(ctx, int64(g.Token), lease) })
 }
 
 // stop cancels the controller and waits until no order is in progress.
@@ -230,12 +236,13 @@
 	}
 }
 
-func newFleetRunner(ctx context.Context, settings platform.Settings, self duty.Member, d *dutyObserver, n *peer.Node, w *fleet.WaveSet, p *policy.Current, log logstore.Log, cl clock.Clock, l zerolog.Logger, m metrics) *fleetRunner {
+func newFleetRunner(ctx context.Context, settings platform.Settings, self duty.Member, d *dutyObserver, cu *customerLimits, n *peer.Node, w *fleet.WaveSet, p *policy.Current, log logstore.Log, cl clock.Clock, l zerolog.Logger, m metrics) *fleetRunner {
 	agent := fleet.NewAgent(d.schedulers)
 	d.fleet = &fleetRunner{
 		ctx:     ctx,
 		host:    self.Host,
 		elector: d.elector,
+		limits:  cu.service,
 		controller: fleet.NewController(fleet.ControllerOptions{
 			Holder:          self.Host,
 			Cloud:           platform.NewCloud(settings.Cloud, platform.Metrics{Scope: m.scope, Logger: l}),
@@ -266,7 +273,7 @@
 	return platform.NewApprovalClient(settings.Advice, platform.Metrics{Scope: m.scope, Logger: l})
 }
 
-func newDutyObserver(ctx context.Context, settings platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.Current, w worker.Control, a scheduler.Approver, n *peer.Node, dir *memberResolver, r *worker.Registry, l zerolog.Logger, limiter *telemetry.Limiter, m metrics) *dutyObserver {
+func newDutyObserver(ctx context.Context, settings platform.Settings, self duty.Member, log logstore.Log, cl clock.Clock, p *policy.Current, cu *customerLimits, w worker.Control, a scheduler.Approver, n *peer.Node, dir *memberResolver, r *worker.Registry, l zerolog.Logger, limiter *telemetry.Limiter, m metrics) *dutyObserver {
 	d := &dutyObserver{}
 	d.elector = duty.NewElector(duty.Options{
 		Self:     self,
@@ -303,6 +310,8 @@
 				Control:           w,
 				Approver:          a,
 				AcceptedElsewhere: d.intake.AcceptedElsewhere,
+				Customers:         p.Customers,
+				Grants:            cu.grantsOf(pool, acquired.Token, p),
 				Registry:          r,
 				Duty:              dt,
 				Logger:            l.With().Str("pool", pool).Logger(),
--- a/internal/limits/grants.go
+++ b/internal/limits/grants.go
@@ -35,4 +35,6 @@
 	// Used is what its runs reserve, and Wanted what its waiting tasks need in addition.
 	Used   job.Resources `cbor:"2,keyasint"`
 	Wanted job.Resources `cbor:"3,keyasint"`
+	// Started counts the runs that this holder has added for the customer.
+	Started int64 `cbor:"4,keyasint,omitempty"`
 }
