Count what each customer's runs reserve

Cause: limits and shares need the usage of each customer, and runs are added and removed on many paths. Change: a worker's state tells an observer of every run that it gains or loses, and Core counts them by customer. AddRun replaces a run with the same ID, which would have been counted twice. The simulated holders compare the counts with a sum over all workers after every step.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,6 +76,8 @@
 
 	workers map[string]*worker.State
 	index   workerIndex
+	// accounts count what customers use and want.
+	accounts customerAccounts
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
@@ -158,6 +160,7 @@
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
 		index:            newWorkerIndex(),
+		accounts:         newCustomerAccounts(),
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -63,11 +63,15 @@
 	id := ws.Incarnation.ID
 	c.workers[id] = ws
 	ws.OnChange(c.index.touched)
+	ws.ObserveRuns(runCounter{c})
 	c.touch(id)
 }
 
-// removeWorker ends the tracking of a worker.
+// removeWorker ends the tracking of a worker. Runs that it still has do not count any more.
 func (c *Core) removeWorker(id string) {
+	if ws := c.workers[id]; ws != nil {
+		ws.ObserveRuns(nil)
+	}
 	delete(c.workers, id)
 	c.touch(id)
 }
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -215,6 +215,9 @@
 	for _, s := range h.w.workers {
 		h.maybePoll(s)
 	}
+	if difference := scheduler.CheckUsage(h.core); difference != "" {
+		h.w.t.Fatal(difference)
+	}
 }
 
 func (h *simHolder) plan() {
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -20,7 +20,7 @@
 // unaccounted for may have got. A further restart extends the wait only for starts
 // that were sent since.
 func (s *State) ReplaceIncarnation(l Listing, now time.Duration, longest LeaseBounds) {
-	runs, listed, entry, touched := s.Runs, s.Listed, s.EntryStartedAt, s.touched
+	runs, listed, entry, touched, observer := s.Runs, s.Listed, s.EntryStartedAt, s.touched, s.observer
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
 		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, longest))
@@ -33,6 +33,8 @@
 		r.carryOver(now)
 		s.AddRun(r)
 	}
+	// The observer keeps counting the same runs.
+	s.observer = observer
 }
 
 // EntryLags reports whether an entry in the list that names another incarnation is
--- a/internal/worker/run.go
+++ b/internal/worker/run.go
@@ -25,6 +25,9 @@
 type Run struct {
 	ID        job.RunID
 	Resources job.Resources
+	// Customer is the customer for which the run counts, or empty. It is kept with the run
+	// since the holder may forget the job before the run's end is known.
+	Customer job.CustomerID
 	// Key groups the runs of one step, for limits on how many of them a worker takes.
 	Key   StepKey
 	State RunState
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -86,6 +86,8 @@
 	Lapsed []*Run
 	// touched is where to record that the state has changed, or nil.
 	touched map[string]bool
+	// observer is told of the runs that the worker gains and loses. It may be nil.
+	observer RunObserver
 	// KeptRunsLoggedAt is when it was last logged that the worker's runs are kept
 	// although it does not answer.
 	KeptRunsLoggedAt time.Duration
@@ -135,8 +137,9 @@
 	return need.CPU > 0 && free.CPU < 0 || need.MemoryMB > 0 && free.MemoryMB < 0 || need.GPU > 0 && free.GPU < 0
 }
 
-// AddRun adds a run and the resources it takes.
+// AddRun adds a run and the resources it takes. It replaces a run with the same ID.
 func (s *State) AddRun(r *Run) {
+	s.RemoveRun(r.ID)
 	s.touch()
 	s.Runs[r.ID] = r
 	s.Used = s.Used.Add(r.Resources)
@@ -149,6 +152,9 @@
 		s.SuspectRuns++
 	}
 	s.lastRunAdded = max(s.lastRunAdded, r.StateSince)
+	if s.observer != nil {
+		s.observer.RunAdded(r)
+	}
 }
 
 // RemoveRun removes a run and frees its resources.
@@ -167,6 +173,9 @@
 	if r.Suspect {
 		s.SuspectRuns--
 	}
+	if s.observer != nil {
+		s.observer.RunRemoved(r)
+	}
 	if r.expectedEnd() < s.busyUntil {
 		return
 	}
