Start tasks of limited customers only within their grants

Cause: nothing keeps what a customer runs in a pool within the grant of the pool. Change: every path that starts a task asks the customer's account: groups start as far as the grant allows, gangs as a whole, copies, tasks with a promised place and tasks placed one by one likewise. Groups that wait only for a grant preempt nothing, end no plan, count neither as waiting nor as stalled in the pool's report, and give customer-limit as their reason. Runs of a customer above its grant are not stopped to be moved. Lines tell when a customer begins and ceases to be held back.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -301,6 +301,7 @@
 				Control:           w,
 				Approver:          a,
 				AcceptedElsewhere: d.intake.AcceptedElsewhere,
+				Customers:         p.Customers,
 				Registry:          r,
 				Duty:              dt,
 				Logger:            l.With().Str("pool", pool).Logger(),
--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -23,6 +23,18 @@
 	lastPoll, wokenAt, notDueAt time.Duration
 }
 
+// agent returns the agent of a worker and starts it if there is none. It must
+// be called with mu held.
+func (r *Runner) agent(ctx context.Context, id string) *agent {
+	a := r.agents[id]
+	if a == nil {
+		a = &agent{id: id, wokenAt: r.opt.Clock.Now(), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersPerWorker)}
+		r.agents[id] = a
+		go r.pollLoop(ctx, a)
+	}
+	return a
+}
+
 // startRun sends the start of a run, which is in the log since committedAt, until it is
 // answered or no longer wanted.
 func (r *Runner) startRun(ctx context.Context, a *agent, run job.RunID, committedAt time.Duration) {
--- a/internal/scheduler/approval.go
+++ b/internal/scheduler/approval.go
@@ -82,7 +82,7 @@
 // workers.
 func (c *Core) approvedRequest(j *trackedJob, g job.TaskGroup, now time.Duration) placement.Request {
 	req := c.placementRequest(j, g, now)
-	req.AllowEjected = req.AllowEjected || j.stalled(now)
+	req.AllowEjected = req.AllowEjected || c.jobStalled(j, now)
 	if j.Terms.Approval == nil {
 		return req
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -171,9 +171,9 @@
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
 		noRuns:           newNoRuns(),
-		waiting:          newWaitQueue(),
 		running:          map[int]int{},
 	}
+	c.waiting = newWaitQueue(&c.accounts)
 	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
 	return c
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -76,10 +76,7 @@
 		return last
 	}
 	req := c.approvedRequest(j, pg.group, now)
-	reason, maxFreeCPU, ok := c.index.summaryAt(now).Explain(req)
-	if !ok {
-		reason, maxFreeCPU = placement.Explain(x.Nodes(), req)
-	}
+	reason, maxFreeCPU := c.unplacedReason(pg, req, x, now)
 	if j.waitReasons == nil {
 		j.waitReasons = map[int]waitReason{}
 	}
@@ -95,6 +92,18 @@
 	return wait
 }
 
+// unplacedReason returns why no worker gets a group's tasks.
+func (c *Core) unplacedReason(pg *pendingGroup, req placement.Request, x *placement.Index, now time.Duration) (reason placement.UnplacedReason, maxFreeCPU int) {
+	if !c.grantAllowsGroup(pg) {
+		return reasonCustomerLimit, 0
+	}
+	reason, maxFreeCPU, ok := c.index.summaryAt(now).Explain(req)
+	if !ok {
+		reason, maxFreeCPU = placement.Explain(x.Nodes(), req)
+	}
+	return reason, maxFreeCPU
+}
+
 // logKeptRuns logs that the runs of a worker that does not answer count as
 // possibly active until its lease has expired, so that their tasks wait.
 func (c *Core) logKeptRuns(ws *worker.State, now time.Duration) {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -277,7 +277,7 @@
 func (c *Core) placeCopy(b *Batch, j *trackedJob, r job.RunID, x *placement.Index, now time.Duration) {
 	s := j.Step(r.Task)
 	task := j.Task(r.Task)
-	if !s.Speculative || s.Gang || len(task.Runs) != 1 || j.CrashCount(r.Task) > 0 {
+	if !s.Speculative || s.Gang || len(task.Runs) != 1 || j.CrashCount(r.Task) > 0 || !c.grantAllows(j, s) {
 		return
 	}
 	original := task.Runs[0].At.Worker.ID
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,6 +19,7 @@
 	appends, records                         tally.Counter
 	correlatedCrashes                        tally.Counter
 	planWorkers, planGroups                  tally.Counter
+	grantWaits                               tally.Counter
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
@@ -59,6 +60,7 @@
 		correlatedCrashes:      scope.Counter("correlated_crashes"),
 		planWorkers:            scope.Counter("plan_workers"),
 		planGroups:             scope.Counter("plan_groups"),
+		grantWaits:             scope.Counter("grant_waits"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(poolScope),
--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -140,6 +140,12 @@
 		p.submit(noRunJob, task(scriptCapacity+1))
 		p.commit()
 	},
+	scheduler.NoRunCustomerLimit: func(p *noRunPool) {
+		p.add("a")
+		p.c.SetCustomers(newDirectory(limitedTo("a", 1000)))
+		p.submitFor("a", noRunJob, task(1000))
+		p.commit()
+	},
 	scheduler.NoRunNotLogged: func(p *noRunPool) {
 		p.add("a")
 		p.submit(noRunJob, task(1000))
--- a/internal/scheduler/norunpool_test.go
+++ b/internal/scheduler/norunpool_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/scheduler"
@@ -89,6 +90,13 @@
 	}, p.now)
 }
 
+// submitFor submits a job of steps for a customer.
+func (p *noRunPool) submitFor(owner customer.ID, id job.ID, steps ...job.Step) {
+	p.c.Submit(&joblog.Submission{
+		Spec: job.Spec{ID: id, Steps: steps}, Terms: job.Terms{Entry: "e", Pool: simPool, MaxAttempts: 3, Customer: owner}, AcceptedAt: p.now.Wall,
+	}, p.now)
+}
+
 // plan makes a plan that is not logged.
 func (p *noRunPool) plan() *scheduler.Batch {
 	b, err := p.c.Plan(p.now)
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -47,6 +47,8 @@
 	NoRunNotApproved NoRunReason = "not-approved"
 	NoRunNodeLimit   NoRunReason = "limit-per-worker"
 	NoRunNoResources NoRunReason = "no-resources"
+	// NoRunCustomerLimit means that the grant of the job's customer does not allow the task.
+	NoRunCustomerLimit NoRunReason = "customer-limit"
 )
 
 // The reasons for which a run that was planned is not active.
@@ -96,16 +98,17 @@
 	NoRunTakeover, NoRunEnded, NoRunFenced, NoRunLogSilent, NoRunNotPlanned,
 	NoRunListUnread, NoRunNoneListed, NoRunUnreachable, NoRunUnreconciled, NoRunDraining, NoRunCordoned,
 	NoRunEjected, NoRunIsolated,
-	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources,
+	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources, NoRunCustomerLimit,
 	NoRunNotLogged, NoRunStartNoDuty, NoRunStartUnreachable, NoRunStartOldList, NoRunStartEarlierLease, NoRunStartHeld,
 	NoRunStartNotSent, NoRunStartUnanswered, NoRunStopping, NoRunLease, NoRunEarlierLease,
 	NoRunEarlierSteps, NoRunNotReleased, NoRunNotQueued, NoRunUntracked, NoRunNoTask,
 }
 
-// usual reports whether jobs wait for the reason in a pool that works and is full.
+// usual reports whether jobs wait for the reason in a pool that works and is full, or whose
+// customers use what they may.
 func (n NoRunReason) usual() bool {
 	switch n {
-	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunEarlierSteps:
+	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunEarlierSteps, NoRunCustomerLimit:
 		return true
 	default:
 		return false
@@ -135,6 +138,8 @@
 		return NoRunNotPlanned
 	}
 	switch c.explainWait(&pg, c.index.nodes, now).reason {
+	case reasonCustomerLimit:
+		return NoRunCustomerLimit
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -54,13 +54,16 @@
 }
 
 // needsPlace reports whether a task still needs the place promised to it on a
-// worker.
+// worker. One that its customer's grant does not allow waits like any other.
 func (c *Core) needsPlace(t job.TaskID, workerID string, now time.Duration) bool {
 	if !c.hasToStart(t) {
 		return false
 	}
 	j := c.jobs[t.Job]
 	stopping := len(j.Task(t).Runs) > 0
+	if !stopping && !c.grantAllows(j, j.Step(t)) {
+		return false
+	}
 	return stopping || j.Terms.Approval == nil || c.approvalsOf(worker.StepKeyOf(t)).approved(c.workers[workerID].Incarnation, now)
 }
 
@@ -91,6 +94,10 @@
 		}
 		ws := c.workers[c.places[t]]
 		delete(c.places, t)
+		if !c.grantAllows(j, j.Step(t)) {
+			// Others of the customer have taken what the grant allows.
+			continue
+		}
 		c.addPlannedRun(b, j, j.Place(t, locationOf(ws)), ws, now)
 	}
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -24,6 +24,12 @@
 	CorrelatedCrashes int64
 	// Work is what was looked at for the plan.
 	Work PlanWork
+	// AwaitsGrant is set if a task waits that the grant of its customer does not allow, and
+	// that a worker may have room for.
+	AwaitsGrant bool
+	// GrantWaits counts the tasks in the batch whose customer was held back by its grant
+	// while they waited.
+	GrantWaits int64
 
 	starts []plannedStart
 	jobs   map[*trackedJob]jobVersion
@@ -118,33 +124,13 @@
 	}
 	x := c.freeNodes(t.Now)
 	c.placeMoved(b, t.Now)
-	p := c.newPreemptor(t.Now)
-	for pg := range c.queue(t.Now) {
-		b.Work.Groups++
-		if c.placeGroup(b, *pg, x, t.Now) {
-			continue
-		}
-		p.preempt(*pg, x.Nodes())
-		if c.restWaits(*pg, x, p) {
-			break
-		}
-	}
+	c.placeWaiting(b, x, t.Now)
 	c.recordWaits(x, t.Now)
 	c.waiting.planned()
 	if copies {
 		c.placeCopies(b, x, t.Now)
 	}
-}
-
-// placeGroup places the tasks of a group. It reports whether every task found a worker.
-func (c *Core) placeGroup(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
-	if pg.job.Terms.Approval != nil {
-		c.requestMissingApprovals(pg, x.Nodes(), now)
-	}
-	if pg.job.Spec.Steps[pg.group.Step].Gang {
-		return c.placeGang(b, pg, x, now)
-	}
-	return c.placeTasks(b, pg, x, now)
+	c.updateHeldBack(t.Now)
 }
 
 // restWaits reports whether nothing can be done for any group after one that waits: no
@@ -172,69 +158,6 @@
 	}
 }
 
-// placeTasks places the tasks of a group one by one. It reports whether every
-// task found a worker.
-func (c *Core) placeTasks(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
-	if !x.MayFit(pg.job.Spec.Steps[pg.group.Step].ReservedResources()) {
-		return false
-	}
-	req := c.approvedRequest(pg.job, pg.group, now)
-	req.ExpectedEnd = now + c.expectedDuration(pg.job.Spec.Steps[pg.group.Step])
-	if len(pg.job.avoided) > 0 || pg.job.HasCrashes() {
-		return c.placeEach(b, pg, req, x, now)
-	}
-	nodes := x.ChooseGroup(req, len(pg.group.Waiting))
-	for i, n := range nodes {
-		c.placeTask(b, pg, pg.group.Waiting[i], n, now)
-	}
-	return len(nodes) == len(pg.group.Waiting)
-}
-
-// placeEach does what placeTasks does for a job with tasks that avoid workers,
-// or under which workers have crashed.
-func (c *Core) placeEach(b *Batch, pg pendingGroup, req placement.Request, x *placement.Index, now time.Duration) bool {
-	for _, k := range pg.group.Waiting {
-		req.Avoided = pg.job.avoided[pg.task(k)]
-		req.Suspect = pg.job.Suspect(pg.task(k))
-		req.AvoidRecentStart = pg.job.CrashCount(pg.task(k)) > 0
-		n := x.Choose(req)
-		if n == nil {
-			return false
-		}
-		x.Reserve(req, n)
-		c.placeTask(b, pg, k, n, now)
-	}
-	return true
-}
-
-// placeTask adds a run of a group's task with index k on a node.
-func (c *Core) placeTask(b *Batch, pg pendingGroup, k int, n *placement.Node, now time.Duration) {
-	ws := c.workers[n.ID]
-	c.addPlannedRun(b, pg.job, pg.job.Place(pg.task(k), locationOf(ws)), ws, now)
-}
-
-// placeGang places all tasks of a gang or none. It reports whether it placed
-// them.
-func (c *Core) placeGang(b *Batch, pg pendingGroup, x *placement.Index, now time.Duration) bool {
-	req := c.approvedRequest(pg.job, pg.group, now)
-	s := pg.job.Spec.Steps[pg.group.Step]
-	req.ExpectedEnd = now + c.expectedDuration(s)
-	req.Avoided = pg.job.avoidedByGang(pg.group)
-	chosen := placement.ChooseGang(x.Nodes(), req, s.Count, s.SameRack)
-	if chosen == nil {
-		return false
-	}
-	at := make([]job.Location, 0, len(chosen))
-	for _, n := range chosen {
-		x.Reserve(req, n)
-		at = append(at, locationOf(c.workers[n.ID]))
-	}
-	for i, r := range pg.job.PlaceGang(pg.group.Occurrence, pg.group.Step, at) {
-		c.addPlannedRun(b, pg.job, r, c.workers[at[i].Worker.ID], now)
-	}
-	return true
-}
-
 // longRunningDuration is the expected duration of a long-running task.
 const longRunningDuration = 1000 * time.Hour
 
@@ -258,6 +181,9 @@
 	run.Suspect = j.Suspect(r.Task)
 	run.Verified = j.CrashCount(r.Task) > 0
 	ws.AddRun(run)
+	if c.waitedForGrant(j) {
+		b.GrantWaits++
+	}
 	j.stalledSince = 0
 	b.starts = append(b.starts, plannedStart{run: r, worker: ws.Incarnation})
 	c.markDirty(j)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -159,7 +159,8 @@
 // evacuate set, and promises each of their tasks a place on another worker.
 // On cordoned workers it stops long-running tasks, within the MaxUnavailable of
 // each step; on draining workers it stops every run that would not end in time, at
-// most MaxUnavailable long-running ones of a step at once.
+// most MaxUnavailable long-running ones of a step at once. Runs of a customer that uses
+// more than its grant go on as long as they can, since they would not be started again.
 func (c *Core) evacuate(t Times) {
 	c.unplacedMoves = c.unplacedMoves[:0]
 	workers := c.evacuating(t.Now)
@@ -174,7 +175,7 @@
 				continue
 			}
 			switch {
-			case !c.shouldEvacuate(ws, j, r, t.Now):
+			case !c.shouldEvacuate(ws, j, r, t.Now) || !c.grantAllowsMove(j):
 			case !e.reserve(j, r.ID.Task):
 				c.recordUnplacedMove(j, r.ID.Task)
 			case !c.mayMove(j, r.ID.Task):
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -24,8 +24,11 @@
 	longRunning bool
 	// sequence is the job's position in the order in which jobs became known.
 	sequence int64
-	// cpu is the processor time that one task reserves, in thousandths of a core.
-	cpu int
+	// need is what one task reserves, and tasks the number of tasks that waited when the
+	// group was queued. gang is set if they start together.
+	need  job.Resources
+	tasks int
+	gang  bool
 }
 
 // slack returns how much longer the group can wait without making its job late.
@@ -96,6 +99,8 @@
 	needs *btree.BTreeG[needCount]
 	// approvals counts the groups whose workers have to be approved.
 	approvals int
+	// accounts count the waiting tasks of each customer.
+	accounts *customerAccounts
 	// changed are the jobs whose groups may have changed, and unplanned those that have
 	// changed since the last plan.
 	changed, unplanned []*trackedJob
@@ -108,8 +113,9 @@
 // treeDegree is the degree of the queue's trees.
 const treeDegree = 16
 
-func newWaitQueue() waitQueue {
+func newWaitQueue(a *customerAccounts) waitQueue {
 	return waitQueue{
+		accounts:   a,
 		byPriority: map[int]*btree.BTreeG[*pendingGroup]{},
 		needs:      btree.NewG(treeDegree, func(a, b needCount) bool { return a.cpu < b.cpu }),
 	}
@@ -162,7 +168,7 @@
 		pg := &groups[i]
 		j.queued = append(j.queued, pg)
 		q.tree(j.Terms.Priority).ReplaceOrInsert(pg)
-		q.countNeed(pg, 1)
+		q.count(pg, 1)
 	}
 }
 
@@ -170,7 +176,7 @@
 func (q *waitQueue) dequeue(j *trackedJob) {
 	for _, pg := range j.queued {
 		q.tree(j.Terms.Priority).Delete(pg)
-		q.countNeed(pg, -1)
+		q.count(pg, -1)
 	}
 	j.queued = nil
 }
@@ -187,13 +193,14 @@
 	return t
 }
 
-// countNeed adds n to the number of groups with the need of one.
-func (q *waitQueue) countNeed(pg *pendingGroup, n int) {
+// count counts a group that is added, or one that is removed if n is -1.
+func (q *waitQueue) count(pg *pendingGroup, n int) {
+	q.accounts.of(pg.job.Terms.Customer).addWaiting(pg, n)
 	if pg.job.Terms.Approval != nil {
 		q.approvals += n
 	}
-	c, _ := q.needs.Get(needCount{cpu: pg.cpu})
-	c.cpu = pg.cpu
+	c, _ := q.needs.Get(needCount{cpu: pg.need.CPU})
+	c.cpu = pg.need.CPU
 	c.groups += n
 	if c.groups == 0 {
 		q.needs.Delete(c)
@@ -261,7 +268,9 @@
 			latestStart: latestStart,
 			longRunning: st.LongRunning,
 			sequence:    j.sequence,
-			cpu:         st.ReservedResources().CPU,
+			need:        st.ReservedResources(),
+			tasks:       len(g.Waiting),
+			gang:        st.Gang,
 		})
 	}
 	return out
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -38,8 +38,8 @@
 // Report is what a pool's holder reports of the pool.
 type Report struct {
 	// Used is the resources that runs take, Waiting those that tasks need which
-	// could start now, and Late the part of Waiting that belongs to jobs which
-	// are late anyway.
+	// could start now, as far as the limits of customers allow, and Late the part
+	// of Waiting that belongs to jobs which are late anyway.
 	Used    job.Resources `cbor:"1,keyasint"`
 	Waiting job.Resources `cbor:"2,keyasint"`
 	Late    job.Resources `cbor:"3,keyasint"`
@@ -70,9 +70,17 @@
 	var waiting []stepTasks
 	var stalled []UnplacedTasks
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
+	heldBack := c.heldBackUse()
+	rep.CurrentDemand, rep.ExpectedDemand = rep.CurrentDemand.Add(heldBack), rep.ExpectedDemand.Add(heldBack)
+	allowed := c.newAllowances()
 	for pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
-		needed := s.ReservedResources().Times(len(pg.group.Waiting))
+		// No host helps tasks that their customer's grant does not allow.
+		tasks := allowed.take(pg)
+		if tasks == 0 {
+			continue
+		}
+		needed := s.ReservedResources().Times(tasks)
 		rep.Waiting = rep.Waiting.Add(needed)
 		switch pg.class(now) {
 		case classLongRunning:
@@ -81,12 +89,12 @@
 				// The next plan may place them.
 				continue
 			}
-			waiting = append(waiting, stepTasks{pg.step(), unplacedTasks(s, len(pg.group.Waiting))})
+			waiting = append(waiting, stepTasks{pg.step(), unplacedTasks(s, tasks)})
 			continue
 		case classLate:
 			rep.Late = rep.Late.Add(needed)
 		}
-		if pg.job.stalled(now) {
+		if c.jobStalled(pg.job, now) {
 			stalled = addKind(stalled, unplacedTasks(s, 1))
 		}
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"greengagedeck/internal/clock"
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/logstore"
@@ -54,10 +55,13 @@
 	// AcceptedElsewhere reports whether another pool has accepted a job that was stored
 	// in the intake under an older configuration. It may be nil.
 	AcceptedElsewhere func(context.Context, *joblog.Submission) bool
-	Registry          *worker.Registry
-	Duty              Duty
-	Logger            zerolog.Logger
-	Scope             tally.Scope
+	// Customers returns the customers of the configuration in effect, or nil if it has
+	// none. It may be nil.
+	Customers func() *customer.Directory
+	Registry  *worker.Registry
+	Duty      Duty
+	Logger    zerolog.Logger
+	Scope     tally.Scope
 }
 
 // Runner carries out what a Core decides: it follows the intake and the list of
@@ -71,6 +75,8 @@
 	planWake chan struct{}
 	// approvalSlot admits one approval request at a time.
 	approvalSlot chan struct{}
+	// grantWanted receives when a task waits only for a grant.
+	grantWanted chan struct{}
 	// ended is closed when Run returns.
 	ended chan struct{}
 
@@ -106,6 +112,7 @@
 		progress:     newProgress(o.Clock.Now()),
 		planWake:     make(chan struct{}, 1),
 		approvalSlot: make(chan struct{}, 1),
+		grantWanted:  make(chan struct{}, 1),
 		ended:        make(chan struct{}),
 		core:         NewCore(o.Options, o.Clock.Now()),
 		agents:       map[string]*agent{},
@@ -138,6 +145,9 @@
 		return err
 	}
 	r.enter(PhaseRestoring)
+	r.mu.Lock()
+	r.applyCustomers()
+	r.mu.Unlock()
 	if err := r.restore(ctx); err != nil {
 		return err
 	}
@@ -220,18 +230,6 @@
 	}
 }
 
-// agent returns the agent of a worker and starts it if there is none. It must
-// be called with mu held.
-func (r *Runner) agent(ctx context.Context, id string) *agent {
-	a := r.agents[id]
-	if a == nil {
-		a = &agent{id: id, wokenAt: r.opt.Clock.Now(), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersPerWorker)}
-		r.agents[id] = a
-		go r.pollLoop(ctx, a)
-	}
-	return a
-}
-
 // errFencedByWorker means that a worker takes no orders of this holder.
 var errFencedByWorker = eris.New("a worker has seen the token of a newer holder")
 
@@ -265,11 +263,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.trackIntakeLag()
+	r.applyCustomers()
 	t := r.times()
 	r.work.planStarted(t.Now)
 	start := time.Now()
 	b = r.core.Decide(t)
 	decided := time.Now()
+	if b.AwaitsGrant {
+		notify(r.grantWanted)
+	}
 	r.work.spent(StagePlan, decided.Sub(start))
 	err = r.core.Encode(b, t)
 	r.work.spent(StageEncode, time.Since(decided))
@@ -336,6 +338,7 @@
 		r.metrics.jobDuration.RecordDuration(duration)
 	}
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
+	r.metrics.grantWaits.Inc(b.GrantWaits)
 	r.metrics.planWorkers.Inc(int64(b.Work.Workers))
 	r.metrics.planGroups.Inc(int64(b.Work.Groups))
 	var runs []job.RunID
--- a/internal/scheduler/unplaced.go
+++ b/internal/scheduler/unplaced.go
@@ -139,15 +139,9 @@
 // tasks: what the pool has free in total may be on workers that take no tasks.
 func (c *Core) hasStalledJob(now time.Duration) bool {
 	for j := range c.openJobs.all() {
-		if !j.Phase.Final() && j.stalled(now) {
+		if !j.Phase.Final() && c.jobStalled(j, now) && !c.grantForbidsJob(j) {
 			return true
 		}
 	}
 	return false
 }
-
-// stalled reports whether the job has had no active run for stalledAfter although
-// some of its tasks wait.
-func (j *trackedJob) stalled(now time.Duration) bool {
-	return j.stalledSince > 0 && now-j.stalledSince >= stalledAfter
-}
--- a/internal/scheduler/usage.go
+++ b/internal/scheduler/usage.go
@@ -1,8 +1,12 @@
 package scheduler
 
 import (
+	"time"
+
 	"greengagedeck/internal/customer"
+	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/limits"
 	"greengagedeck/internal/worker"
 )
 
@@ -12,18 +16,40 @@
 	// used is what the customer's runs reserve on all workers, and runs their number.
 	used job.Resources
 	runs int
+	// wanted is what its waiting tasks reserve, and waiting their number. kinds counts the
+	// waiting groups by what one start of them needs.
+	wanted  job.Resources
+	waiting int
+	kinds   map[taskKind]int
+	// limit is the customer's limit in the configuration, and grant what it may use in this
+	// pool, if granted is set.
+	limit, grant job.Resources
+	granted      bool
+	// heldAt is when a plan last found a task that the grant does not allow, and blockedAt
+	// when the grant last allowed none that waits.
+	heldAt, blockedAt time.Duration
+	// heldBack is set while the customer counts as held back by its grant, since heldSince.
+	heldBack  bool
+	heldSince time.Duration
 }
 
 // customerAccounts count what each customer uses and wants. Work of no customer has the
 // account of the empty ID.
 type customerAccounts struct {
 	byID map[customer.ID]*customerAccount
+	// directory and weights are those of the configuration in effect, and grants the ones
+	// that apply to this pool.
+	directory *customer.Directory
+	weights   fairshare.Weights
+	grants    limits.Grants
+	// held are the customers that are held back, or that a plan has found to be.
+	held map[*customerAccount]bool
 	// lasting is what all long-running tasks reserve.
 	lasting job.Resources
 }
 
 func newCustomerAccounts() customerAccounts {
-	return customerAccounts{byID: map[customer.ID]*customerAccount{}}
+	return customerAccounts{byID: map[customer.ID]*customerAccount{}, held: map[*customerAccount]bool{}}
 }
 
 // of returns the account of a customer, and creates it if there is none.
@@ -31,6 +57,7 @@
 	acc := a.byID[id]
 	if acc == nil {
 		acc = &customerAccount{id: id}
+		a.configure(acc)
 		a.byID[id] = acc
 	}
 	return acc
