Place waiting tasks by customer, weight and share

Cause: waiting groups were ordered by urgency alone, so that a customer that sends much delays all others, and small tasks took all room before a large one found any. Change: with customers, groups are placed by priority, class (long-running, on time, excess, late), dominant share for the weight, and urgency. The share is updated while a plan places tasks, and a customer that a plan can place nothing more of is left out. A customer that runs nothing has its turn after 5 s with a late or excess job too. Room is reserved, on an eighth of the workers, for groups that others have overtaken for half a second. Without customers the order is as before.

--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -20,6 +20,8 @@
 	maxCPU int
 	// highest is the last bucket that may hold a node.
 	highest int
+	// freeCPU is the sum of the free CPU time of all nodes.
+	freeCPU int
 }
 
 // NewIndex returns an Index of nodes.
@@ -35,7 +37,7 @@
 // layOut lays out the buckets anew.
 func (x *Index) layOut() {
 	x.buckets = [indexBuckets][]*Node{}
-	x.maxCPU, x.highest = 0, 0
+	x.maxCPU, x.highest, x.freeCPU = 0, 0, 0
 	for _, n := range x.nodes {
 		x.maxCPU = max(x.maxCPU, n.Free.CPU)
 	}
@@ -80,12 +82,16 @@
 // Nodes returns all nodes of the index.
 func (x *Index) Nodes() []*Node { return x.nodes }
 
+// FreeCPU returns the free CPU time of all nodes together.
+func (x *Index) FreeCPU() int { return x.freeCPU }
+
 // bucketOf returns the bucket of nodes with the given free CPU time.
 func (x *Index) bucketOf(cpu int) int {
 	return max(0, min(indexBuckets-1, cpu*indexBuckets/(x.maxCPU+1)))
 }
 
 func (x *Index) insert(n *Node) {
+	x.freeCPU += max(0, n.Free.CPU)
 	n.bucket = x.bucketOf(n.Free.CPU)
 	x.highest = max(x.highest, n.bucket)
 	n.slot = len(x.buckets[n.bucket])
@@ -93,6 +99,7 @@
 }
 
 func (x *Index) remove(n *Node) {
+	x.freeCPU -= max(0, n.Free.CPU)
 	b := x.buckets[n.bucket]
 	last := b[len(b)-1]
 	b[n.slot] = last
@@ -107,6 +114,16 @@
 	x.insert(n)
 }
 
+// Withhold takes an amount from a node's free resources, as far as they are there, so that
+// no further task gets it.
+func (x *Index) Withhold(n *Node, r job.Resources) {
+	x.remove(n)
+	n.Free = job.Resources{
+		CPU: n.Free.CPU - min(r.CPU, max(0, n.Free.CPU)), MemoryMB: n.Free.MemoryMB - min(r.MemoryMB, max(0, n.Free.MemoryMB)), GPU: n.Free.GPU - min(r.GPU, max(0, n.Free.GPU)),
+	}
+	x.insert(n)
+}
+
 // MayFit reports whether some node may have enough free resources. It is cheaper
 // than a search for one: in a full pool most tasks fit nowhere.
 func (x *Index) MayFit(need job.Resources) bool {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -117,6 +117,8 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
+	// overtaken are groups that wait for room while others after them are placed.
+	overtaken map[worker.StepKey]*overtakenGroup
 	// noRuns are the jobs and tasks that have no active run.
 	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
@@ -170,6 +172,7 @@
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
+		overtaken:        map[worker.StepKey]*overtakenGroup{},
 		noRuns:           newNoRuns(),
 		running:          map[int]int{},
 	}
--- a/internal/scheduler/customerpool_test.go
+++ b/internal/scheduler/customerpool_test.go
@@ -35,6 +35,11 @@
 	// seconds, and last what the last plan did.
 	done map[customer.ID]float64
 	last *scheduler.Batch
+	// arrived are the jobs that have started nothing, with the number of plans made when
+	// they came, and waited the most plans that a job of each customer waited for a start.
+	arrived map[job.ID]int
+	plans   int
+	waited  map[customer.ID]int
 }
 
 // customerRun is a run at a worker.
@@ -49,6 +54,7 @@
 	p := &customerPool{
 		g: NewWithT(tb), now: scheduler.Times{Now: time.Hour, Wall: 1_700_000_000_000},
 		owners: map[job.ID]customer.ID{}, specs: map[job.ID]job.Spec{}, numbers: map[string]int64{}, done: map[customer.ID]float64{},
+		arrived: map[job.ID]int{}, waited: map[customer.ID]int{},
 	}
 	p.c = scheduler.NewCore(scheduler.Options{
 		Pool: simPool, Token: 2, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
@@ -106,6 +112,7 @@
 	p.jobs++
 	spec := job.Spec{ID: job.ID(fmt.Sprintf("%016x", p.jobs)), Steps: steps}
 	p.owners[spec.ID], p.specs[spec.ID] = owner, spec
+	p.arrived[spec.ID] = p.plans
 	p.c.Submit(&joblog.Submission{Spec: spec, AcceptedAt: p.now.Wall, Terms: job.Terms{
 		Entry: "e", Pool: simPool, Priority: priority, MaxAttempts: 3, StretchFactor: 2, Slack: time.Second, Customer: owner,
 	}}, p.now)
@@ -123,6 +130,7 @@
 	p.g.Expect(err).NotTo(HaveOccurred())
 	p.c.Committed(b, p.now)
 	p.last = b
+	p.plans++
 	out := map[customer.ID]int{}
 	for _, s := range scheduler.BatchStarts(b) {
 		o, send := p.c.StartOrder(s.Run, s.Worker, p.now.Now, simDutyLease)
@@ -130,7 +138,12 @@
 		p.c.StartAnswered(o, p.now.Now.Milliseconds(), nil, p.now)
 		st := p.specs[s.Run.Task.Job].Steps[s.Run.Task.Step]
 		p.running = append(p.running, customerRun{s, p.now.Now + st.Estimate})
-		out[p.owners[s.Run.Task.Job]]++
+		owner := p.owners[s.Run.Task.Job]
+		out[owner]++
+		if at, first := p.arrived[s.Run.Task.Job]; first {
+			delete(p.arrived, s.Run.Task.Job)
+			p.waited[owner] = max(p.waited[owner], p.plans-1-at)
+		}
 	}
 	p.g.Expect(scheduler.CheckUsage(p.c)).To(BeEmpty())
 	return out
@@ -174,6 +187,18 @@
 	}
 }
 
+// longestWait returns the most plans for which a job of a customer has waited that has started
+// nothing, or that one waited.
+func (p *customerPool) longestWait(id customer.ID) int {
+	longest := p.waited[id]
+	for j, at := range p.arrived {
+		if p.owners[j] == id {
+			longest = max(longest, p.plans-at)
+		}
+	}
+	return longest
+}
+
 // used returns what the runs of a customer reserve.
 func (p *customerPool) used(id customer.ID) job.Resources {
 	var out job.Resources
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -27,6 +27,11 @@
 	for _, acc := range a.byID {
 		a.configure(acc)
 	}
+	if d == nil {
+		clear(c.overtaken)
+	}
+	c.waiting.setByCustomer(d != nil, c.openJobs.all())
+	c.waiting.dropEmpty()
 	c.needsPlan = true
 }
 
--- a/internal/scheduler/export_index_test.go
+++ b/internal/scheduler/export_index_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"greengagedeck/internal/job"
 	"greengagedeck/internal/placement"
 )
 
@@ -12,6 +13,7 @@
 func CheckIndex(c *Core, now time.Duration) string {
 	c.refreshWorkers(now)
 	nodes := 0
+	var capacity job.Resources
 	for id, ws := range c.workers {
 		if c.index.silent[id] != (len(ws.Runs) > 0 && !reachable(ws)) {
 			return fmt.Sprintf("silent %s: %v", id, c.index.silent[id])
@@ -30,10 +32,14 @@
 			continue
 		}
 		nodes++
+		capacity = capacity.Add(ws.Capacity)
 		if got, want := describeNode(*n), describeNode(c.node(ws, now)); got != want {
 			return fmt.Sprintf("node is %s, want %s", got, want)
 		}
 	}
+	if c.index.capacity != capacity {
+		return fmt.Sprintf("capacity %+v, want %+v", c.index.capacity, capacity)
+	}
 	if len(c.index.byID) != nodes || len(c.index.nodes.Nodes()) != nodes {
 		return fmt.Sprintf("%d nodes, %d of them indexed, want %d", len(c.index.byID), len(c.index.nodes.Nodes()), nodes)
 	}
--- a/internal/scheduler/export_usage_test.go
+++ b/internal/scheduler/export_usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
@@ -65,3 +66,15 @@
 	}
 	return ""
 }
+
+// CountWaiting returns how many tasks of a customer wait.
+func CountWaiting(c *Core, id customer.ID) int {
+	c.waiting.update()
+	return c.accounts.of(id).waiting
+}
+
+// SetObjective changes the time in which a job should be done.
+func SetObjective(c *Core, id job.ID, objective time.Duration) {
+	c.jobs[id].objective = objective
+	c.waiting.jobChanged(c.jobs[id])
+}
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengagedeck/internal/job"
 	"greengagedeck/internal/placement"
 	"greengagedeck/internal/worker"
 )
@@ -15,6 +16,9 @@
 	// nodes are the workers that accept new tasks, and byID the same by worker ID.
 	nodes *placement.Index
 	byID  map[string]*placement.Node
+	// capacity is the sum of the capacities of the nodes, which capacities holds by worker ID.
+	capacity   job.Resources
+	capacities map[string]job.Resources
 	// isolated are the nodes that are isolated, which ends without a change.
 	isolated map[string]bool
 	// silent are the workers that do not answer and have or may have runs, and draining
@@ -38,6 +42,8 @@
 		silent:   map[string]bool{},
 		draining: map[string]bool{},
 		unlogged: map[string]bool{},
+
+		capacities: map[string]job.Resources{},
 	}
 }
 
@@ -101,6 +107,7 @@
 	setMember(x.draining, id, ws != nil && ws.Draining)
 	accepts := ws != nil && c.acceptsTasks(ws)
 	setMember(x.isolated, id, accepts && ws.Isolated(now))
+	x.setCapacity(id, ws, accepts)
 	n := x.byID[id]
 	switch {
 	case !accepts && n != nil:
@@ -117,6 +124,17 @@
 	}
 }
 
+// setCapacity brings the sum of the nodes' capacities up to date with one worker.
+func (x *workerIndex) setCapacity(id string, ws *worker.State, accepts bool) {
+	x.capacity = x.capacity.Sub(x.capacities[id])
+	if !accepts {
+		delete(x.capacities, id)
+		return
+	}
+	x.capacities[id] = ws.Capacity
+	x.capacity = x.capacity.Add(ws.Capacity)
+}
+
 // acceptsTasks reports whether a worker takes new tasks.
 func (c *Core) acceptsTasks(ws *worker.State) bool {
 	return ws.Listed && !ws.Draining && ws.CordonReason == "" && reachable(ws) && ws.Reconciled
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,30 +20,74 @@
 	heldByGrant
 )
 
+// waitingPlacer places the tasks that wait in one plan.
+type waitingPlacer struct {
+	core  *Core
+	batch *Batch
+	x     *placement.Index
+	now   time.Duration
+	order *turnOrder
+	p     *preemptor
+	// passedGroups are groups for which no worker had room in their turn, after which no
+	// other was placed yet.
+	passedGroups []*pendingGroup
+}
+
 // placeWaiting places the tasks that wait, and stops less urgent runs for those that no
 // worker takes.
 func (c *Core) placeWaiting(b *Batch, x *placement.Index, now time.Duration) {
-	p := c.newPreemptor(now)
-	for pg := range c.queue(now) {
-		b.Work.Groups++
-		switch c.placeGroup(b, pg, x, now) {
-		case placed:
-			continue
-		case heldByGrant:
-			// Neither a stopped run nor another worker would help.
-			c.foundHeld(b, pg, x, now)
-			continue
-		case noRoom:
+	w := &waitingPlacer{core: c, batch: b, x: x, now: now, order: c.newTurnOrder(x, now), p: c.newPreemptor(now)}
+	priority, first := 0, true
+	for pg, atMost := range w.order.groups() {
+		if p := pg.job.Terms.Priority; first || p != priority {
+			priority, first = p, false
+			w.useReservations(p)
 		}
-		p.preempt(*pg, x.Nodes())
-		if c.restWaits(*pg, x, p) {
+		if !w.place(pg, atMost) {
 			break
 		}
 	}
+	c.updateReservations(now)
 }
 
-// placeGroup places the tasks of a group.
-func (c *Core) placeGroup(b *Batch, pg *pendingGroup, x *placement.Index, now time.Duration) placeOutcome {
+// place places at most a number of tasks of a group. It reports whether anything can be
+// done for other groups.
+func (w *waitingPlacer) place(pg *pendingGroup, atMost int) bool {
+	c, acc := w.core, w.core.accountOf(pg.job)
+	w.batch.Work.Groups++
+	before := len(pg.group.Waiting)
+	outcome := c.placeGroup(w.batch, pg, w.x, atMost, w.now)
+	if len(pg.group.Waiting) < before {
+		w.overtaken()
+	}
+	switch outcome {
+	case placed:
+		return true
+	case heldByGrant:
+		// Neither a stopped run nor another worker would help.
+		c.foundHeld(w.batch, pg, w.x, w.now)
+		if !acc.allowsAny() {
+			w.order.finish(acc.id)
+		}
+		return true
+	case noRoom:
+	}
+	w.passed(pg)
+	w.p.preempt(*pg, w.x.Nodes())
+	if c.restWaits(*pg, w.x, w.p) {
+		return false
+	}
+	if c.waiting.approvals == 0 && !w.p.mayPreempt(*pg) && !w.x.MayFit(job.Resources{CPU: acc.leastCPU()}) {
+		w.order.finish(acc.id)
+	}
+	return true
+}
+
+// placeGroup places at most a number of tasks of a group, or all of a gang.
+func (c *Core) placeGroup(b *Batch, pg *pendingGroup, x *placement.Index, atMost int, now time.Duration) placeOutcome {
+	if len(pg.group.Waiting) == 0 {
+		return placed
+	}
 	if !c.grantAllowsGroup(pg) {
 		return heldByGrant
 	}
@@ -53,15 +97,16 @@
 	if pg.gang {
 		return c.placeGang(b, pg, x, now)
 	}
-	return c.placeTasks(b, pg, x, now)
+	return c.placeTasks(b, pg, x, atMost, now)
 }
 
-// placeTasks places the tasks of a group one by one, as many as the grant allows.
-func (c *Core) placeTasks(b *Batch, pg *pendingGroup, x *placement.Index, now time.Duration) placeOutcome {
+// placeTasks places the tasks of a group one by one, at most a number of them and as many
+// as the grant allows.
+func (c *Core) placeTasks(b *Batch, pg *pendingGroup, x *placement.Index, atMost int, now time.Duration) placeOutcome {
 	if !x.MayFit(pg.need) {
 		return noRoom
 	}
-	wanted := len(pg.group.Waiting)
+	wanted := min(atMost, len(pg.group.Waiting))
 	count := c.accountOf(pg.job).allowed(pg.need, wanted)
 	switch n := c.placeCount(b, pg, x, count, now); {
 	case n < count:
--- a/internal/scheduler/plan_bench_test.go
+++ b/internal/scheduler/plan_bench_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/scheduler"
@@ -33,8 +34,9 @@
 	ends map[string]int64
 }
 
-// newFullPoolCore returns a pool that was not planned yet.
-func newFullPoolCore(tb testing.TB, workers, jobs int) *fullPool {
+// newFullPoolCore returns a pool that was not planned yet. If there are customers, each
+// submits as many of the jobs.
+func newFullPoolCore(tb testing.TB, workers, jobs int, customers ...customer.Customer) *fullPool {
 	tb.Helper()
 	now := time.Hour
 	t := scheduler.Times{Now: now, Wall: 1_700_000_000_000}
@@ -42,6 +44,9 @@
 		Pool: simPool, Token: 1, Lease: simLease, MaxLease: simMaxLease, StopTimeout: simStopTimeout,
 		DutyLease: simDutyLease, StatusRetention: 2 * time.Minute, Logger: zerolog.Nop(),
 	}, now-time.Minute)
+	if len(customers) > 0 {
+		c.SetCustomers(newDirectory(customers...))
+	}
 	var list []worker.Listing
 	for i := range workers {
 		list = append(list, worker.Listing{
@@ -59,11 +64,11 @@
 		c.PollSucceeded(poll, worker.Report{StartedAt: 1}, t)
 	}
 	for i := range jobs {
-		c.Submit(&joblog.Submission{
-			Spec:       fullPoolSpec(i),
-			Terms:      job.Terms{Entry: "e", Priority: i % 2, MaxAttempts: 3, StretchFactor: 2, Slack: time.Second},
-			AcceptedAt: t.Wall,
-		}, t)
+		terms := job.Terms{Entry: "e", Priority: i % 2, MaxAttempts: 3, StretchFactor: 2, Slack: time.Second}
+		if len(customers) > 0 {
+			terms.Customer = customers[i/2%len(customers)].ID
+		}
+		c.Submit(&joblog.Submission{Spec: fullPoolSpec(i), Terms: terms, AcceptedAt: t.Wall}, t)
 	}
 	return &fullPool{tb: tb, core: c, now: t, ends: map[string]int64{}}
 }
@@ -159,6 +164,33 @@
 	}
 }
 
+// Guards against plans of a full pool whose cost follows the number of customers or of
+// waiting jobs. Load: 1,000 workers, 8,000 waiting jobs of two priorities and 250 customers,
+// of whom every second one waits for a grant, with 20 runs that end before each plan.
+func TestPlanWithCustomersCostsWhatItPlaces(t *testing.T) {
+	const customers, priorities, ended = 250, 2, 20
+	g := NewWithT(t)
+	all := equalCustomers(customers, 1)
+	for i := range all {
+		all[i].Limit.CPU = i % 2 * 1000
+	}
+	p := newFullPoolCore(t, 1000, 8000, all...)
+	for range 3 {
+		b := p.plan()
+		g.Expect(b.Work.Groups).To(BeNumerically("<=", len(scheduler.BatchStarts(b))+customers*priorities))
+	}
+	g.Expect(len(p.running)).To(BeNumerically(">", 9000), "the pool is full")
+	g.Expect(testing.AllocsPerRun(20, func() { p.plan() })).To(BeNumerically("<=", maxIdleAllocs))
+	for range 10 {
+		p.end(ended)
+		b := p.plan()
+		placed := len(scheduler.BatchStarts(b))
+		g.Expect(placed).To(BeNumerically(">", 0))
+		g.Expect(b.Work.Groups).To(BeNumerically("<=", placed+customers*priorities))
+		g.Expect(b.Work.Workers).To(BeNumerically("<=", 2*ended+2*placed))
+	}
+}
+
 const (
 	// maxIdleGroups bounds the groups that a plan considers although nothing has changed:
 	// those for which runs may be preempted.
@@ -169,6 +201,16 @@
 	maxRunAllocs  = 150
 )
 
+// BenchmarkPlanFullPoolOfCustomers measures a plan of a full pool with 250 customers.
+func BenchmarkPlanFullPoolOfCustomers(b *testing.B) {
+	p := newFullPoolCore(b, 1000, 8000, equalCustomers(250, 1)...)
+	p.plan()
+	b.ReportAllocs()
+	for b.Loop() {
+		p.plan()
+	}
+}
+
 func BenchmarkPlanFullPool(b *testing.B) {
 	for _, size := range []struct{ workers, jobs int }{{80, 500}, {600, 2000}, {1000, 8000}} {
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -63,7 +63,8 @@
 		return
 	}
 	p.groups++
-	if pg.class(p.now) == classLate {
+	if pg.class(p.now) >= classExcess {
+		// Neither late jobs nor excess ones are worth the work of others.
 		return
 	}
 	if p.now < max(pg.job.arrived, pg.job.lastPreemption)+preemptDelay {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"iter"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/google/btree"
 
+	"greengagedeck/internal/customer"
+	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
@@ -29,6 +30,8 @@
 	need  job.Resources
 	tasks int
 	gang  bool
+	// tree is the one that holds the group.
+	tree *groupTree
 }
 
 // slack returns how much longer the group can wait without making its job late.
@@ -71,19 +74,23 @@
 const (
 	classLongRunning = iota
 	classOnTime
+	classExcess
 	classLate
 )
 
-// class puts long-running tasks first, since every moment without them counts,
-// and jobs that can no longer finish in time last.
+// class puts long-running tasks first, since every moment without them counts, and jobs
+// that can no longer finish in time last. Before those come the jobs that their customers
+// have submitted beyond what they are entitled to.
 func (pg pendingGroup) class(now time.Duration) int {
 	switch {
 	case pg.longRunning:
 		return classLongRunning
-	case pg.latestStart >= now:
-		return classOnTime
-	default:
+	case pg.latestStart < now:
 		return classLate
+	case pg.job.excess:
+		return classExcess
+	default:
+		return classOnTime
 	}
 }
 
@@ -91,14 +98,20 @@
 // changed are looked up and sorted again, so that the many jobs that wait unchanged in
 // a full pool cost a plan nothing.
 type waitQueue struct {
-	// byPriority are the groups of each priority, in the order of pendingGroup.less.
-	byPriority map[int]*btree.BTreeG[*pendingGroup]
+	// byPriority are the groups of each priority.
+	byPriority map[int]*priorityQueue
 	// priorities are the keys of byPriority in order.
 	priorities []int
 	// needs counts the groups by the processor time that one of their tasks reserves.
 	needs *btree.BTreeG[needCount]
 	// approvals counts the groups whose workers have to be approved.
 	approvals int
+	// byCustomer is set if customers take turns. Otherwise all groups are in the queue of
+	// the customer "".
+	byCustomer bool
+	// turns and finished are those of the present plan, see turnOrder.
+	turns    fairshare.Turns[classTurn]
+	finished map[customer.ID]bool
 	// accounts count the waiting tasks of each customer.
 	accounts *customerAccounts
 	// changed are the jobs whose groups may have changed, and unplanned those that have
@@ -116,7 +129,8 @@
 func newWaitQueue(a *customerAccounts) waitQueue {
 	return waitQueue{
 		accounts:   a,
-		byPriority: map[int]*btree.BTreeG[*pendingGroup]{},
+		finished:   map[customer.ID]bool{},
+		byPriority: map[int]*priorityQueue{},
 		needs:      btree.NewG(treeDegree, func(a, b needCount) bool { return a.cpu < b.cpu }),
 	}
 }
@@ -167,7 +181,8 @@
 	for i := range groups {
 		pg := &groups[i]
 		j.queued = append(j.queued, pg)
-		q.tree(j.Terms.Priority).ReplaceOrInsert(pg)
+		pg.tree = q.priority(j.Terms.Priority).of(q.queueKey(j)).tree(j)
+		pg.tree.ReplaceOrInsert(pg)
 		q.count(pg, 1)
 	}
 }
@@ -175,22 +190,22 @@
 // dequeue removes the groups of a job.
 func (q *waitQueue) dequeue(j *trackedJob) {
 	for _, pg := range j.queued {
-		q.tree(j.Terms.Priority).Delete(pg)
+		pg.tree.Delete(pg)
 		q.count(pg, -1)
 	}
 	j.queued = nil
 }
 
-// tree returns the groups of a priority.
-func (q *waitQueue) tree(priority int) *btree.BTreeG[*pendingGroup] {
-	t := q.byPriority[priority]
-	if t == nil {
-		t = btree.NewG(treeDegree, (*pendingGroup).less)
-		q.byPriority[priority] = t
+// priority returns the groups of a priority.
+func (q *waitQueue) priority(priority int) *priorityQueue {
+	pq := q.byPriority[priority]
+	if pq == nil {
+		pq = &priorityQueue{}
+		q.byPriority[priority] = pq
 		at, _ := slices.BinarySearch(q.priorities, priority)
 		q.priorities = slices.Insert(q.priorities, at, priority)
 	}
-	return t
+	return pq
 }
 
 // count counts a group that is added, or one that is removed if n is -1.
@@ -216,40 +231,23 @@
 	return least.cpu
 }
 
-// inOrder returns the groups in the order in which they are placed: those of one
-// priority by their classes. The queue must not be updated meanwhile.
+// inOrder returns the groups by priority and customer, those of one customer by their
+// classes. The queue must not be updated meanwhile.
 func (q *waitQueue) inOrder(now time.Duration) iter.Seq[*pendingGroup] {
 	q.update()
+	bounds := newClassBounds(now)
 	return func(yield func(*pendingGroup) bool) {
 		for _, p := range q.priorities {
-			if !eachOfPriority(q.byPriority[p], now, yield) {
-				return
+			for _, cq := range q.byPriority[p].customers {
+				if !bounds.eachByClass(cq.usual, yield) || !bounds.eachByClass(cq.excess, yield) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// eachOfPriority passes the groups of one priority to yield until that returns false. It
-// reports whether it passed all.
-func eachOfPriority(t *btree.BTreeG[*pendingGroup], now time.Duration, yield func(*pendingGroup) bool) bool {
-	goOn := true
-	pass := func(pg *pendingGroup) bool {
-		goOn = yield(pg)
-		return goOn
-	}
-	firstShort := &pendingGroup{latestStart: math.MinInt64, sequence: math.MinInt64}
-	firstOnTime := &pendingGroup{latestStart: now, sequence: math.MinInt64}
-	t.AscendLessThan(firstShort, pass)
-	if goOn {
-		t.AscendGreaterOrEqual(firstOnTime, pass)
-	}
-	if goOn {
-		t.AscendRange(firstShort, firstOnTime, pass)
-	}
-	return goOn
-}
-
-// queue returns the groups that wait, the most urgent first.
+// queue returns the groups that wait, the most urgent of each priority and customer first.
 func (c *Core) queue(now time.Duration) iter.Seq[*pendingGroup] { return c.waiting.inOrder(now) }
 
 // pendingGroups returns the groups of a job that wait.
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -41,6 +41,15 @@
 	return out
 }
 
+// collectTurns returns the groups in the order in which a plan places them that places none.
+func collectTurns(c *Core, now time.Duration) []pendingGroup {
+	var out []pendingGroup
+	for pg := range c.newTurnOrder(c.index.nodes, now).groups() {
+		out = append(out, *pg)
+	}
+	return out
+}
+
 func describe(groups []pendingGroup) []string {
 	var out []string
 	for _, pg := range groups {
@@ -70,9 +79,13 @@
 			default:
 				changeRuns(rt, c, c.jobs[rapid.SampledFrom(ids).Draw(rt, "changed")])
 			}
-			if got, want := describe(collect(c.queue(times.Now))), describe(sortedFromScratch(c, times.Now)); !slices.Equal(got, want) {
+			want := describe(sortedFromScratch(c, times.Now))
+			if got := describe(collect(c.queue(times.Now))); !slices.Equal(got, want) {
 				rt.Fatalf("queue %v, want %v", got, want)
 			}
+			if got := describe(collectTurns(c, times.Now)); !slices.Equal(got, want) {
+				rt.Fatalf("order without customers %v, want %v", got, want)
+			}
 		}
 	})
 }
@@ -90,7 +103,10 @@
 		}
 		spec.Steps = append(spec.Steps, st)
 	}
-	terms := job.Terms{Priority: rapid.IntRange(0, 1).Draw(rt, "priority"), MaxAttempts: 2, StretchFactor: 1.5}
+	terms := job.Terms{
+		Priority: rapid.IntRange(0, 1).Draw(rt, "priority"), MaxAttempts: 2, StretchFactor: 1.5,
+		Customer: rapid.SampledFrom([]job.CustomerID{"", "a", "b", "c"}).Draw(rt, "customer"),
+	}
 	return &joblog.Submission{Spec: spec, Terms: terms, AcceptedAt: t.Wall}
 }
 
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -46,6 +46,9 @@
 	// stalledSince is since when the job has had no active run although some of
 	// its tasks wait, or 0.
 	stalledSince time.Duration
+	// excess is set if the job's customer had submitted more jobs than it is entitled to
+	// when it came.
+	excess bool
 	// lasting is set if any step of the job is long-running.
 	lasting bool
 	// knownFrom is from when on it is known when the job has active runs, and watch what
--- /dev/null
+++ b/internal/scheduler/turns_test.go
@@ -0,0 +1,77 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"greengagedeck/internal/customer"
+	"greengagedeck/internal/fairshare"
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/worker"
+)
+
+// Guards against customers that come out of turn, and groups that are left out or come twice
+// when classes and customers change. Load: up to 40 random submissions, cancels, starts and
+// ends of four customers with different shares, some jobs excess.
+func TestTurnsFollowPriorityClassShareAndUrgency(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		times := Times{Now: time.Hour, Wall: 1_700_000_000_000}
+		c := NewCore(Options{Pool: "p", StatusRetention: time.Minute, Logger: zerolog.Nop()}, times.Now)
+		c.UpdateWorkers([]worker.Listing{{Incarnation: job.Incarnation{ID: "w", StartedAt: 1}, Address: "w", Pool: "p", Capacity: job.Resources{CPU: 1000}}}, nil, times)
+		c.PollSucceeded(c.Poll("w", times.Now, time.Second), worker.Report{StartedAt: 1}, times)
+		c.refreshWorkers(times.Now)
+		var rows []customer.Row
+		for i, id := range []customer.ID{"a", "b", "c"} {
+			rows = append(rows, customer.Row{Customer: customer.Customer{ID: id, Weight: float64(i + 1)}})
+			c.accounts.of(id).used.CPU, c.accounts.of(id).runs = rapid.IntRange(1, 9).Draw(rt, "used")*100+i, 1
+		}
+		c.accounts.of("").runs = 1
+		directory := customer.NewDirectory(rows)
+		for i := range rapid.IntRange(1, 40).Draw(rt, "events") {
+			times.Now += time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause_ms")) * time.Millisecond
+			if rapid.IntRange(0, 5).Draw(rt, "reload") == 0 {
+				c.SetCustomers(nil)
+			}
+			c.SetCustomers(directory)
+			s := drawSubmission(rt, i, times)
+			c.Submit(s, times)
+			j := c.jobs[s.Spec.ID]
+			j.excess = !j.lasting && rapid.Bool().Draw(rt, "excess")
+			if rapid.Bool().Draw(rt, "change") {
+				changeRuns(rt, c, c.jobs[job.ID(s.Spec.ID)])
+			}
+			if got, want := describe(collectTurns(c, times.Now)), describe(inTurns(c, times.Now)); !slices.Equal(got, want) {
+				rt.Fatalf("order %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+// inTurns returns the waiting groups of all open jobs in the order of turns that place
+// nothing.
+func inTurns(c *Core, now time.Duration) []pendingGroup {
+	var out []pendingGroup
+	for j := range c.openJobs.all() {
+		out = append(out, j.pendingGroups()...)
+	}
+	share := func(pg pendingGroup) float64 {
+		acc := c.accountOf(pg.job)
+		return fairshare.Share(acc.used, c.index.capacity) / c.accounts.weights.Of(acc.id)
+	}
+	lateExcess := func(pg pendingGroup) bool { return pg.class(now) == classLate && pg.job.excess }
+	slices.SortStableFunc(out, func(a, b pendingGroup) int {
+		return cmp.Or(
+			cmp.Compare(a.job.Terms.Priority, b.job.Terms.Priority),
+			cmp.Compare(a.class(now), b.class(now)),
+			cmp.Compare(share(a), share(b)),
+			compareBool(lateExcess(a), lateExcess(b)),
+			cmp.Compare(a.latestStart, b.latestStart),
+		)
+	})
+	return out
+}
