Mark and reject jobs beyond a customer's rate

Cause: a customer that sends more jobs than its weight entitles it to had them queued without end, ahead of others' work that came later. Change: a token bucket for each customer and pool, with two seconds' worth of burst, marks jobs as excess by when they were accepted. They are placed after all that is on time and preempt nothing. Runner.Submit rejects one with the reason quota if the work ahead takes longer than its slack, and names the time in which that work is done. The pool's capacity counts without what long-running tasks and customers at their limits keep, and without what jobs that are not excess take as they come.

--- a/internal/fairshare/excess.go
+++ b/internal/fairshare/excess.go
@@ -128,3 +128,39 @@
 	wait = max(minRetryAfter, wait)
 	return wait + time.Duration(spread*float64(wait))
 }
+
+const (
+	// inflowTime is over how long an Inflow averages, and minInflowTime over how long at
+	// least after its start, when a single burst tells little.
+	inflowTime    = 10 * time.Second
+	minInflowTime = 4 * time.Second
+)
+
+// Inflow is the rate at which work comes, with older work counting less. The zero value is
+// that of none.
+type Inflow struct {
+	sum       Work
+	start, at time.Duration
+	started   bool
+}
+
+// Add adds work that comes at a moment.
+func (f *Inflow) Add(w Work, now time.Duration) {
+	if !f.started {
+		f.start, f.at, f.started = now, now, true
+	}
+	f.sum = f.decayed(now).Add(w)
+	f.at = max(f.at, now)
+}
+
+// Rate returns the resources that the work takes as it comes.
+func (f *Inflow) Rate(now time.Duration) job.Resources {
+	w, over := f.decayed(now), inflowTime.Seconds()
+	over *= 1 - math.Exp(-max(minInflowTime, now-f.start).Seconds()/over)
+	return job.Resources{CPU: int(w.CPU / over), MemoryMB: int(w.MemoryMB / over)}
+}
+
+func (f *Inflow) decayed(now time.Duration) Work {
+	factor := math.Exp(-max(0, now-f.at).Seconds() / inflowTime.Seconds())
+	return Work{CPU: f.sum.CPU * factor, MemoryMB: f.sum.MemoryMB * factor}
+}
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -148,3 +148,25 @@
 	g.Expect(fairshare.RetryAfter(12*time.Second, 0)).To(Equal(12 * time.Second))
 	g.Expect(fairshare.RetryAfter(12*time.Second, 1)).To(Equal(24 * time.Second))
 }
+
+// Guards against a rate of entitled work that is far off at the start, after a burst or
+// after the end of a load. Load: 20 jobs a second of one core-second each.
+func TestInflowFollowsSteadyLoad(t *testing.T) {
+	g := NewWithT(t)
+	var f fairshare.Inflow
+	job1 := fairshare.WorkOf(job.Resources{CPU: 1000, MemoryMB: 10}, 1, time.Second)
+	g.Expect(f.Rate(time.Hour)).To(Equal(job.Resources{}))
+	for i := range 40 * 20 {
+		now := time.Hour + time.Duration(i)*50*time.Millisecond
+		f.Add(job1, now)
+		if i > 4*20 {
+			g.Expect(f.Rate(now).CPU).To(BeNumerically("~", 20_000, 1500), "after %d jobs", i)
+		}
+	}
+	g.Expect(f.Rate(time.Hour + 80*time.Second).CPU).To(BeNumerically("<", 500))
+	var burst fairshare.Inflow
+	for range 8 {
+		burst.Add(job1, time.Hour)
+	}
+	g.Expect(burst.Rate(time.Hour).CPU).To(BeNumerically("<", 2500))
+}
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -22,13 +22,22 @@
 var ErrPoolNotHeld = eris.New("the pool is not held here")
 
 // Submit accepts a job. Once it returns nil the log holds the job. Errors other
-// than ErrPoolNotHeld carry a verdict.
+// than ErrPoolNotHeld carry a verdict. An excess job that would not meet its objective is
+// rejected.
 func (r *Runner) Submit(ctx context.Context, s *joblog.Submission) error {
 	if err := r.checkAccepting(); err != nil {
 		return err
 	}
 	var version int
-	r.update(StageSubmit, func(t Times) { version = r.core.Submit(s, t) })
+	var rejection error
+	r.update(StageSubmit, func(t Times) {
+		if rejection = r.rejectExcess(s, t); rejection == nil {
+			version = r.core.Submit(s, t)
+		}
+	})
+	if rejection != nil {
+		return rejection
+	}
 	err := r.awaitLogged(ctx, s.Spec.ID, version)
 	if err == nil {
 		return nil
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -119,6 +119,12 @@
 	waiting waitQueue
 	// overtaken are groups that wait for room while others after them are placed.
 	overtaken map[worker.StepKey]*overtakenGroup
+	// queued is the work of tasks that have not started, inflow the rate at which work comes
+	// of jobs that are not excess, and excessJobs counts the excess jobs that came since the
+	// last plan.
+	queued     queuedWork
+	inflow     usualInflow
+	excessJobs int64
 	// noRuns are the jobs and tasks that have no active run.
 	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
@@ -173,6 +179,7 @@
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
 		overtaken:        map[worker.StepKey]*overtakenGroup{},
+		inflow:           usualInflow{},
 		noRuns:           newNoRuns(),
 		running:          map[int]int{},
 	}
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -20,6 +20,8 @@
 	}
 	a.directory = d
 	a.weights = fairshare.NewWeights(d)
+	a.weighEntitlements()
+	c.queued = queuedWork{}
 	maps.DeleteFunc(a.byID, func(id customer.ID, acc *customerAccount) bool {
 		_, known := d.Get(id)
 		return !known && acc.runs == 0 && acc.waiting == 0 && !acc.heldBack
@@ -35,6 +37,21 @@
 	c.needsPlan = true
 }
 
+// weighEntitlements puts the weights of the configuration into effect for entitlements.
+func (a *customerAccounts) weighEntitlements() {
+	switch {
+	case a.directory == nil:
+		a.entitlements = nil
+	case a.entitlements == nil:
+		a.entitlements = fairshare.NewEntitlements(a.weights)
+	default:
+		a.entitlements.SetWeights(a.weights, func(id customer.ID) bool {
+			_, known := a.directory.Get(id)
+			return known
+		})
+	}
+}
+
 // SetGrants puts the grants of the pool into effect.
 func (c *Core) SetGrants(g limits.Grants) {
 	c.accounts.grants = g
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,7 +19,7 @@
 	appends, records                         tally.Counter
 	correlatedCrashes                        tally.Counter
 	planWorkers, planGroups                  tally.Counter
-	grantWaits                               tally.Counter
+	grantWaits, excessJobs, excessRejected   tally.Counter
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
@@ -61,6 +61,8 @@
 		planWorkers:            scope.Counter("plan_workers"),
 		planGroups:             scope.Counter("plan_groups"),
 		grantWaits:             scope.Counter("grant_waits"),
+		excessJobs:             scope.Counter("excess_jobs"),
+		excessRejected:         scope.Counter("excess_rejected"),
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(poolScope),
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -30,6 +30,8 @@
 	// GrantWaits counts the tasks in the batch whose customer was held back by its grant
 	// while they waited.
 	GrantWaits int64
+	// ExcessJobs counts the excess jobs that came since the last plan.
+	ExcessJobs int64
 
 	starts []plannedStart
 	jobs   map[*trackedJob]jobVersion
@@ -87,7 +89,8 @@
 		c.detectStalls(t.Now)
 	}
 	b := &Batch{JobDurations: c.jobDurations, CorrelatedCrashes: c.crashes.found, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
-	c.jobDurations, c.crashes.found = nil, 0
+	b.ExcessJobs = c.excessJobs
+	c.jobDurations, c.crashes.found, c.excessJobs = nil, 0, 0
 	c.place(b, t, checkHealth)
 	b.Work.Workers = c.index.refreshed
 	c.index.refreshed = 0
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -178,6 +178,9 @@
 // enqueue adds the groups of a job.
 func (q *waitQueue) enqueue(j *trackedJob) {
 	groups := j.pendingGroups()
+	if q.byCustomer {
+		j.queuedWork, j.lateAfter = j.workNotStarted(groups), j.latestStart()
+	}
 	for i := range groups {
 		pg := &groups[i]
 		j.queued = append(j.queued, pg)
@@ -256,7 +259,7 @@
 	if len(groups) == 0 {
 		return nil
 	}
-	latestStart := j.arrived + j.objective - j.RemainingCriticalPath()
+	latestStart := j.latestStart()
 	out := make([]pendingGroup, 0, len(groups))
 	for _, g := range groups {
 		st := j.Spec.Steps[g.Step]
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -339,6 +339,7 @@
 	}
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
 	r.metrics.grantWaits.Inc(b.GrantWaits)
+	r.metrics.excessJobs.Inc(b.ExcessJobs)
 	r.metrics.planWorkers.Inc(int64(b.Work.Workers))
 	r.metrics.planGroups.Inc(int64(b.Work.Groups))
 	var runs []job.RunID
--- a/internal/scheduler/runnercustomers.go
+++ b/internal/scheduler/runnercustomers.go
@@ -1,6 +1,14 @@
 package scheduler
 
-import "greengagedeck/internal/limits"
+import (
+	"math/rand/v2"
+	"time"
+
+	"greengagedeck/internal/fairshare"
+	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/limits"
+	"greengagedeck/internal/verdict"
+)
 
 // applyCustomers puts the customers of the configuration in effect into effect here. It
 // must be called with mu held.
@@ -10,6 +18,20 @@
 	}
 }
 
+// rejectExcess returns the rejection of an excess job that would not meet its objective, or
+// nil. It must be called with mu held.
+func (r *Runner) rejectExcess(s *joblog.Submission, t Times) error {
+	wait, reject := r.core.RejectsExcess(s, t)
+	if !reject {
+		return nil
+	}
+	r.metrics.excessRejected.Inc(1)
+	err := verdict.NewNotRun(verdict.ReasonQuota, "customer %s submits more jobs than its weight entitles it to, and the work ahead of this one takes %v",
+		s.Terms.Customer, wait.Round(time.Millisecond))
+	err.RetryAfter = fairshare.RetryAfter(wait, rand.Float64())
+	return err
+}
+
 // SetGrants puts grants into effect. Until the first call, limited customers start nothing.
 func (r *Runner) SetGrants(g limits.Grants) {
 	r.update(StagePlan, func(Times) { r.core.SetGrants(g) })
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -89,7 +89,7 @@
 		delete(c.restoredProgress, id)
 	} else {
 		j.Job = job.New(s.Spec, s.Terms)
-		c.countDemand(j, t.Now)
+		c.noteSubmitted(j, t.Now)
 	}
 	c.opt.Logger.Info().Str("job", string(id)).Str("entry", s.Terms.Entry).Int64("config", s.Terms.Version).Stringer("phase", j.Phase).
 		Dur("age", t.Now-j.arrived).Dur("objective", j.objective).Msg("job added to the pool")
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 )
@@ -49,6 +50,11 @@
 	// excess is set if the job's customer had submitted more jobs than it is entitled to
 	// when it came.
 	excess bool
+	// queuedWork is the work of the job's tasks that have not started, and lateAfter when
+	// the next ones must have started for it to finish in time. They are known where
+	// customers take turns, as of the job's last change.
+	queuedWork fairshare.Work
+	lateAfter  time.Duration
 	// lasting is set if any step of the job is long-running.
 	lasting bool
 	// knownFrom is from when on it is known when the job has active runs, and watch what
--- a/internal/scheduler/usage.go
+++ b/internal/scheduler/usage.go
@@ -42,6 +42,8 @@
 	directory *customer.Directory
 	weights   fairshare.Weights
 	grants    limits.Grants
+	// entitlements count the jobs that customers submit. They are nil without a directory.
+	entitlements *fairshare.Entitlements
 	// held are the customers that are held back, or that a plan has found to be.
 	held map[*customerAccount]bool
 	// lasting is what all long-running tasks reserve.
