Model customers and changing grants in virtual time

Cause: grants were checked only where nothing fails. It checks at each plan and at each start at a worker that no customer is taken above what was granted, and that all jobs end once the grants allow them.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -39,6 +39,7 @@
 	}
 	w.checkTasksPerWorker(s, t, step)
 	w.checkCapacity(s, step)
+	w.customers.checkStart(o)
 	w.crashes.checkStart(s, o)
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -113,6 +113,8 @@
 	order   orderOrigin
 	// conns are the faults of connections, or nil if connections do not fail.
 	conns *connFaults
+	// customers are those of the world, or nil if it has none.
+	customers *simCustomers
 	// listDown is set while no holder can read the list of workers.
 	listDown bool
 	// violations are the invariants found broken. Each begins with the kind:
@@ -122,7 +124,8 @@
 	// (a start after the maximum number of failures), BUDGET-CRASH (a start of a
 	// task that has crashed too many workers), LOST (a job shown as failed without
 	// cause), ROUTE (a worker that the step may not use), LIMIT (more resources than
-	// the worker has) or AVAIL (more tasks unavailable than the step allows).
+	// the worker has), AVAIL (more tasks unavailable than the step allows) or GRANT (a
+	// start that takes a customer above its grants).
 	violations []string
 }
 
@@ -242,6 +245,7 @@
 	w.maxFailures[spec.ID] = maxFailures
 	terms := job.Terms{
 		Entry: "e", Pool: simPool, Priority: w.rng.IntN(2), MaxAttempts: maxFailures, StretchFactor: 2, Slack: time.Second,
+		Customer: w.customers.owner(spec.ID),
 	}
 	rec := joblog.IntakeRecord{ID: spec.ID, Submission: &joblog.Submission{Spec: spec, Terms: terms, AcceptedAt: w.wall()}}
 	w.addIntake(rec)
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -10,6 +10,7 @@
 
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
+	"greengagedeck/internal/limits"
 	"greengagedeck/internal/logstore"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/verdict"
@@ -43,6 +44,9 @@
 	// worker, and logCutOffUntil until when it does not reach the log.
 	cutOffUntil    map[string]time.Duration
 	logCutOffUntil time.Duration
+	// granted is the version of the last grants that reached it, and grants these.
+	granted limits.Version
+	grants  limits.Grants
 	// conns are its connections, or nil if the world does not simulate them.
 	conns *simConns
 }
@@ -95,10 +99,12 @@
 			records = append(records, rec)
 		}
 	}
+	w.customers.learn(h)
 	h.core.Restore(records, w.times())
 	w.holder = h
 	h.applyIntake()
 	h.readList()
+	w.customers.send()
 }
 
 // logger returns the holders' logger, which writes only with -trace-holders.
@@ -225,6 +231,7 @@
 	if difference := scheduler.CheckIndex(h.core, h.w.now); difference != "" {
 		h.w.t.Fatal(difference)
 	}
+	h.w.customers.learn(h)
 	b, err := h.core.Plan(h.w.times())
 	if err != nil {
 		h.w.t.Fatal(err)
@@ -232,6 +239,7 @@
 	if difference := scheduler.CheckIndex(h.core, h.w.now); difference != "" {
 		h.w.t.Fatal(difference)
 	}
+	h.w.customers.plannedBy(h, b)
 	for _, s := range scheduler.BatchStarts(b) {
 		h.runWorkers[s.Run] = s.Worker
 	}
