--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -33,20 +33,24 @@
 
 // Submit accepts a job. Once it returns nil the log holds the job. Errors other
 // than ErrPoolNotHeld carry a verdict. It returns ErrOtherCustomer if the ID belongs to a
-// job of another customer.
+// job of another customer. An excess job that would not meet its objective is rejected.
 func (r *Runner) Submit(ctx context.Context, s *joblog.Submission) error {
 	if err := r.checkAccepting(); err != nil {
 		return err
 	}
 	var version int
-	taken := false
+	var rejection error
 	r.update(StageSubmit, func(t Times) {
-		if taken = !r.core.accessible(s.Spec.ID, s.Terms.Requester()); !taken {
+		if !r.core.accessible(s.Spec.ID, s.Terms.Requester()) {
+			rejection = ErrOtherCustomer
+			return
+		}
+		if rejection = r.rejectExcess(s, t); rejection == nil {
 			version = r.core.Submit(s, t)
 		}
 	})
-	if taken {
-		return ErrOtherCustomer
+	if rejection != nil {
+		return rejection
 	}
 	err := r.awaitLogged(ctx, s.Spec.ID, version)
 	if err == nil {
