Reject excess jobs for good, with their Retry-After

Cause: a rejection by the holder of a pool was followed by an append to the intake log, which accepted the job after all, and a rejection from another daemon lost its reason and when to come back.

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -62,6 +62,9 @@
 	// OutcomeOtherCustomer means that the job belongs to another customer. The request had
 	// no effect.
 	OutcomeOtherCustomer
+	// OutcomeExcess means that the customer submits more than it is entitled to and that the
+	// job would be late. The request had no effect.
+	OutcomeExcess
 )
 
 // HolderResponse is the response to a SubmitRequest or a CancelRequest.
@@ -71,6 +74,8 @@
 	Reason string `cbor:"2,keyasint,omitempty"`
 	// Lag is that of an UnknownJobError.
 	Lag time.Duration `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is when the caller should come back, if the job is rejected as excess.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // errMoved is the rejection of a job for a pool that does not serve its entry any more.
@@ -90,6 +95,8 @@
 		return HolderResponse{Outcome: OutcomeOtherCustomer}
 	case errors.Is(err, scheduler.ErrPoolNotHeld):
 		return HolderResponse{Outcome: OutcomeNotHeld}
+	case verdict.ReasonOf(err) == verdict.ReasonQuota:
+		return HolderResponse{Outcome: OutcomeExcess, Reason: err.Error(), RetryAfter: verdict.RetryAfter(err)}
 	case verdict.Of(err) == verdict.NotRun:
 		return HolderResponse{Outcome: OutcomeRejected, Reason: err.Error()}
 	default:
@@ -110,6 +117,10 @@
 		return errMoved
 	case OutcomeOtherCustomer:
 		return scheduler.ErrOtherCustomer
+	case OutcomeExcess:
+		err := verdict.NewNotRun(verdict.ReasonQuota, "%s", r.Reason)
+		err.RetryAfter = r.RetryAfter
+		return err
 	case OutcomeRejected:
 		return verdict.NewNotRun(verdict.ReasonNotReady, "%s", r.Reason)
 	default:
@@ -199,7 +210,7 @@
 // this daemon lately. That is safe, because a rejected request has no effect at the
 // holder.
 func (s *Service) finallyRejected(err error) bool {
-	if errors.Is(err, errMoved) || errors.Is(err, scheduler.ErrOtherCustomer) {
+	if errors.Is(err, errMoved) || errors.Is(err, scheduler.ErrOtherCustomer) || verdict.ReasonOf(err) == verdict.ReasonQuota {
 		return true
 	}
 	if errors.Is(err, scheduler.ErrPoolNotHeld) || verdict.Of(err) != verdict.NotRun {
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -177,7 +177,7 @@
 		if !acc.limited() || acc.runs == 0 && acc.waiting == 0 {
 			continue
 		}
-		d := limits.Demand{Customer: acc.id, Used: acc.used, Wanted: acc.wanted}
+		d := limits.Demand{Customer: acc.id, Used: acc.used, Wanted: acc.wanted, Started: acc.started}
 		if known {
 			most := acc.largestNeed()
 			d.Wanted.CPU = min(d.Wanted.CPU, max(soon.CPU, most.CPU))
--- a/internal/scheduler/usage.go
+++ b/internal/scheduler/usage.go
@@ -16,6 +16,8 @@
 	// used is what the customer's runs reserve on all workers, and runs their number.
 	used job.Resources
 	runs int
+	// started counts the runs that were added.
+	started int64
 	// wanted is what its waiting tasks reserve, and waiting their number. kinds counts the
 	// waiting groups by what one start of them needs.
 	wanted  job.Resources
@@ -80,6 +82,7 @@
 	acc := a.of(r.Customer)
 	acc.used = acc.used.Add(r.Resources)
 	acc.runs++
+	acc.started++
 	if r.ExpectedDuration >= longRunningDuration {
 		a.lasting = a.lasting.Add(r.Resources)
 	}
