Place customers below their part by urgency, and grant before the first task

Cause: customers took turns by their shares even where all used less than their parts, so that urgent jobs came late; and a customer's first task in a pool waited for an exchange. Change: customers that use less than their part of the pool by weight go by urgency, those above it after them; each pool has a grant of each customer before its first task, and grants are raised from half of their use on.

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -32,7 +32,7 @@
 	used := map[customer.ID]job.Resources{}
 	var turns fairshare.Turns[customer.ID]
 	key := func(id customer.ID) fairshare.Key {
-		return fairshare.Key{Share: fairshare.Share(used[id], capacity) / weights.Of(id), Sequence: int64(len(id))}
+		return fairshare.Key{Excess: fairshare.Share(used[id], capacity) / weights.Of(id), Sequence: int64(len(id))}
 	}
 	for id := range needs {
 		turns.Add(key(id), id)
@@ -60,7 +60,7 @@
 	var turns fairshare.Turns[float64]
 	for range 50 {
 		share := float64(rng.IntN(20))
-		turns.Add(fairshare.Key{Share: share}, share)
+		turns.Add(fairshare.Key{Excess: share}, share)
 	}
 	turns.Order()
 	last := -1.0
@@ -69,7 +69,7 @@
 		g.Expect(turns.First()).To(BeNumerically(">=", last))
 		last = turns.First()
 		if next, ok := turns.RunnerUp(); ok {
-			g.Expect(next.Share).To(BeNumerically(">=", last))
+			g.Expect(next.Excess).To(BeNumerically(">=", last))
 		}
 		turns.Remove()
 	}
--- a/internal/fairshare/turns.go
+++ b/internal/fairshare/turns.go
@@ -8,16 +8,17 @@
 
 // Key orders customers by whose turn it is. The lowest is next.
 type Key struct {
-	// Share is the customer's dominant share divided by its weight.
-	Share float64
+	// Excess is by how much the customer's dominant share, divided by its weight, exceeds that
+	// of a customer that uses its part of the pool, or 0.
+	Excess float64
 	// LatestStart and Sequence are the urgency of its next work, which decides between
-	// equal shares.
+	// customers that do not exceed their parts.
 	LatestStart time.Duration
 	Sequence    int64
 }
 
 func (k Key) compare(o Key) int {
-	return cmp.Or(cmp.Compare(k.Share, o.Share), cmp.Compare(k.LatestStart, o.LatestStart), cmp.Compare(k.Sequence, o.Sequence))
+	return cmp.Or(cmp.Compare(k.Excess, o.Excess), cmp.Compare(k.LatestStart, o.LatestStart), cmp.Compare(k.Sequence, o.Sequence))
 }
 
 // Turns tells which of several customers is next, and is updated after each start. Order
--- a/internal/limits/allocator.go
+++ b/internal/limits/allocator.go
@@ -190,6 +190,7 @@
 	if grant == s.grant {
 		return
 	}
+	s.offered = true
 	if grant.fitsIn(s.grant) {
 		a.counts.Lowered++
 	} else {
--- a/internal/limits/decide.go
+++ b/internal/limits/decide.go
@@ -5,7 +5,7 @@
 // pressureNumerator / pressureDenominator is the part of a grant from which on the pool's part
 // of the limit is looked at again: its need grows, and a raise takes two exchanges and an
 // append when other pools have to give quota back.
-const pressureNumerator, pressureDenominator = 3, 4
+const pressureNumerator, pressureDenominator = 1, 2
 
 // decideInterval is the least time between two decisions on a customer because of exchanges. It
 // bounds the processor time of the allocator, and is short beside blockedInterval, after which
@@ -100,7 +100,6 @@
 		if !t.pressed() {
 			continue
 		}
-		t.offered = true
 		to := t.part.atMost(t.available(free)).atLeast(t.grant)
 		if to == t.grant {
 			continue
--- a/internal/limits/load_test.go
+++ b/internal/limits/load_test.go
@@ -123,6 +123,20 @@
 	f.g.Expect(f.maxCalls()).To(BeNumerically("<=", 8), "exchanges that a task waited for")
 }
 
+// Guards against the first task of a customer in a pool that waits for an exchange although its
+// limit is unused.
+func TestPoolsHaveGrantsBeforeTheFirstTask(t *testing.T) {
+	f := newSimFleet(t, 4, map[customer.ID]job.Resources{"a": cores(100)})
+	f.run(3*time.Second, nil)
+	for pool := range 4 {
+		halfSecond(f, pool, "a", 5)
+	}
+	f.run(simTick, nil)
+	for pool := range 4 {
+		f.g.Expect(f.pools[pool].startedOf["a"]).To(Equal(5), "pool %d", pool)
+	}
+}
+
 // Guards against a limit that is split into parts of which none fits a task: ten pools want
 // single tasks of a core, and four fit.
 func TestLimitOfFewTasksInManyPools(t *testing.T) {
--- a/internal/limits/split.go
+++ b/internal/limits/split.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// evenPart is one in how many parts of what no pool needs is spread evenly over all
-	// pools. The rest is spread in proportion to what the pools need. Load that turns to a
-	// pool so finds room there before the first exchange.
+	// evenPart is one in how many parts of what no pool needs is spread evenly over all pools,
+	// while some need quota. The rest is spread in proportion to what they need. Load that
+	// turns to a pool so finds room there before the first exchange.
 	evenPart = 2
 	// stuckAfter is how long a pool may want quota without starting a task until it is served
 	// before others. Its part may be smaller than its next task, whose size is not known here.
@@ -103,7 +103,10 @@
 		return
 	}
 	rest := left - total
-	even := rest / evenPart / max(1, pools)
+	even := rest / max(1, pools)
+	if total > 0 {
+		even /= evenPart
+	}
 	byNeed := rest - even*pools
 	for i := range list {
 		list[i].part[r] += needs[i] + even
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -69,7 +69,7 @@
 	// reserved is the grant that an append in progress will allow, or 0.
 	reserved amounts
 	progress progress
-	// offered is set once the pool was offered a part of the limit, or was found to need one.
+	// offered is set once the pool had a grant.
 	offered bool
 }
 
--- a/internal/scheduler/grants_test.go
+++ b/internal/scheduler/grants_test.go
@@ -39,7 +39,7 @@
 	p.g.Expect(p.last.GrantWaits).To(BeEquivalentTo(4))
 	p.g.Expect(p.plan()).To(BeEmpty())
 	p.g.Expect(p.c.CustomerDemand()).To(Equal([]limits.Demand{
-		{Customer: "a", Used: job.Resources{CPU: 4000, MemoryMB: 400}, Wanted: job.Resources{CPU: 6000, MemoryMB: 600}},
+		{Customer: "a", Used: job.Resources{CPU: 4000, MemoryMB: 400}, Wanted: job.Resources{CPU: 6000, MemoryMB: 600}, Started: 4},
 	}))
 	p.grant(cpuGrant(20000))
 	p.g.Expect(p.plan()).To(Equal(map[customer.ID]int{"a": 6}))
--- a/internal/scheduler/turns.go
+++ b/internal/scheduler/turns.go
@@ -16,8 +16,9 @@
 const idleTurnAfter = 5 * time.Second
 
 // turnOrder is the order in which a plan places the waiting groups: by priority, class,
-// customer and urgency. The next customer is the one with the lowest dominant share for its
-// weight after what the plan has placed so far.
+// customer and urgency. Customers that use less than their part of the pool by weight come
+// first, in the order of urgency of their next group; then those with the lowest dominant
+// share for their weight. Both count what the plan has placed so far.
 type turnOrder struct {
 	core *Core
 	x    *placement.Index
@@ -27,6 +28,9 @@
 	// finished are the customers of which this plan can place nothing more.
 	finished map[customer.ID]bool
 	turns    *fairshare.Turns[classTurn]
+	// fairShare is the dominant share for each unit of weight that each customer with runs or
+	// waiting tasks has if they all use their part of the pool.
+	fairShare float64
 }
 
 // classTurn is what a customer has waiting of one class.
@@ -44,7 +48,7 @@
 func (c *Core) newTurnOrder(x *placement.Index, now time.Duration) *turnOrder {
 	q := &c.waiting
 	clear(q.finished)
-	return &turnOrder{core: c, x: x, now: now, bounds: newClassBounds(now), finished: q.finished, turns: &q.turns}
+	return &turnOrder{core: c, x: x, now: now, bounds: newClassBounds(now), finished: q.finished, turns: &q.turns, fairShare: c.accounts.fairShare()}
 }
 
 // finish records that this plan can place nothing more of a customer. Where customers do
@@ -160,11 +164,11 @@
 // key returns the key by which a customer's turn comes.
 func (o *turnOrder) key(t classTurn) fairshare.Key {
 	share := fairshare.Share(t.account.used, o.core.index.capacity) / t.weight
-	return fairshare.Key{Share: share, LatestStart: t.next.latestStart, Sequence: t.next.sequence}
+	return fairshare.Key{Excess: max(0, share-o.fairShare), LatestStart: t.next.latestStart, Sequence: t.next.sequence}
 }
 
-// tasksInTurn returns how many tasks a customer places in its turn: until its share exceeds
-// that of the next customer. While much of the pool is free it places more, so that the
+// tasksInTurn returns how many tasks a customer places in its turn: until it uses more than its
+// part of the pool, and exceeds that by more than the next customer. While much of the pool is free it places more, so that the
 // workers need not be searched for every single task; the others get as much after it.
 func (o *turnOrder) tasksInTurn(t classTurn) int {
 	runnerUp, ok := o.turns.RunnerUp()
@@ -172,7 +176,7 @@
 		return math.MaxInt
 	}
 	need := t.next.need
-	n := fairshare.TasksUntil(runnerUp.Share*t.weight, t.account.used, need, o.core.index.capacity)
+	n := fairshare.TasksUntil((runnerUp.Excess+o.fairShare)*t.weight, t.account.used, need, o.core.index.capacity)
 	if need.CPU > 0 {
 		n = max(n, o.x.FreeCPU()/(2*o.turns.Len()*need.CPU))
 	}
--- a/internal/scheduler/turns_test.go
+++ b/internal/scheduler/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -53,25 +54,58 @@
 }
 
 // inTurns returns the waiting groups of all open jobs in the order of turns that place
-// nothing.
+// nothing: by priority and class, and then the first group of the customer that is next.
 func inTurns(c *Core, now time.Duration) []pendingGroup {
-	var out []pendingGroup
+	type turnClass struct{ priority, class int }
+	waiting := map[turnClass]map[customer.ID][]pendingGroup{}
 	for j := range c.openJobs.all() {
-		out = append(out, j.pendingGroups()...)
+		for _, pg := range j.pendingGroups() {
+			k := turnClass{j.Terms.Priority, pg.class(now)}
+			if waiting[k] == nil {
+				waiting[k] = map[customer.ID][]pendingGroup{}
+			}
+			waiting[k][j.Terms.Customer] = append(waiting[k][j.Terms.Customer], pg)
+		}
+	}
+	classes := slices.SortedFunc(maps.Keys(waiting), func(a, b turnClass) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class))
+	})
+	var out []pendingGroup
+	for _, k := range classes {
+		out = append(out, mergeTurns(c, waiting[k])...)
 	}
-	share := func(pg pendingGroup) float64 {
+	return out
+}
+
+// mergeTurns merges the groups of one class. Customers that use no more than their part of the
+// pool go by the urgency of their next group, the others by how much more they use.
+func mergeTurns(c *Core, byCustomer map[customer.ID][]pendingGroup) []pendingGroup {
+	excess := func(pg pendingGroup) float64 {
 		acc := c.accountOf(pg.job)
-		return fairshare.Share(acc.used, c.index.capacity) / c.accounts.weights.Of(acc.id)
+		return max(0, fairshare.Share(acc.used, c.index.capacity)/c.accounts.weights.Of(acc.id)-c.accounts.fairShare())
+	}
+	for _, list := range byCustomer {
+		slices.SortStableFunc(list, func(a, b pendingGroup) int {
+			switch {
+			case a.job.excess != b.job.excess:
+				return compareBool(a.job.excess, b.job.excess)
+			case a.less(&b):
+				return -1
+			default:
+				return 1
+			}
+		})
+	}
+	var out []pendingGroup
+	for len(byCustomer) > 0 {
+		next := slices.MinFunc(slices.Collect(maps.Keys(byCustomer)), func(x, y customer.ID) int {
+			a, b := byCustomer[x][0], byCustomer[y][0]
+			return cmp.Or(cmp.Compare(excess(a), excess(b)), cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.sequence, b.sequence))
+		})
+		out = append(out, byCustomer[next][0])
+		if byCustomer[next] = byCustomer[next][1:]; len(byCustomer[next]) == 0 {
+			delete(byCustomer, next)
+		}
 	}
-	lateExcess := func(pg pendingGroup) bool { return pg.class(now) == classLate && pg.job.excess }
-	slices.SortStableFunc(out, func(a, b pendingGroup) int {
-		return cmp.Or(
-			cmp.Compare(a.job.Terms.Priority, b.job.Terms.Priority),
-			cmp.Compare(a.class(now), b.class(now)),
-			cmp.Compare(share(a), share(b)),
-			compareBool(lateExcess(a), lateExcess(b)),
-			cmp.Compare(a.latestStart, b.latestStart),
-		)
-	})
 	return out
 }
--- a/internal/scheduler/usage.go
+++ b/internal/scheduler/usage.go
@@ -67,6 +67,21 @@
 	return acc
 }
 
+// fairShare returns the dominant share for each unit of weight that each customer with runs or
+// waiting tasks has if they all use their part of the pool, or 0 if there is none.
+func (a *customerAccounts) fairShare() float64 {
+	total := 0.0
+	for _, acc := range a.byID {
+		if acc.runs > 0 || acc.waiting > 0 {
+			total += a.weights.Of(acc.id)
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return 1 / total
+}
+
 // runCounter counts the runs of all workers for their customers. Every run passes through
 // it, whether it is planned, adopted or found, and however it ends.
 type runCounter struct{ core *Core }
