Carry rejections of excess jobs to the caller

Cause: an entry daemon stored a job in the intake log after the pool's holder had rejected it as excess, and the response held no Retry-After.

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -57,6 +57,9 @@
 	// OutcomeMoved means that a newer configuration than that of the request sends the
 	// entry's jobs to another pool. The request had no effect.
 	OutcomeMoved
+	// OutcomeExcess means that the holder has rejected a job that its customer submitted
+	// beyond its rate, see scheduler.Runner.Submit. The request had no effect.
+	OutcomeExcess
 )
 
 // HolderResponse is the response to a SubmitRequest or a CancelRequest.
@@ -66,6 +69,8 @@
 	Reason string `cbor:"2,keyasint,omitempty"`
 	// Lag is that of an UnknownJobError.
 	Lag time.Duration `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is when the caller should come back, if the rejection says so.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // errMoved is the rejection of a job for a pool that does not serve its entry any more.
@@ -83,6 +88,8 @@
 		return HolderResponse{Outcome: OutcomeMoved}
 	case errors.Is(err, scheduler.ErrPoolNotHeld):
 		return HolderResponse{Outcome: OutcomeNotHeld}
+	case isExcess(err):
+		return excessResponse(err)
 	case verdict.Of(err) == verdict.NotRun:
 		return HolderResponse{Outcome: OutcomeRejected, Reason: err.Error()}
 	default:
@@ -101,6 +108,10 @@
 		return &scheduler.UnknownJobError{Lag: r.Lag}
 	case OutcomeMoved:
 		return errMoved
+	case OutcomeExcess:
+		err := verdict.NewNotRun(verdict.ReasonQuota, "%s", r.Reason)
+		err.RetryAfter = r.RetryAfter
+		return err
 	case OutcomeRejected:
 		return verdict.NewNotRun(verdict.ReasonNotReady, "%s", r.Reason)
 	default:
@@ -108,6 +119,21 @@
 	}
 }
 
+// isExcess reports whether an error is the rejection of a job beyond its customer's rate.
+func isExcess(err error) bool {
+	return verdict.Of(err) == verdict.NotRun && verdict.ReasonOf(err) == verdict.ReasonQuota
+}
+
+// excessResponse returns the response that carries such a rejection.
+func excessResponse(err error) HolderResponse {
+	resp := HolderResponse{Outcome: OutcomeExcess, RetryAfter: verdict.RetryAfter(err)}
+	var rejection *verdict.Error
+	if errors.As(err, &rejection) {
+		resp.Reason = rejection.Detail
+	}
+	return resp
+}
+
 // registerSubmitAndCancel registers the handlers for submit and cancel requests
 // of other daemons.
 func (s *Service) registerSubmitAndCancel(m peer.Mux) {
@@ -188,7 +214,7 @@
 // this daemon lately. That is safe, because a rejected request has no effect at the
 // holder.
 func (s *Service) finallyRejected(err error) bool {
-	if errors.Is(err, errMoved) {
+	if errors.Is(err, errMoved) || isExcess(err) {
 		return true
 	}
 	if errors.Is(err, scheduler.ErrPoolNotHeld) || verdict.Of(err) != verdict.NotRun {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -134,6 +134,26 @@
 	}
 }
 
+// Guards against an excess job that is stored in the intake after its pool's holder has
+// rejected it, and against a rejection that loses its Retry-After on the way.
+func TestExcessJobIsNotStored(t *testing.T) {
+	g := NewWithT(t)
+	rejection := verdict.NewNotRun(verdict.ReasonQuota, "too many")
+	rejection.RetryAfter = 7 * time.Second
+	log := logtest.New()
+	holder := func(resp any) error {
+		*resp.(*HolderResponse) = responseFor(rejection)
+		return nil
+	}
+	err := newTestService(log, true, holder, 0).Submit(t.Context(), entry, 1, spec)
+	g.Expect(verdict.ReasonOf(err)).To(Equal(verdict.ReasonQuota))
+	g.Expect(verdict.Of(err)).To(Equal(verdict.NotRun))
+	g.Expect(verdict.RetryAfter(err)).To(Equal(7 * time.Second))
+	b, err := log.Client("reader").Read(t.Context(), joblog.IntakePartition(entry.Pool, id), 0, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.Records).To(BeEmpty())
+}
+
 func respondState(a StateResponse) fakeHolder {
 	return func(resp any) error {
 		*resp.(*StateResponse) = a
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -115,6 +115,15 @@
 	return MayHaveRun
 }
 
+// ReasonOf returns the reason that an error carries, or "" if it carries none.
+func ReasonOf(err error) Reason {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
 // RetryAfter returns when to retry according to an error, or 0 if it does not say.
 func RetryAfter(err error) time.Duration {
 	var e *Error
