Tell waits for a customer's share from waits for capacity

Cause: operators have to see why a job waits, and a full pool showed no-resources for all. No room is reserved for excess jobs, and a plan leaves out customers without approvals although others need some.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -117,6 +117,8 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
+	// leastShares is kept for the explanations of one moment.
+	leastShares leastShares
 	// overtaken are groups that wait for room while others after them are placed.
 	overtaken map[worker.StepKey]*overtakenGroup
 	// queued is the work of tasks that have not started, inflow the rate at which work comes
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -151,6 +151,9 @@
 func (acc *customerAccount) addWaiting(pg *pendingGroup, n int) {
 	acc.waiting += n * pg.tasks
 	acc.wanted = acc.wanted.Add(pg.need.Times(n * pg.tasks))
+	if pg.job.Terms.Approval != nil {
+		acc.approvals += n
+	}
 	k := pg.kind()
 	if acc.kinds == nil {
 		acc.kinds = map[taskKind]int{}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -101,6 +101,9 @@
 	if !ok {
 		reason, maxFreeCPU = placement.Explain(x.Nodes(), req)
 	}
+	if reason == placement.ReasonNoResources && c.othersFirst(pg.job, now) {
+		reason = reasonCustomerShare
+	}
 	return reason, maxFreeCPU
 }
 
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -12,8 +12,14 @@
 // plans and not in all.
 const heldBackMargin = time.Second
 
-// reasonCustomerLimit means that the customer's grant in the pool does not allow the task.
-const reasonCustomerLimit placement.UnplacedReason = "the customer's limit"
+const (
+	// reasonCustomerLimit means that the customer's grant in the pool does not allow the
+	// task.
+	reasonCustomerLimit placement.UnplacedReason = "the customer's limit"
+	// reasonCustomerShare means that no worker has enough free resources, and that other
+	// customers come first, which use less of the pool for their weight.
+	reasonCustomerShare placement.UnplacedReason = "customers with a smaller share come first"
+)
 
 // accountOf returns the account of a job's customer.
 func (c *Core) accountOf(j *trackedJob) *customerAccount { return c.accounts.of(j.Terms.Customer) }
--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/scheduler"
@@ -146,6 +147,15 @@
 		p.submitFor("a", noRunJob, task(1000))
 		p.commit()
 	},
+	scheduler.NoRunCustomerShare: func(p *noRunPool) {
+		p.add("a")
+		p.c.SetCustomers(newDirectory(customer.Customer{ID: "a"}, customer.Customer{ID: "b"}))
+		p.submitFor("a", "00000000000000b0", task(scriptCapacity))
+		p.start()
+		p.submitFor("b", "00000000000000b1", task(scriptCapacity))
+		p.submitFor("a", noRunJob, task(scriptCapacity))
+		p.commit()
+	},
 	scheduler.NoRunNotLogged: func(p *noRunPool) {
 		p.add("a")
 		p.submit(noRunJob, task(1000))
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -49,6 +49,9 @@
 	NoRunNoResources NoRunReason = "no-resources"
 	// NoRunCustomerLimit means that the grant of the job's customer does not allow the task.
 	NoRunCustomerLimit NoRunReason = "customer-limit"
+	// NoRunCustomerShare means that no worker has the resources and that customers which use
+	// less of the pool for their weight come first.
+	NoRunCustomerShare NoRunReason = "customer-share"
 )
 
 // The reasons for which a run that was planned is not active.
@@ -98,7 +101,7 @@
 	NoRunTakeover, NoRunEnded, NoRunFenced, NoRunLogSilent, NoRunNotPlanned,
 	NoRunListUnread, NoRunNoneListed, NoRunUnreachable, NoRunUnreconciled, NoRunDraining, NoRunCordoned,
 	NoRunEjected, NoRunIsolated,
-	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources, NoRunCustomerLimit,
+	NoRunNoLabel, NoRunNotApproved, NoRunNodeLimit, NoRunNoResources, NoRunCustomerLimit, NoRunCustomerShare,
 	NoRunNotLogged, NoRunStartNoDuty, NoRunStartUnreachable, NoRunStartOldList, NoRunStartEarlierLease, NoRunStartHeld,
 	NoRunStartNotSent, NoRunStartUnanswered, NoRunStopping, NoRunLease, NoRunEarlierLease,
 	NoRunEarlierSteps, NoRunNotReleased, NoRunNotQueued, NoRunUntracked, NoRunNoTask,
@@ -108,7 +111,7 @@
 // customers use what they may.
 func (n NoRunReason) usual() bool {
 	switch n {
-	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunEarlierSteps, NoRunCustomerLimit:
+	case NoRunNoResources, NoRunNodeLimit, NoRunNotApproved, NoRunEarlierSteps, NoRunCustomerLimit, NoRunCustomerShare:
 		return true
 	default:
 		return false
@@ -140,6 +143,8 @@
 	switch c.explainWait(&pg, c.index.nodes, now).reason {
 	case reasonCustomerLimit:
 		return NoRunCustomerLimit
+	case reasonCustomerShare:
+		return NoRunCustomerShare
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -77,7 +77,7 @@
 	if c.restWaits(*pg, w.x, w.p) {
 		return false
 	}
-	if c.waiting.approvals == 0 && !w.p.mayPreempt(*pg) && !w.x.MayFit(job.Resources{CPU: acc.leastCPU()}) {
+	if acc.approvals == 0 && !w.p.mayPreempt(*pg) && !w.x.MayFit(job.Resources{CPU: acc.leastCPU()}) {
 		w.order.finish(acc.id)
 	}
 	return true
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -39,9 +39,10 @@
 	expires time.Duration
 }
 
-// passed records that no worker had room for a group in its turn.
+// passed records that no worker had room for a group in its turn. Excess jobs get what is
+// left, so that no room is reserved for them.
 func (w *waitingPlacer) passed(pg *pendingGroup) {
-	if len(w.passedGroups) < maxPassed {
+	if len(w.passedGroups) < maxPassed && !pg.job.excess {
 		w.passedGroups = append(w.passedGroups, pg)
 	}
 }
--- a/internal/scheduler/turns.go
+++ b/internal/scheduler/turns.go
@@ -179,6 +179,48 @@
 	return n
 }
 
+// leastShares are, by priority, the lowest shares for their weights of the customers that
+// have tasks waiting, at a moment.
+type leastShares struct {
+	at         time.Duration
+	byPriority map[int]float64
+}
+
+// othersFirst reports whether customers with a smaller share for their weight have tasks
+// waiting at a job's priority.
+func (c *Core) othersFirst(j *trackedJob, now time.Duration) bool {
+	if !c.waiting.byCustomer {
+		return false
+	}
+	l := &c.leastShares
+	if l.byPriority == nil || l.at != now {
+		*l = leastShares{now, map[int]float64{}}
+	}
+	least, known := l.byPriority[j.Terms.Priority]
+	if !known {
+		least = c.leastShare(j.Terms.Priority)
+		l.byPriority[j.Terms.Priority] = least
+	}
+	return least < c.weightedShare(c.accountOf(j))
+}
+
+// leastShare returns the lowest share for its weight of a customer that has tasks waiting
+// at a priority.
+func (c *Core) leastShare(priority int) float64 {
+	least := math.Inf(1)
+	for _, cq := range c.waiting.priority(priority).customers {
+		if cq.usual.Len()+cq.excess.Len() > 0 {
+			least = min(least, c.weightedShare(c.accounts.of(cq.customer)))
+		}
+	}
+	return least
+}
+
+// weightedShare returns a customer's dominant share of the pool divided by its weight.
+func (c *Core) weightedShare(acc *customerAccount) float64 {
+	return fairshare.Share(acc.used, c.index.capacity) / c.accounts.weights.Of(acc.id)
+}
+
 // first goes to the first group that has tasks left, if there is one.
 func (t *classTurn) first() {
 	for t.spans[0].tree != nil {
--- a/internal/scheduler/usage.go
+++ b/internal/scheduler/usage.go
@@ -21,6 +21,8 @@
 	wanted  job.Resources
 	waiting int
 	kinds   map[taskKind]int
+	// approvals counts the waiting groups whose workers have to be approved.
+	approvals int
 	// limit is the customer's limit in the configuration, and grant what it may use in this
 	// pool, if granted is set.
 	limit, grant job.Resources
