Bound what an empty pool wants of a customer's limit

Cause: a pool without workers wanted quota for everything that waits there, which other pools would have missed. Change: what is wanted is bounded by what is free, an eighth of the capacity and the largest waiting task also where no worker accepts tasks.

--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -170,42 +170,40 @@
 // CustomerDemand returns what each limited customer uses and wants in the pool, by customer.
 // It holds every limited customer that has runs or waiting tasks, since one that gets no
 // grant starts nothing. What is wanted is what the waiting tasks reserve, but no more than
-// the pool may be able to start soon: quota that waits for capacity here would be missing
-// in other pools.
+// the pool may be able to start soon, or what the largest of them needs: quota that waits
+// for capacity here would be missing in other pools.
 func (c *Core) CustomerDemand() []limits.Demand {
 	c.waiting.update()
-	soon, known := c.startableSoon()
+	soon := c.startableSoon()
 	var out []limits.Demand
 	for _, acc := range c.accounts.byID {
 		if !acc.limited() || acc.runs == 0 && acc.waiting == 0 {
 			continue
 		}
-		d := limits.Demand{Customer: acc.id, Used: acc.used, Wanted: acc.wanted}
-		if known {
-			most := acc.largestNeed()
-			d.Wanted.CPU = min(d.Wanted.CPU, max(soon.CPU, most.CPU))
-			d.Wanted.MemoryMB = min(d.Wanted.MemoryMB, max(soon.MemoryMB, most.MemoryMB))
-			d.Wanted.GPU = min(d.Wanted.GPU, max(soon.GPU, most.GPU))
-		}
-		out = append(out, d)
+		most := acc.largestNeed()
+		out = append(out, limits.Demand{Customer: acc.id, Used: acc.used, Wanted: job.Resources{
+			CPU:      min(acc.wanted.CPU, max(soon.CPU, most.CPU)),
+			MemoryMB: min(acc.wanted.MemoryMB, max(soon.MemoryMB, most.MemoryMB)),
+			GPU:      min(acc.wanted.GPU, max(soon.GPU, most.GPU)),
+		}})
 	}
 	slices.SortFunc(out, func(a, b limits.Demand) int { return cmp.Compare(a.Customer, b.Customer) })
 	return out
 }
 
 // startableSoon returns the resources that are free on the workers that accept tasks or
-// may become free soon, or false if no worker accepts tasks.
-func (c *Core) startableSoon() (soon job.Resources, known bool) {
+// may become free there soon.
+func (c *Core) startableSoon() job.Resources {
+	var soon job.Resources
 	for id := range c.index.byID {
 		ws := c.workers[id]
 		if ws == nil {
 			continue
 		}
-		known = true
 		free := ws.FreeResources()
 		soon.CPU += max(0, free.CPU) + ws.Capacity.CPU/turnoverShare
 		soon.MemoryMB += max(0, free.MemoryMB) + ws.Capacity.MemoryMB/turnoverShare
 		soon.GPU += max(0, free.GPU) + ws.Capacity.GPU/turnoverShare
 	}
-	return soon, known
+	return soon
 }
