--- a/internal/scheduler/accountshares.go
+++ b/internal/scheduler/accountshares.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"greengagedeck/internal/customer"
 	"greengagedeck/internal/fairshare"
 	"greengagedeck/internal/job"
@@ -24,31 +26,19 @@
 	return out
 }
 
-// customerWait implements customerShares. A group waits for its customer's share if the pool
-// is full and another customer that waits has less in proportion to its weight.
-func (s accountShares) customerWait(j *trackedJob, g job.TaskGroup) NoRunReason {
-	a := &s.core.accounts
-	if a.directory == nil {
+// customerWait implements customerShares.
+func (s accountShares) customerWait(j *trackedJob, g job.TaskGroup, now time.Duration) NoRunReason {
+	c := s.core
+	if c.accounts.directory == nil {
 		return ""
 	}
 	for _, pg := range j.queued {
-		if pg.group.Occurrence == g.Occurrence && pg.group.Step == g.Step && !s.core.grantAllowsGroup(pg) {
+		if pg.group.Occurrence == g.Occurrence && pg.group.Step == g.Step && !c.grantAllowsGroup(pg) {
 			return NoRunCustomerLimit
 		}
 	}
-	if s.core.index.nodes.MayFit(j.Spec.Steps[g.Step].ReservedResources()) {
-		return ""
-	}
-	own := s.weighted(a.of(j.Terms.Customer))
-	for _, acc := range a.byID {
-		if acc.waiting > 0 && s.weighted(acc) < own {
-			return NoRunCustomerShare
-		}
+	if !c.index.nodes.MayFit(j.Spec.Steps[g.Step].ReservedResources()) && c.othersFirst(j, now) {
+		return NoRunCustomerShare
 	}
 	return ""
 }
-
-// weighted returns a customer's share divided by its weight.
-func (s accountShares) weighted(acc *customerAccount) float64 {
-	return fairshare.Share(acc.used, s.core.index.capacity) / s.core.accounts.weights.Of(acc.id)
-}
--- a/internal/scheduler/export_shares_test.go
+++ b/internal/scheduler/export_shares_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"greengagedeck/internal/customer"
 	"greengagedeck/internal/job"
 )
@@ -14,7 +16,7 @@
 
 func (f FakeShares) customerShare(customer.ID) CustomerShare { return f.Share }
 
-func (f FakeShares) customerWait(j *trackedJob, _ job.TaskGroup) NoRunReason {
+func (f FakeShares) customerWait(j *trackedJob, _ job.TaskGroup, _ time.Duration) NoRunReason {
 	return f.Waits[j.Terms.Customer]
 }
 
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -49,6 +49,9 @@
 	NoRunNoResources NoRunReason = "no-resources"
 	// NoRunCustomerLimit means that the grant of the job's customer does not allow the task.
 	NoRunCustomerLimit NoRunReason = "customer-limit"
+	// NoRunCustomerShare means that no worker has the resources and that customers which use
+	// less of the pool for their weight come first.
+	NoRunCustomerShare NoRunReason = "customer-share"
 )
 
 // The reasons for which a run that was planned is not active.
@@ -134,7 +137,7 @@
 	if reason := c.unplannedReason(pg.job, h, now); reason != "" {
 		return reason
 	}
-	if reason := c.customerWait(pg.job, pg.group); reason != "" {
+	if reason := c.customerWait(pg.job, pg.group, now); reason != "" {
 		return reason
 	}
 	return c.noPlaceReason(c.explainWait(&pg, c.index.nodes, now).reason, n)
@@ -158,6 +161,8 @@
 	switch r {
 	case reasonCustomerLimit:
 		return NoRunCustomerLimit
+	case reasonCustomerShare:
+		return NoRunCustomerShare
 	case placement.ReasonNoNodes:
 		return c.noWorkerReason(n)
 	case placement.ReasonNoLabel:
--- a/internal/scheduler/turns.go
+++ b/internal/scheduler/turns.go
@@ -183,6 +183,49 @@
 	return n
 }
 
+// leastShares are, by priority, by how much the customers that have tasks waiting exceed their
+// parts of the pool at least, at a moment.
+type leastShares struct {
+	at         time.Duration
+	byPriority map[int]float64
+}
+
+// othersFirst reports whether customers that exceed their parts of the pool by less have tasks
+// waiting at a job's priority.
+func (c *Core) othersFirst(j *trackedJob, now time.Duration) bool {
+	if !c.waiting.byCustomer {
+		return false
+	}
+	l := &c.leastShares
+	if l.byPriority == nil || l.at != now {
+		*l = leastShares{now, map[int]float64{}}
+	}
+	least, known := l.byPriority[j.Terms.Priority]
+	if !known {
+		least = c.leastShare(j.Terms.Priority)
+		l.byPriority[j.Terms.Priority] = least
+	}
+	return least < c.excessShare(c.accountOf(j))
+}
+
+// leastShare returns by how much a customer that has tasks waiting at a priority exceeds its
+// part of the pool at least.
+func (c *Core) leastShare(priority int) float64 {
+	least := math.Inf(1)
+	for _, cq := range c.waiting.priority(priority).customers {
+		if cq.usual.Len()+cq.excess.Len() > 0 {
+			least = min(least, c.excessShare(c.accounts.of(cq.customer)))
+		}
+	}
+	return least
+}
+
+// excessShare returns by how much a customer's dominant share of the pool, divided by its
+// weight, exceeds its part.
+func (c *Core) excessShare(acc *customerAccount) float64 {
+	return max(0, fairshare.Share(acc.used, c.index.capacity)/c.accounts.weights.Of(acc.id)-c.accounts.fairShare())
+}
+
 // first goes to the first group that has tasks left, if there is one.
 func (t *classTurn) first() {
 	for t.spans[0].tree != nil {
--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -9,10 +9,6 @@
 	"greengagedeck/internal/worker"
 )
 
-// NoRunCustomerShare means that the pool is full and that another customer, which waits too,
-// has less of it in proportion to its weight.
-const NoRunCustomerShare NoRunReason = "customer-share"
-
 // The reasons that only explanations of single steps and customers name.
 const (
 	// NoRunGangActive means that members of the gang's last run have not ended.
@@ -41,13 +37,13 @@
 	customerShare(id customer.ID) CustomerShare
 	// customerWait returns NoRunCustomerLimit or NoRunCustomerShare if a group of a job
 	// waits for that reason, else "".
-	customerWait(j *trackedJob, g job.TaskGroup) NoRunReason
+	customerWait(j *trackedJob, g job.TaskGroup, now time.Duration) NoRunReason
 }
 
 // customerWait returns why a group waits if its customer's limit or share is the reason,
 // else "".
-func (c *Core) customerWait(j *trackedJob, g job.TaskGroup) NoRunReason {
-	return c.shares.customerWait(j, g)
+func (c *Core) customerWait(j *trackedJob, g job.TaskGroup, now time.Duration) NoRunReason {
+	return c.shares.customerWait(j, g, now)
 }
 
 // waitExplainer tells why groups of tasks wait. It changes nothing and logs nothing.
@@ -84,7 +80,7 @@
 	if reason := c.unplannedReason(j, e.holder, e.now); reason != "" {
 		return reason, 0
 	}
-	if reason := c.customerWait(j, g); reason != "" {
+	if reason := c.customerWait(j, g, e.now); reason != "" {
 		return reason, 0
 	}
 	unplaced, maxFreeCPU, ok := e.unplaced(j, g)
