Grant nothing from bounds that are older than a lowered limit

Cause: random schedules: a new holder of a pool adopted bounds that were logged before a limit was lowered, and a new allocator passed them on as grants. Change: a new holder starts nothing of a customer whose logged bounds exceed its limit before the allocator answers; grants of pools that do not call are trimmed to what they use; an exchange decides at once while grants exceed the limit. The model counts limits under which a holder's grants were made, not those of responses that it dropped.

--- a/internal/limits/client.go
+++ b/internal/limits/client.go
@@ -191,29 +191,45 @@
 	return false
 }
 
-// initialGrants returns the logged bounds of the pool. They may be from before a limit was
-// lowered, so none exceeds its limit.
+// initialGrants returns the logged bounds of the pool. Where those of all pools exceed the limit
+// of a customer, they are from before the limit was lowered: the pool then starts nothing of
+// that customer before the allocator has answered.
 func (c *Client) initialGrants(recs []logstore.Record) Grants {
 	limits, _ := c.opt.Config.Get()
+	bounds := c.loggedBounds(recs)
 	g := Grants{Version: initialVersion, ByCustomer: map[customer.ID]resources{}}
-	for _, r := range recs {
-		if r.Key != kindBounds+c.opt.PoolName {
+	for id, bound := range bounds[c.opt.PoolName] {
+		l, limited := limits.Get(id)
+		if !limited {
 			continue
 		}
-		d, err := decode(r)
-		if err != nil {
-			c.opt.Logger.Error().Err(err).Msg("ignoring a malformed record of customers' limits")
+		var total amounts
+		for _, of := range bounds {
+			total = total.plus(of[id].limitedBy(l.Amount))
 		}
-		clear(g.ByCustomer)
-		for id, bound := range d.bounds {
-			if l, limited := limits.Get(id); limited {
-				g.ByCustomer[id] = bound.limitedBy(l.Amount).atMost(l.Amount).resources()
-			}
+		if total.fitsIn(l.Amount) {
+			g.ByCustomer[id] = bound.limitedBy(l.Amount).resources()
 		}
 	}
 	return g
 }
 
+// loggedBounds returns the last bounds of all pools.
+func (c *Client) loggedBounds(recs []logstore.Record) map[string]map[customer.ID]amounts {
+	out := map[string]map[customer.ID]amounts{}
+	for _, r := range recs {
+		d, err := decode(r)
+		if d.kind != kindBounds {
+			continue
+		}
+		if err != nil && !errors.Is(err, errNoValue) {
+			c.opt.Logger.Error().Err(err).Msg("ignoring a malformed record of customers' limits")
+		}
+		out[d.pool] = d.bounds
+	}
+	return out
+}
+
 // apply applies grants that are newer than the applied ones.
 func (c *Client) apply(g Grants) {
 	if g.Version.Compare(c.grants.Version) <= 0 || !c.opt.Pool.Apply(g) {
--- a/internal/limits/decide.go
+++ b/internal/limits/decide.go
@@ -36,14 +36,14 @@
 // customer for the next proposal if they do not.
 func (a *Allocator) decide(c *customerState, now time.Duration) {
 	c.unlogged, c.decidedAt = false, now
-	over := c.sum((*share).occupied).over(c.limit) != amounts{}
+	over := c.over()
 	if !over && c.calm() {
 		c.settle()
 		return
 	}
 	list := a.targets(c, now)
 	if over {
-		a.trim(list)
+		a.trim(c, list)
 	}
 	for _, r := range a.raises(c, list, now) {
 		if r.reserved == (amounts{}) && r.to.fitsIn(a.loggedAtLeast(r.share)) {
@@ -56,6 +56,9 @@
 	c.settle()
 }
 
+// over reports whether grants and usage together exceed the limit.
+func (c *customerState) over() bool { return c.sum((*share).occupied).over(c.limit) != amounts{} }
+
 // calm reports whether no pool needs more than it has.
 func (c *customerState) calm() bool {
 	for _, s := range c.shares {
@@ -81,10 +84,19 @@
 
 // trim lowers grants to the pools' parts while grants and usage together exceed the limit. After
 // the limit was lowered, a pool that uses more than its part starts nothing until enough has
-// ended.
-func (a *Allocator) trim(list []target) {
+// ended. Pools without a part, which do not call or whose holder is new, keep what they use:
+// what they may act on until they call counts in their bounds.
+func (a *Allocator) trim(c *customerState, list []target) {
+	parts := make(map[*share]amounts, len(list))
 	for _, t := range list {
-		a.setGrant(t.share, t.grant.atMost(t.part))
+		parts[t.share] = t.part
+	}
+	for _, s := range c.shares {
+		part, called := parts[s]
+		if !called {
+			part = s.used
+		}
+		a.setGrant(s, s.grant.atMost(part))
 	}
 }
 
--- a/internal/limits/exchange.go
+++ b/internal/limits/exchange.go
@@ -105,6 +105,10 @@
 		allowed := s.customer.sum((*share).logged)
 		s.grant = s.logged()
 		s.bound = s.bound.atLeast(s.grant)
+		if !s.customer.sum((*share).held).fitsIn(s.customer.limit) {
+			// The limit was lowered since: what other pools may still act on has to end first.
+			s.grant = s.grant.atMost(s.used)
+		}
 		s.customer.ceiling = s.customer.ceiling.atLeast(allowed.atMost(s.customer.sum((*share).held)))
 	}
 }
@@ -123,7 +127,7 @@
 	if q.Sequence > p.sequence {
 		p.sequence, p.exchangedAt = q.Sequence, now
 		for _, c := range a.report(p, q, now) {
-			if now-c.decidedAt >= decideInterval {
+			if now-c.decidedAt >= decideInterval || c.over() {
 				a.decide(c, now)
 			}
 		}
--- a/internal/limits/schedule_test.go
+++ b/internal/limits/schedule_test.go
@@ -62,10 +62,13 @@
 	from *scheduleHolder
 }
 
+// scheduleResponse is a response under a version of the limits. It confirms the grants of the
+// version that the request named, if it holds none.
 type scheduleResponse struct {
-	r      ExchangeResponse
-	to     *scheduleHolder
-	config int64
+	r       ExchangeResponse
+	to      *scheduleHolder
+	applied Version
+	config  int64
 }
 
 type scheduleAppend struct {
@@ -242,7 +245,7 @@
 		}
 	}
 	if err == nil {
-		s.responses = append(s.responses, scheduleResponse{r, m.from, a.config.Version})
+		s.responses = append(s.responses, scheduleResponse{r, m.from, m.q.Applied, a.config.Version})
 	}
 }
 
@@ -251,11 +254,13 @@
 	if !ok || !m.to.adopted {
 		return
 	}
+	confirmed := m.r.Grants == nil && m.applied == m.to.grants.Version
 	if m.r.Grants != nil && m.r.Grants.Version.Compare(m.to.grants.Version) > 0 {
-		m.to.grants = *m.r.Grants
+		m.to.grants, confirmed = *m.r.Grants, true
 	}
-	if p := m.to.pool; p.holder == m.to {
-		p.config = max(p.config, m.config)
+	// The grants in force may be those of an allocator that does not know the last limits yet.
+	if p := m.to.pool; confirmed && p.holder == m.to {
+		p.config = m.config
 	}
 }
 
