--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -75,6 +75,8 @@
 
 	workers map[string]*worker.State
 	index   workerIndex
+	// accounts count what customers use and want.
+	accounts customerAccounts
 	// largestCapacity is the capacity of the largest worker that the pool has had
 	// since it was taken over, or zero.
 	largestCapacity job.Resources
@@ -114,8 +116,18 @@
 
 	// waiting are the tasks that wait.
 	waiting waitQueue
-	// shares tells what customers may use, or is nil if nothing limits them.
+	// shares tells what customers may use.
 	shares customerShares
+	// leastShares is kept for the explanations of one moment.
+	leastShares leastShares
+	// overtaken are groups that wait for room while others after them are placed.
+	overtaken map[worker.StepKey]*overtakenGroup
+	// queued is the work of tasks that have not started, inflow the rate at which work comes
+	// of jobs that are not excess, and excessJobs counts the excess jobs that came since the
+	// last plan.
+	queued     queuedWork
+	inflow     usualInflow
+	excessJobs int64
 	// noRuns are the jobs and tasks that have no active run.
 	noRuns noRuns
 	// dirty are the jobs whose last changes are in no batch.
@@ -162,6 +174,7 @@
 		restoredProgress: map[job.ID]*job.Progress{},
 		workers:          map[string]*worker.State{},
 		index:            newWorkerIndex(),
+		accounts:         newCustomerAccounts(),
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
 		speedWorkers:     map[string]bool{},
@@ -171,12 +184,15 @@
 		governors:        map[string]*sharing.Governor{},
 		approvals:        map[worker.StepKey]*stepApprovals{},
 		places:           map[job.TaskID]string{},
+		overtaken:        map[worker.StepKey]*overtakenGroup{},
+		inflow:           usualInflow{},
 		noRuns:           newNoRuns(),
-		waiting:          newWaitQueue(),
 		running:          map[int]int{},
 	}
+	c.waiting = newWaitQueue(&c.accounts)
 	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
 	c.unreached = newUnreachedWorkers(now)
+	c.shares = accountShares{c}
 	return c
 }
 
--- a/internal/scheduler/waitreason.go
+++ b/internal/scheduler/waitreason.go
@@ -9,16 +9,6 @@
 	"greengagedeck/internal/worker"
 )
 
-// The reasons for which tasks of a customer wait.
-const (
-	// NoRunCustomerLimit means that the tasks exceed what the limit of their customer
-	// leaves for the pool at present.
-	NoRunCustomerLimit NoRunReason = "customer-limit"
-	// NoRunCustomerShare means that the pool is full and that the customer has its share
-	// of it.
-	NoRunCustomerShare NoRunReason = "customer-share"
-)
-
 // The reasons that only explanations of single steps and customers name.
 const (
 	// NoRunGangActive means that members of the gang's last run have not ended.
@@ -41,22 +31,19 @@
 }
 
 // customerShares tells what customers may use in a pool, and which groups wait because of
-// that. A core that enforces grants and shares sets Core.shares to an implementation.
+// that.
 type customerShares interface {
 	// customerShare returns what a customer may use.
 	customerShare(id customer.ID) CustomerShare
 	// customerWait returns NoRunCustomerLimit or NoRunCustomerShare if a group of a job
 	// waits for that reason, else "".
-	customerWait(j *trackedJob, g job.TaskGroup) NoRunReason
+	customerWait(j *trackedJob, g job.TaskGroup, now time.Duration) NoRunReason
 }
 
 // customerWait returns why a group waits if its customer's limit or share is the reason,
 // else "".
-func (c *Core) customerWait(j *trackedJob, g job.TaskGroup) NoRunReason {
-	if c.shares == nil {
-		return ""
-	}
-	return c.shares.customerWait(j, g)
+func (c *Core) customerWait(j *trackedJob, g job.TaskGroup, now time.Duration) NoRunReason {
+	return c.shares.customerWait(j, g, now)
 }
 
 // waitExplainer tells why groups of tasks wait. It changes nothing and logs nothing.
@@ -93,14 +80,14 @@
 	if reason := c.unplannedReason(j, e.holder, e.now); reason != "" {
 		return reason, 0
 	}
-	if reason := c.customerWait(j, g); reason != "" {
+	if reason := c.customerWait(j, g, e.now); reason != "" {
 		return reason, 0
 	}
 	unplaced, maxFreeCPU, ok := e.unplaced(j, g)
 	if !ok {
 		return NoRunNotChecked, 0
 	}
-	return c.unplacedReason(unplaced, e.workers), maxFreeCPU
+	return c.noPlaceReason(unplaced, e.workers), maxFreeCPU
 }
 
 // unplaced returns why no worker takes the tasks of a group, or what was last found once
@@ -123,7 +110,7 @@
 func (e *waitExplainer) request(j *trackedJob, g job.TaskGroup) placement.Request {
 	c := e.core
 	req := c.placementRequest(j, g, e.now)
-	req.AllowEjected = req.AllowEjected || j.stalled(e.now)
+	req.AllowEjected = req.AllowEjected || c.jobStalled(j, e.now)
 	if j.Terms.Approval == nil {
 		return req
 	}
