--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -38,6 +38,8 @@
 	innocentFailed []string
 	// judgedShrunk counts the starts that a shrunk capacity limited.
 	judgedShrunk int
+	// onStart, if set, is called with mu held after the start of a run has been recorded.
+	onStart func(t job.TaskID, worker string)
 }
 
 // NewRunChecker returns a checker that has recorded no runs.
@@ -86,6 +88,9 @@
 	c.checkStartAfterFailure(t, worker)
 	c.running[t] = worker
 	c.started[t.Job]++
+	if c.onStart != nil {
+		c.onStart(t, worker)
+	}
 }
 
 // checkCapacity checks what the runs on a worker take after a start against the
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -140,6 +140,11 @@
 
 // call sends a request to a daemon. It returns status 0 when there is no response.
 func (s *soak) call(d *daemon, method, path string, body []byte) (status int, response []byte) {
+	return s.callWithKey(d, "", method, path, body)
+}
+
+// callWithKey is like call, with the key of a customer unless it is empty.
+func (s *soak) callWithKey(d *daemon, key, method, path string, body []byte) (status int, response []byte) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -148,6 +153,9 @@
 	req.Header.SetHost(soakHost)
 	req.UseHostHeader = true
 	req.Header.Set("X-Deadline-Ms", "1500")
+	if key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Token "+key)
+	}
 	req.SetBody(body)
 	if err := s.client.DoTimeout(req, resp, 2*time.Second); err != nil {
 		return 0, nil
--- a/standin/jobsim/store.go
+++ b/standin/jobsim/store.go
@@ -49,15 +49,20 @@
 // StartStore serves a new log on a free loopback port. idle applies to the store and
 // to the workers that are started with it.
 func StartStore(idle IdleTimeouts) (*Store, error) {
+	return (&Store{Log: logtest.New(), idle: idle}).View("daemons")
+}
+
+// View serves the same log at another address, for calls of a client that faults can tell
+// from others.
+func (s *Store) View(client string) (*Store, error) {
 	ln, err := net.Listen("tcp", anyLoopbackAddress)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Log: logtest.New(), conns: &crashListener{Listener: ln}, idle: idle}
-	s.client = s.Log.Client("daemons")
-	s.server = newServer(s.handle, idle.Store)
-	go func() { _ = s.server.Serve(s.conns) }()
-	return s, nil
+	v := &Store{Log: s.Log, client: s.Log.Client(client), conns: &crashListener{Listener: ln}, idle: s.idle}
+	v.server = newServer(v.handle, v.idle.Store)
+	go func() { _ = v.server.Serve(v.conns) }()
+	return v, nil
 }
 
 // newServer returns a server that closes idle connections after a time. It does not
