Adopt no bounds that were logged after the registration

Cause: TestLimitHoldsInEverySchedule, rapid: a holder registered, the allocator logged a raised bound whose answer was lost, the holder adopted it from the listing and started tasks, and the allocator logged the lower bound again without it. Change: a holder adopts only bounds from before its registration; an allocator that logs later ones has read it.

--- a/internal/limits/client.go
+++ b/internal/limits/client.go
@@ -191,13 +191,18 @@
 	return false
 }
 
-// initialGrants returns the logged bounds of the pool. Where those of all pools exceed the limit
-// of a customer, they are from before the limit was lowered: the pool then starts nothing of
-// that customer before the allocator has answered.
+// initialGrants returns the logged bounds of the pool if they are from before the registration: an
+// allocator that logs them afterwards has read it, and may lower them again without this holder,
+// which it takes for one that acts on the earlier ones. Where the bounds of all pools exceed the
+// limit of a customer, they are from before the limit was lowered. In both cases the pool starts
+// nothing of the customer before the allocator has answered.
 func (c *Client) initialGrants(recs []logstore.Record) Grants {
 	limits, _ := c.opt.Config.Get()
 	bounds := c.loggedBounds(recs)
 	g := Grants{Version: initialVersion, ByCustomer: map[customer.ID]resources{}}
+	if !c.registeredAfterBounds(recs) {
+		return g
+	}
 	for id, bound := range bounds[c.opt.PoolName] {
 		l, limited := limits.Get(id)
 		if !limited {
@@ -214,6 +219,23 @@
 	return g
 }
 
+// registeredAfterBounds reports whether the pool's last bounds were logged before this holder
+// registered.
+func (c *Client) registeredAfterBounds(recs []logstore.Record) bool {
+	bounds, registered := int64(-1), int64(-1)
+	for _, r := range recs {
+		switch r.Key {
+		case kindBounds + c.opt.PoolName:
+			bounds = max(bounds, r.Offset)
+		case kindHolder + c.opt.PoolName:
+			if d, err := decode(r); err == nil && d.token == c.opt.Token {
+				registered = max(registered, r.Offset)
+			}
+		}
+	}
+	return registered > bounds
+}
+
 // loggedBounds returns the last bounds of all pools.
 func (c *Client) loggedBounds(recs []logstore.Record) map[string]map[customer.ID]amounts {
 	out := map[string]map[customer.ID]amounts{}
--- a/internal/limits/schedule_test.go
+++ b/internal/limits/schedule_test.go
@@ -217,7 +217,7 @@
 	if h.adopted {
 		return
 	}
-	c := &Client{opt: ClientOptions{PoolName: h.pool.name, Config: &Config{current: s.inEffect()}}}
+	c := &Client{opt: ClientOptions{PoolName: h.pool.name, Token: h.token, Config: &Config{current: s.inEffect()}}}
 	h.grants, h.adopted = c.initialGrants(s.list()), true
 	// Bounds from before a limit was lowered count until the holder has exchanged.
 	h.pool.config = min(h.pool.config, s.fitted)
