Correct the test case of a wait for a customer's share

Cause: the case left a second job without a run, which is reported with a reason of its own: TestJobWithoutRunIsLoggedWithReason/customer-share failed since the reason was added. Change: the other customer's waiting job has an active task, so that only the job of the case is reported; the check is the same.

--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -150,10 +150,12 @@
 	scheduler.NoRunCustomerShare: func(p *noRunPool) {
 		p.add("a")
 		p.c.SetCustomers(newDirectory(customer.Customer{ID: "a"}, customer.Customer{ID: "b"}))
-		p.submitFor("a", "00000000000000b0", task(scriptCapacity))
+		p.submitFor("a", "00000000000000b0", task(scriptCapacity-1000))
+		both := task(1000)
+		both.Count = 2
+		p.submitFor("b", "00000000000000b1", both)
 		p.start()
-		p.submitFor("b", "00000000000000b1", task(scriptCapacity))
-		p.submitFor("a", noRunJob, task(scriptCapacity))
+		p.submitFor("a", noRunJob, task(1000))
 		p.commit()
 	},
 	scheduler.NoRunNotLogged: func(p *noRunPool) {
