Serve no pool before others that has stopped calling

Cause: TestHolderPartitionedFromAllocator and TestResponsesLostLateAndReordered failed on the merged code: a pool whose holder was cut off had not reported a start for a second, counted as stuck and got the whole limit, which it could not give back. Change: whether a pool is stuck is judged as of its last report. Tests of the services and clients over a log with faults: the allocator lost around its append, lost, late and reordered responses, partitions, two allocators, two holders, the log down for 20 s, truncated history, nothing without limits. Figures: go test ./internal/limits: the two tests started 259 of 500 and 20 of 200 tasks before, all pass after.

--- a/internal/limits/split.go
+++ b/internal/limits/split.go
@@ -33,9 +33,10 @@
 	}
 }
 
-// stuck reports whether the pool is to be served before others.
-func (s *share) stuck(now time.Duration) bool {
-	return s.wanted != amounts{} && now-s.progress.at >= stuckAfter
+// stuck reports whether the pool is to be served before others, as of its last report: one that
+// has stopped calling would take the limit along.
+func (s *share) stuck() bool {
+	return s.wanted != amounts{} && s.pool.exchangedAt-s.progress.at >= stuckAfter
 }
 
 // starved reports whether the pool wants more than its grant allows.
@@ -59,7 +60,7 @@
 		}
 		out = append(out, target{share: s})
 	}
-	left := serveStuck(out, limit, now)
+	left := serveStuck(out, limit)
 	for r := range left {
 		splitResource(out, r, left[r], max(len(out), len(a.limits.Pools)))
 	}
@@ -68,11 +69,11 @@
 
 // serveStuck gives the pools that are to be served before others what they need, those first
 // that have waited longest. It returns what is left.
-func serveStuck(list []target, limit amounts, now time.Duration) (left amounts) {
+func serveStuck(list []target, limit amounts) (left amounts) {
 	left = limit
 	var stuck []*target
 	for i := range list {
-		if list[i].stuck(now) {
+		if list[i].stuck() {
 			stuck = append(stuck, &list[i])
 		}
 	}
