--- a/internal/limits/clientloop.go
+++ b/internal/limits/clientloop.go
@@ -16,14 +16,11 @@
 		_, demand := c.opt.Pool.Demand()
 		c.pace.waits(now, demand)
 	}
-	at, ok := c.pace.due(now, c.occasion())
-	if ok && at <= now {
+	at := c.pace.due(now, c.occasion())
+	if at <= now {
 		return true
 	}
-	wait := checkInterval
-	if ok {
-		wait = min(wait, at-now)
-	}
+	wait := min(checkInterval, at-now)
 	if look && lookIn > 0 {
 		wait = min(wait, lookIn)
 	}
--- a/internal/limits/fleet_test.go
+++ b/internal/limits/fleet_test.go
@@ -265,8 +265,7 @@
 	if in, look := p.pace.lookIn(f.now); look && in == 0 {
 		p.pace.waits(f.now, p.demand())
 	}
-	at, ok := p.pace.due(f.now, occasion{7, f.config.Version})
-	if !ok || at > f.now {
+	if p.pace.due(f.now, occasion{7, f.config.Version}) > f.now {
 		return
 	}
 	f.call(p)
--- a/internal/limits/pace.go
+++ b/internal/limits/pace.go
@@ -66,21 +66,21 @@
 	granted bool
 }
 
-// due returns when the next exchange is due. ok is false if none is until something changes.
-func (p *pace) due(now time.Duration, o occasion) (at time.Duration, ok bool) {
+// due returns when the next exchange is due.
+func (p *pace) due(now time.Duration, o occasion) time.Duration {
 	switch {
 	case p.startedAt == 0:
-		return now, true
+		return now
 	case p.ack:
-		return p.ackedAt + p.least, true
+		return p.ackedAt + p.least
 	case p.blocked && !p.failed:
-		return p.startedAt + min(exchangeInterval, p.least<<p.futile), true
+		return p.startedAt + min(exchangeInterval, p.least<<p.futile)
 	case p.failed, p.active, o.config != p.reported.config, p.granted && now-p.busyAt < recentPeriod:
-		return p.startedAt + exchangeInterval, true
+		return p.startedAt + exchangeInterval
 	case o.allocator != p.reported.allocator:
-		return p.startedAt + blockedInterval, true
+		return p.startedAt + blockedInterval
 	}
-	return p.startedAt + idleInterval, true
+	return p.startedAt + idleInterval
 }
 
 // began records that an exchange begins.
--- a/internal/limits/schedule_test.go
+++ b/internal/limits/schedule_test.go
@@ -62,8 +62,7 @@
 	from *scheduleHolder
 }
 
-// scheduleResponse is a response under a version of the limits. It confirms the grants of the
-// version that the request named, if it holds none.
+// scheduleResponse is a response under limits. Without grants it confirms the applied ones.
 type scheduleResponse struct {
 	r       ExchangeResponse
 	to      *scheduleHolder
@@ -111,8 +110,7 @@
 	return s
 }
 
-// pick returns a number below n. The numbers of rapid would be mostly small ones, with few steps
-// of the later kinds.
+// pick returns a number below n. Those of rapid would be mostly small, with few later kinds.
 func (s *schedule) pick(n int) int { return s.rand.IntN(n) }
 
 // take removes one element, so that messages are reordered.
