Count work as demand until a limit has held it back for two seconds

Cause: tasks that waited for a grant asked for no hosts. At the turn of demand a pool has few hosts, so it wanted little quota, got small grants, reported little work and got few hosts. Change: tasks of a customer count as demand up to its limit, and only up to its grant once that has held it back for 2 s.

--- a/internal/scheduler/excess.go
+++ b/internal/scheduler/excess.go
@@ -113,7 +113,7 @@
 // by long-running tasks and customers at their limits, and what jobs need that are not
 // excess as they come.
 func (c *Core) capacityLeft(priority int, now time.Duration) job.Resources {
-	all, kept := c.index.capacity, c.accounts.lasting.Add(c.heldBackUse())
+	all, kept := c.index.capacity, c.accounts.lasting.Add(c.heldBackUse(now))
 	for p, f := range c.inflow {
 		if p <= priority {
 			kept = kept.Add(f.Rate(now))
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -21,6 +21,11 @@
 	reasonCustomerShare placement.UnplacedReason = "customers with a smaller share come first"
 )
 
+// limitBindsAfter is for how long a customer must have been held back by its grant until its
+// limit counts as the reason. Before that its grant may be raised soon, and its tasks need
+// hosts by then.
+const limitBindsAfter = 2 * time.Second
+
 // accountOf returns the account of a job's customer.
 func (c *Core) accountOf(j *trackedJob) *customerAccount { return c.accounts.of(j.Terms.Customer) }
 
@@ -108,30 +113,39 @@
 	return j.stalledSince > 0 && now-max(j.stalledSince, c.accountOf(j).blockedAt) >= stalledAfter
 }
 
-// allowances tell which waiting tasks the grants allow, counting those asked for before as
+// limitBinds reports whether the customer's limit, and not only its grant of the moment, keeps
+// its tasks from starting.
+func (acc *customerAccount) limitBinds(now time.Duration) bool {
+	return acc.heldBack && now >= acc.heldSince+limitBindsAfter
+}
+
+// allowances tell which waiting tasks the limits allow, counting those asked for before as
 // started.
 type allowances struct {
 	core *Core
-	// left is what the grants of limited customers allow in addition.
+	now  time.Duration
+	// left is what limited customers may run in addition.
 	left map[*customerAccount]job.Resources
 }
 
-func (c *Core) newAllowances() allowances {
-	return allowances{core: c, left: map[*customerAccount]job.Resources{}}
+func (c *Core) newAllowances(now time.Duration) allowances {
+	return allowances{core: c, now: now, left: map[*customerAccount]job.Resources{}}
 }
 
-// take returns how many tasks of a group the grants allow.
+// take returns how many tasks of a group may start: within the grant if the limit of the
+// customer keeps it there, else within the limit.
 func (a allowances) take(pg *pendingGroup) int {
 	acc := a.core.accountOf(pg.job)
-	switch {
-	case !acc.limited():
+	if !acc.limited() {
 		return pg.tasks
-	case !acc.granted:
-		return 0
 	}
 	left, known := a.left[acc]
-	if !known {
+	switch {
+	case known:
+	case acc.limitBinds(a.now):
 		left = acc.grant.Sub(acc.used)
+	default:
+		left = acc.limit.Sub(acc.used)
 	}
 	k := pg.kind()
 	starts := acc.within(left, k.need.Times(k.members), pg.tasks/k.members)
@@ -139,12 +153,12 @@
 	return k.members * starts
 }
 
-// heldBackUse returns what the customers use that are held back by their grants. Their
+// heldBackUse returns what the customers use whose limits keep their tasks from starting. Their
 // demand does not show in the jobs that they submit.
-func (c *Core) heldBackUse() job.Resources {
+func (c *Core) heldBackUse(now time.Duration) job.Resources {
 	var out job.Resources
 	for acc := range c.accounts.held {
-		if acc.heldBack {
+		if acc.limitBinds(now) {
 			out = out.Add(acc.used)
 		}
 	}
@@ -154,7 +168,7 @@
 // countDemand adds a new job to the demand of the pool, unless its customer's limit keeps
 // it from needing more.
 func (c *Core) countDemand(j *trackedJob, now time.Duration) {
-	if !c.accountOf(j).heldBack {
+	if !c.accountOf(j).limitBinds(now) {
 		c.demand.add(now, estimatedWork(&j.Spec))
 	}
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,9 +70,9 @@
 	var waiting []stepTasks
 	var stalled []UnplacedTasks
 	rep.CurrentDemand, rep.ExpectedDemand = c.demand.forecast(now, lead)
-	heldBack := c.heldBackUse()
+	heldBack := c.heldBackUse(now)
 	rep.CurrentDemand, rep.ExpectedDemand = rep.CurrentDemand.Add(heldBack), rep.ExpectedDemand.Add(heldBack)
-	allowed := c.newAllowances()
+	allowed := c.newAllowances(now)
 	for pg := range c.queue(now) {
 		s := pg.job.Spec.Steps[pg.group.Step]
 		// No host helps tasks that their customer's grant does not allow.
