--- /dev/null
+++ b/review/_harness2/minion.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// heartbeat is how often a minion writes its entry.
+	heartbeat = 1500 * time.Millisecond
+	// holdMax is the longest lease that a minion grants, and stopTime how long a stop
+	// takes.
+	holdMax  = 10 * time.Second
+	stopTime = 50 * time.Millisecond
+	maxHold  = 2000
+	maxEnds  = 500
+)
+
+// minion runs tasks under a lease. The spec of a task is its running time in milliseconds.
+type minion struct {
+	id, machine, service, address string
+	cpu                           int
+	rec                           *recorder
+	watch                         *watcher
+	start                         time.Time
+
+	mu      sync.Mutex
+	token   int64
+	lease   time.Duration
+	running map[string]*taskRun
+	highest map[string]int
+	ended   [][]any
+	lastEnd int64
+	changed chan struct{}
+}
+
+// taskRun is a run that is at work.
+type taskRun struct {
+	number  int
+	timer   *time.Timer
+	stopped bool
+}
+
+// watcher sees what runs on all minions.
+type watcher struct {
+	rec *recorder
+
+	mu sync.Mutex
+	// active names, by task, the minions on which it runs.
+	active map[string]map[string]bool
+	// doubles are the tasks that ran on two minions at once.
+	doubles map[string]string
+	begun   map[string]int
+}
+
+func newWatcher(rec *recorder) *watcher {
+	return &watcher{rec: rec, active: map[string]map[string]bool{}, doubles: map[string]string{}, begun: map[string]int{}}
+}
+
+func (w *watcher) started(task, minion string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.active[task] == nil {
+		w.active[task] = map[string]bool{}
+	}
+	for other := range w.active[task] {
+		w.doubles[task] = other + " and " + minion
+		w.rec.event("TWICE: task %s starts on %s while it runs on %s", task, minion, other)
+	}
+	w.active[task][minion] = true
+	w.begun[task]++
+}
+
+func (w *watcher) ended(task, minion string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.active[task], minion)
+}
+
+// starts returns how often a task has started.
+func (w *watcher) starts(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun[task]
+}
+
+// doubled returns how many tasks ran on two minions at once.
+func (w *watcher) doubled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.doubles)
+}
+
+func startMinion(id, service string, cpu int, s *store, rec *recorder, watch *watcher) (*minion, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m := &minion{
+		id: id, machine: "m-" + id, service: service, address: ln.Addr().String(), cpu: cpu, rec: rec, watch: watch, start: time.Now(),
+		running: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", m.order(m.runStart))
+	mux.HandleFunc("POST /v1/run-stop", m.order(m.runStop))
+	mux.HandleFunc("POST /v1/pace", m.order(func(request) (int, map[string]any) { return http.StatusOK, map[string]any{} }))
+	mux.HandleFunc("POST /v1/hold", m.order(m.hold))
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	go func() { _ = http.Serve(ln, mux) }()
+	go func() {
+		for n := 1; ; n++ {
+			s.put("servers", id, map[string]any{
+				"service": service, "address": m.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+				"capacity": map[string]int{"cpu": cpu, "taskMemoryMb": 65536, "gpu": 0}, "labels": []string{"a", "r1"},
+				"clockMs": m.clock().Milliseconds(), "sequence": n, "born": m.start.UnixMilli(), "machine": m.machine,
+			})
+			time.Sleep(heartbeat)
+		}
+	}()
+	go m.expire()
+	return m, nil
+}
+
+func (m *minion) clock() time.Duration { return time.Since(m.start) }
+
+// expire kills everything when the lease has expired.
+func (m *minion) expire() {
+	for {
+		time.Sleep(10 * time.Millisecond)
+		m.mu.Lock()
+		if m.clock() > m.lease {
+			for task := range m.running {
+				m.end(task, "lapsed")
+			}
+		}
+		m.mu.Unlock()
+	}
+}
+
+// end records the end of a run. The caller holds m.mu.
+func (m *minion) end(task, how string) {
+	r := m.running[task]
+	r.timer.Stop()
+	delete(m.running, task)
+	m.highest[task] = max(m.highest[task], r.number)
+	m.lastEnd++
+	m.ended = append(m.ended, []any{m.lastEnd, task, r.number, how, ""})
+	m.rec.event("minion %s of %s: task %s run %d ends %s", m.id, m.service, task, r.number, how)
+	m.watch.ended(task, m.id)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// request is the body of every call.
+type request struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
+	UntilMs      int64  `json:"untilMs"`
+	FencingToken int64  `json:"fencingToken"`
+	Acknowledged int64  `json:"acknowledged"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+func (m *minion) order(do func(request) (int, map[string]any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Expect-Instance") != m.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var req request
+		if json.NewDecoder(r.Body).Decode(&req) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		m.mu.Lock()
+		fenced := req.FencingToken < m.token
+		if !fenced {
+			m.token = req.FencingToken
+			m.lease = max(m.lease, min(time.Duration(req.UntilMs)*time.Millisecond, m.clock()+holdMax))
+		}
+		m.mu.Unlock()
+		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+		if !fenced {
+			status, body = do(req)
+		}
+		body["clockMs"] = m.clock().Milliseconds()
+		answer(w, status, body)
+	}
+}
+
+func conflict(reason string) (int, map[string]any) {
+	return http.StatusConflict, map[string]any{"reason": reason}
+}
+
+func (m *minion) runStart(req request) (int, map[string]any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.running[req.Task]
+	switch {
+	case r != nil && r.number == req.Run:
+		return http.StatusOK, map[string]any{}
+	case r != nil || req.Run <= m.highest[req.Task]:
+		return conflict("old")
+	case time.Duration(req.UntilMs)*time.Millisecond <= m.clock():
+		return conflict("late")
+	}
+	ms, _ := strconv.Atoi(req.Spec)
+	r = &taskRun{number: req.Run}
+	r.timer = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.running[req.Task] == r && !r.stopped {
+			m.end(req.Task, "done")
+		}
+	})
+	m.running[req.Task] = r
+	m.rec.event("minion %s of %s: task %s run %d starts, token %d", m.id, m.service, req.Task, req.Run, req.FencingToken)
+	m.watch.started(req.Task, m.id)
+	return http.StatusOK, map[string]any{}
+}
+
+func (m *minion) runStop(req request) (int, map[string]any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.highest[req.Task] = max(m.highest[req.Task], req.Run)
+	if r := m.running[req.Task]; r != nil && r.number <= req.Run && !r.stopped {
+		r.stopped = true
+		time.AfterFunc(stopTime, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.running[req.Task] == r {
+				m.end(req.Task, "stopped")
+			}
+		})
+	}
+	return http.StatusOK, map[string]any{}
+}
+
+func (m *minion) hold(req request) (int, map[string]any) {
+	deadline := time.After(time.Duration(min(req.WaitMs, maxHold)) * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for len(m.ended) > 0 && m.ended[0][0].(int64) <= req.Acknowledged {
+		m.ended = m.ended[1:]
+	}
+	for waiting := req.WaitMs > 0; waiting && len(m.ended) == 0; {
+		changed := m.changed
+		m.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			waiting = false
+		}
+		m.mu.Lock()
+	}
+	running := [][]any{}
+	for task, r := range m.running {
+		running = append(running, []any{task, r.number, "", 100, 0})
+	}
+	return http.StatusOK, map[string]any{"born": m.start.UnixMilli(), "running": running, "ended": append([][]any{}, m.ended[:min(len(m.ended), maxEnds)]...)}
+}
+
+// machineEntry describes the minion's machine to the cloud.
+func (m *minion) machineEntry() map[string]any {
+	return map[string]any{
+		"machine": m.machine, "pool": m.service, "state": "up", "zone": "z1", "labels": []string{"a", "r1"},
+		"capacity": map[string]int{"cpu": m.cpu, "taskMemoryMb": 65536, "gpu": 0}, "id": m.id,
+	}
+}
+
+func (m *minion) String() string { return fmt.Sprintf("%s of %s", m.id, m.service) }
