Show a job that stops its pool for good

Cause: LOST, broken by one poison job of 2,000 checkpointing tasks: its progress is longer than a record of the log may be, and the append of it is repeated for ever.

--- a/review/_harness2/deployment.go
+++ b/review/_harness2/deployment.go
@@ -20,10 +20,9 @@
 
 const (
 	// The bounds of a small deployment, as in the settings below.
-	visible     = 3 * time.Second
-	configApply = 2 * time.Second
-	lossSlack   = 200 * time.Millisecond
-	grace       = 6 * time.Second
+	visible   = 3 * time.Second
+	lossSlack = 200 * time.Millisecond
+	finish    = 14 * time.Second
 	// clientDeadline is how long clients wait for a response.
 	clientDeadline = 3 * time.Second
 )
@@ -272,7 +271,7 @@
 
 // jobBody is a job of one step.
 func jobBody(tasks, cpu, ms int) string {
-	return fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":%d,"taskMemoryMb":64,"estimatedMs":%d}]}`, ms, tasks, cpu, ms)
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"taskMemoryMb":64,"estimatedMs":%d}]}`, taskSpec{Ms: ms}, tasks, cpu, ms)
 }
 
 func jobID(n int) string { return fmt.Sprintf("5c0e7a21d9%06x", n) }
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -29,7 +29,7 @@
 	"restart": restartForgetsMoves,
 	"hup":     settingsSignalWhileStopping,
 	"cutoff":  requestCutAtTheEndOfAStop,
-	"pending": restartForgetsWaiting,
+	"poison":  poisonJobStopsPool,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_harness2/minion.go
+++ b/review/_harness2/minion.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,7 +22,7 @@
 	maxEnds  = 500
 )
 
-// minion runs tasks under a lease. The spec of a task is its running time in milliseconds.
+// minion runs tasks under a lease.
 type minion struct {
 	id, machine, service, address string
 	cpu                           int
@@ -42,10 +43,66 @@
 // taskRun is a run that is at work.
 type taskRun struct {
 	number  int
+	spec    taskSpec
+	begun   time.Time
 	timer   *time.Timer
 	stopped bool
 }
 
+// taskSpec is what the text that a job carries for its tasks means to a minion.
+type taskSpec struct {
+	// Ms is the running time in milliseconds.
+	Ms int
+	// Saves is set for tasks that save their progress, and Fails for those that fail at the
+	// end of their running time.
+	Saves, Fails bool
+}
+
+// String returns the text.
+func (t taskSpec) String() string {
+	out := strconv.Itoa(t.Ms)
+	if t.Saves {
+		out += " saves"
+	}
+	if t.Fails {
+		out += " fails"
+	}
+	return out
+}
+
+func parseTaskSpec(text string) (t taskSpec) {
+	for i, word := range strings.Fields(text) {
+		switch {
+		case i == 0:
+			t.Ms, _ = strconv.Atoi(word)
+		case word == "saves":
+			t.Saves = true
+		case word == "fails":
+			t.Fails = true
+		}
+	}
+	return t
+}
+
+// savedEvery is after how much work a new checkpoint is saved.
+const savedEvery = 2 * time.Second
+
+// saved returns the newest checkpoint of a run, the name of the object that holds it.
+func (r *taskRun) saved(task string) string {
+	n := int(time.Since(r.begun) / savedEvery)
+	if !r.spec.Saves || n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("checkpoints/%s/run-%06d/%06d-%016x-%016x.ckpt", task, r.number, n, r.begun.UnixNano(), n)
+}
+
+// used returns how many runs are at work.
+func (m *minion) used() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.running)
+}
+
 // watcher sees what runs on all minions.
 type watcher struct {
 	rec *recorder
@@ -146,10 +203,14 @@
 func (m *minion) end(task, how string) {
 	r := m.running[task]
 	r.timer.Stop()
+	saved := ""
+	if how != "done" {
+		saved = r.saved(task)
+	}
 	delete(m.running, task)
 	m.highest[task] = max(m.highest[task], r.number)
 	m.lastEnd++
-	m.ended = append(m.ended, []any{m.lastEnd, task, r.number, how, ""})
+	m.ended = append(m.ended, []any{m.lastEnd, task, r.number, how, saved})
 	m.rec.event("minion %s of %s: task %s run %d ends %s", m.id, m.service, task, r.number, how)
 	m.watch.ended(task, m.id)
 	close(m.changed)
@@ -210,13 +271,16 @@
 	case time.Duration(req.UntilMs)*time.Millisecond <= m.clock():
 		return conflict("late")
 	}
-	ms, _ := strconv.Atoi(req.Spec)
-	r = &taskRun{number: req.Run}
-	r.timer = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
+	r = &taskRun{number: req.Run, spec: parseTaskSpec(req.Spec), begun: time.Now()}
+	how := "done"
+	if r.spec.Fails {
+		how = "failed"
+	}
+	r.timer = time.AfterFunc(time.Duration(r.spec.Ms)*time.Millisecond, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.running[req.Task] == r && !r.stopped {
-			m.end(req.Task, "done")
+			m.end(req.Task, how)
 		}
 	})
 	m.running[req.Task] = r
@@ -261,7 +325,7 @@
 	}
 	running := [][]any{}
 	for task, r := range m.running {
-		running = append(running, []any{task, r.number, "", 100, 0})
+		running = append(running, []any{task, r.number, r.saved(task), 100, 0})
 	}
 	return http.StatusOK, map[string]any{"born": m.start.UnixMilli(), "running": running, "ended": append([][]any{}, m.ended[:min(len(m.ended), maxEnds)]...)}
 }
--- a/review/_harness2/scenarios.go
+++ b/review/_harness2/scenarios.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -170,65 +170,6 @@
 	return d.awaitReady(otherA.prefix, otherB.prefix)
 }
 
-// restartForgetsWaiting: as restartForgetsMoves, with jobs that wait for room. The number of
-// waiting jobs is asked for.
-func restartForgetsWaiting(rec *recorder, dir string, trouble bool) error {
-	const waiting = 30
-	d, err := begin(rec, dir, 5)
-	if d != nil {
-		defer d.close()
-	}
-	if err != nil {
-		return err
-	}
-	// One task on each minion of the service leaves no room.
-	if r := d.call(newClient(), d.daemons[0], http.MethodPost, otherA.prefix+jobID(900), jobBody(3, cpuOfMinion, 60000)); r.status != http.StatusOK {
-		return fmt.Errorf("the large job was not accepted")
-	}
-	time.Sleep(time.Second)
-	accepted := make([]bool, waiting)
-	each(waiting, func(i int) {
-		accepted[i] = d.call(newClient(), d.daemons[i%len(d.daemons)], http.MethodPost, prefix+jobID(i), jobBody(1, 1000, 500)).status == http.StatusOK
-	})
-	n := 0
-	for _, ok := range accepted {
-		if ok {
-			n++
-		}
-	}
-	acknowledged := time.Now()
-	time.Sleep(500 * time.Millisecond)
-	d.move()
-	if err := d.killAll(trouble); err != nil {
-		return err
-	}
-	time.Sleep(time.Until(acknowledged.Add(visible + 2*time.Second + 5*time.Second)))
-	low := 0
-	for _, x := range d.daemons {
-		r := d.call(newClient(), x, http.MethodGet, prefix, "")
-		var a struct {
-			Pending int `json:"pending"`
-		}
-		if r.status != http.StatusOK || json.Unmarshal([]byte(r.body), &a) != nil {
-			continue
-		}
-		begun := 0
-		for i := range waiting {
-			if d.watch.starts(jobID(i)+".0.0.0") > 0 {
-				begun++
-			}
-		}
-		rec.event("%s gives %d as pending; %d jobs were accepted and %d have begun", x.name, a.Pending, n, begun)
-		if 2*a.Pending < n-begun {
-			low++
-		}
-	}
-	if low > 0 {
-		return fmt.Errorf("%w: MIXED, %d machines give as pending under half of the jobs that wait", errBroken, low)
-	}
-	return nil
-}
-
 // lost counts the requests that ended without a complete answer later than lossSlack after
 // they were sent, and before their deadline.
 func lost(replies []reply) int {
@@ -335,3 +276,62 @@
 	})
 	return judgeLost(replies)
 }
+
+// poisonJobStopsPool: one of the jobs can never be done: each of its tasks fails after some
+// work, with the progress that it has saved. Others of the same queue come after it.
+func poisonJobStopsPool(rec *recorder, dir string, trouble bool) error {
+	const (
+		tasks = 2000
+		jobs  = 20
+	)
+	d, err := begin(rec, dir, 5)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return err
+	}
+	wide := taskSpec{Ms: 2500, Saves: true, Fails: trouble}
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":40,"taskMemoryMb":16,"estimatedMs":2500,"checkpointing":true}]}`, wide, tasks)
+	if r := d.call(newClient(), d.daemons[0], http.MethodPost, prefix+jobID(0), body); r.status != http.StatusOK {
+		return fmt.Errorf("the wide job was not accepted")
+	}
+	time.Sleep(5 * time.Second)
+	accepted := map[string]bool{}
+	for i := range jobs {
+		id := jobID(100 + i)
+		r := d.call(newClient(), d.daemons[i%len(d.daemons)], http.MethodPost, prefix+id, jobBody(1, 100, 100))
+		accepted[id] = r.status == http.StatusOK
+		time.Sleep(300 * time.Millisecond)
+	}
+	// What minions have not begun by finish after the end of the traffic had room all the
+	// while: nothing else is sent.
+	time.Sleep(finish)
+	used := 0
+	for _, m := range d.minions {
+		if m.service == oldRoute.service {
+			used = max(used, m.used())
+		}
+	}
+	rec.event("%d tasks run on the busiest of the service's minions", used)
+	standing, n := 0, 0
+	for id, ok := range accepted {
+		if !ok {
+			continue
+		}
+		n++
+		r := d.call(newClient(), d.daemons[0], http.MethodGet, prefix+id, "")
+		if d.watch.starts(id+".0.0.0") == 0 {
+			standing++
+			rec.event("job %s was accepted over %v ago and none of its tasks has begun; it is shown as %s", id, finish, strings.TrimSpace(r.body))
+		}
+	}
+	rec.event("%d jobs were accepted, %d of them stand", n, standing)
+	switch {
+	case n == 0:
+		return fmt.Errorf("no job was accepted")
+	case standing > 0 && used == 0:
+		return fmt.Errorf("%w: LOST, %d of %d accepted jobs have nothing running %v after the end of the traffic, with all minions of the service idle", errBroken, standing, n, finish)
+	}
+	return nil
+}
