Show a move that ends tasks at work after an outage of the cloud

Cause: AVAIL, broken by a silent cloud and a crashed minion: an order without an answer is sent again though its machine has taken tasks meanwhile.

--- a/review/_harness2/deployment.go
+++ b/review/_harness2/deployment.go
@@ -39,16 +39,18 @@
 	rec     *recorder
 	watch   *watcher
 	store   *store
+	cloud   *cloud
 	dir     string
 	daemons []*daemon
 	minions []*minion
 	version int
 }
 
-// service is a service with how many minions it has.
+// service is a service with how many minions it has. Machines of a standby service are off.
 type service struct {
 	name    string
 	minions int
+	standby bool
 }
 
 // cpuOfMinion is the processor of a minion, in thousandths of a core.
@@ -69,18 +71,14 @@
 			d.minions = append(d.minions, m)
 		}
 	}
-	cloud, err := startCloud(func() []map[string]any {
-		var out []map[string]any
-		for _, m := range d.minions {
-			out = append(out, m.machineEntry())
-		}
-		return out
-	})
-	if err != nil {
+	if d.cloud, err = startCloud(rec, d.store); err != nil {
 		return nil, err
 	}
+	for _, m := range d.minions {
+		d.cloud.add(m)
+	}
 	for i := range daemons {
-		if err := d.addDaemon(fmt.Sprintf("frontend-z1-%d", i+1), cloud); err != nil {
+		if err := d.addDaemon(fmt.Sprintf("frontend-z1-%d", i+1), d.cloud.address()); err != nil {
 			return nil, err
 		}
 	}
@@ -215,7 +213,7 @@
 		})
 	}
 	for _, s := range services {
-		pools = append(pools, map[string]any{"name": s.name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": false})
+		pools = append(pools, map[string]any{"name": s.name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": s.standby})
 	}
 	d.store.put("op", "config", map[string]any{
 		"version": d.version, "routes": list, "services": pools,
--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -29,7 +29,9 @@
 	"restart": restartForgetsMoves,
 	"hup":     settingsSignalWhileStopping,
 	"cutoff":  requestCutAtTheEndOfAStop,
+	"pending": restartForgetsWaiting,
 	"poison":  poisonJobStopsPool,
+	"move":    moveSentAgain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_harness2/minion.go
+++ b/review/_harness2/minion.go
@@ -38,6 +38,9 @@
 	ended   [][]any
 	lastEnd int64
 	changed chan struct{}
+	// down is set while the minion has crashed, and gone once it has left for good.
+	down, gone bool
+	beat       int
 }
 
 // taskRun is a run that is at work.
@@ -170,12 +173,8 @@
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	go func() { _ = http.Serve(ln, mux) }()
 	go func() {
-		for n := 1; ; n++ {
-			s.put("servers", id, map[string]any{
-				"service": service, "address": m.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-				"capacity": map[string]int{"cpu": cpu, "taskMemoryMb": 65536, "gpu": 0}, "labels": []string{"a", "r1"},
-				"clockMs": m.clock().Milliseconds(), "sequence": n, "born": m.start.UnixMilli(), "machine": m.machine,
-			})
+		for {
+			m.report(s)
 			time.Sleep(heartbeat)
 		}
 	}()
@@ -183,6 +182,63 @@
 	return m, nil
 }
 
+// report writes the minion's entry.
+func (m *minion) report(s *store) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down || m.gone {
+		return
+	}
+	m.beat++
+	s.put("servers", m.id, map[string]any{
+		"service": m.service, "address": m.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"capacity": map[string]int{"cpu": m.cpu, "taskMemoryMb": 65536, "gpu": 0}, "labels": []string{"a", "r1"},
+		"clockMs": m.clock().Milliseconds(), "sequence": m.beat, "born": m.start.UnixMilli(), "machine": m.machine,
+	})
+}
+
+// lose ends everything that runs and forgets all. The caller holds m.mu.
+func (m *minion) lose() (atWork []string) {
+	for task, r := range m.running {
+		r.timer.Stop()
+		if !r.stopped {
+			atWork = append(atWork, task)
+		}
+		m.watch.ended(task, m.id)
+	}
+	m.token, m.lease, m.lastEnd, m.ended, m.beat = 0, 0, 0, nil, 0
+	m.running, m.highest = map[string]*taskRun{}, map[string]int{}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return atWork
+}
+
+// crash has the minion crash and start again under its id after a time.
+func (m *minion) crash(s *store, away time.Duration) {
+	m.mu.Lock()
+	m.rec.event("minion %s crashes, %d tasks run there", m.id, len(m.running))
+	m.lose()
+	m.down = true
+	m.mu.Unlock()
+	time.Sleep(away)
+	m.mu.Lock()
+	m.start, m.down = time.Now(), false
+	m.rec.event("minion %s is back under the same id", m.id)
+	m.mu.Unlock()
+	m.report(s)
+}
+
+// leave ends the minion for good, with everything that runs on it. It returns what was at
+// work.
+func (m *minion) leave(s *store) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gone = true
+	s.drop("servers", m.id)
+	return m.lose()
+}
+
+// clock returns the time on the minion's own clock. The caller holds m.mu.
 func (m *minion) clock() time.Duration { return time.Since(m.start) }
 
 // expire kills everything when the lease has expired.
@@ -240,6 +296,10 @@
 			return
 		}
 		m.mu.Lock()
+		if m.down || m.gone {
+			m.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		fenced := req.FencingToken < m.token
 		if !fenced {
 			m.token = req.FencingToken
@@ -250,7 +310,9 @@
 		if !fenced {
 			status, body = do(req)
 		}
+		m.mu.Lock()
 		body["clockMs"] = m.clock().Milliseconds()
+		m.mu.Unlock()
 		answer(w, status, body)
 	}
 }
@@ -313,7 +375,8 @@
 	for len(m.ended) > 0 && m.ended[0][0].(int64) <= req.Acknowledged {
 		m.ended = m.ended[1:]
 	}
-	for waiting := req.WaitMs > 0; waiting && len(m.ended) == 0; {
+	start := m.start
+	for waiting := req.WaitMs > 0; waiting && len(m.ended) == 0 && !m.down && !m.gone && start.Equal(m.start); {
 		changed := m.changed
 		m.mu.Unlock()
 		select {
@@ -323,19 +386,13 @@
 		}
 		m.mu.Lock()
 	}
+	if m.down || m.gone || !start.Equal(m.start) {
+		// The life that got the call has ended.
+		panic(http.ErrAbortHandler)
+	}
 	running := [][]any{}
 	for task, r := range m.running {
 		running = append(running, []any{task, r.number, r.saved(task), 100, 0})
 	}
 	return http.StatusOK, map[string]any{"born": m.start.UnixMilli(), "running": running, "ended": append([][]any{}, m.ended[:min(len(m.ended), maxEnds)]...)}
 }
-
-// machineEntry describes the minion's machine to the cloud.
-func (m *minion) machineEntry() map[string]any {
-	return map[string]any{
-		"machine": m.machine, "pool": m.service, "state": "up", "zone": "z1", "labels": []string{"a", "r1"},
-		"capacity": map[string]int{"cpu": m.cpu, "taskMemoryMb": 65536, "gpu": 0}, "id": m.id,
-	}
-}
-
-func (m *minion) String() string { return fmt.Sprintf("%s of %s", m.id, m.service) }
--- a/review/_harness2/scenarios.go
+++ b/review/_harness2/scenarios.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,7 +12,7 @@
 
 const prefix = "/puxa400/"
 
-var twoServices = []service{{"huvo11a", 3}, {"kafi81c", 3}}
+var twoServices = []service{{name: "huvo11a", minions: 3}, {name: "kafi81c", minions: 3}}
 
 // The queue under prefix in both configurations. The second one removes the route and adds
 // another one for the same requests, whose jobs another service runs.
@@ -170,6 +171,65 @@
 	return d.awaitReady(otherA.prefix, otherB.prefix)
 }
 
+// restartForgetsWaiting: as restartForgetsMoves, with jobs that wait for room. The number of
+// waiting jobs is asked for.
+func restartForgetsWaiting(rec *recorder, dir string, trouble bool) error {
+	const waiting = 30
+	d, err := begin(rec, dir, 5)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return err
+	}
+	// One task on each minion of the service leaves no room.
+	if r := d.call(newClient(), d.daemons[0], http.MethodPost, otherA.prefix+jobID(900), jobBody(3, cpuOfMinion, 60000)); r.status != http.StatusOK {
+		return fmt.Errorf("the large job was not accepted")
+	}
+	time.Sleep(time.Second)
+	accepted := make([]bool, waiting)
+	each(waiting, func(i int) {
+		accepted[i] = d.call(newClient(), d.daemons[i%len(d.daemons)], http.MethodPost, prefix+jobID(i), jobBody(1, 1000, 500)).status == http.StatusOK
+	})
+	n := 0
+	for _, ok := range accepted {
+		if ok {
+			n++
+		}
+	}
+	acknowledged := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	d.move()
+	if err := d.killAll(trouble); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(acknowledged.Add(visible + 2*time.Second + 5*time.Second)))
+	low := 0
+	for _, x := range d.daemons {
+		r := d.call(newClient(), x, http.MethodGet, prefix, "")
+		var a struct {
+			Pending int `json:"pending"`
+		}
+		if r.status != http.StatusOK || json.Unmarshal([]byte(r.body), &a) != nil {
+			continue
+		}
+		begun := 0
+		for i := range waiting {
+			if d.watch.starts(jobID(i)+".0.0.0") > 0 {
+				begun++
+			}
+		}
+		rec.event("%s gives %d as pending; %d jobs were accepted and %d have begun", x.name, a.Pending, n, begun)
+		if 2*a.Pending < n-begun {
+			low++
+		}
+	}
+	if low > 0 {
+		return fmt.Errorf("%w: MIXED, %d machines give as pending under half of the jobs that wait", errBroken, low)
+	}
+	return nil
+}
+
 // lost counts the requests that ended without a complete answer later than lossSlack after
 // they were sent, and before their deadline.
 func lost(replies []reply) int {
@@ -335,3 +395,75 @@
 	}
 	return nil
 }
+
+// moveSentAgain: the cloud falls silent just as the fleet's holder moves empty machines to
+// standby. The minion on one of them crashes and starts again, and takes tasks that last. Then
+// the cloud answers again.
+func moveSentAgain(rec *recorder, dir string, trouble bool) error {
+	const (
+		tasks   = 16
+		mayMiss = 1
+		silence = 5 * time.Second
+	)
+	services := []service{{name: "huvo11a", minions: 8}, {name: "lohu93e", standby: true}}
+	d, err := newDeployment(rec, dir, 5, services)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	d.cloud.standby = "lohu93e"
+	d.configure(services, oldRoute)
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	if err := d.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	ordered := make(chan *machine, 100)
+	var ended []string
+	first := true
+	d.cloud.onMove = func(m *machine) {
+		if trouble && first {
+			d.cloud.silent = true
+			rec.event("cloud: falls silent for %v", silence)
+		}
+		first = false
+		ordered <- m
+	}
+	d.cloud.onMoved = func(_ *machine, atWork []string) { ended = append(ended, atWork...) }
+	c := newClient()
+	for i := range 8 {
+		d.call(c, d.daemons[0], http.MethodPost, prefix+jobID(100+i), jobBody(1, 1000, 100))
+		time.Sleep(100 * time.Millisecond)
+	}
+	var moved *machine
+	select {
+	case moved = <-ordered:
+	case <-time.After(20 * time.Second):
+		return fmt.Errorf("no machine is moved")
+	}
+	silentSince := time.Now()
+	time.Sleep(700 * time.Millisecond)
+	if trouble {
+		// Without the outage the machine has left by now.
+		moved.minion.crash(d.store, 500*time.Millisecond)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	body := fmt.Sprintf(`{"spec":"600000","steps":[{"count":%d,"cpu":8000,"taskMemoryMb":64,"longRunning":true,"mayMiss":%d}]}`, tasks, mayMiss)
+	if r := d.call(c, d.daemons[0], http.MethodPost, prefix+jobID(0), body); r.status != http.StatusOK {
+		return fmt.Errorf("the lasting job was not accepted")
+	}
+	time.Sleep(time.Until(silentSince.Add(silence)))
+	if trouble {
+		d.cloud.setSilent(false)
+	}
+	time.Sleep(5 * time.Second)
+	d.cloud.mu.Lock()
+	n := len(ended)
+	d.cloud.mu.Unlock()
+	if n > mayMiss {
+		return fmt.Errorf("%w: AVAIL, a move ended %d tasks of a step with mayMiss %d that were at work", errBroken, n, mayMiss)
+	}
+	return nil
+}
--- a/review/_harness2/store.go
+++ b/review/_harness2/store.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -110,6 +109,13 @@
 	s.part("keyed."+topic, "0").add([][]byte{append(append([]byte{byte(len(key))}, key...), data...)})
 }
 
+// drop deletes a key.
+func (s *store) drop(topic, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part("keyed."+topic, "0").add([][]byte{append([]byte{byte(len(key))}, key...)})
+}
+
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -259,21 +265,3 @@
 	s.mu.Unlock()
 	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "end": end})
 }
-
-// startCloud serves a list of machines, each of which is up in its pool, and takes no orders.
-func startCloud(list func() []map[string]any) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/v1/machine-") {
-			answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
-			return
-		}
-		answer(w, http.StatusOK, map[string]any{"machines": list(), "nextToken": nil})
-	})
-	go func() { _ = http.Serve(ln, mux) }()
-	return ln.Addr().String(), nil
-}
