--- a/review/_harness2/scenarios.go
+++ b/review/_harness2/scenarios.go
@@ -58,7 +58,7 @@
 func frozenAcceptsIntoOldPool(rec *recorder, dir string, trouble bool) error {
 	const (
 		jobs   = 20
-		freeze = 3900 * time.Millisecond
+		freeze = 4900 * time.Millisecond
 	)
 	// As on ruedasol-grid.
 	holdMax = 6 * time.Second
@@ -87,24 +87,23 @@
 	} else {
 		close(woken)
 	}
-	time.Sleep(20 * time.Millisecond)
-	var first sync.WaitGroup
+	accepted := make([]bool, jobs)
+	var clients sync.WaitGroup
 	for i := range jobs {
-		first.Add(1)
+		clients.Add(1)
 		go func() {
-			defer first.Done()
+			defer clients.Done()
+			// Clients come one after the other, and again once they have waited.
+			at := frozen.Add(20*time.Millisecond + time.Duration(i)*40*time.Millisecond)
+			time.Sleep(time.Until(at))
 			d.call(newClient(), x, http.MethodPost, prefix+jobID(i), body)
+			time.Sleep(time.Until(at.Add(clientDeadline + 20*time.Millisecond)))
+			accepted[i] = d.call(newClient(), y, http.MethodPost, prefix+jobID(i), body).status == http.StatusOK
 		}()
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(time.Until(frozen.Add(time.Second)))
 	d.move()
-	first.Wait()
-	// The configuration is in force by now on all machines that do not stand still.
-	time.Sleep(time.Until(frozen.Add(clientDeadline + 50*time.Millisecond)))
-	accepted := make([]bool, jobs)
-	each(jobs, func(i int) {
-		accepted[i] = d.call(newClient(), y, http.MethodPost, prefix+jobID(i), body).status == http.StatusOK
-	})
+	clients.Wait()
 	<-woken
 	time.Sleep(5 * time.Second)
 	n := 0
