--- /dev/null
+++ b/review/_harness3/cases.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// cases are the scripts by name. Each returns how the rule was broken, or "".
+var cases = map[string]func(*deployment) (string, error){
+	"upkeep": playUpkeep,
+}
+
+// configure has the operator write a configuration with one queue.
+func (d *deployment) configure(version int, pool string) error {
+	return d.store.Put("op", "config", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "q1", "host": queueHost, "pathPrefix": queuePath, "service": pool, "timeoutMs": 3000,
+			"targetLatencyMs": 2500, "priority": 0, "maxAttempts": 3, "stretch": 2.2,
+		}},
+		"services": []any{map[string]any{"name": pool, "admissionCheck": false}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// tasksAt returns the tasks of a job that are at work on a worker.
+func tasksAt(w *worker, id string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for t, r := range w.running {
+		if w.up && strings.HasPrefix(t, id+".") && r.stopsAt.IsZero() && time.Since(r.started) >= startupTime {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// atWork returns how many tasks of a job are at work.
+func (d *deployment) atWork(id string) int {
+	n := 0
+	for _, w := range d.workers {
+		n += len(tasksAt(w, id))
+	}
+	return n
+}
+
+const (
+	upkeepWorkers = 8
+	cloudSilence  = 5 * time.Second
+	crashAfter    = 300 * time.Millisecond
+	crashTime     = time.Second
+	lastingTasks  = 16
+	mayMiss       = 1
+)
+
+// playUpkeep has the cloud not answer for 5 s from its first order for an upkeep on, and the
+// minion of that machine crash meanwhile. The machine's next minion gets tasks that last.
+func playUpkeep(d *deployment) (string, error) {
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	const pool, job = "bantay-resv", "5c0e7a21d94b36f8"
+	if err := d.configure(3, pool); err != nil {
+		return "", err
+	}
+	if err := d.addWorkers(pool, upkeepWorkers); err != nil {
+		return "", err
+	}
+	var mu sync.Mutex
+	var once sync.Once
+	broken, ordered := "", make(chan string, 1)
+	d.cloud.onUpkeep = func(machine string) {
+		once.Do(func() {
+			ordered <- machine
+			if d.trouble {
+				d.cloud.silence(cloudSilence)
+			}
+		})
+	}
+	d.cloud.upkeepEnds = func(w *worker) {
+		tasks := tasksAt(w, job)
+		d.rec.add("upkeep of %s begins; at work on %s: %v; of %d tasks of the step %d are at work, mayMiss is %d", w.machine, w.id, tasks, lastingTasks, d.atWork(job), mayMiss)
+		mu.Lock()
+		defer mu.Unlock()
+		if away := lastingTasks - d.atWork(job); len(tasks) > 0 && away+len(tasks)-1 >= mayMiss {
+			broken = fmt.Sprintf("AVAIL: the upkeep of %s ends %d tasks of one step that are at work, %d others are away before, and %d may be", w.machine, len(tasks), away, mayMiss)
+		}
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		status, _ := d.call(0, "GET", queuePath, "")
+		return status == 200
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	d.cloud.mu.Lock()
+	for _, w := range d.workers {
+		d.cloud.waveMachines[w.machine] = true
+	}
+	d.cloud.mu.Unlock()
+	machines := []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
+	d.rec.add("operator: wave 1 of %v, 40 s, one at once", machines)
+	if err := d.store.Put("op", "wave/1", map[string]any{"wave": 1, "machines": machines, "durationS": 40, "maxCount": 1}); err != nil {
+		return "", err
+	}
+	var machine string
+	select {
+	case machine = <-ordered:
+	case <-time.After(30 * time.Second):
+		return "", fmt.Errorf("no upkeep was ordered")
+	}
+	w := d.cloud.find(machine)
+	if d.trouble {
+		time.Sleep(crashAfter)
+		w.end("crash")
+		time.Sleep(crashTime)
+		if err := w.begin(); err != nil {
+			return "", err
+		}
+		d.rec.add("machine %s has a new minion, %s", machine, w.id)
+	} else {
+		time.Sleep(crashAfter + crashTime)
+	}
+	body := fmt.Sprintf(`{"spec":"lasts","steps":[{"count":%d,"cpu":2700,"taskMemoryMb":4000,"longRunning":true,"antiAffinity":2,"mayMiss":%d}]}`, lastingTasks, mayMiss)
+	if err := d.submit(job, body); err != nil {
+		return "", err
+	}
+	if err := await("all tasks are at work", 10*time.Second, func() bool { return d.atWork(job) == lastingTasks }); err != nil {
+		d.rec.add("%v: %d are", err, d.atWork(job))
+	}
+	d.rec.add("%d of %d tasks are at work", d.atWork(job), lastingTasks)
+	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		mu.Lock()
+		stop := broken != ""
+		mu.Unlock()
+		if stop {
+			break
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	return broken, nil
+}
