--- a/review/_harness3/cases.go
+++ b/review/_harness3/cases.go
@@ -9,7 +9,8 @@
 
 // cases are the scripts by name. Each returns how the rule was broken, or "".
 var cases = map[string]func(*deployment) (string, error){
-	"upkeep": playUpkeep,
+	"upkeep":  playUpkeep,
+	"pending": playPending,
 }
 
 // configure has the operator write a configuration with one queue.
@@ -147,3 +148,99 @@
 	defer mu.Unlock()
 	return broken, nil
 }
+
+const (
+	pendingJobs = 8
+	darkTime    = 8 * time.Second
+	// countedAfter is visible_ms and 2 s more.
+	countedAfter = 5 * time.Second
+)
+
+// playPending has the minions of one of two racks crash and be silent for 8 s, as eight jobs of
+// one task come: each fills a minion. Then the counts of jobs that wait are asked for.
+func playPending(d *deployment) (string, error) {
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	const pool = "bantay-resv"
+	if err := d.configure(3, pool); err != nil {
+		return "", err
+	}
+	if err := d.addWorkers(pool, upkeepWorkers); err != nil {
+		return "", err
+	}
+	var mu sync.Mutex
+	accepted, begun := map[string]time.Time{}, map[string]bool{}
+	for _, w := range d.workers {
+		w.onStart = func(task string) {
+			mu.Lock()
+			defer mu.Unlock()
+			begun[strings.SplitN(task, ".", 2)[0]] = true
+		}
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		for i := range daemons {
+			if status, _ := d.call(i, "GET", queuePath, ""); status != 200 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	start := time.Now()
+	if d.trouble {
+		for _, w := range d.workers[upkeepWorkers/2:] {
+			w.goDark()
+		}
+		time.AfterFunc(darkTime, func() {
+			for _, w := range d.workers[upkeepWorkers/2:] {
+				_ = w.comeBack()
+			}
+		})
+	}
+	var calls sync.WaitGroup
+	for i := range pendingJobs {
+		id := fmt.Sprintf("5c0e7a21d94b36%02x", i)
+		calls.Go(func() {
+			if d.submit(id, `{"spec":"run 25000","steps":[{"count":1,"cpu":20000,"taskMemoryMb":4000,"estimatedMs":25000}]}`) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				accepted[id] = time.Now()
+			}
+		})
+	}
+	calls.Wait()
+	if len(accepted) < pendingJobs {
+		return "", fmt.Errorf("%d jobs were accepted", len(accepted))
+	}
+	broken := ""
+	for time.Since(start) < darkTime+4*time.Second {
+		for i := range daemons {
+			sent := time.Now()
+			status, text := d.call(i, "GET", queuePath, "")
+			var n int
+			if _, err := fmt.Sscanf(text, `{"pending":%d}`, &n); status != 200 || err != nil {
+				continue
+			}
+			mu.Lock()
+			waiting := 0
+			for id, at := range accepted {
+				if !begun[id] && sent.Sub(at) > countedAfter {
+					waiting++
+				}
+			}
+			mu.Unlock()
+			d.rec.add("GET %s at daemon %d: %s; accepted over %v before and not begun: %d", queuePath, i, text, countedAfter, waiting)
+			if 2*n < waiting {
+				broken = fmt.Sprintf("MIXED: daemon %d gives %d jobs as pending; %d that were accepted over %v before haven't begun", i, n, waiting, countedAfter)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return broken, nil
+}
--- a/review/_harness3/worker.go
+++ b/review/_harness3/worker.go
@@ -68,8 +68,10 @@
 	beatAt   time.Time
 	listener net.Listener
 	server   *http.Server
-	onEnd    func(task, how string)
-	onStart  func(task string)
+	// dark is set from a crash after which nothing answers until the machine is back.
+	dark    bool
+	onEnd   func(task, how string)
+	onStart func(task string)
 }
 
 func newWorker(machine, rack, pool string, s *jobsim.Store, rec *record) (*worker, error) {
@@ -127,6 +129,27 @@
 	w.notify()
 }
 
+// goDark ends the present life: all that runs ends with it, and whoever calls gets no answer
+// until comeBack.
+func (w *worker) goDark() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rec.add("worker %s (machine %s, rack %s) crashes and is silent; %d runs end with it", w.id, w.machine, w.rack, len(w.running))
+	w.dark, w.running = true, map[string]*run{}
+	w.gone[w.id] = time.Now()
+}
+
+// comeBack begins the next life after goDark.
+func (w *worker) comeBack() error {
+	w.mu.Lock()
+	w.up, w.dark = false, false
+	_ = w.server.Close()
+	w.mu.Unlock()
+	err := w.begin()
+	w.rec.add("machine %s is back with the minion %s (%v)", w.machine, w.id, err)
+	return err
+}
+
 // notify wakes the polls that wait. It must be called with mu held.
 func (w *worker) notify() {
 	close(w.changed)
@@ -150,7 +173,7 @@
 			delete(w.gone, id)
 		}
 	}
-	if !w.up {
+	if !w.up || w.dark {
 		return
 	}
 	if now.Sub(w.beatAt) >= heartbeatMs*time.Millisecond {
@@ -206,8 +229,12 @@
 			return
 		}
 		w.mu.Lock()
-		id, born := w.id, w.born
+		id, born, dark := w.id, w.born, w.dark
 		w.mu.Unlock()
+		if dark {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if r.Header.Get("X-Expect-Instance") != id {
 			resp.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -215,9 +242,13 @@
 		status, body := f(q)
 		w.mu.Lock()
 		same := w.up && w.born.Equal(born)
+		dark = w.dark
 		body["clockMs"] = w.clock().Milliseconds()
 		w.mu.Unlock()
-		if !same {
+		if dark {
+			<-r.Context().Done()
+		}
+		if !same || dark {
 			panic(http.ErrAbortHandler)
 		}
 		data, _ := json.Marshal(body)
