--- a/review/_harness3/cases.go
+++ b/review/_harness3/cases.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*deployment) (string, error){
 	"upkeep":  playUpkeep,
 	"pending": playPending,
+	"smaller": playSmaller,
 }
 
 // configure has the operator write a configuration with one queue.
@@ -244,3 +245,84 @@
 	}
 	return broken, nil
 }
+
+const (
+	smallerCPU = 8000
+	taskCPU    = 20000
+	backAfter  = 300 * time.Millisecond
+	// firstEntry is how long after its start the new life writes its entry, and jobAfter how
+	// long after it the job comes.
+	firstEntry = 800 * time.Millisecond
+	jobAfter   = 300 * time.Millisecond
+)
+
+// playSmaller has an idle minion crash and start again under its ID with less capacity, just
+// before a job comes that no longer fits there.
+func playSmaller(d *deployment) (string, error) {
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	const pool = "bantay-resv"
+	if err := d.configure(3, pool); err != nil {
+		return "", err
+	}
+	if err := d.addWorkers(pool, upkeepWorkers); err != nil {
+		return "", err
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		status, _ := d.call(0, "GET", queuePath, "")
+		return status == 200
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	// All minions but one are filled.
+	for i := range upkeepWorkers - 1 {
+		if err := d.submit(fmt.Sprintf("5c0e7a21d94b36%02x", i), `{"spec":"run 60000","steps":[{"count":1,"cpu":30000,"taskMemoryMb":4000,"estimatedMs":60000}]}`); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	var idle *worker
+	for _, w := range d.workers {
+		w.mu.Lock()
+		if len(w.running) == 0 {
+			idle = w
+		}
+		w.mu.Unlock()
+	}
+	if idle == nil {
+		return "", fmt.Errorf("no minion is idle")
+	}
+	var mu sync.Mutex
+	broken := ""
+	idle.onStart = func(task string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if used := taskCPU * len(idle.running); used > idle.cpu {
+			broken = fmt.Sprintf("LIMIT: the start of %s brings %s to %d thousandths of a core, its capacity is %d", task, idle.id, used, idle.cpu)
+		}
+	}
+	if d.trouble {
+		idle.end("crash")
+		time.Sleep(backAfter)
+		idle.mu.Lock()
+		idle.keepID, idle.cpu, idle.entryDelay = true, smallerCPU, firstEntry
+		idle.mu.Unlock()
+		if err := idle.begin(); err != nil {
+			return "", err
+		}
+		d.rec.add("%s has started again under its ID, with %d thousandths of a core; it writes its entry %v later", idle.id, idle.cpu, firstEntry)
+		time.Sleep(jobAfter)
+	}
+	if err := d.submit("5c0e7a21d94b36ff", fmt.Sprintf(`{"spec":"run 2000","steps":[{"count":1,"cpu":%d,"taskMemoryMb":4000,"estimatedMs":2000}]}`, taskCPU)); err != nil {
+		return "", err
+	}
+	time.Sleep(5 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	return broken, nil
+}
--- a/review/_harness3/cloud.go
+++ b/review/_harness3/cloud.go
@@ -8,8 +8,12 @@
 	"time"
 )
 
-// capacity is that of every machine.
-var capacity = map[string]int{"cpu": 32000, "taskMemoryMb": 65536, "gpu": 0}
+// fullCPU is the capacity of a machine in thousandths of a core, unless a case gives another.
+const fullCPU = 32000
+
+func capacityOf(cpu int) map[string]int {
+	return map[string]int{"cpu": cpu, "taskMemoryMb": 65536, "gpu": 0}
+}
 
 // The times of a move and of an upkeep, as in the settings.
 const (
@@ -114,7 +118,7 @@
 		if s := c.state[w.machine]; s != "" {
 			state = s
 		}
-		rows = append(rows, map[string]any{"machine": w.machine, "pool": w.pool, "state": state, "zone": "a", "labels": []string{"a", w.rack}, "capacity": capacity, "id": id})
+		rows = append(rows, map[string]any{"machine": w.machine, "pool": w.pool, "state": state, "zone": "a", "labels": []string{"a", w.rack}, "capacity": capacityOf(w.cpu), "id": id})
 		w.mu.Unlock()
 	}
 	answer(resp, 200, map[string]any{"machines": rows, "nextToken": nil})
--- a/review/_harness3/worker.go
+++ b/review/_harness3/worker.go
@@ -68,6 +68,11 @@
 	beatAt   time.Time
 	listener net.Listener
 	server   *http.Server
+	cpu      int
+	// entryDelay is how long after its start a life first writes its entry.
+	entryDelay time.Duration
+	// keepID is set if the next life has the ID of the one before.
+	keepID bool
 	// dark is set from a crash after which nothing answers until the machine is back.
 	dark    bool
 	onEnd   func(task, how string)
@@ -75,7 +80,7 @@
 }
 
 func newWorker(machine, rack, pool string, s *jobsim.Store, rec *record) (*worker, error) {
-	w := &worker{machine: machine, rack: rack, pool: pool, store: s, rec: rec, gone: map[string]time.Time{}, changed: make(chan struct{})}
+	w := &worker{machine: machine, rack: rack, pool: pool, store: s, rec: rec, cpu: fullCPU, gone: map[string]time.Time{}, changed: make(chan struct{})}
 	w.addr = "127.0.0.1:0"
 	if err := w.begin(); err != nil {
 		return nil, err
@@ -97,13 +102,16 @@
 	mux.HandleFunc("/v1/pace", w.order(func(request) (int, map[string]any) { return 200, map[string]any{} }))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lives++
-	w.id = fmt.Sprintf("%s-life%d", w.machine, w.lives)
+	if !w.keepID || w.id == "" {
+		w.lives++
+		w.id = fmt.Sprintf("%s-life%d", w.machine, w.lives)
+	}
+	delete(w.gone, w.id)
 	w.addr = ln.Addr().String()
 	w.listener, w.server = ln, &http.Server{Handler: mux}
 	w.born, w.token, w.lease, w.lastEnd, w.ended = time.Now(), 0, 0, 0, nil
 	w.running, w.highest = map[string]*run{}, map[string]int{}
-	w.up, w.beatAt = true, time.Time{}
+	w.up, w.beatAt = true, time.Now().Add(w.entryDelay-heartbeatMs*time.Millisecond)
 	go func(s *http.Server, l net.Listener) { _ = s.Serve(l) }(w.server, ln)
 	return nil
 }
@@ -181,7 +189,7 @@
 		_ = w.store.Put("servers", w.id, map[string]any{
 			"service": w.pool, "address": w.addr, "zone": "a", "version": "1", "slots": 8, "coldRemainingMs": 0,
 			"sequence": now.UnixMilli(), "state": "ready", "born": w.born.UnixMilli(), "clockMs": w.clock().Milliseconds(),
-			"labels": []string{"a", w.rack}, "machine": w.machine, "capacity": capacity,
+			"labels": []string{"a", w.rack}, "machine": w.machine, "capacity": capacityOf(w.cpu),
 		})
 	}
 	for t, r := range w.running {
