--- a/review/_harness3/cases.go
+++ b/review/_harness3/cases.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -12,10 +16,19 @@
 	"upkeep":  playUpkeep,
 	"pending": playPending,
 	"smaller": playSmaller,
+	"limits":  playLimits,
+	"wave":    playWave,
+	"moved":   playMoved,
 }
 
 // configure has the operator write a configuration with one queue.
 func (d *deployment) configure(version int, pool string) error {
+	return d.configureBody(version, pool, fullBody)
+}
+
+// configureBody does what configure does, with a limit of the length of bodies.
+func (d *deployment) configureBody(version int, pool string, maxBody int) error {
+	d.rec.add("operator: version %d, maxBodyBytes %d", version, maxBody)
 	return d.store.Put("op", "config", map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
@@ -23,7 +36,7 @@
 			"targetLatencyMs": 2500, "priority": 0, "maxAttempts": 3, "stretch": 2.2,
 		}},
 		"services": []any{map[string]any{"name": pool, "admissionCheck": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
 
@@ -326,3 +339,337 @@
 	defer mu.Unlock()
 	return broken, nil
 }
+
+const (
+	fullBody, smallBody = 262144, 8192
+	// appliedAfter is configApplyMs and a second more.
+	appliedAfter = 3 * time.Second
+)
+
+// playLimits has a configuration raise the limit of the length of bodies while clients have
+// connections open, on which they then send what the older version doesn't allow.
+func playLimits(d *deployment) (string, error) {
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	const pool = "bantay-resv"
+	first := fullBody
+	if d.trouble {
+		first = smallBody
+	}
+	if err := d.configureBody(3, pool, first); err != nil {
+		return "", err
+	}
+	if err := d.addWorkers(pool, upkeepWorkers); err != nil {
+		return "", err
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		for i := range daemons {
+			if status, _ := d.call(i, "GET", queuePath, ""); status != 200 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	step := `{"count":1,"cpu":500,"taskMemoryMb":256,"estimatedMs":100}`
+	small := `{"spec":"run 100","steps":[` + step + `]}`
+	for i := range daemons {
+		// The connection stays open: the client keeps one for each daemon.
+		status, text := d.call(i, "POST", fmt.Sprintf("%s5c0e7a21d94b36a%d", queuePath, i), small)
+		d.rec.add("POST of %d bytes at daemon %d, on its open connection: %d %s", len(small), i, status, text)
+		if status != 200 {
+			return "", fmt.Errorf("a small job was answered %d", status)
+		}
+	}
+	if d.trouble {
+		if err := d.configureBody(7, pool, fullBody); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(appliedAfter)
+	large := `{"spec":"run 100","steps":[` + strings.Repeat(step+",", 199) + step + `]}`
+	refused := map[int]int{}
+	for i := range daemons {
+		path := fmt.Sprintf("%s5c0e7a21d94b36b%d", queuePath, i)
+		status, text := d.call(i, "POST", path, large)
+		d.rec.add("POST of %d bytes at daemon %d, on its open connection: %d %s", len(large), i, status, text)
+		if status == 400 || status == 413 {
+			refused[i] = status
+		}
+	}
+	client.CloseIdleConnections()
+	broken := ""
+	for i := range daemons {
+		path := fmt.Sprintf("%s5c0e7a21d94b36b%d", queuePath, i)
+		status, text := d.call(i, "POST", path, large)
+		d.rec.add("the same POST at daemon %d, on a new connection: %d %s", i, status, text)
+		if refused[i] != 0 && status == 200 {
+			broken = fmt.Sprintf("CONFIG: daemon %d refuses a body of %d bytes with %d, %v after a version was stored that allows %d", i, len(large), refused[i], appliedAfter, fullBody)
+		}
+	}
+	return broken, nil
+}
+
+const (
+	firstWaveS, longerWaveS = 10, 20
+	// judgedAfter is how long after the longer wave's time it is looked at.
+	judgedAfter = 10 * time.Second
+)
+
+// putWave has the operator write wave 1.
+func (d *deployment) putWave(durationS int, machines ...string) error {
+	d.cloud.mu.Lock()
+	for _, m := range machines {
+		d.cloud.waveMachines[m] = true
+	}
+	d.cloud.mu.Unlock()
+	d.rec.add("operator: wave 1 of %v, %d s, one at once", machines, durationS)
+	return d.store.Put("op", "wave/1", map[string]any{"wave": 1, "machines": machines, "durationS": durationS, "maxCount": 1})
+}
+
+// waveState returns the state of wave 1 as operators read it.
+func (d *deployment) waveState() string {
+	resp, err := http.Get("http://" + d.store.Address() + "/v1/log-newest?topic=keyed.status&part=0")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	var page struct {
+		Items []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"items"`
+	}
+	if json.Unmarshal(data, &page) != nil {
+		return ""
+	}
+	for _, it := range page.Items {
+		var s struct {
+			State string `json:"state"`
+		}
+		if it.Key == "wave/1" && json.Unmarshal(it.Value, &s) == nil {
+			return s.State
+		}
+	}
+	return ""
+}
+
+// upkeptOf returns those of some machines whose upkeep has begun.
+func (d *deployment) upkeptOf(machines ...string) (out []string) {
+	d.cloud.mu.Lock()
+	defer d.cloud.mu.Unlock()
+	for _, m := range machines {
+		if d.cloud.upkept[m] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// playWave has the operator add a machine to a wave that is completed.
+func playWave(d *deployment) (string, error) {
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	const pool = "bantay-resv"
+	if err := d.configure(3, pool); err != nil {
+		return "", err
+	}
+	if err := d.addWorkers(pool, upkeepWorkers); err != nil {
+		return "", err
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		status, _ := d.call(0, "GET", queuePath, "")
+		return status == 200
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	machines := []string{"m0", "m1"}
+	if err := d.putWave(firstWaveS, machines...); err != nil {
+		return "", err
+	}
+	if err := await("the wave is completed", 30*time.Second, func() bool { return d.waveState() == "completed" }); err != nil {
+		return "", err
+	}
+	d.rec.add("status/wave/1 is completed; upkeep has begun on %v", d.upkeptOf(machines...))
+	if d.trouble {
+		machines = append(machines, "m2")
+		if err := d.putWave(longerWaveS, machines...); err != nil {
+			return "", err
+		}
+	}
+	broken := ""
+	start := time.Now()
+	for time.Since(start) < longerWaveS*time.Second+judgedAfter {
+		time.Sleep(2 * time.Second)
+		state, upkept := d.waveState(), d.upkeptOf(machines...)
+		d.rec.add("status/wave/1 is %s; of %v the upkeep has begun on %v", state, machines, upkept)
+		if time.Since(start) > longerWaveS*time.Second && state == "completed" && len(upkept) < len(machines) {
+			broken = fmt.Sprintf("MIXED: wave 1 is said to be completed; of its machines %v the upkeep has begun on %v, %v after the operator's last word", machines, upkept, time.Since(start).Round(time.Second))
+		}
+	}
+	return broken, nil
+}
+
+const (
+	manyDaemons = 10
+	partDown    = 4500 * time.Millisecond
+	// movedJobs come at one daemon, resetJobs of them on connections that are reset.
+	movedJobs, resetJobs = 10, 5
+	resetAfter           = 200 * time.Millisecond
+	againAfter           = 300 * time.Millisecond
+	// askedAfter is finish_s and 3 s more.
+	askedAfter = 17 * time.Second
+)
+
+// configureMoved has the operator write a configuration that sends the queue to one of two
+// services.
+func (d *deployment) configureMoved(version int, pool string, pools ...string) error {
+	services := []any{}
+	for _, p := range pools {
+		services = append(services, map[string]any{"name": p, "admissionCheck": false})
+	}
+	d.rec.add("operator: version %d sends the queue to %s", version, pool)
+	return d.store.Put("op", "config", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": fmt.Sprintf("q%d", version), "host": queueHost, "pathPrefix": queuePath, "service": pool, "timeoutMs": 3000,
+			"targetLatencyMs": 2500, "priority": 0, "maxAttempts": 3, "stretch": 2.2,
+		}},
+		"services": services,
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": fullBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// post sends a request on a connection of its own and returns the connection.
+func (d *deployment) post(daemon int, id, body string) (net.Conn, error) {
+	c, err := net.Dial("tcp", d.clients[daemon])
+	if err != nil {
+		return nil, err
+	}
+	_, err = fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 3000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", queuePath, id, queueHost, len(body), body)
+	return c, err
+}
+
+// playMoved has the store be down in part as jobs come whose queue a configuration just sends to
+// another service, and the connections of their clients break, which send them again.
+func playMoved(d *deployment) (string, error) {
+	daemons = manyDaemons
+	if err := d.prepare(); err != nil {
+		return "", err
+	}
+	var err error
+	if d.proxy, err = newStoreProxy(d.store.Address(), d.rec); err != nil {
+		return "", err
+	}
+	const a, b = "imbak-stock", "kuwenta"
+	if err := d.configureMoved(3, a, a, b); err != nil {
+		return "", err
+	}
+	for _, pool := range []string{a, b} {
+		if err := d.addWorkers(pool, 4); err != nil {
+			return "", err
+		}
+	}
+	if err := d.startDaemons(); err != nil {
+		return "", err
+	}
+	if err := await("the daemons take requests", 20*time.Second, func() bool {
+		for i := range daemons {
+			if status, _ := d.call(i, "GET", queuePath, ""); status != 200 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	const body = `{"spec":"run 500","steps":[{"count":1,"cpu":500,"taskMemoryMb":256,"estimatedMs":500}]}`
+	for i := range 2 * daemons {
+		if err := d.submit(fmt.Sprintf("5c0e7a21d94b35%02x", i), body); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	start := time.Now()
+	if d.trouble {
+		d.proxy.silence("keyed.jobs."+a, partDown)
+	}
+	filler, err := d.post(0, "5c0e7a21d94b36f0", body)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = filler.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	var conns []net.Conn
+	id := func(i int) string { return fmt.Sprintf("5c0e7a21d94b361%x", i) }
+	for i := range movedJobs {
+		d.rec.add("POST %s at daemon 0", id(i))
+		c, err := d.post(0, id(i), body)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = c.Close() }()
+		conns = append(conns, c)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if err := d.configureMoved(7, b, a, b); err != nil {
+		return "", err
+	}
+	time.Sleep(resetAfter - time.Since(start))
+	if d.trouble {
+		for i, c := range conns[:resetJobs] {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			d.rec.add("the connection of %s is reset, without an answer", id(i))
+		}
+	}
+	time.Sleep(againAfter - time.Since(start))
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	accepted := map[string]bool{}
+	for i := range resetJobs {
+		calls.Go(func() {
+			status, text := d.call(i+1, "POST", queuePath+id(i), body)
+			d.rec.add("POST %s again, at daemon %d: %d %s", id(i), i+1, status, text)
+			mu.Lock()
+			defer mu.Unlock()
+			if status == 200 {
+				accepted[id(i)] = true
+			}
+		})
+	}
+	calls.Wait()
+	time.Sleep(partDown + askedAfter - time.Since(start))
+	lost := 0
+	for i := range resetJobs {
+		if !accepted[id(i)] {
+			continue
+		}
+		gone := false
+		for daemon := range daemons {
+			status, text := d.call(daemon, "GET", queuePath+id(i), "")
+			d.rec.add("GET %s at daemon %d: %d %s", id(i), daemon, status, text)
+			gone = gone || status == 410
+		}
+		if gone {
+			lost++
+		}
+	}
+	if lost > 0 {
+		return fmt.Sprintf("LOST: %d of %d jobs that were answered 200 are unknown (410)", lost, len(accepted)), nil
+	}
+	return "", nil
+}
--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -34,17 +34,21 @@
 	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// daemons is how many daemons a case starts.
+var daemons = 3
+
 const (
-	daemons   = 3
 	queueHost = "pule25.example"
 	queuePath = "/puxa400/"
 )
 
 // deployment is what a case runs against.
 type deployment struct {
-	rec     *record
-	dir     string
-	store   *jobsim.Store
+	rec   *record
+	dir   string
+	store *jobsim.Store
+	// proxy stands before the store, if the case needs it.
+	proxy   *storeProxy
 	cloud   *cloud
 	workers []*worker
 	clients []string
@@ -159,7 +163,7 @@
 			"bounds.cancel_ms=3000", "bounds.visible_ms=3000", "bounds.early_ms=250", "bounds.finish_s=14", "bounds.status_s=120",
 			"bounds.remoteFactor=1.5", "bounds.checkpointS=2", "bounds.restoreMs=250", "bounds.noticeMs=4500", "bounds.migrationS=1.5",
 			"bounds.maintenanceS=2", "bounds.fencingEnforced=false", "bounds.leaseMs=3000", "bounds.thawMs=300", "bounds.paceMs=100",
-			"bounds.interferenceMs=4000", "orders=invocation", "platform.address=" + d.store.Address(), "platform.form=log",
+			"bounds.interferenceMs=4000", "orders=invocation", "platform.address=" + d.storeAddress(), "platform.form=log",
 			"platform.writesPerS=600", "platform.readsPerS=2000", "platform.parts=16", "platform.appendMs=3.0",
 			"platform.recordBytes=262144", "platform.callBytes=2097152", "platform.keep_s=20", "platform.partitionMb=200", "platform.ttlMinMs=1000",
 			"cloud.address=" + d.cloud.address(), "cloud.ratePerS=64.0", "cloud.dutyPerS=64.0",
@@ -186,6 +190,14 @@
 	return nil
 }
 
+// storeAddress returns the address at which the daemons reach the store.
+func (d *deployment) storeAddress() string {
+	if d.proxy != nil {
+		return d.proxy.listener.Addr().String()
+	}
+	return d.store.Address()
+}
+
 // stop ends the daemons that were started.
 func (d *deployment) stop() {
 	for _, p := range d.procs {
