--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Plays the case. It needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/greengaged ] && [ -x review/_harness3/bin/harness ] || { echo "not built"; exit 2; }
-exec review/_harness3/bin/harness pending review/13/record.txt
+[ -x target/greengaged ] && [ -x target/review-3/harness ] || { echo "not built"; exit 2; }
+exec target/review-3/harness pending review/13/record.txt
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the cases from 11 on start.
+# Builds the stand-ins that the scripts of the cases 11 to 15 start, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-go build -o review/_harness3/bin/harness ./review/_harness3
+mkdir -p target/review-3
+go build -o target/review-3/harness ./review/_harness3
