--- a/review/_harness3/cases.go
+++ b/review/_harness3/cases.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
 )
 
 // cases are the scripts by name. Each returns how the rule was broken, or "".
@@ -77,7 +80,7 @@
 	if err := d.prepare(); err != nil {
 		return "", err
 	}
-	const pool, job = "bantay-resv", "5c0e7a21d94b36f8"
+	const pool, jobID = "bantay-resv", "5c0e7a21d94b36f8"
 	if err := d.configure(3, pool); err != nil {
 		return "", err
 	}
@@ -96,11 +99,11 @@
 		})
 	}
 	d.cloud.upkeepEnds = func(w *worker) {
-		tasks := tasksAt(w, job)
-		d.rec.add("upkeep of %s begins; at work on %s: %v; of %d tasks of the step %d are at work, mayMiss is %d", w.machine, w.id, tasks, lastingTasks, d.atWork(job), mayMiss)
+		tasks := tasksAt(w, jobID)
+		d.rec.add("upkeep of %s begins; at work on %s: %v; of %d tasks of the step %d are at work, mayMiss is %d", w.machine, w.id, tasks, lastingTasks, d.atWork(jobID), mayMiss)
 		mu.Lock()
 		defer mu.Unlock()
-		if away := lastingTasks - d.atWork(job); len(tasks) > 0 && away+len(tasks)-1 >= mayMiss {
+		if away := lastingTasks - d.atWork(jobID); len(tasks) > 0 && away+len(tasks)-1 >= mayMiss {
 			broken = fmt.Sprintf("AVAIL: the upkeep of %s ends %d tasks of one step that are at work, %d others are away before, and %d may be", w.machine, len(tasks), away, mayMiss)
 		}
 	}
@@ -143,13 +146,13 @@
 		time.Sleep(crashAfter + crashTime)
 	}
 	body := fmt.Sprintf(`{"spec":"lasts","steps":[{"count":%d,"cpu":2700,"taskMemoryMb":4000,"longRunning":true,"antiAffinity":2,"mayMiss":%d}]}`, lastingTasks, mayMiss)
-	if err := d.submit(job, body); err != nil {
+	if err := d.submit(jobID, body); err != nil {
 		return "", err
 	}
-	if err := await("all tasks are at work", 10*time.Second, func() bool { return d.atWork(job) == lastingTasks }); err != nil {
-		d.rec.add("%v: %d are", err, d.atWork(job))
+	if err := await("all tasks are at work", 10*time.Second, func() bool { return d.atWork(jobID) == lastingTasks }); err != nil {
+		d.rec.add("%v: %d are", err, d.atWork(jobID))
 	}
-	d.rec.add("%d of %d tasks are at work", d.atWork(job), lastingTasks)
+	d.rec.add("%d of %d tasks are at work", d.atWork(jobID), lastingTasks)
 	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		mu.Lock()
 		stop := broken != ""
@@ -164,14 +167,14 @@
 }
 
 const (
-	pendingJobs = 8
-	darkTime    = 8 * time.Second
+	pendingJobs = 24
+	darkTime    = 7900 * time.Millisecond
 	// countedAfter is visible_ms and 2 s more.
 	countedAfter = 5 * time.Second
 )
 
-// playPending has the minions of one of two racks crash and be silent for 8 s, as eight jobs of
-// one task come: each fills a minion. Then the counts of jobs that wait are asked for.
+// playPending has the minions of one of two racks crash and be silent for 7.9 s, as jobs of one
+// task come: three fill a minion. Then the counts of jobs that wait are asked for.
 func playPending(d *deployment) (string, error) {
 	if err := d.prepare(); err != nil {
 		return "", err
@@ -221,7 +224,7 @@
 	for i := range pendingJobs {
 		id := fmt.Sprintf("5c0e7a21d94b36%02x", i)
 		calls.Go(func() {
-			if d.submit(id, `{"spec":"run 25000","steps":[{"count":1,"cpu":20000,"taskMemoryMb":4000,"estimatedMs":25000}]}`) == nil {
+			if d.submit(id, `{"spec":"run 25000","steps":[{"count":1,"cpu":10000,"taskMemoryMb":4000,"estimatedMs":25000}]}`) == nil {
 				mu.Lock()
 				defer mu.Unlock()
 				accepted[id] = time.Now()
@@ -261,7 +264,7 @@
 
 const (
 	smallerCPU = 8000
-	taskCPU    = 20000
+	taskCPU    = 10000
 	backAfter  = 300 * time.Millisecond
 	// firstEntry is how long after its start the new life writes its entry, and jobAfter how
 	// long after it the job comes.
@@ -293,8 +296,8 @@
 	}
 	time.Sleep(3 * time.Second)
 	// All minions but one are filled.
-	for i := range upkeepWorkers - 1 {
-		if err := d.submit(fmt.Sprintf("5c0e7a21d94b36%02x", i), `{"spec":"run 60000","steps":[{"count":1,"cpu":30000,"taskMemoryMb":4000,"estimatedMs":60000}]}`); err != nil {
+	for i := range 3 * (upkeepWorkers - 1) {
+		if err := d.submit(fmt.Sprintf("5c0e7a21d94b36%02x", i), `{"spec":"run 60000","steps":[{"count":1,"cpu":10000,"taskMemoryMb":4000,"estimatedMs":60000}]}`); err != nil {
 			return "", err
 		}
 	}
@@ -329,8 +332,10 @@
 			return "", err
 		}
 		d.rec.add("%s has started again under its ID, with %d thousandths of a core; it writes its entry %v later", idle.id, idle.cpu, firstEntry)
-		time.Sleep(jobAfter)
+	} else {
+		time.Sleep(backAfter)
 	}
+	time.Sleep(jobAfter)
 	if err := d.submit("5c0e7a21d94b36ff", fmt.Sprintf(`{"spec":"run 2000","steps":[{"count":1,"cpu":%d,"taskMemoryMb":4000,"estimatedMs":2000}]}`, taskCPU)); err != nil {
 		return "", err
 	}
@@ -417,7 +422,7 @@
 }
 
 const (
-	firstWaveS, longerWaveS = 10, 20
+	firstWaveS, longerWaveS = 26, 26
 	// judgedAfter is how long after the longer wave's time it is looked at.
 	judgedAfter = 10 * time.Second
 )
@@ -524,7 +529,9 @@
 
 const (
 	manyDaemons = 10
-	partDown    = 4500 * time.Millisecond
+	// movedPart is the partition of the intake to which the jobs would go.
+	movedPart = 2
+	partDown  = 4400 * time.Millisecond
 	// movedJobs come at one daemon, resetJobs of them on connections that are reset.
 	movedJobs, resetJobs = 10, 5
 	resetAfter           = 200 * time.Millisecond
@@ -605,7 +612,7 @@
 	time.Sleep(2 * time.Second)
 	start := time.Now()
 	if d.trouble {
-		d.proxy.silence("keyed.jobs."+a, partDown)
+		d.proxy.silence("keyed.jobs."+a, []int{joblog.ProgressPartition(a).Part, movedPart}, partDown)
 	}
 	filler, err := d.post(0, "5c0e7a21d94b36f0", body)
 	if err != nil {
@@ -614,7 +621,14 @@
 	defer func() { _ = filler.Close() }()
 	time.Sleep(50 * time.Millisecond)
 	var conns []net.Conn
-	id := func(i int) string { return fmt.Sprintf("5c0e7a21d94b361%x", i) }
+	// The IDs are those whose requests go to one of the intake's partitions.
+	var ids []string
+	for n := 0; len(ids) < movedJobs; n++ {
+		if s := fmt.Sprintf("5c0e7a21d94c%04x", n); joblog.IntakePartition(a, job.ID(s)).Part == movedPart {
+			ids = append(ids, s)
+		}
+	}
+	id := func(i int) string { return ids[i] }
 	for i := range movedJobs {
 		d.rec.add("POST %s at daemon 0", id(i))
 		c, err := d.post(0, id(i), body)
@@ -652,6 +666,7 @@
 		})
 	}
 	calls.Wait()
+	d.proxy.logUse()
 	time.Sleep(partDown + askedAfter - time.Since(start))
 	lost := 0
 	for i := range resetJobs {
--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -76,6 +76,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	d := &deployment{rec: &record{start: time.Now(), out: out}, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
+	d.rec.add("case %s, with its disruption: %v", os.Args[1], d.trouble)
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
