Count a job as queued until a worker has started a task of it

Cause: the phase became running when a run was planned, and did not go back when its start was rejected, dropped unsent or got no answer; takeovers restored it from the log. Pending, the state of a job, explain and the waiting times of groups read it. Change: a job is running once a worker has answered a start, lists a run or lists its end. Which priorities may have runs to preempt is counted by Job.Planned, as before. Records of earlier releases, which have no flag Started, count as running only with proof: a task done, failed or with a checkpoint, or an occurrence done. New: the line "job started", the gauges jobs_queued and jobs_unstored. Tests of jobs that must not be given up expected running of jobs that no worker had started: they expect queued now, or have the task started first; records of tests name Started.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -52,6 +52,8 @@
 	Spec  Spec
 	Terms Terms
 	Progress
+	// planned is set once a run was planned.
+	planned bool
 }
 
 // New returns a job that has not started a task.
@@ -67,7 +69,7 @@
 
 // Restore returns a job with progress that was read from the log.
 func Restore(spec Spec, terms Terms, p Progress) *Job {
-	j := &Job{Spec: spec, Terms: terms, Progress: p}
+	j := &Job{Spec: spec, Terms: terms, Progress: p, planned: p.planned()}
 	if j.Customer == "" {
 		// A holder of an earlier release drops the owner when it logs progress.
 		j.takeOwner()
@@ -179,10 +181,26 @@
 	task := j.Task(t)
 	task.LastRun = number
 	task.Runs = append(task.Runs, Run{Number: number, At: at})
-	j.Phase = Running
+	j.planned = true
 	return RunID{Task: t, Number: number}
 }
 
+// Planned reports whether a run of a task was ever planned.
+func (j *Job) Planned() bool { return j.planned }
+
+// TaskStarted records that a worker has started a task. It reports whether that is the first
+// one of the job.
+func (j *Job) TaskStarted() bool {
+	if j.Started {
+		return false
+	}
+	j.Started = true
+	if j.Phase == Queued {
+		j.Phase = Running
+	}
+	return true
+}
+
 // DiscardRun removes a run that never started and never will. It returns false
 // when the run is not active.
 func (j *Job) DiscardRun(r RunID) bool {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -5,9 +5,10 @@
 
 // The phases of a job. The last three are final.
 const (
-	// Queued jobs have started no task.
+	// Queued jobs have no task that a worker is known to have started: runs of it may have
+	// been planned or ordered.
 	Queued Phase = iota
-	// Running jobs have started a task.
+	// Running jobs have a task that a worker has started.
 	Running
 	// Completed jobs have every task done.
 	Completed
@@ -166,7 +167,7 @@
 
 // Summary returns what tells of the phase and the owner of a job, and nothing of its steps.
 func (p *Progress) Summary() Progress {
-	return Progress{Phase: p.Phase, EndedAt: p.EndedAt, Customer: p.Customer, Entry: p.Entry, Selector: p.Selector}
+	return Progress{Phase: p.Phase, EndedAt: p.EndedAt, Customer: p.Customer, Entry: p.Entry, Selector: p.Selector, Started: p.Started}
 }
 
 // Progress is the part of a job's state that changes. Every record of it in the
@@ -190,6 +191,51 @@
 	// Selector is that of the entry. The number before belongs to the record that holds a
 	// progress.
 	Selector Selector `cbor:"9,keyasint,omitzero"`
+	// Started is set once a worker is known to have started a task. Earlier releases do not
+	// know it: their jobs are Running once a run was planned.
+	Started bool `cbor:"10,keyasint,omitempty"`
+}
+
+// FromEarlierRelease corrects the phase of a progress that an earlier release has logged: it is
+// Running only if the progress shows that a worker has started a task.
+func (p *Progress) FromEarlierRelease() {
+	if p.Phase != Running || p.Started {
+		return
+	}
+	if p.Started = p.showsStart(); !p.Started {
+		p.Phase = Queued
+	}
+}
+
+// showsStart reports whether the progress of a job shows that one of its tasks has run. That an
+// occurrence of a repeated job is not there any more shows that it is done.
+func (p *Progress) showsStart() bool {
+	if p.NextOccurrence > len(p.Occurrences) {
+		return true
+	}
+	return p.anyTask(func(t *Task) bool { return t.Done || t.Failures > 0 || t.Checkpoint != "" })
+}
+
+// planned reports whether a run of a task of the job was ever planned.
+func (p *Progress) planned() bool {
+	return p.Phase != Queued || p.anyTask(func(t *Task) bool { return t.LastRun > 0 })
+}
+
+// anyTask reports whether f returns true for any task.
+func (p *Progress) anyTask(f func(*Task) bool) bool {
+	for _, o := range p.Occurrences {
+		if o == nil {
+			continue
+		}
+		for s := range o.Steps {
+			for k := range o.Steps[s].Tasks {
+				if f(&o.Steps[s].Tasks[k]) {
+					return true
+				}
+			}
+		}
+	}
+	return false
 }
 
 // Owner returns whose job it is.
--- a/internal/joblog/progress_test.go
+++ b/internal/joblog/progress_test.go
@@ -25,6 +25,7 @@
 	for k := range tasks {
 		t := job.TaskID{Job: id, Index: k}
 		j.Place(t, job.Location{Worker: job.Incarnation{ID: "w", StartedAt: 1}, Address: "127.0.0.1:1"})
+		j.TaskStarted()
 		j.SaveCheckpoint(t, strings.Repeat("c", checkpoint))
 	}
 	return &j.Progress
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -281,5 +281,8 @@
 		return rec, false, eris.Wrapf(err, "progress of %s", id)
 	}
 	rec.Progress, rec.Parts = &main.Progress, main.Parts
+	if rec.Parts.Count == 0 {
+		rec.Progress.FromEarlierRelease()
+	}
 	return rec, true, nil
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -65,8 +65,8 @@
 	openJobs openJobs
 	// repeating are the open jobs that are repeated.
 	repeating []*trackedJob
-	// running counts the running jobs by priority.
-	running map[int]int
+	// planned counts the open jobs by priority of which a run was planned.
+	planned map[int]int
 	// submitted counts the jobs that became known.
 	submitted int64
 	// earlyCancels are the cancels of jobs that are not known yet.
@@ -200,7 +200,7 @@
 		overtaken:        map[worker.StepKey]*overtakenGroup{},
 		inflow:           usualInflow{},
 		noRuns:           newNoRuns(),
-		running:          map[int]int{},
+		planned:          map[int]int{},
 	}
 	if opt.LogLimits == (logstore.Limits{}) {
 		c.opt.LogLimits = logstore.DefaultLimits
@@ -266,32 +266,32 @@
 		j.dirty = true
 		c.dirty = append(c.dirty, j)
 	}
-	c.countRunning(j)
+	c.countPlanned(j)
 	c.waiting.jobChanged(j)
 	c.needsPlan = true
 }
 
-// countRunning brings the number of running jobs up to date after a change of a job's
-// phase.
-func (c *Core) countRunning(j *trackedJob) {
-	running := j.Phase == job.Running && !j.settled
-	if running == j.countedRunning {
+// countPlanned brings the number of jobs of which a run was planned up to date after a change
+// of a job.
+func (c *Core) countPlanned(j *trackedJob) {
+	planned := j.Planned() && !j.Phase.Final() && !j.settled
+	if planned == j.countedPlanned {
 		return
 	}
-	j.countedRunning = running
-	if running {
-		c.running[j.Terms.Priority]++
+	j.countedPlanned = planned
+	if planned {
+		c.planned[j.Terms.Priority]++
 		return
 	}
-	if c.running[j.Terms.Priority]--; c.running[j.Terms.Priority] == 0 {
-		delete(c.running, j.Terms.Priority)
+	if c.planned[j.Terms.Priority]--; c.planned[j.Terms.Priority] == 0 {
+		delete(c.planned, j.Terms.Priority)
 	}
 }
 
 // closeJob removes a job from the open ones.
 func (c *Core) closeJob(j *trackedJob) {
 	c.openJobs.remove(j)
-	c.countRunning(j)
+	c.countPlanned(j)
 	if j.Spec.Repeat > 0 {
 		c.repeating = slices.DeleteFunc(c.repeating, func(other *trackedJob) bool { return other == j })
 	}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -18,8 +18,9 @@
 	keptRunsInterval = 2 * time.Second
 )
 
-// The messages of the lines that come for each run.
+// The messages of the lines that come for each run, and for the first one of a job.
 const (
+	msgJobStarted = "job started"
 	msgRunPlaced  = "run placed"
 	msgRunStarted = "run started"
 	msgRunEnded   = "run ended"
--- a/internal/scheduler/norun.go
+++ b/internal/scheduler/norun.go
@@ -82,6 +82,9 @@
 	Workers WorkerCounts
 	// ListAge is how long ago the list of workers was read, or 0 if it never was.
 	ListAge time.Duration
+	// Queued counts the accepted jobs of which no worker is known to have started a task, and
+	// Unstored those that the log may not hold yet.
+	Queued, Unstored int
 }
 
 // noRunCheck is one search for jobs and tasks without a run.
@@ -108,8 +111,13 @@
 	c.findRuns()
 	c.findQueued(t.Now)
 	for j := range c.openJobs.all() {
-		if j.Phase.Final() {
+		switch {
+		case j.Phase.Final():
 			continue
+		case !j.stored:
+			k.rep.Unstored++
+		case j.Phase == job.Queued:
+			k.rep.Queued++
 		}
 		if j.HasCrashes() {
 			k.crashJobs++
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -112,7 +112,7 @@
 		ws.RecordStartAnswer(clock, s.sentAt, t.Now)
 		if r.State != worker.RunConfirmed {
 			c.logStarted(r, s.Worker, t.Now)
-			ws.SetRunState(r, worker.RunConfirmed, t.Now)
+			c.confirmRun(ws, r, t.Now)
 		}
 		if r.BestEffort {
 			c.updateSpeeds(ws, t.Now)
@@ -144,6 +144,22 @@
 	}
 }
 
+// confirmRun records that a worker has a run.
+func (c *Core) confirmRun(ws *worker.State, r *worker.Run, now time.Duration) {
+	ws.SetRunState(r, worker.RunConfirmed, now)
+	c.noteStarted(r.ID, ws.Incarnation.ID)
+}
+
+// noteStarted records that a worker has or had a run. That a job has started is not logged by
+// itself: the next record of its progress tells it, which follows the end of any run, and
+// before that a later holder learns it from the worker.
+func (c *Core) noteStarted(r job.RunID, workerID string) {
+	j := c.jobs[r.Task.Job]
+	if j != nil && j.TaskStarted() && c.admits(msgJobStarted) {
+		c.opt.Logger.Info().Str("job", string(j.Spec.ID)).Stringer("task", r.Task).Int("run", r.Number).Str("worker", workerID).Msg(msgJobStarted)
+	}
+}
+
 // stopUnanswered stops a run whose starts have got no answer for maxUnansweredTime
 // although its worker answers polls, which do not show the run. Its task is placed
 // elsewhere if it can.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -228,6 +228,7 @@
 		}
 		ws.LastEndSeen = e.Number
 		c.index.unlogged[ws.Incarnation.ID] = true
+		c.noteStarted(e.Run, ws.Incarnation.ID)
 		if r := ws.Runs[e.Run]; r != nil {
 			c.recordEnd(ws, r, e.Reason, e.Checkpoint, t)
 		}
@@ -246,7 +247,7 @@
 			r = c.stopUnknownRun(ws, row, now)
 		}
 		if r.State != worker.RunConfirmed {
-			ws.SetRunState(r, worker.RunConfirmed, now)
+			c.confirmRun(ws, r, now)
 		}
 		r.LastReported = sent
 		if r.StopAnsweredAt > 0 && sent > r.StopAnsweredAt+c.opt.StopTimeout+stopRepeat {
@@ -306,6 +307,7 @@
 	}
 	r := worker.NewRun(row.Run, s, worker.RunConfirmed, now, 0)
 	ws.AddRun(r)
+	c.noteStarted(r.ID, ws.Incarnation.ID)
 	c.requestStop(ws, r, "not in the log")
 	return r
 }
--- a/internal/scheduler/poolgauges.go
+++ b/internal/scheduler/poolgauges.go
@@ -18,6 +18,9 @@
 	cordoned, draining, unlisted, awaitingLease tally.Gauge
 
 	listAge, planAge, appendAge tally.Gauge
+	// queued and unstored are the jobs of which no task has started, and those that the log
+	// may not hold.
+	queued, unstored tally.Gauge
 }
 
 // newPoolGauges returns the gauges of the pool whose tag the scope has.
@@ -40,6 +43,8 @@
 		listAge:       scope.Gauge("worker_list_age_seconds"),
 		planAge:       scope.Gauge("plan_age_seconds"),
 		appendAge:     scope.Gauge("append_in_flight_seconds"),
+		queued:        scope.Gauge("jobs_queued"),
+		unstored:      scope.Gauge("jobs_unstored"),
 	}
 	for _, reason := range noRunReasons {
 		g.noRun[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Gauge("jobs_without_run")
@@ -63,6 +68,8 @@
 	g.draining.Update(float64(rep.Workers.Draining))
 	g.unlisted.Update(float64(rep.Workers.Unlisted))
 	g.awaitingLease.Update(float64(rep.Workers.AwaitingLease))
+	g.queued.Update(float64(rep.Queued))
+	g.unstored.Update(float64(rep.Unstored))
 	g.listAge.Update(rep.ListAge.Seconds())
 	g.planAge.Update((now - h.PlannedAt).Seconds())
 	inFlight := time.Duration(0)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -27,11 +27,11 @@
 
 // preemptor finds the runs of a pool that may be stopped for more urgent jobs.
 // One is created for every plan. It examines the runs only when a group waits
-// that is more urgent than some running job.
+// that is more urgent than some job that may have runs.
 type preemptor struct {
 	core *Core
 	now  time.Duration
-	// leastUrgent is the priority of the least urgent running job.
+	// leastUrgent is the priority of the least urgent job that may have runs.
 	leastUrgent int
 	// candidatesByWorker are the runs that may be stopped, by worker, those
 	// first whose stop loses the least work.
@@ -44,7 +44,7 @@
 // newPreemptor returns a preemptor for one plan.
 func (c *Core) newPreemptor(now time.Duration) *preemptor {
 	p := &preemptor{core: c, now: now}
-	for priority := range c.running {
+	for priority := range c.planned {
 		p.leastUrgent = max(p.leastUrgent, priority)
 	}
 	return p
--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -39,10 +39,28 @@
 	}
 	w.checkTasksPerWorker(s, t, step)
 	w.checkCapacity(s, step)
+	w.started[t.Job] = true
 	w.customers.checkStart(o)
 	w.crashes.checkStart(s, o)
 }
 
+// checkQueuedJobs checks that the holder counts at least those jobs as queued of which no worker
+// has started a task.
+func (w *simWorld) checkQueuedJobs() {
+	if w.holder == nil || !w.holder.active() {
+		return
+	}
+	notStarted := 0
+	for _, id := range w.ids {
+		if phase, known := w.holder.core.Lookup(id); known && !phase.Final() && !w.started[id] {
+			notStarted++
+		}
+	}
+	if n := w.holder.core.QueuedJobs("e", job.Selector{}); n < notStarted {
+		w.addViolation("MIXED %d jobs counted as queued, %d have started no task", n, notStarted)
+	}
+}
+
 func (w *simWorld) isOwnCheckpoint(t job.TaskID, checkpoint string) bool {
 	if !w.specs[t.Job].Steps[t.Step].Gang {
 		return len(checkpoint) > len(t.String()) && checkpoint[:len(t.String())] == t.String()
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -40,7 +40,9 @@
 	simMaxEnds = 8
 	// simDeleteInterval is the time between two deletions of what the intake holds of
 	// ended jobs, and simFailedDeletions the part of them that fails.
-	simDeleteInterval  = 2 * time.Second
+	simDeleteInterval = 2 * time.Second
+	// simQueuedCheck is the time between two checks of the number of queued jobs.
+	simQueuedCheck     = 50 * time.Millisecond
 	simFailedDeletions = 0.5
 )
 
@@ -82,6 +84,8 @@
 	done             map[job.TaskID]bool
 	failures         map[job.TaskID]int
 	starts           map[job.TaskID]int
+	// started are the jobs of which a worker has started a task.
+	started map[job.ID]bool
 	// gangFailures are the runs of a gang in which a member failed, by number.
 	gangFailures map[worker.StepKey]map[int]bool
 	// unavailableSince is when a long-running task was last stopped or ended, and
@@ -124,8 +128,9 @@
 	// (a start after the maximum number of failures), BUDGET-CRASH (a start of a
 	// task that has crashed too many workers), LOST (a job shown as failed without
 	// cause), ROUTE (a worker that the step may not use), LIMIT (more resources than
-	// the worker has), AVAIL (more tasks unavailable than the step allows) or GRANT (a
-	// start that takes a customer above its grants).
+	// the worker has), AVAIL (more tasks unavailable than the step allows), GRANT (a
+	// start that takes a customer above its grants) or MIXED (fewer jobs counted as queued
+	// than have started no task).
 	violations []string
 }
 
@@ -151,6 +156,7 @@
 		done:             map[job.TaskID]bool{},
 		failures:         map[job.TaskID]int{},
 		starts:           map[job.TaskID]int{},
+		started:          map[job.ID]bool{},
 
 		gangFailures:     map[worker.StepKey]map[int]bool{},
 		unavailableSince: map[job.TaskID]time.Duration{},
@@ -207,6 +213,9 @@
 		for _, h := range w.superseded {
 			h.step()
 		}
+		if w.now%simQueuedCheck == 0 {
+			w.checkQueuedJobs()
+		}
 	}
 }
 
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -142,7 +142,7 @@
 	if j.Spec.Repeat > 0 {
 		c.repeating = append(c.repeating, j)
 	}
-	c.countRunning(j)
+	c.countPlanned(j)
 	c.waiting.jobChanged(j)
 	c.adoptRuns(j, t.Now)
 	c.stopRedundant(j)
--- a/internal/scheduler/trackedjob.go
+++ b/internal/scheduler/trackedjob.go
@@ -36,9 +36,9 @@
 	dirty, requeue, unplanned bool
 	// queued are the job's groups in the waitQueue.
 	queued []*pendingGroup
-	// countedRunning is set while the job counts as a running one of its priority, and
-	// settled once it is not open any more.
-	countedRunning, settled bool
+	// countedPlanned is set while the job counts as one of its priority of which a run was
+	// planned, and settled once it is not open any more.
+	countedPlanned, settled bool
 	// version counts the changes of the job. batchedVersion is the last version
 	// in a batch, and committedVersion the last in the log.
 	version, batchedVersion, committedVersion int
