Answer a repeated submission from what the log holds

Cause: Submit looked at the log's state before it looked for the job. A request that joined another one waited for the job's newest version, not for the first that was on its way to the log. Change: Submit joins a job that is known here first: 200 if the log holds it, else the wait for the append that holds it. Deletions of records go before the records of a batch, since a job may come again under the ID of one whose submission was refused. The rejection of a state request names an undecided job. Figures: TestJobInABatchIsNotTakenBack asks 1.4 s after an append began that is not answered, and gets "ran"; the check of the log's state comes first without the change (by construction, not run on the old code).

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -182,8 +182,8 @@
 	if !held {
 		return errMoved
 	}
-	err := r.Join(ctx, sub.Spec.ID, sub.Terms.Requester())
-	if errors.Is(err, scheduler.ErrPoolNotHeld) {
+	known, err := r.Join(ctx, sub.Spec.ID, sub.Terms.Requester())
+	if !known || verdict.Of(err) == verdict.NotRun {
 		return errMoved
 	}
 	return err
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -234,7 +234,7 @@
 		}
 		if !clock.Sleep(ctx, queryRetry) {
 			s.metrics.unanswered.Inc(1)
-			return 0, verdict.NewNotRun(verdict.ReasonNotReady, "nobody answers for pool %s", e.Pool)
+			return 0, notTold(e.Pool, err)
 		}
 	}
 }
@@ -260,12 +260,21 @@
 			return 0, errOlderConfiguration
 		}
 		if errs[i] != nil || a.Lag >= maxLag {
-			return 0, verdict.NewNotRun(verdict.ReasonNotReady, "nobody answers for pool %s", pools[i])
+			return 0, notTold(pools[i], errs[i])
 		}
 	}
 	return 0, ErrUnknownJob
 }
 
+// notTold returns the rejection of a query for a job that a pool's holder did not answer, with
+// the error err, or answered as of too long ago.
+func notTold(pool string, err error) error {
+	if errors.Is(err, errUndecided) {
+		return verdict.NewNotRun(verdict.ReasonNotReady, "pool %s: %v", pool, err)
+	}
+	return verdict.NewNotRun(verdict.ReasonNotReady, "nobody answers for pool %s", pool)
+}
+
 // errPoolNotHeld means that a query was not answered because the pool has no
 // known holder, or because the daemon that got the query does not hold it.
 var errPoolNotHeld = eris.New("the pool is not held there")
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -196,9 +196,9 @@
 	Started bool `cbor:"10,keyasint,omitempty"`
 }
 
-// FromEarlierRelease corrects the phase of a progress that an earlier release has logged: it is
-// Running only if the progress shows that a worker has started a task.
-func (p *Progress) FromEarlierRelease() {
+// CorrectPhase corrects the phase in a progress that an earlier release has logged. It is Running
+// only if the progress shows that a worker has started a task.
+func (p *Progress) CorrectPhase() {
 	if p.Phase != Running || p.Started {
 		return
 	}
--- a/internal/joblog/progress.go
+++ b/internal/joblog/progress.go
@@ -135,6 +135,6 @@
 	if err != nil {
 		return rec.Progress.Damaged(), eris.Wrapf(err, "progress of %s", rec.ID)
 	}
-	p.FromEarlierRelease()
+	p.CorrectPhase()
 	return p, nil
 }
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -282,7 +282,7 @@
 	}
 	rec.Progress, rec.Parts = &main.Progress, main.Parts
 	if rec.Parts.Count == 0 {
-		rec.Progress.FromEarlierRelease()
+		rec.Progress.CorrectPhase()
 	}
 	return rec, true, nil
 }
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +41,9 @@
 // than ErrPoolNotHeld carry a verdict. It returns ErrOtherCustomer if the ID belongs to a
 // job of another customer. An excess job that would not meet its objective is rejected.
 func (r *Runner) Submit(ctx context.Context, s *joblog.Submission) error {
+	if known, err := r.Join(ctx, s.Spec.ID, s.Terms.Requester()); known {
+		return err
+	}
 	if err := r.checkAccepting(); err != nil {
 		return err
 	}
@@ -75,28 +77,21 @@
 	return err
 }
 
-// Join waits until the log holds a job that was submitted here before. It returns
-// ErrPoolNotHeld if the job is not known here, or the requester may not access it, or if it
-// was taken back: the request had no effect. Another error means that the log may yet hold it.
-func (r *Runner) Join(ctx context.Context, id job.ID, by job.Requester) error {
+// Join waits until the log holds a job that was submitted here before. It returns known false
+// if no job is known here that the requester may access. Unlike Submit it adds none. An error
+// with the verdict not-run means that the job was taken back.
+func (r *Runner) Join(ctx context.Context, id job.ID, by job.Requester) (known bool, err error) {
 	r.mu.Lock()
-	known := r.ready && !r.core.fenced && r.core.accessible(id, by)
+	known = r.ready && !r.core.fenced && r.core.accessible(id, by)
 	if known {
 		_, known = r.core.Lookup(id)
 	}
 	version := r.core.unstoredVersion(id)
 	r.mu.Unlock()
-	switch {
-	case !known:
-		return ErrPoolNotHeld
-	case version == 0:
-		return nil
-	}
-	err := r.awaitLogged(ctx, id, version)
-	if verdict.Of(err) == verdict.NotRun {
-		return ErrPoolNotHeld
+	if !known || version == 0 {
+		return known, nil
 	}
-	return err
+	return true, r.awaitLogged(ctx, id, version)
 }
 
 // awaitAccess waits while a job of another customer is known here that the log may not hold yet.
@@ -179,8 +174,7 @@
 		r.mu.Unlock()
 		return nil
 	}
-	w := logWaiter{version: version, outcome: make(chan error, 1)}
-	r.logWaiters[id] = append(r.logWaiters[id], w)
+	w := r.logWaiters.add(id, version)
 	r.mu.Unlock()
 	select {
 	case err := <-w.outcome:
@@ -188,17 +182,9 @@
 	case <-r.ended:
 		return errPoolPassed
 	case <-ctx.Done():
-		r.stopWaiting(id, w)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.logWaiters.remove(id, w)
 		return verdict.NewMayHaveRun(verdict.ReasonDeadline, "the log did not answer in time")
 	}
 }
-
-// stopWaiting removes a caller that waits no more.
-func (r *Runner) stopWaiting(id job.ID, w logWaiter) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.logWaiters[id] = slices.DeleteFunc(r.logWaiters[id], func(other logWaiter) bool { return other == w })
-	if len(r.logWaiters[id]) == 0 {
-		delete(r.logWaiters, id)
-	}
-}
--- a/internal/scheduler/append.go
+++ b/internal/scheduler/append.go
@@ -66,23 +66,3 @@
 	defer r.mu.Unlock()
 	r.appendStarted = at
 }
-
-// notifyLogged releases the callers that wait for versions that are logged now.
-// It must be called with mu held.
-func (r *Runner) notifyLogged(versions map[job.ID]int) {
-	for id, version := range versions {
-		waiting := r.logWaiters[id][:0]
-		for _, w := range r.logWaiters[id] {
-			if w.version <= version {
-				w.outcome <- nil
-			} else {
-				waiting = append(waiting, w)
-			}
-		}
-		if len(waiting) == 0 {
-			delete(r.logWaiters, id)
-		} else {
-			r.logWaiters[id] = waiting
-		}
-	}
-}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -18,14 +18,14 @@
 	approvalRequests, approvalRequestsFailed tally.Counter
 	appends, records                         tally.Counter
 	recordsRefused, checkpointsDropped       tally.Counter
+	correlatedCrashes                        tally.Counter
+	planWorkers, planGroups                  tally.Counter
+	grantWaits, excessJobs, excessRejected   tally.Counter
+	appendDuration                           tally.Histogram
+	jobDuration                              tally.Histogram
+	pool                                     poolGauges
 	// jobsTakenBack counts the jobs that were taken back before the log held them.
-	jobsTakenBack                          tally.Counter
-	correlatedCrashes                      tally.Counter
-	planWorkers, planGroups                tally.Counter
-	grantWaits, excessJobs, excessRejected tally.Counter
-	appendDuration                         tally.Histogram
-	jobDuration                            tally.Histogram
-	pool                                   poolGauges
+	jobsTakenBack tally.Counter
 	// poolScope has the pool's tag.
 	poolScope tally.Scope
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -201,6 +201,9 @@
 // Encode is the second part of Plan: it adds to a batch the progress of every job that
 // changed, and which ends reported by workers that progress covers.
 func (c *Core) Encode(b *Batch, t Times) error {
+	// A job may have come again under the ID of one whose records are deleted.
+	b.Progress = append(b.Progress, c.staleRecords...)
+	c.staleRecords = nil
 	for _, j := range c.dirty {
 		j.dirty = false
 		if err := c.encodeJob(b, j); err != nil {
@@ -225,8 +228,6 @@
 		b.Progress = append(b.Progress, joblog.DeleteProgressSubmission(id))
 	}
 	c.journalDeletes = nil
-	b.Progress = append(b.Progress, c.staleRecords...)
-	c.staleRecords = nil
 	c.expireEnded(b, t.Wall)
 	return c.encodeEarlierLeases(b, t.Now)
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -93,19 +93,12 @@
 	// ready is set once what earlier holders logged has been loaded.
 	ready bool
 	// logWaiters are the callers that wait for a version of a job to be logged.
-	logWaiters map[job.ID][]logWaiter
+	logWaiters logWaiters
 	// appendStarted is when the append in flight began, or 0 when there is
 	// none.
 	appendStarted time.Duration
 }
 
-// logWaiter waits for a version of a job to be logged.
-type logWaiter struct {
-	version int
-	// outcome gets nil once the version is logged, or why it never will be.
-	outcome chan error
-}
-
 // NewRunner returns a runner that does nothing until Run is called.
 func NewRunner(o RunnerOptions) *Runner {
 	o.Options.Logger = o.Logger
@@ -121,7 +114,7 @@
 		ended:        make(chan struct{}),
 		core:         NewCore(o.Options, o.Clock.Now()),
 		agents:       map[string]*agent{},
-		logWaiters:   map[job.ID][]logWaiter{},
+		logWaiters:   logWaiters{},
 
 		intakeReadUpTo: map[logstore.Partition]time.Duration{},
 		undecided:      undecidedSubmissions{},
@@ -338,7 +331,7 @@
 	r.update(stage.Start, func(t Times) {
 		committedAt = t.Now
 		runs = r.core.Committed(b, t)
-		r.notifyLogged(b.Versions())
+		r.logWaiters.logged(b.Versions())
 	})
 	workerOf := make(map[job.RunID]string, len(b.starts))
 	for _, s := range b.starts {
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -70,7 +70,7 @@
 	for _, rec := range records {
 		if p := rec.Progress; p != nil && !p.Phase.Final() {
 			p.Phase, p.Started = job.Running, false
-			p.FromEarlierRelease()
+			p.CorrectPhase()
 		}
 	}
 }
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -157,26 +156,6 @@
 	return parts
 }
 
-// earlyCancel is a cancel of a job that is not known yet.
-type earlyCancel struct {
-	by job.Requester
-	// readAt is the time of day at which it was read, in milliseconds since 1970.
-	readAt int64
-}
-
-// applyEarlyCancels applies the cancels of a job that were read before the job.
-func (c *Core) applyEarlyCancels(j *trackedJob, t Times) {
-	early, ok := c.earlyCancels[j.Spec.ID]
-	if !ok {
-		return
-	}
-	delete(c.earlyCancels, j.Spec.ID)
-	j.inIntake = true
-	for _, e := range early {
-		c.cancel(j.Spec.ID, e.by, t)
-	}
-}
-
 // adoptRuns tracks the runs that an earlier holder logged for a job. Each may
 // be on its worker until that worker has been polled.
 func (c *Core) adoptRuns(j *trackedJob, now time.Duration) {
@@ -217,19 +196,6 @@
 	}
 }
 
-// rememberCancel remembers the cancel of a job that is not known, unless it has ended.
-func (c *Core) rememberCancel(id job.ID, by job.Requester, t Times) {
-	if _, ended := c.endedJobs[id]; ended {
-		return
-	}
-	early := c.earlyCancels[id]
-	if i := slices.IndexFunc(early, func(e earlyCancel) bool { return e.by == by }); i >= 0 {
-		early[i].readAt = t.Wall
-		return
-	}
-	c.earlyCancels[id] = append(early, earlyCancel{by, t.Wall})
-}
-
 // cancelJob cancels a job.
 func (c *Core) cancelJob(j *trackedJob, t Times) {
 	if j.Cancel(t.Wall) {
--- a/internal/scheduler/takeback.go
+++ b/internal/scheduler/takeback.go
@@ -39,7 +39,11 @@
 	if !c.unstored(id) {
 		return 0
 	}
-	return max(1, c.jobs[id].version)
+	j := c.jobs[id]
+	if j.batchedVersion > 0 {
+		return j.batchedVersion
+	}
+	return max(1, j.version)
 }
 
 // Withdraw removes a job that no batch contains yet, so that it certainly never runs. It
@@ -101,10 +105,7 @@
 func (r *Runner) tellTakenBack() {
 	for _, b := range r.core.takenBack {
 		r.metrics.jobsTakenBack.Inc(1)
-		for _, w := range r.logWaiters[b.id] {
-			w.outcome <- b.reason
-		}
-		delete(r.logWaiters, b.id)
+		r.logWaiters.takenBack(b.id, b.reason)
 	}
 	r.core.takenBack = nil
 }
--- a/internal/scheduler/takeback_test.go
+++ b/internal/scheduler/takeback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,18 @@
 	err  error
 }
 
+// errNotKnown is what joinKnown returns for a job that is not known.
+var errNotKnown = errors.New("not known")
+
+// joinKnown has its customer join the job.
+func joinKnown(ctx context.Context, r *Runner) error {
+	known, err := r.Join(ctx, ownedJob, ofA)
+	if !known {
+		return errNotKnown
+	}
+	return err
+}
+
 // start calls f, which has a deadline, and returns once it waits.
 func start(limit time.Duration, f func(context.Context) error) *call {
 	c := &call{done: make(chan struct{})}
@@ -63,7 +76,7 @@
 		began := time.Now()
 		submit := func(ctx context.Context) error { return r.Submit(ctx, submissionOf("a")) }
 		first, again := start(500*time.Millisecond, submit), start(5*time.Second, submit)
-		joined := start(5*time.Second, func(ctx context.Context) error { return r.Join(ctx, ownedJob, ofA) })
+		joined := start(5*time.Second, func(ctx context.Context) error { return joinKnown(ctx, r) })
 		foreign := start(5*time.Second, func(ctx context.Context) error { return r.Cancel(ctx, ownedJob, ofB) })
 		status, _ := r.Lookup(ownedJob)
 		g.Expect(status.Known && !status.Stored).To(BeTrue())
@@ -71,8 +84,8 @@
 		g.Expect(n).To(BeZero(), "it is not accepted")
 		g.Expect(first.verdict()).To(Equal(verdict.NotRun))
 		g.Expect(again.verdict()).To(Equal(verdict.NotRun))
-		g.Expect(joined.verdict()).NotTo(Equal(verdict.Ran))
-		g.Expect(joined.err).To(MatchError(ErrPoolNotHeld))
+		g.Expect(joined.verdict()).To(Equal(verdict.NotRun))
+		g.Expect(joinKnown(t.Context(), r)).To(MatchError(errNotKnown))
 		var unknown *UnknownJobError
 		<-foreign.done
 		g.Expect(foreign.err).To(BeAssignableToTypeOf(unknown), "it was nobody's")
@@ -95,7 +108,7 @@
 		foreign := start(200*time.Millisecond, func(ctx context.Context) error { return r.Submit(ctx, submissionOf("b")) })
 		g.Expect(foreign.verdict()).To(Equal(verdict.NotRun))
 		g.Expect(first.verdict()).To(Equal(verdict.MayHaveRun))
-		joined := start(5*time.Second, func(ctx context.Context) error { return r.Join(ctx, ownedJob, ofA) })
+		joined := start(5*time.Second, func(ctx context.Context) error { return joinKnown(ctx, r) })
 		foreign = start(5*time.Second, func(ctx context.Context) error { return r.Cancel(ctx, ownedJob, ofB) })
 		status, _ := r.Lookup(ownedJob)
 		g.Expect(status.Known && !status.Stored).To(BeTrue())
@@ -106,6 +119,7 @@
 		status, _ = r.Lookup(ownedJob)
 		g.Expect(status.Stored).To(BeTrue())
 		r.appendStarted = r.opt.Clock.Now()
+		time.Sleep(2 * maxAppendTime)
 		again := start(time.Second, func(ctx context.Context) error { return r.Submit(ctx, submissionOf("a")) })
 		g.Expect(again.verdict()).To(Equal(verdict.Ran), "the log holds it")
 	})
