Have the soak silence a part of the log, and check pending jobs

Change: a stream of random numbers of its own draws outages of the partition of progress and one of the intake of the pool that serves the queue, with callers that give up after 150 ms and a move of the queue meanwhile. At the end half of the workers answer nothing while 40 jobs come, and each daemon is asked three times for the pending jobs: at least as many as were accepted 2 s before and no worker has started.

--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,6 +42,10 @@
 	// have lapsed are back.
 	maxEntryReturn = 1800 * time.Millisecond
 	soakHost       = "soak.example"
+	// callTimeout is how long callers wait for an answer, and impatientTimeout how long they
+	// do while they are impatient.
+	callTimeout      = 2 * time.Second
+	impatientTimeout = 150 * time.Millisecond
 	// completionTimeout bounds the wait for accepted jobs after the last fault. It
 	// only ends a test that hangs.
 	completionTimeout = 2 * time.Minute
@@ -73,6 +78,10 @@
 	pool     string
 	accepted []job.ID
 	rejected []job.ID
+	// acceptedAt is when each accepted job was.
+	acceptedAt map[job.ID]time.Time
+	// impatient is set while callers give up a request after impatientTimeout.
+	impatient atomic.Bool
 }
 
 // configure has a configuration send the queue to a pool. Each one gives its route another
@@ -95,7 +104,7 @@
 	g := NewWithT(t)
 	store, err := StartStore(idle)
 	g.Expect(err).NotTo(HaveOccurred())
-	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
+	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}, acceptedAt: map[job.ID]time.Time{}}
 	// close reads the logs, so it must run before the cleanup of the directory removes
 	// them: cleanups run in reverse order.
 	dir := t.ArtifactDir()
@@ -158,7 +167,11 @@
 		req.Header.Set(fasthttp.HeaderAuthorization, "Token "+key)
 	}
 	req.SetBody(body)
-	if err := s.client.DoTimeout(req, resp, 2*time.Second); err != nil {
+	timeout := callTimeout
+	if s.impatient.Load() {
+		timeout = impatientTimeout
+	}
+	if err := s.client.DoTimeout(req, resp, timeout); err != nil {
 		return 0, nil
 	}
 	return resp.StatusCode(), bytes.Clone(resp.Body())
@@ -175,6 +188,7 @@
 		case fasthttp.StatusOK:
 			s.mu.Lock()
 			s.accepted = append(s.accepted, id)
+			s.acceptedAt[id] = time.Now()
 			s.mu.Unlock()
 			s.repeat(r, id, body)
 			return
@@ -357,6 +371,7 @@
 	s := newSoak(t, soakDaemons, IdleTimeouts{})
 	r := rand.New(rand.NewPCG(*soakSeed, 1))
 	lifecycle := rand.New(rand.NewPCG(*soakSeed, lifecycleStream))
+	partial := rand.New(rand.NewPCG(*soakSeed, partialOutageStream))
 	done := make(chan struct{})
 	var load sync.WaitGroup
 	load.Go(func() { s.submitJobs(*soakSeed, done) })
@@ -370,7 +385,11 @@
 		if lifecycle.IntN(lifecycleFaultEvery) == 0 {
 			t.Log(time.Now().UTC().Format(timeFormat), s.injectLifecycleFault(lifecycle))
 		}
+		if partial.IntN(partialOutageEvery) == 0 {
+			t.Log(time.Now().UTC().Format(timeFormat), s.silencePartOfTheLog(partial))
+		}
 	}
+	s.checkPendingJobs(t)
 	close(done)
 	load.Wait()
 	notEnded := s.awaitEnds()
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,11 +34,13 @@
 // Worker simulates running tasks. A task's spec is its run time in milliseconds. It
 // starts every task that it is told to start, whatever its capacity.
 type Worker struct {
-	name    string
-	pool    string
-	store   *Store
-	checker *RunChecker
-	stop    chan struct{}
+	// unreachable is set while calls get no answer.
+	unreachable atomic.Bool
+	name        string
+	pool        string
+	store       *Store
+	checker     *RunChecker
+	stop        chan struct{}
 
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -139,6 +143,24 @@
 	}
 }
 
+// SetUnreachable has calls to the worker get no answer and no effect, while it writes its entry.
+func (w *Worker) SetUnreachable(unreachable bool) { w.unreachable.Store(unreachable) }
+
+// holdCall holds a call back while the worker is unreachable. It reports whether it did: such a
+// call is not carried out, and its connection is closed.
+func (w *Worker) holdCall(ctx *fasthttp.RequestCtx) bool {
+	held := false
+	for w.unreachable.Load() {
+		held = true
+		time.Sleep(tickInterval)
+	}
+	if held {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+	return held
+}
+
 func (w *Worker) reset() {
 	w.startTime = time.Now()
 	w.token, w.leaseEnd, w.lastEnd, w.ended = 0, 0, 0, nil
@@ -239,6 +261,9 @@
 }
 
 func (w *Worker) handle(ctx *fasthttp.RequestCtx) {
+	if w.holdCall(ctx) {
+		return
+	}
 	var req request
 	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
