--- a/standin/jobsim/soak_partial_test.go
+++ b/standin/jobsim/soak_partial_test.go
@@ -26,6 +26,8 @@
 	// have become unreachable.
 	pendingChecks   = 3
 	pendingInterval = 2 * time.Second
+	// settleTime is how long daemons that have just started get to find the workers.
+	settleTime = 3 * time.Second
 	// burstJobs is the number of jobs that come as they do, and burstStream the first of their
 	// streams of random numbers, which is part of their IDs too.
 	burstJobs   = 40
@@ -50,10 +52,11 @@
 	return fmt.Sprintf("partitions %v of %s are silent while the queue moves", parts, topic)
 }
 
-// checkPendingJobs has half of the workers that serve the queue answer nothing while a burst of
-// jobs comes, so that many first starts reach none of them, and compares the number of pending jobs
-// that each daemon gives with that of the accepted ones that no worker has started.
+// checkPendingJobs has half of the workers that serve the queue, which are idle, answer nothing as
+// a burst of jobs comes, so that many first starts reach none of them, and compares the number of
+// pending jobs that each daemon gives with that of the accepted ones that no worker has started.
 func (s *soak) checkPendingJobs(t *testing.T) {
+	time.Sleep(settleTime)
 	serving := s.servingWorkers()
 	for _, w := range serving[:len(serving)/2] {
 		w.SetUnreachable(true)
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -373,6 +373,7 @@
 	lifecycle := rand.New(rand.NewPCG(*soakSeed, lifecycleStream))
 	partial := rand.New(rand.NewPCG(*soakSeed, partialOutageStream))
 	done := make(chan struct{})
+	s.checkPendingJobs(t)
 	var load sync.WaitGroup
 	load.Go(func() { s.submitJobs(*soakSeed, done) })
 	load.Go(func() { s.changeCapacities(*soakSeed, done) })
@@ -389,7 +390,6 @@
 			t.Log(time.Now().UTC().Format(timeFormat), s.silencePartOfTheLog(partial))
 		}
 	}
-	s.checkPendingJobs(t)
 	close(done)
 	load.Wait()
 	notEnded := s.awaitEnds()
