--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -56,24 +56,8 @@
 // refused at the intake if they exceed them, which is not simulated here.
 var simLogLimits = logstore.Limits{RecordBytes: 200, AppendBytes: 2 << 20}
 
-const (
-	// submissionKind begins the keys of submissions.
-	submissionKind = "s"
-	// simEarlierRelease is the interval of tokens at which a holder takes over from one of an
-	// earlier release.
-	simEarlierRelease = 3
-)
-
-// asOfEarlierRelease turns records of progress into what a holder of an earlier release has
-// logged: a job is running as soon as a run of it was planned.
-func asOfEarlierRelease(records []joblog.ProgressRecord) {
-	for _, rec := range records {
-		if p := rec.Progress; p != nil && !p.Phase.Final() {
-			p.Phase, p.Started = job.Running, false
-			p.CorrectPhase()
-		}
-	}
-}
+// submissionKind begins the keys of submissions.
+const submissionKind = "s"
 
 // takeOver makes a new daemon the holder, as if it had claimed the duty. The
 // previous holder continues as a superseded one unless it is dead.
