Do not accept a job anew in the request that saw it undecided elsewhere

And a submission joined the progress of a job whose submission the log had refused, where a holder had ended before it deleted the progress: 200 for a job that never runs. Change: a request that has seen the job undecided ends in "accepted" or in an unknown outcome (504, at once when the job is taken back); the next one finds it in the intake, or accepts it. Join leaves out progress without a submission, which Submit restores and logs as before.

--- a/internal/intake/moved.go
+++ b/internal/intake/moved.go
@@ -93,7 +93,8 @@
 // acceptedEarlier reports whether a pool that served the entry lately has accepted a
 // job. It fails with the verdict not-run if such a pool cannot tell, or if the job belongs
 // to another customer, and with may-have-run if the job was submitted to such a pool and may
-// yet be accepted there.
+// yet be accepted there. That goes also for a job that was taken back meanwhile: whoever submitted
+// it may just be appending it to that pool's intake.
 func (s *Service) acceptedEarlier(ctx context.Context, e policy.Entry, by job.Requester, id job.ID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, limitToFraction(ctx, queryLimit))
 	defer cancel()
@@ -124,10 +125,10 @@
 		switch {
 		case foreign:
 			return false, scheduler.ErrOtherCustomer
-		case sure:
+		case sure && submitted == "":
 			return false, nil
 		}
-		if !clock.Sleep(ctx, queryRetry) {
+		if sure || !clock.Sleep(ctx, queryRetry) {
 			s.metrics.unanswered.Inc(1)
 			if submitted != "" {
 				return false, verdict.NewMayHaveRun(verdict.ReasonDeadline, "the job was submitted to pool %s before, whose log may yet hold it", submitted)
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -82,10 +82,7 @@
 // with the verdict not-run means that the job was taken back.
 func (r *Runner) Join(ctx context.Context, id job.ID, by job.Requester) (known bool, err error) {
 	r.mu.Lock()
-	known = r.ready && !r.core.fenced && r.core.accessible(id, by)
-	if known {
-		_, known = r.core.Lookup(id)
-	}
+	known = r.ready && !r.core.fenced && r.core.accessible(id, by) && r.core.hasSubmission(id)
 	version := r.core.unstoredVersion(id)
 	r.mu.Unlock()
 	if !known || version == 0 {
--- a/internal/scheduler/takeback.go
+++ b/internal/scheduler/takeback.go
@@ -27,6 +27,13 @@
 	reason error
 }
 
+// hasSubmission reports whether a job is known here with its submission, or has ended. The log
+// may hold the progress of a job of which it has refused the submission.
+func (c *Core) hasSubmission(id job.ID) bool {
+	_, ended := c.endedJobs[id]
+	return ended || c.jobs[id] != nil
+}
+
 // unstored reports whether a job is known here that the log is not known to hold.
 func (c *Core) unstored(id job.ID) bool {
 	j := c.jobs[id]
--- a/internal/scheduler/takeback_test.go
+++ b/internal/scheduler/takeback_test.go
@@ -169,6 +169,24 @@
 	})
 }
 
+// Guards against a job that is answered as accepted since the log holds its progress, but not its
+// submission: a holder has ended before it deleted what was left of a refused one.
+func TestProgressWithoutSubmissionIsNoAcceptedJob(t *testing.T) {
+	p := newOwnedPool(t)
+	e, err := joblog.ProgressEntry(ownedJob, &job.New(submissionOf("a").Spec, submissionOf("a").Terms).Progress)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	p.log[e.Key] = e.Value
+	p.takeOver()
+	r := newUnplannedRunner()
+	r.core = p.core
+	p.g.Expect(joinKnown(t.Context(), r)).To(MatchError(errNotKnown))
+	p.g.Expect(p.core.Logged(ownedJob, p.core.Submit(submissionOf("a"), p.now))).To(BeFalse())
+	p.plan()
+	p.takeOver()
+	p.expect("a", job.Queued)
+	p.g.Expect(p.core.hasSubmission(ownedJob)).To(BeTrue())
+}
+
 // Guards against a submission in the intake that is applied without asking the other pools, since
 // a holder has the job in its memory, and against a job there that runs in two pools.
 func TestIntakeAsksOtherPoolsAboutUnstoredJobs(t *testing.T) {
