Date a read of the log to its beginning, whatever its wait

Cause: a holder of a duty dated an empty answer to a waiting read to the end of the wait, and a pool's holder did the same with its intake. Only the holder's own clock shows that end: an answer does not tell when the log looked. A holder then acted for up to 0.7 s after its successor counted on its having stopped, and two holders may have a task started (TWICE). Change: claims and submissions are known up to when the read began. That claims were read at all is a field of its own, not a time of 0.

Callers: a job that nobody knows is answered as of 0.5 to 1 s ago instead of 0 to 1 s.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -37,16 +37,11 @@
 			clock.Sleep(ctx, retryPause)
 			continue
 		}
-		now := e.opt.Clock.Now()
-		confirmed := start
-		if len(recs) == 0 && now-start >= wait {
-			// The read waited for its whole time without a new claim.
-			confirmed = start + wait
-		}
 		e.mu.Lock()
-		e.applyClaims(recs, now)
+		e.applyClaims(recs, e.opt.Clock.Now())
 		e.nextClaimOffset = max(e.nextClaimOffset, tail.Position())
-		e.confirmedAt = max(e.confirmedAt, confirmed)
+		// An answer without claims does not tell when the log looked for them.
+		e.confirm(start)
 		e.mu.Unlock()
 		wake(e.claimsChanged)
 	}
@@ -167,7 +162,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.applyClaims(b.Records, e.opt.Clock.Now())
-	e.confirmedAt = max(e.confirmedAt, start)
+	e.confirm(start)
+}
+
+// confirm records that all claims up to a moment are known here. The caller holds e.mu.
+func (e *Elector) confirm(at time.Duration) {
+	e.claimsRead = true
+	e.confirmedAt = max(e.confirmedAt, at)
 }
 
 // refreshOnRequest reads the claims whenever a probe asks for it: the log may
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -85,8 +85,10 @@
 	heartbeatsReadAt time.Duration
 	leaving          bool
 	held             map[Name]Token
-	// confirmedAt is a time up to which all claims are known here.
+	// confirmedAt is a time up to which all claims are known here. It counts from when
+	// claimsRead is set.
 	confirmedAt time.Duration
+	claimsRead  bool
 	// nextClaimOffset is the offset after the last claim known here.
 	nextClaimOffset int64
 	// logOutage reports when calls to the log fail.
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -216,6 +216,41 @@
 	})
 }
 
+// Guards against two holders of a pool at once (TWICE): the log had looked for claims when the
+// holder's read came, and its empty answer at the end of the wait was taken to tell of that end.
+func TestEmptyAnswerDoesNotTellWhenTheLogLooked(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *WithT) {
+		n := newCluster(pool)
+		old := n.start(ctx, "a", 0.8)
+		advance(2 * time.Second)
+		held, _ := old.lastAcquisition()
+		next := n.start(ctx, "b", 0.8)
+		advance(2 * time.Second)
+		var looked atomic.Bool
+		n.log.SetFault(func(c logtest.Call) logtest.Fault {
+			if c.Client != "a" || c.Op != logtest.Read || c.Partition != claimPartition {
+				return logtest.Fault{}
+			}
+			if looked.Swap(true) {
+				return logtest.Fault{NoResponse: true}
+			}
+			return logtest.Fault{LooksEarly: true}
+		})
+		for !looked.Load() {
+			advance(time.Millisecond)
+		}
+		next.claimDuty(ctx, pool, held.Token, false)
+		got, at := next.lastAcquisition()
+		g.Expect(got.Duty).To(Equal(pool))
+		for n.clock.Now() < at+2*DefaultLease {
+			if n.clock.Now() >= at+got.PriorLeaseRemaining {
+				g.Expect(old.Remaining(pool, held.Token)).To(BeZero(), "%v after the claim", n.clock.Now()-at)
+			}
+			advance(50 * time.Millisecond)
+		}
+	})
+}
+
 func TestSuccessorWaitsForEarlierLease(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g *WithT) {
 		n := newCluster(pool)
--- a/internal/duty/monitor.go
+++ b/internal/duty/monitor.go
@@ -149,7 +149,7 @@
 	wanted := m.opt.Wanted()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.leaving || m.confirmedAt == 0 {
+	if m.leaving || !m.claimsRead {
 		return nil
 	}
 	var out []dutyCheck
--- a/internal/duty/random_test.go
+++ b/internal/duty/random_test.go
@@ -41,11 +41,12 @@
 			delay := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "delay_ms")) * time.Millisecond
 			back := time.Duration(rapid.IntRange(0, 1500).Draw(rt, "back_ms")) * time.Millisecond
 			silent, late := rapid.Bool().Draw(rt, "silent"), rapid.Bool().Draw(rt, "late")
+			early := rapid.Bool().Draw(rt, "looks_early")
 			n.log.SetFault(func(c logtest.Call) logtest.Fault {
 				if c.Client != h {
 					return logtest.Fault{}
 				}
-				return logtest.Fault{Delay: delay, ResponseDelay: back, NoResponse: silent, Executed: late}
+				return logtest.Fault{Delay: delay, ResponseDelay: back, NoResponse: silent, Executed: late, LooksEarly: early}
 			})
 		case 3:
 			n.log.SetFault(nil)
--- a/internal/logstore/logtest/log.go
+++ b/internal/logstore/logtest/log.go
@@ -52,6 +52,9 @@
 	// NoResponse calls get no response. If Executed is set, they are executed
 	// nevertheless, once their delay is over or the client has given up.
 	NoResponse, Executed bool
+	// LooksEarly has a read look for records when it comes, and answer at the end of its
+	// wait if there were none.
+	LooksEarly bool
 }
 
 // Log is the shared in-memory log. Client returns its clients.
@@ -306,13 +309,25 @@
 	if err != nil {
 		return logstore.Batch{}, err
 	}
-	b, err := c.log.readOrWait(ctx, p, from, wait)
+	b, err := c.readOrWait(ctx, p, from, wait, f.LooksEarly)
 	if !clock.Sleep(ctx, f.ResponseDelay) {
 		return logstore.Batch{}, errNoAnswer()
 	}
 	return b, err
 }
 
+// readOrWait does what Log.readOrWait does, or looks for records only once if early is set.
+func (c client) readOrWait(ctx context.Context, p logstore.Partition, from int64, wait time.Duration, early bool) (logstore.Batch, error) {
+	if !early {
+		return c.log.readOrWait(ctx, p, from, wait)
+	}
+	b, err := c.log.readOrWait(ctx, p, from, 0)
+	if err == nil && len(b.Records) == 0 && !clock.Sleep(ctx, wait) {
+		return logstore.Batch{}, errNoAnswer()
+	}
+	return b, err
+}
+
 // readOrWait reads records, and waits for up to wait when there are none yet.
 func (l *Log) readOrWait(ctx context.Context, p logstore.Partition, from int64, wait time.Duration) (logstore.Batch, error) {
 	timer := time.NewTimer(wait)
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -25,7 +25,7 @@
 	// planInterval is the longest time between two plans.
 	planInterval = 250 * time.Millisecond
 	// intakeWait is how long a read of the intake waits for a job.
-	intakeWait = time.Second
+	intakeWait = 500 * time.Millisecond
 	// intakeGap is the least time between two reads of the intake.
 	intakeGap = 5 * time.Millisecond
 	// readRetry is the wait after a read of the log that failed.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -94,16 +94,14 @@
 			clock.Sleep(ctx, readRetry)
 			continue
 		}
-		if now := r.opt.Clock.Now(); len(recs) == 0 && now-start >= intakeWait {
-			// Nothing was submitted while the read waited.
-			start += intakeWait
-		}
 		r.applyIntake(ctx, p, recs, start)
 		clock.Sleep(ctx, intakeGap)
 	}
 }
 
-// applyIntake applies records of an intake partition that were read from start on.
+// applyIntake applies records of an intake partition. Every record that was there at start,
+// when the read of them began, is among them or was read before: when the log looked later, an
+// answer does not tell.
 func (r *Runner) applyIntake(ctx context.Context, p logstore.Partition, recs []logstore.Record, start time.Duration) {
 	decodeStart := r.opt.Clock.Now()
 	decoded := make([]joblog.IntakeRecord, 0, len(recs))
