Count the time in which a worker ends its runs after their lease

Cause: a run counted as ended 50 ms after its lease, by a clock that is 2% slow. A worker takes up to stopMs (200 ms) to end what it runs, so the next run of the task began while the last was active, by 93 ms in the record (TWICE). The wait of a successor, 6 s and 5% of it, had 180 ms for drift and stop together, where 322 may be needed. Change: one place, LeaseBounds.LongestRun, tells how long a run can be active under a lease, for the holder that granted it, for a successor and for a start that a later incarnation carries out: lease, margin and the time to end runs, by a clock that is 2% slow. Figures: TestLeaseExpiresOnlyByWorkersClock, which now asks for that time, fails without it (expired at 3.301 s, though the clock read 13038 of 13136 when the worker may have begun to end its runs) and passes.

Callers: tasks of a lost worker wait for 5.36 s after its last answer instead of 5.15, and after a takeover for 8.88 s instead of 8.80 (by the bounds, not measured).

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -56,8 +56,8 @@
 // Core is the state of one pool. It is not safe for concurrent use.
 type Core struct {
 	opt Options
-	// earlierLeasesEnd is when the last lease that an earlier holder may have
-	// granted has expired.
+	// earlierLeasesEnd is when the last run has ended whose lease an earlier holder may
+	// have granted.
 	earlierLeasesEnd time.Duration
 	unreached        unreachedWorkers
 
@@ -167,8 +167,8 @@
 }
 
 const (
-	// leaseDriftFactor covers the drift of a worker's clock, with some margin.
-	leaseDriftFactor = 1.05
+	// holderDriftFactor covers the drift between the clocks of two holders, with some margin.
+	holderDriftFactor = 1.05
 	// maxGrantedLease bounds the leases that a holder grants. After a takeover, the
 	// tasks of a worker that is gone wait until such a lease has expired.
 	maxGrantedLease = 6 * time.Second
@@ -206,18 +206,15 @@
 		c.opt.LogLimits = logstore.DefaultLimits
 	}
 	c.waiting = newWaitQueue(&c.accounts)
-	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().Granted
+	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().LongestRun(c.longestGrant())
 	c.unreached = newUnreachedWorkers(now)
 	c.shares = accountShares{c}
 	return c
 }
 
-// leaseBounds returns how long leases can last by this daemon's clock.
+// leaseBounds returns what bounds the leases of workers.
 func (c *Core) leaseBounds() worker.LeaseBounds {
-	return worker.LeaseBounds{
-		Allowed: time.Duration(float64(c.opt.MaxLease) * leaseDriftFactor),
-		Granted: time.Duration(float64(c.longestGrant()) * leaseDriftFactor),
-	}
+	return worker.LeaseBounds{Allowed: c.opt.MaxLease, Granted: c.longestGrant(), KillTime: c.opt.StopTimeout}
 }
 
 // longestGrant returns the length of the longest lease that a holder grants.
--- a/internal/scheduler/forgotten_test.go
+++ b/internal/scheduler/forgotten_test.go
@@ -46,10 +46,10 @@
 // a change was lost with an earlier incarnation of its worker.
 func TestSpeedOrderInFlightEndsWithTheIncarnation(t *testing.T) {
 	g := NewWithT(t)
-	s := worker.NewState(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 1}, Address: "a"}, 0, 0)
+	s := worker.NewState(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 1}, Address: "a"}, 0, 0, worker.LeaseBounds{})
 	r := &worker.Run{ID: job.RunID{Task: job.TaskID{Job: crashJob}, Number: 1}, State: worker.RunConfirmed, SpeedInFlight: true, SpeedAtWorker: 50}
 	s.AddRun(r)
-	s.ReplaceIncarnation(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 2}}, time.Second, worker.LeaseBounds{})
+	s.ReplaceIncarnation(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 2}}, time.Second)
 	g.Expect(r.SpeedInFlight).To(BeFalse())
 	g.Expect(r.SpeedAtWorker).To(Equal(worker.SpeedUnknown))
 }
--- a/internal/scheduler/lateanswer_test.go
+++ b/internal/scheduler/lateanswer_test.go
@@ -79,7 +79,7 @@
 // just confirmed: if that one crashes the worker, the suspect is blamed too.
 func TestSuspectWaitsForRunThatWasConfirmedLate(t *testing.T) {
 	g := NewWithT(t)
-	s := worker.NewState(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 1}, Address: "a"}, 0, 0)
+	s := worker.NewState(worker.Listing{Incarnation: job.Incarnation{ID: "a", StartedAt: 1}, Address: "a"}, 0, 0, worker.LeaseBounds{})
 	other := &worker.Run{ID: job.RunID{Task: job.TaskID{Job: crashJob}, Number: 1}}
 	suspect := &worker.Run{ID: job.RunID{Task: job.TaskID{Job: crashJob, Index: 1}, Number: 1}, State: worker.RunOrdered, Suspect: true}
 	s.AddRun(other)
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -162,7 +162,7 @@
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
 		ws := c.workers[at.Worker.ID]
 		if ws == nil {
-			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEndAt(at.Worker.ID))
+			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEndAt(at.Worker.ID), c.leaseBounds())
 			ws.Listed = false
 			c.addWorker(ws)
 		}
--- a/internal/scheduler/unreached.go
+++ b/internal/scheduler/unreached.go
@@ -51,7 +51,7 @@
 	}
 	for id, millis := range logged.RemainingMillis {
 		// The clock of this daemon may be faster than that of the last holder.
-		remaining := time.Duration(float64(millis) * leaseDriftFactor * float64(time.Millisecond))
+		remaining := time.Duration(float64(millis) * holderDriftFactor * float64(time.Millisecond))
 		u.leasesEnd[id] = min(now+remaining, c.earlierLeasesEnd)
 		u.recordedAt = now + restoredLeasesDelay - earlierLeasesInterval
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -60,7 +60,7 @@
 	ws := c.workers[l.Incarnation.ID]
 	switch {
 	case ws == nil:
-		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID))
+		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
 		ws.EntryStartedAt = l.Incarnation.StartedAt
 		c.addWorker(ws)
 		c.wakePoll(l.Incarnation.ID)
@@ -94,7 +94,7 @@
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
 	c.recordCrash(ws, t)
-	ws.ReplaceIncarnation(l, t.Now, c.leaseBounds())
+	ws.ReplaceIncarnation(l, t.Now)
 	c.wakePoll(l.Incarnation.ID)
 	c.applyCordon(ws)
 	c.needsPlan = true
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -2,13 +2,6 @@
 
 import "time"
 
-// LeaseBounds are the longest leases that can occur, by the holder's clock.
-type LeaseBounds struct {
-	// Allowed is the longest one that a worker allows, and Granted the longest one
-	// that a holder grants.
-	Allowed, Granted time.Duration
-}
-
 // ReplaceIncarnation resets the state after another incarnation has answered to
 // the worker's ID. The runs most likely ended with the old incarnation, but an
 // order may have reached the new one before the change was known, so every run
@@ -19,13 +12,13 @@
 // lease of the old one has expired and every lease that a start which is
 // unaccounted for may have got. A further restart extends the wait only for starts
 // that were sent since.
-func (s *State) ReplaceIncarnation(l Listing, now time.Duration, longest LeaseBounds) {
+func (s *State) ReplaceIncarnation(l Listing, now time.Duration) {
 	runs, listed, entry, touched, observer := s.Runs, s.Listed, s.EntryStartedAt, s.touched, s.observer
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
-		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now, longest))
+		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now))
 	}
-	*s = *NewState(l, now, s.earlierLeasesEnd)
+	*s = *NewState(l, now, s.earlierLeasesEnd, s.bounds)
 	s.Listed, s.EntryStartedAt, s.touched = listed, entry, touched
 	s.touch()
 	s.priorLeaseExpiry = priorLeaseExpiry
@@ -48,25 +41,25 @@
 	return l.Incarnation.StartedAt < s.Incarnation.StartedAt && s.UnansweredCalls == 0
 }
 
-// strayLeaseExpiry returns when the lease has expired that a run gets if its start
+// strayLeaseExpiry returns when a run has ended under its lease if its start
 // is carried out by an incarnation other than the one that it was sent to, or 0 if
 // that cannot happen.
-func (s *State) strayLeaseExpiry(r *Run, now time.Duration, longest LeaseBounds) time.Duration {
+func (s *State) strayLeaseExpiry(r *Run, now time.Duration) time.Duration {
 	// The clock of another incarnation is behind, so that it grants what it allows.
-	maxLease := longest.Allowed
-	earlierStartsEnd := s.earlierLeasesEnd - longest.Granted + maxOrderDelay
+	longestRun := s.bounds.LongestRun(s.bounds.Allowed)
+	earlierStartsEnd := s.earlierLeasesEnd - s.bounds.LongestRun(s.bounds.Granted) + maxOrderDelay
 	switch {
 	case r.startMayArrive(now):
-		return r.StartSentAt + maxOrderDelay + maxLease
+		return r.StartSentAt + maxOrderDelay + longestRun
 	case r.startUnaccounted():
-		return now + maxLease
+		return now + longestRun
 	case r.StartSentAt > 0 && r.LastReported == 0:
 		// The answer to the start may be that of the new incarnation. One to a poll
 		// tells which incarnation has the run.
-		return now + maxLease
+		return now + longestRun
 	case r.Adopted && now < earlierStartsEnd:
 		// A start that an earlier holder sent may be unaccounted for.
-		return now + maxLease
+		return now + longestRun
 	default:
 		return 0
 	}
--- a/internal/worker/incarnation_test.go
+++ b/internal/worker/incarnation_test.go
@@ -19,18 +19,18 @@
 // restartTwice returns when the leases of a worker with the run count as expired after
 // each of two restarts.
 func restartTwice(r *Run) (afterFirst, afterNext time.Duration) {
-	s := NewState(newTestState().Listing, 0, earlierLeasesEnd)
+	s := NewState(newTestState().Listing, 0, earlierLeasesEnd, maxLeases)
 	s.AddRun(r)
-	s.ReplaceIncarnation(s.Listing, firstRestart, maxLeases)
+	s.ReplaceIncarnation(s.Listing, firstRestart)
 	afterFirst = s.priorLeaseExpiry
-	s.ReplaceIncarnation(s.Listing, nextRestart, maxLeases)
+	s.ReplaceIncarnation(s.Listing, nextRestart)
 	return afterFirst, s.priorLeaseExpiry
 }
 
 // Guards against restarts of a worker that renew the wait for its runs, and against a
 // wait that ends while a run may have a lease at the next incarnation.
 func TestRestartsExtendWaitOnlyForStartsUnaccountedFor(t *testing.T) {
-	restartLease := firstRestart + maxLease
+	restartLease := firstRestart + longestRun
 	for name, c := range map[string]struct {
 		run                   func(*Run)
 		afterFirst, afterNext time.Duration
@@ -51,7 +51,7 @@
 		},
 		"start in flight": {
 			func(r *Run) { r.StartSentAt = 18 * time.Second },
-			18*time.Second + maxOrderDelay + maxLease, 18*time.Second + maxOrderDelay + maxLease,
+			18*time.Second + maxOrderDelay + longestRun, 18*time.Second + maxOrderDelay + longestRun,
 		},
 		"never sent": {func(*Run) {}, earlierLeasesEnd, earlierLeasesEnd},
 		"started by an earlier holder long ago": {
@@ -74,13 +74,13 @@
 // may give it a lease at the next incarnation.
 func TestRestartAwaitsStartsOfEarlierHolder(t *testing.T) {
 	g := NewWithT(t)
-	s := NewState(newTestState().Listing, 0, earlierLeasesEnd)
+	s := NewState(newTestState().Listing, 0, earlierLeasesEnd, maxLeases)
 	r := newTestRun(1)
 	r.State, r.Adopted, r.LastReported = RunConfirmed, true, time.Second
 	s.AddRun(r)
-	lastStart := earlierLeasesEnd - maxLease + maxOrderDelay - time.Millisecond
-	s.ReplaceIncarnation(s.Listing, lastStart, maxLeases)
-	g.Expect(s.priorLeaseExpiry).To(Equal(lastStart + maxLease))
+	lastStart := earlierLeasesEnd - longestRun + maxOrderDelay - time.Millisecond
+	s.ReplaceIncarnation(s.Listing, lastStart)
+	g.Expect(s.priorLeaseExpiry).To(Equal(lastStart + longestRun))
 }
 
 // Guards against runs that count as lost before the lease of the old incarnation has
@@ -89,7 +89,7 @@
 	g := NewWithT(t)
 	s := newTestState()
 	s.ExtendLease(firstRestart, maxLease)
-	s.ReplaceIncarnation(s.Listing, firstRestart, maxLeases)
+	s.ReplaceIncarnation(s.Listing, firstRestart)
 	g.Expect(s.LeaseExpired(firstRestart + maxLease)).To(BeFalse())
 	g.Expect(s.LeaseExpired(firstRestart + maxLease + time.Second)).To(BeTrue())
 }
--- a/internal/worker/observer_test.go
+++ b/internal/worker/observer_test.go
@@ -27,7 +27,7 @@
 	s.AddRun(newTestRun(2))
 	g.Expect(s.Used).To(Equal(newTestRun(1).Resources.Times(2)))
 	g.Expect(u.used).To(Equal(s.Used))
-	s.ReplaceIncarnation(s.Listing, time.Minute, maxLeases)
+	s.ReplaceIncarnation(s.Listing, time.Minute)
 	g.Expect(u.used).To(Equal(s.Used))
 	s.RemoveRun(newTestRun(1).ID)
 	s.RemoveRun(newTestRun(1).ID)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -7,16 +7,10 @@
 )
 
 const (
-	// maxClockDrift is the fraction by which a worker's clock may run slower
-	// than the holder's.
-	maxClockDrift = 0.02
 	// maxClockOffset is how far a worker's clock may seem to deviate because of
 	// the duration of calls. A larger deviation means that another incarnation
 	// answered.
 	maxClockOffset = 1500 * time.Millisecond
-	// expiryMargin is added to the end of a lease before the lease counts as
-	// expired.
-	expiryMargin = 50 * time.Millisecond
 	// maxOrderDelay is how long after it was sent an unanswered order may still
 	// be carried out by another incarnation of the worker.
 	maxOrderDelay = 15 * time.Second
@@ -64,11 +58,12 @@
 	// leaseUntil is the latest lease end that an order of this holder named, in
 	// milliseconds of the worker's clock.
 	leaseUntil int64
-	// earlierLeasesEnd is when leases that an earlier holder may have granted
-	// have expired, unless the worker has restarted since.
+	bounds     LeaseBounds
+	// earlierLeasesEnd is when the runs have ended whose leases an earlier holder may
+	// have granted, unless the worker has restarted since.
 	earlierLeasesEnd time.Duration
-	// priorLeaseExpiry is when leases that an earlier holder may have granted
-	// have expired, and those that runs of an earlier incarnation may have.
+	// priorLeaseExpiry is the same, and for the leases that runs of an earlier incarnation
+	// may have.
 	priorLeaseExpiry time.Duration
 
 	// LastEndSeen is the number of the last end that was processed,
@@ -94,15 +89,16 @@
 }
 
 // NewState returns the state of a worker that has not been polled yet.
-// earlierLeasesEnd is when the last lease that an earlier holder may have
-// granted has expired.
-func NewState(l Listing, now, earlierLeasesEnd time.Duration) *State {
+// earlierLeasesEnd is when the last run has ended whose lease an earlier holder may have
+// granted.
+func NewState(l Listing, now, earlierLeasesEnd time.Duration, b LeaseBounds) *State {
 	return &State{
 		Listing:          l,
 		Listed:           true,
 		Runs:             map[job.RunID]*Run{},
 		workerClock:      l.Clock,
 		workerClockAt:    now,
+		bounds:           b,
 		earlierLeasesEnd: earlierLeasesEnd,
 		priorLeaseExpiry: earlierLeasesEnd,
 	}
@@ -277,46 +273,3 @@
 	}
 	s.UnansweredCalls++
 }
-
-// ExtendLease returns the end of a lease of the given length from now on, in
-// milliseconds of the worker's clock, and records that an order names it. A
-// lease is never shortened.
-func (s *State) ExtendLease(now, length time.Duration) int64 {
-	end := s.workerClock + (now - s.workerClockAt + length).Milliseconds()
-	s.leaseUntil = max(s.leaseUntil, end)
-	return s.leaseUntil
-}
-
-// LeaseRemaining returns the least time that is left of the lease by the
-// worker's clock.
-func (s *State) LeaseRemaining(now time.Duration) time.Duration {
-	return time.Duration(s.leaseUntil-s.workerClock)*time.Millisecond - (now - s.workerClockAt)
-}
-
-// PriorLeaseRemaining returns how long leases that an earlier holder may have
-// granted can still last.
-func (s *State) PriorLeaseRemaining(now time.Duration) time.Duration {
-	return max(0, s.priorLeaseExpiry-now)
-}
-
-// OnlyEarlierLeases reports whether the worker has not been reached and may hold no
-// lease that lasts longer than those of earlier holders.
-func (s *State) OnlyEarlierLeases() bool {
-	return !s.Fenced && s.leaseUntil == 0 && s.priorLeaseExpiry == s.earlierLeasesEnd
-}
-
-// LeaseExpired reports whether every lease that this incarnation may hold has
-// expired, so that no run ordered before is active there.
-func (s *State) LeaseExpired(now time.Duration) bool {
-	return now >= s.priorLeaseExpiry && now > s.leaseExpiry()
-}
-
-// leaseExpiry returns when the leases that orders of this holder named to this
-// incarnation have expired, or 0 if none named one.
-func (s *State) leaseExpiry() time.Duration {
-	if s.leaseUntil == 0 {
-		return 0
-	}
-	remaining := time.Duration(s.leaseUntil-s.workerClock)*time.Millisecond + expiryMargin
-	return s.workerClockAt + time.Duration(float64(remaining)/(1-maxClockDrift))
-}
--- a/internal/worker/state_test.go
+++ b/internal/worker/state_test.go
@@ -10,10 +10,17 @@
 	"greengagedeck/internal/job"
 )
 
-const maxLease = 6 * time.Second
+const (
+	maxLease = 6 * time.Second
+	killTime = 200 * time.Millisecond
+)
 
-// maxLeases are those of a holder that grants what workers allow.
-var maxLeases = LeaseBounds{Allowed: maxLease, Granted: maxLease}
+// maxLeases are those of a holder that grants what workers allow, and longestRun how long a
+// run can be active under one.
+var (
+	maxLeases  = LeaseBounds{Allowed: maxLease, Granted: maxLease, KillTime: killTime}
+	longestRun = maxLeases.LongestRun(maxLease)
+)
 
 func newTestRun(number int) *Run {
 	id := job.RunID{Task: job.TaskID{Job: "00000000000000aa"}, Number: number}
@@ -21,7 +28,7 @@
 }
 
 func newTestState() *State {
-	return NewState(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 1}, Capacity: job.Resources{CPU: 4000, MemoryMB: 100}, Clock: 10_000}, 0, 0)
+	return NewState(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 1}, Capacity: job.Resources{CPU: 4000, MemoryMB: 100}, Clock: 10_000}, 0, 0, maxLeases)
 }
 
 func TestRunsHoldResourcesUntilRemoved(t *testing.T) {
@@ -38,7 +45,10 @@
 
 // TestLeaseExpiresOnlyByWorkersClock checks that a lease counts as
 // expired only once it has expired by the worker's clock, for any drift up to
-// maxClockDrift.
+// maxClockDrift, and the worker has had the time to end its runs.
+//
+// Guards against a task that runs twice (TWICE): its worker ended the run of an expired lease
+// later than its holder had the next one started elsewhere.
 func TestLeaseExpiresOnlyByWorkersClock(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newTestState()
@@ -60,8 +70,8 @@
 			until = end
 		}
 		for step := now; step < now+20*time.Second; step += 50 * time.Millisecond {
-			if s.LeaseExpired(step) && worker(step) < until {
-				rt.Fatalf("expired at %v, though the worker's clock reads %d of %d", step, worker(step), until)
+			if s.LeaseExpired(step) && worker(step-killTime) < until {
+				rt.Fatalf("expired at %v, though the worker's clock read %d of %d when it may have begun to end its runs", step, worker(step-killTime), until)
 			}
 		}
 		if !s.LeaseExpired(now + time.Minute) {
@@ -72,7 +82,7 @@
 
 func TestPriorLeaseAwaited(t *testing.T) {
 	g := NewWithT(t)
-	s := NewState(Listing{Clock: 10_000}, 0, maxLease)
+	s := NewState(Listing{Clock: 10_000}, 0, maxLease, maxLeases)
 	g.Expect(s.LeaseExpired(maxLease - time.Millisecond)).To(BeFalse())
 	g.Expect(s.LeaseExpired(maxLease + time.Second)).To(BeTrue())
 }
@@ -118,7 +128,7 @@
 	s.AddRun(confirmed)
 	s.AddRun(unanswered)
 	s.Fenced = true
-	s.ReplaceIncarnation(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 2}, Clock: 50}, 2*time.Second, maxLeases)
+	s.ReplaceIncarnation(Listing{Incarnation: job.Incarnation{ID: "w", StartedAt: 2}, Clock: 50}, 2*time.Second)
 	g.Expect(s.Fenced).To(BeFalse())
 	g.Expect(s.Runs).To(HaveLen(2))
 	g.Expect(confirmed.StartUnanswered).To(BeFalse())
