Name the end of a lease by how slow the worker's clock may be

Cause: a holder names the end of a lease by its last reading of the worker's clock, as if that clock had run at its own speed since. Idle workers are not polled, so a reading may be minutes old: on a slow clock each minute makes the lease 1.2 s longer than its length, and a successor, which counts on at most 6 s, starts the task while the worker goes on (TWICE). Change: the worker's clock counts as slow since the last reading. A start waits for a new reading if the last one is older than 30 s.

Callers: the first start on a worker that was idle for 30 s waits for one poll, 50 ms at most where the worker answers; a lease by an older reading is up to 0.6 s shorter until the next poll.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -169,10 +169,11 @@
 	return s.LastAnswer < needed
 }
 
-// HoldsStart reports whether a run that AwaitsAnswer is about is not to be started now:
-// its worker has not answered yet, or not recently, so that it may be gone.
+// HoldsStart reports whether a run is not to be started now: the last reading of the worker's
+// clock is too old to name the end of a lease by, or the run is one that AwaitsAnswer is about,
+// and its worker has not answered yet, or not recently, so that it may be gone.
 func (s *State) HoldsStart(r *Run, now time.Duration) bool {
-	if s.AwaitsAnswer(r) {
+	if s.AwaitsAnswer(r) || r.State == RunOrdered && s.readingAge(now) > maxReadingAge {
 		return true
 	}
 	return (r.Suspect || r.Verified) && r.State == RunOrdered && r.StartSentAt == 0 && !s.answeredRecently(now)
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -9,6 +9,9 @@
 	// expiryMargin is added to the end of a lease before the lease counts as
 	// expired.
 	expiryMargin = 50 * time.Millisecond
+	// maxReadingAge is the age of the last reading of a worker's clock up to which it serves
+	// to name the end of a lease: each second of it may shorten the lease by maxClockDrift.
+	maxReadingAge = 30 * time.Second
 )
 
 // LeaseBounds are the longest leases that can occur, by the clocks of workers.
@@ -33,15 +36,27 @@
 	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
-// ExtendLease returns the end of a lease of the given length from now on, in
+// shortestByWorker returns the shortest time by a worker's clock in which the holder's clock
+// advances by d.
+func shortestByWorker(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - maxClockDrift))
+}
+
+// ExtendLease returns the end of a lease of at most the given length from now on, in
 // milliseconds of the worker's clock, and records that an order names it. A
 // lease is never shortened.
+//
+// The worker's clock is taken to have been slow since its last reading, so that no lease lasts
+// longer than the next holder of the pool assumes, however old the reading is.
 func (s *State) ExtendLease(now, length time.Duration) int64 {
-	end := s.workerClock + (now - s.workerClockAt + length).Milliseconds()
+	end := s.workerClock + (shortestByWorker(now-s.workerClockAt) + length).Milliseconds()
 	s.leaseUntil = max(s.leaseUntil, end)
 	return s.leaseUntil
 }
 
+// readingAge returns the age of the last reading of the worker's clock.
+func (s *State) readingAge(now time.Duration) time.Duration { return now - s.workerClockAt }
+
 // LeaseRemaining returns the least time that is left of the lease by the
 // worker's clock.
 func (s *State) LeaseRemaining(now time.Duration) time.Duration {
--- a/internal/worker/state_test.go
+++ b/internal/worker/state_test.go
@@ -80,6 +80,24 @@
 	})
 }
 
+// Guards against a task that runs twice after a takeover (TWICE): the earlier holder named the
+// end of a lease by an old reading of a slow clock, so that it lasted longer than the next
+// holder waited.
+func TestNoLeaseOutlastsWhatTheNextHolderAwaits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newTestState()
+		rate := rapid.Float64Range(1-maxClockDrift, 1).Draw(rt, "rate")
+		clock := func(now time.Duration) int64 { return 10_000 + int64(float64(now.Milliseconds())*rate) }
+		read := time.Duration(rapid.IntRange(0, 60_000).Draw(rt, "read_ms")) * time.Millisecond
+		s.RecordAnswer(clock(read), read)
+		granted := read + time.Duration(rapid.IntRange(0, 600_000).Draw(rt, "age_ms"))*time.Millisecond
+		until := s.ExtendLease(granted, maxLease)
+		if ended := granted + longestRun; clock(ended-killTime) < until {
+			rt.Fatalf("the lease ends at %d, and the clock reads %d when its runs have to be ended", until, clock(ended-killTime))
+		}
+	})
+}
+
 func TestPriorLeaseAwaited(t *testing.T) {
 	g := NewWithT(t)
 	s := NewState(Listing{Clock: 10_000}, 0, maxLease, maxLeases)
