Conclude nothing from an answer with a row of an active run that can't be read

Cause: a malformed row of the active runs in a worker's answer was logged and left out, and the run then counted as one that the worker no longer lists: its task started elsewhere (found by reading; class of the reported TWICE). Change: such an answer is partial, like one with 500 ends.

Callers: while a worker sends such rows, runs that it doesn't list keep their place.

--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -106,8 +106,9 @@
 	Clock     int64
 	Running   []RunStatus
 	Ended     []RunEnd
-	// Partial is set if the worker may have more ends to list than one answer holds. A
-	// run that such a report does not list may have ended in any way.
+	// Partial is set if the worker may have more ends to list than one answer holds, or if a
+	// row with an active run could not be read. A run that such a report does not list may be
+	// active or have ended in any way.
 	Partial bool
 	// Unacknowledged is set if the poll that was answered acknowledged nothing, whatever was
 	// requested.
