Count the lease that a restarted worker takes from a poll to its earlier process

Cause: the end of a lease is named by the worker's clock, which counts anew after a restart. A poll that extends the lease of the process before may be carried out by the next one, which then takes the longest lease that it allows (10 s on the platform's larger settings), while the holder counts on the 5 s that it names itself. If the worker is lost then, its tasks started elsewhere up to 5 s too early (TWICE). Change: a holder that sees from the answer to such a poll that another process has answered waits for the longest lease that workers allow.

Callers: tasks wait for up to 10.5 s instead of 5.4 s if their worker restarted between two polls and was lost within 10 s after.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -184,6 +184,9 @@
 		listing.Clock = report.Clock
 		later := report.StartedAt > ws.Incarnation.StartedAt
 		c.workerRestarted(ws, listing, t)
+		if p.Request.LeaseUntil > 0 {
+			ws.RecordStrayLease(t.Now)
+		}
 		// Only the list tells what capacity the next incarnation has.
 		ws.Listed = ws.Listed && !later
 		c.touch(p.Worker)
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -57,6 +57,12 @@
 // readingAge returns the age of the last reading of the worker's clock.
 func (s *State) readingAge(now time.Duration) time.Duration { return now - s.workerClockAt }
 
+// RecordStrayLease records that this incarnation has carried out an order that named the end of
+// a lease by the clock of an earlier one: it may have taken the longest lease that it allows.
+func (s *State) RecordStrayLease(now time.Duration) {
+	s.priorLeaseExpiry = max(s.priorLeaseExpiry, now+s.bounds.LongestRun(s.bounds.Allowed))
+}
+
 // LeaseRemaining returns the least time that is left of the lease by the
 // worker's clock.
 func (s *State) LeaseRemaining(now time.Duration) time.Duration {
