Log what a holder goes by when it takes a run for ended

Cause: a task ran twice at once, and no line told by what the holder had taken the first run for ended, nor that the worker still had it. No decision changes.

--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -76,7 +76,7 @@
 	if held && (!own || c.Token != token) {
 		delete(e.held, n)
 		e.claimsLost.Inc(1)
-		e.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(token)).Int64("newer_token", int64(c.Token)).Str("holder", c.Holder.ID()).Msg("duty lost")
+		e.logLost(n, token, c)
 		e.opt.Observer.Lost(n, token)
 	}
 	if own && e.held[n] != c.Token {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -54,7 +54,7 @@
 	}
 	j := c.jobs[s.run.Task.Job]
 	if ws.Incarnation != s.worker || j == nil || r.Stopping || j.Redundant(s.run) {
-		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		c.endUnseen(ws, r, unseenStartNotSent, t)
 		return false
 	}
 	c.logPlaced(j, r, ws, t.Now)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -100,6 +100,7 @@
 	demand  demand.Estimate
 	health  map[string]*workerHealth
 	crashes crashMonitor
+	unseen  unseenEnds
 	// durationRatios tell, by entry, how long tasks take relative to their
 	// estimates.
 	durationRatios map[string]*durationRatio
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -127,6 +127,18 @@
 		Msg("runs of a worker that does not answer are kept until its lease expires")
 }
 
+// logLeaseExpired logs that a run counts as lost since its worker's leases have expired, and
+// what that was decided by.
+func (c *Core) logLeaseExpired(ws *worker.State, r *worker.Run, now time.Duration) {
+	basis := ws.LeaseBasis(now)
+	e := c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
+		Dur("silent", now-ws.LastAnswer).Dur("reading_age", basis.ReadingAge).Dur("prior_lease_over", basis.PriorOver)
+	if basis.Granted {
+		e.Dur("lease_at_reading", basis.LeftAtReading).Dur("lease_over", basis.Over)
+	}
+	e.Msg("lease of an unreachable worker expired, run counts as lost")
+}
+
 // logPlaced logs that a run is in the log and its start will be sent.
 func (c *Core) logPlaced(j *trackedJob, r *worker.Run, ws *worker.State, now time.Duration) {
 	if !c.admits(msgRunPlaced) {
@@ -158,6 +170,9 @@
 	}
 	e := c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).
 		Str("how", string(reason)).Dur("ran", now-r.StateSince).Bool("confirmed", r.State == worker.RunConfirmed)
+	if unseen, ok := c.unseen.byRun[r.ID]; ok {
+		e.Str("ended_for", string(unseen.reason))
+	}
 	if r.StopReason != "" {
 		e.Str("stopped_for", r.StopReason)
 	}
--- a/internal/scheduler/manager.go
+++ b/internal/scheduler/manager.go
@@ -94,7 +94,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.opt.Logger.Warn().Err(err).Str("duty", string(n)).Int64("token", int64(p.token)).Msg("scheduling the pool stopped on an error, giving up its duty")
+	m.opt.Logger.Warn().Err(err).Str("duty", string(n)).Int64("token", int64(p.token)).Dur("remaining", m.opt.Lease.Remaining(n, p.token)).Msg("scheduling the pool stopped on an error, giving up its duty")
 	if clock.Sleep(ctx, minHoldTime-time.Since(started)) {
 		m.opt.GiveUp(ctx, n, p.token)
 	}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -24,6 +24,7 @@
 	appendDuration                           tally.Histogram
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
+	unseen                                   unseenCounters
 	// jobsTakenBack counts the jobs that were taken back before the log held them.
 	jobsTakenBack tally.Counter
 	// poolScope has the pool's tag.
@@ -72,6 +73,7 @@
 		appendDuration:         scope.Histogram("append_seconds", appendBuckets),
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(poolScope),
+		unseen:                 newUnseenCounters(scope),
 		poolScope:              poolScope,
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -121,7 +121,7 @@
 	case errors.Is(err, worker.ErrWorkerReplaced):
 		if !r.StartUnanswered {
 			// No worker has started the run, so no crash is its fault.
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.endUnseen(ws, r, unseenStartNotCarriedOut, t)
 		}
 		c.addressReassigned(ws, t)
 		return false
@@ -132,7 +132,7 @@
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
 		ws.RecordUnanswered(t.Now)
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start did not reach the worker")
-		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		c.endUnseen(ws, r, unseenStartNotCarriedOut, t)
 		return false
 	default:
 		if !r.StartUnanswered {
@@ -191,7 +191,7 @@
 		c.requestStop(ws, r, "start rejected after an earlier start got no answer")
 		return
 	}
-	c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+	c.endUnseen(ws, r, unseenStartRejected, t)
 }
 
 // checkFenced reports whether a rejection shows that another daemon holds the
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -36,6 +36,8 @@
 	// since then.
 	CheckpointsDropped int64
 
+	// unseen counts the runs that counted as ended without a report since then.
+	unseen unseenCounts
 	starts []plannedStart
 	jobs   map[*trackedJob]jobVersion
 	// encoded are the keys of jobs in the order in which they were encoded.
@@ -94,6 +96,7 @@
 	b := &Batch{JobDurations: c.jobDurations, CorrelatedCrashes: c.crashes.found, jobs: map[*trackedJob]jobVersion{}, ends: map[string]endPosition{}}
 	b.ExcessJobs, b.CheckpointsDropped = c.excessJobs, c.checkpointsDropped
 	c.jobDurations, c.crashes.found, c.excessJobs, c.checkpointsDropped = nil, 0, 0, 0
+	b.unseen = c.unseen.takeCounts()
 	c.place(b, t, checkHealth)
 	b.Work.Workers = c.index.refreshed
 	c.index.refreshed = 0
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -165,7 +165,7 @@
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers at the worker's address")
 	c.recordCrash(ws, t)
 	for _, r := range sortedRuns(ws) {
-		c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+		c.endUnseen(ws, r, unseenAddressReassigned, t)
 	}
 	c.removeWorker(ws.Incarnation.ID)
 	c.wakePoll(ws.Incarnation.ID)
@@ -229,6 +229,7 @@
 		ws.LastEndSeen = e.Number
 		c.index.unlogged[ws.Incarnation.ID] = true
 		c.noteStarted(e.Run, ws.Incarnation.ID)
+		c.noteReported(e.Run, ws, string(e.Reason), t.Now)
 		if r := ws.Runs[e.Run]; r != nil {
 			c.recordEnd(ws, r, e.Reason, e.Checkpoint, t)
 		}
@@ -244,6 +245,7 @@
 		active[row.Run] = true
 		r := ws.Runs[row.Run]
 		if r == nil {
+			c.noteReported(row.Run, ws, reportedActive, now)
 			r = c.stopUnknownRun(ws, row, now)
 		}
 		if r.State != worker.RunConfirmed {
@@ -339,17 +341,17 @@
 		case firstAnswer && r.StartSentAt == 0:
 			// The answer fenced off every earlier holder, so a run of theirs
 			// that is not there was never started and never will be.
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered:
 			// Its order went to an earlier incarnation and may still arrive.
 			c.requestStop(ws, r, "worker restarted before it answered a start")
 		case r.State == worker.RunConfirmed && r.StateSince < p.Sent:
 			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", p.Worker).Msg("worker no longer lists a run that it confirmed")
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.endUnseen(ws, r, unseenNotListed, t)
 		case r.StopAnsweredAt > 0 && r.StopAnsweredAt+c.opt.StopTimeout < p.Sent:
 			// The stop keeps a start that is still in transit from taking
 			// effect.
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.endUnseen(ws, r, unseenNotListedAfterStop, t)
 		}
 	}
 }
--- a/internal/scheduler/replacedworker.go
+++ b/internal/scheduler/replacedworker.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"greengagedeck/internal/job"
 	"greengagedeck/internal/worker"
 )
 
@@ -31,7 +30,7 @@
 		c.opt.Logger.Info().Str("worker", id).Str("on", ws.Host).Str("newer", newest[ws.Host].Incarnation.ID).Int("runs", len(ws.Runs)).Msg("another worker answers on the worker's host")
 		c.recordCrash(ws, t)
 		for _, r := range sortedRuns(ws) {
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.endUnseen(ws, r, unseenHostReassigned, t)
 		}
 		c.dropIdle(id)
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -320,6 +320,7 @@
 	for _, duration := range b.JobDurations {
 		r.metrics.jobDuration.RecordDuration(duration)
 	}
+	r.metrics.unseen.record(b.unseen)
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
 	r.metrics.grantWaits.Inc(b.GrantWaits)
 	r.metrics.excessJobs.Inc(b.ExcessJobs)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -27,6 +27,7 @@
 				r.opt.Logger.Error().Err(err).Msg("ignoring a malformed progress record")
 			}
 			r.core.Restore(page.Records, r.times())
+			r.core.logEarlierLeases(r.opt.Clock.Now())
 			r.core.DeleteStale(page.Stale)
 			return nil
 		}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -297,8 +297,8 @@
 			if r.State == worker.RunPlanned {
 				continue
 			}
-			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", id).Dur("silent", t.Now-ws.LastAnswer).Msg("lease of an unreachable worker expired, run counts as lost")
-			c.recordEnd(ws, r, job.EndWorkerLost, "", t)
+			c.logLeaseExpired(ws, r, t.Now)
+			c.endUnseen(ws, r, unseenLeaseExpired, t)
 		}
 		c.dropIdle(id)
 	}
