--- a/internal/scheduler/export_unseenend_test.go
+++ b/internal/scheduler/export_unseenend_test.go
@@ -33,3 +33,6 @@
 	}
 	return len(u.byRun)
 }
+
+// LogEarlierLeases logs how long a core waits for the leases of earlier holders.
+func LogEarlierLeases(c *Core, now time.Duration) { c.logEarlierLeases(now) }
--- a/internal/scheduler/unseenend_test.go
+++ b/internal/scheduler/unseenend_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"greengagedeck/internal/job"
+	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/scheduler"
 	"greengagedeck/internal/worker"
 )
@@ -94,3 +95,25 @@
 	g.Expect(scheduler.RememberedUnseenEnds(runs, 0)).To(Equal(scheduler.MaxUnseenEnds))
 	g.Expect(scheduler.RememberedUnseenEnds(runs, scheduler.UnseenEndWindow)).To(Equal(1))
 }
+
+// After a task ran twice it could not be told which leases its second holder had waited for.
+func TestTakeoverLogsLeasesOfEarlierHolders(t *testing.T) {
+	g := NewWithT(t)
+	log := &bytes.Buffer{}
+	c := scheduler.NewCore(scheduler.Options{
+		Pool: simPool, Token: 7, PreviousToken: 6, MaxLease: simMaxLease, EarlierHolders: simDutyLease, Logger: zerolog.New(log),
+	}, time.Hour)
+	record := &joblog.EarlierLeases{Token: 6, RemainingMillis: map[string]int64{"a": 1000}}
+	now := time.Hour + 100*time.Millisecond
+	c.Restore([]joblog.ProgressRecord{{EarlierLeases: record}}, scheduler.Times{Now: now})
+	scheduler.LogEarlierLeases(c, now)
+	lines := linesWith(g, log, "workers may hold leases of earlier holders")
+	g.Expect(lines).To(HaveLen(1))
+	remaining := scheduler.EarlierLeasesEnd(c) - now
+	g.Expect(lines[0]).To(And(
+		HaveKeyWithValue("token", BeNumerically("==", 7)), HaveKeyWithValue("previous_token", BeNumerically("==", 6)),
+		HaveKeyWithValue("earlier_holders", BeNumerically("==", simDutyLease.Milliseconds())),
+		HaveKeyWithValue("leases_remaining", BeNumerically("~", remaining.Milliseconds(), 1)),
+		HaveKeyWithValue("recorded_workers", BeNumerically("==", 1)),
+		HaveKeyWithValue("recorded_remaining", BeNumerically(">=", 1000))))
+}
