Hand over no list of orders that a holder of the fleet duty does not know

Cause: a holder that ended while it still waited for its predecessor's orders told the next one that there had been none; and the record of an earlier period in which the same host held the duty was taken for that of the last one. Change: a session hands over ages of orders only once its takeover is complete, and also those that it goes by itself; the record and the predecessor carry the token.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -209,7 +209,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = cancel
-	predecessor := fleet.Predecessor{Holder: g.Previous.Holder.Host, ID: g.Previous.Holder.ID(), Released: g.Previous.Released, LeaseRemaining: g.PriorLeaseRemaining}
+	predecessor := fleet.Predecessor{Holder: g.Previous.Holder.Host, ID: g.Previous.Holder.ID(), Token: int64(g.Previous.HolderToken), Released: g.Previous.Released, LeaseRemaining: g.PriorLeaseRemaining}
 	if predecessor.Holder == f.host {
 		predecessor.Holder = ""
 	}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -88,7 +88,7 @@
 	// StepDown stops the controller if its token is lower, waits until none of
 	// its orders is in progress and returns the ages of the recent ones. It must
 	// be set before Register.
-	StepDown func(token int64) map[string]time.Duration
+	StepDown func(token int64) (map[string]time.Duration, error)
 
 	mu sync.Mutex
 	// highestToken is the highest fencing token of all orders received so far.
@@ -119,7 +119,8 @@
 		if err := record.Decode(body, &q); err != nil {
 			return nil, err
 		}
-		return StepDownResponse{OrderAges: a.StepDown(q.Token)}, nil
+		ages, err := a.StepDown(q.Token)
+		return StepDownResponse{OrderAges: ages}, err
 	})
 }
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
@@ -137,6 +138,8 @@
 	orderSlots   chan struct{}
 	orderLimiter *rate.Limiter
 	orderGroup   sync.WaitGroup
+	// takenOver is set once the orders of earlier holders are known.
+	takenOver bool
 	// cancel ends the session, and ended is closed once no order is in progress.
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -148,6 +151,8 @@
 	// was this daemon. ID identifies its process.
 	Holder string
 	ID     string
+	// Token is the token under which it held the duty, or 0 if it is not known.
+	Token int64
 	// Released is set if it released the duty.
 	Released bool
 	// LeaseRemaining is how long its lease may still last. Until then it may send
@@ -183,6 +188,7 @@
 		return
 	}
 	s.takeOver(ctx, predecessor)
+	s.takenOver = ctx.Err() == nil
 	for ctx.Err() == nil {
 		wait := decisionInterval
 		if s.decideAndOrder(ctx) {
@@ -192,7 +198,9 @@
 	}
 	s.orderGroup.Wait()
 	close(s.ended)
-	s.writeHandover()
+	if s.takenOver {
+		s.writeHandover()
+	}
 }
 
 // begin makes a session the current one, unless a higher token is known.
@@ -210,20 +218,26 @@
 // StepDown ends the current session if its token is lower than that of a new
 // holder, and waits until none of its orders is in progress. It returns the ages of
 // its recent orders. No order is sent under a lower token from then on.
-func (c *Controller) StepDown(token int64) map[string]time.Duration {
+func (c *Controller) StepDown(token int64) (map[string]time.Duration, error) {
 	c.mu.Lock()
 	c.highestToken = max(c.highestToken, token)
 	s := c.current
 	c.mu.Unlock()
 	if s == nil || s.issuer.Token >= token {
-		return nil
+		return nil, nil
 	}
 	s.opt.Logger.Info().Int64("token", s.issuer.Token).Int64("newer_token", token).Msg("a newer holder of the fleet duty is known, this daemon stops moving hosts")
 	s.cancel()
 	<-s.ended
-	return s.orderAges()
+	if !s.takenOver {
+		return nil, errNotTakenOver
+	}
+	return s.orderAges(), nil
 }
 
+// errNotTakenOver means that a session ended before it knew the orders of earlier holders.
+var errNotTakenOver = eris.New("the orders of earlier holders are not known")
+
 // takeOver loads the progress of the waves and makes sure that no order of the
 // predecessor is still being carried out: hosts do not check fencing tokens.
 // Only the hosts with recent orders are paused, if the predecessor has left a
@@ -243,7 +257,7 @@
 	if predecessor.Holder == "" {
 		return
 	}
-	if predecessor.Released && recent != nil && recent.Holder == predecessor.Holder {
+	if predecessor.Released && recent != nil && recent.Holder == predecessor.Holder && recent.Token == predecessor.Token {
 		s.pauseOrdered(recent.OrderAges)
 		return
 	}
@@ -321,7 +335,7 @@
 func (s *session) writeHandover() {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	e, err := handoverEntry(handoverRecord{Holder: s.issuer.Holder, OrderAges: s.orderAges()})
+	e, err := handoverEntry(handoverRecord{Holder: s.issuer.Holder, Token: s.issuer.Token, OrderAges: s.orderAges()})
 	if err == nil {
 		_, err = s.opt.Log.Append(ctx, fleetPartition, []logstore.Entry{e}, logstore.Condition{})
 	}
@@ -345,6 +359,13 @@
 	for host := range s.pending {
 		out[host] = 0
 	}
+	for host, until := range s.pausedUntil {
+		// The order of an earlier holder.
+		age := s.opt.OrderSeparation + takeoverMargin - (until - now)
+		if other, known := out[host]; until > now && (!known || age < other) {
+			out[host] = age
+		}
+	}
 	return out
 }
 
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -147,7 +147,11 @@
 			<-ctx.Done()
 			return eris.New("no answer")
 		}
-		*resp.(*StepDownResponse) = StepDownResponse{OrderAges: p.predecessor.StepDown(q.Token)}
+		ages, err := p.predecessor.StepDown(q.Token)
+		if err != nil {
+			return err
+		}
+		*resp.(*StepDownResponse) = StepDownResponse{OrderAges: ages}
 	}
 	return nil
 }
@@ -254,7 +258,9 @@
 		clock := bubbleClock{time.Now()}
 		cloud := newTestCloud(clock)
 		c := newTestController("old", cloud, &testPools{cloud: cloud}, logtest.New())
-		g.Expect(c.StepDown(2)).To(BeEmpty())
+		ages, err := c.StepDown(2)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(ages).To(BeEmpty())
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		c.Run(ctx, 1, testLeaseUntil{clock, time.Hour}, Predecessor{})
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -81,6 +81,8 @@
 	// OrderAges is how long ago the last order for each host ended, for hosts
 	// with a recent order. It is 0 if the outcome of the order is unknown.
 	OrderAges map[string]time.Duration `cbor:"2,keyasint,omitempty"`
+	// Token is the token under which it held the duty.
+	Token int64 `cbor:"3,keyasint,omitempty"`
 }
 
 const handoverKey = "handover"
