Take no idle worker that is gone for the newer one on a host

Cause: the runs of a silent worker end at once when another worker on its host answers that first did so later. A restart under the same ID resets when a worker last answered, so that any worker counted as later, also one that is gone and, being idle, not polled: runs that a late start may give to the restarted worker were started again (TWICE, found by reading). Change: the other worker must have first answered after the restart became known.

--- a/internal/scheduler/replacedworker.go
+++ b/internal/scheduler/replacedworker.go
@@ -52,9 +52,9 @@
 }
 
 // replaces reports whether one worker on a host has replaced another: it first answered
-// after the other had last answered. One host runs one worker at a time, so the other has
+// after the other had last answered, or had been found restarted. One host runs one worker at a time, so the other has
 // ended, with all of its runs. The list alone does not show that: other programs write to
 // it, and the times in it are times of day, which may be set back.
 func replaces(newer, ws *worker.State) bool {
-	return newer != nil && newer != ws && newer.FencedAt > ws.LastAnswer
+	return newer != nil && newer != ws && newer.FencedAt > max(ws.LastAnswer, ws.RestartedAt)
 }
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -21,6 +21,7 @@
 	*s = *NewState(l, now, s.earlierLeasesEnd, s.bounds)
 	s.Listed, s.EntryStartedAt, s.touched = listed, entry, touched
 	s.touch()
+	s.RestartedAt = now
 	s.priorLeaseExpiry = priorLeaseExpiry
 	for _, r := range runs {
 		r.carryOver(now)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -74,8 +74,9 @@
 	// UnansweredCalls counts the calls in a row without an answer, SilentSince is when the first failed.
 	UnansweredCalls int
 	SilentSince     time.Duration
-	// LastAnswer is when the worker last answered a call.
-	LastAnswer time.Duration
+	// LastAnswer is when the worker last answered a call, and RestartedAt when this
+	// incarnation was found in place of another one, or 0.
+	LastAnswer, RestartedAt time.Duration
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
 	// leases expired while the worker was silent and listed.
 	Lapsed []*Run
