Keep room at customers' limits for all that the last holder of a pool may run

Cause: a pool without a holder was taken to run nothing after the longest lease, 5% and a stop. Its last holder may act, and grant leases, for 2.5 s more after its release (found by reading). Change: the duty's lease is added, and the lease counts as elsewhere.

Callers: room of a pool that nobody holds is free 2.3 s later.

--- a/cmd/greengaged/fleetlimits.go
+++ b/cmd/greengaged/fleetlimits.go
@@ -13,6 +13,7 @@
 	"greengagedeck/internal/peer"
 	"greengagedeck/internal/policy"
 	"greengagedeck/internal/scheduler"
+	"greengagedeck/internal/worker"
 	"greengagedeck/platform"
 )
 
@@ -32,10 +33,11 @@
 }
 
 // maxOrphanedRun returns how long a pool has to be without a holder until all its runs have
-// ended: the longest lease of a worker, by a clock that may be slow, and the stop after it.
+// ended: the last holder may act for as long as its duty's lease, and grant the longest lease
+// of a worker.
 func maxOrphanedRun(settings platform.Settings) time.Duration {
-	const clockDrift = 1.05
-	return time.Duration(float64(settings.MaxLease)*clockDrift) + settings.StopTime
+	b := worker.LeaseBounds{KillTime: settings.StopTime}
+	return duty.DefaultLease + b.LongestRun(settings.MaxLease)
 }
 
 func newCustomerLimits(settings platform.Settings, self duty.Member, p *policy.Current, n *peer.Node, dir *memberResolver, log logstore.Log, cl clock.Clock, l zerolog.Logger, m metrics) *customerLimits {
