Have stand-in workers end runs late on slow clocks, and cut them off around lease ends

Cause: stand-in workers ended runs at the exact end of a lease on exact clocks, so that the soak could not draw a task that runs twice around the end of a lease. Change: worker clocks run up to 2% slow, a run whose lease has expired ends up to 200 ms later and counts as active until then; workers can lose answers, answer late, and be hidden from successors by token; reads of the log can end empty without a look at the end of the wait.

--- a/internal/logstore/logtest/log.go
+++ b/internal/logstore/logtest/log.go
@@ -47,6 +47,9 @@
 	// Delay is the time before the call is executed, and ResponseDelay the
 	// time that its response takes.
 	Delay, ResponseDelay time.Duration
+	// Unwatched is the last part of the wait of a read in which the log does not look for
+	// records: the read ends empty though some have come.
+	Unwatched time.Duration
 	// Rejected calls are not executed and fail with the verdict not-run.
 	Rejected bool
 	// NoResponse calls get no response. If Executed is set, they are executed
@@ -306,7 +309,11 @@
 	if err != nil {
 		return logstore.Batch{}, err
 	}
-	b, err := c.log.readOrWait(ctx, p, from, wait)
+	watched := max(0, wait-f.Unwatched)
+	b, err := c.log.readOrWait(ctx, p, from, watched)
+	if err == nil && len(b.Records) == 0 && !clock.Sleep(ctx, wait-watched) {
+		return logstore.Batch{}, errNoAnswer()
+	}
 	if !clock.Sleep(ctx, f.ResponseDelay) {
 		return logstore.Batch{}, errNoAnswer()
 	}
--- a/standin/jobsim/crash_checker.go
+++ b/standin/jobsim/crash_checker.go
@@ -57,7 +57,7 @@
 	defer c.mu.Unlock()
 	for _, t := range tasks {
 		c.crashes[t] = append(c.crashes[t], cr)
-		if c.running[t] == cr.worker {
+		if c.running[t].worker == cr.worker {
 			delete(c.running, t)
 		}
 	}
--- a/standin/jobsim/run_checker.go
+++ b/standin/jobsim/run_checker.go
@@ -14,8 +14,12 @@
 // crash_checker.go lists for tasks that crash their workers.
 type RunChecker struct {
 	mu sync.Mutex
-	// running maps each running task to its worker.
-	running map[job.TaskID]string
+	// running holds the active run of each running task.
+	running map[job.TaskID]activity
+	// lapsed holds the last runs that ended as their lease had expired, by task, and lapseGaps
+	// the times from such an end to the next start.
+	lapsed    map[job.TaskID]activity
+	lapseGaps []time.Duration
 	// acknowledged holds the tasks whose success was acknowledged.
 	acknowledged map[job.TaskID]bool
 	// done holds the tasks of which a run has ended with success, by job.
@@ -45,7 +49,8 @@
 // NewRunChecker returns a checker that has recorded no runs.
 func NewRunChecker() *RunChecker {
 	return &RunChecker{
-		running:      map[job.TaskID]string{},
+		running:      map[job.TaskID]activity{},
+		lapsed:       map[job.TaskID]activity{},
 		acknowledged: map[job.TaskID]bool{},
 		done:         map[job.ID]map[job.TaskID]bool{},
 		started:      map[job.ID]int{},
@@ -78,15 +83,13 @@
 func (c *RunChecker) start(t job.TaskID, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at, ok := c.running[t]; ok {
-		c.addViolation("%s starts on %s while it runs on %s", t, worker, at)
-	}
+	c.checkActive(t, worker, time.Now())
 	if c.acknowledged[t] {
 		c.addViolation("%s starts on %s after its success was acknowledged", t, worker)
 	}
 	c.checkCrashBudget(t, worker)
 	c.checkStartAfterFailure(t, worker)
-	c.running[t] = worker
+	c.running[t] = activity{worker: worker}
 	c.started[t.Job]++
 	if c.onStart != nil {
 		c.onStart(t, worker)
@@ -117,7 +120,7 @@
 func (c *RunChecker) end(t job.TaskID, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.running[t] == worker {
+	if c.running[t].worker == worker {
 		delete(c.running, t)
 	}
 }
--- a/standin/jobsim/soak_customers_test.go
+++ b/standin/jobsim/soak_customers_test.go
@@ -296,15 +296,7 @@
 	s.client.MaxConnsPerHost = 512
 	s.checker.onStart = s.judgeStart
 	s.publish()
-	for i := range soakDaemons {
-		view, err := s.store.View(fmt.Sprint("d", i))
-		s.g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { _ = view.Close() })
-		d, err := newDaemon(t.ArtifactDir(), fmt.Sprint("d", i), view.Address())
-		s.g.Expect(err).NotTo(HaveOccurred())
-		s.g.Expect(d.start()).To(Succeed())
-		s.daemons = append(s.daemons, d)
-	}
+	s.startDaemonsWithViews(t)
 	var load sync.WaitGroup
 	r, end := rand.New(rand.NewPCG(*soakSeed, 1)), time.Now().Add(*soakDuration)
 	repeat := func(f func(r *rand.Rand)) {
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -68,7 +68,9 @@
 	checker *RunChecker
 	workers []*Worker
 	daemons []*daemon
-	client  *fasthttp.Client
+	// views are the stores of daemons that do not use the one of all.
+	views  []*Store
+	client *fasthttp.Client
 
 	// version is that of the configuration in force.
 	version int
@@ -128,6 +130,20 @@
 	return s
 }
 
+// startDaemonsWithViews starts daemons of which each is another client of the log, by its name.
+func (s *soak) startDaemonsWithViews(t *testing.T) {
+	for i := range soakDaemons {
+		name := fmt.Sprint("d", i)
+		view, err := s.store.View(name)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = view.Close() })
+		d, err := newDaemon(t.ArtifactDir(), name, view.Address())
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(d.start()).To(Succeed())
+		s.views, s.daemons = append(s.views, view), append(s.daemons, d)
+	}
+}
+
 func (s *soak) close(t *testing.T) {
 	for _, d := range s.daemons {
 		d.signal(syscall.SIGCONT)
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -71,6 +71,7 @@
 	running  map[job.TaskID]*run
 	// newestRun is the highest number of an ended or stopped run, by task.
 	newestRun map[job.TaskID]int
+	lease     lease
 	ended     []endedRun
 	// lastEnd is the sequence number of the last ended run.
 	lastEnd int64
@@ -83,6 +84,10 @@
 	stopping bool
 	// crashesAt is when the run crashes its worker, or zero.
 	crashesAt time.Time
+	// killTime is how long after the expiry of its lease the run ends, and killedAt when it
+	// does, or zero while the lease has not expired.
+	killTime time.Duration
+	killedAt time.Time
 }
 
 // endedRun is a run that has ended and whose end is not acknowledged yet.
@@ -99,6 +104,7 @@
 	w := &Worker{
 		name: name, id: name, pool: pool, store: s, checker: checker, stop: make(chan struct{}),
 		rand:          rand.New(rand.NewPCG(seed, 1)),
+		lease:         newLease(seed),
 		silentEntries: map[string]time.Time{},
 		capacities:    []capacityChange{{capacity: fullCapacity}},
 		up:            true,
@@ -143,14 +149,15 @@
 	}
 }
 
-// SetUnreachable has calls to the worker get no answer and no effect, while it writes its entry.
+// SetUnreachable has calls to the worker get no answer and no effect, and loses the answers of
+// those that it is carrying out, while it writes its entry.
 func (w *Worker) SetUnreachable(unreachable bool) { w.unreachable.Store(unreachable) }
 
-// holdCall holds a call back while the worker is unreachable. It reports whether it did: such a
-// call is not carried out, and its connection is closed.
-func (w *Worker) holdCall(ctx *fasthttp.RequestCtx) bool {
+// holdCall holds a call back while its token does not reach the worker. It reports whether it did: the
+// connection is closed then without an answer.
+func (w *Worker) holdCall(ctx *fasthttp.RequestCtx, token int64) bool {
 	held := false
-	for w.unreachable.Load() {
+	for w.hides(token) {
 		held = true
 		time.Sleep(tickInterval)
 	}
@@ -212,16 +219,16 @@
 	return w.id
 }
 
-func (w *Worker) clock() time.Duration { return time.Since(w.startTime) }
-
 func (w *Worker) endDueRuns(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	expired := w.clock() > w.leaseEnd
+	w.expireRuns(now)
 	for t, r := range w.running {
 		switch {
-		case expired:
+		case !r.killedAt.IsZero() && now.After(r.killedAt):
+			w.checker.lapse(t)
 			w.endRun(t, r, "lapsed")
+		case !r.killedAt.IsZero():
 		case !r.crashesAt.IsZero() && now.After(r.crashesAt):
 			w.crash()
 			return
@@ -261,14 +268,14 @@
 }
 
 func (w *Worker) handle(ctx *fasthttp.RequestCtx) {
-	if w.holdCall(ctx) {
-		return
-	}
 	var req request
 	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	if w.holdCall(ctx, req.FencingToken) {
+		return
+	}
 	task, err := job.ParseTaskID(req.Task)
 	if err != nil && req.Task != "" {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -298,6 +305,10 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
+	w.delayAnswer()
+	if w.holdCall(ctx, req.FencingToken) {
+		return
+	}
 	ctx.SetBody(data)
 }
 
@@ -307,9 +318,11 @@
 	if req.FencingToken < w.token {
 		return false
 	}
+	w.expireRuns(time.Now())
 	w.token = req.FencingToken
 	until := min(time.Duration(req.UntilMs)*time.Millisecond, w.clock()+maxLease)
 	w.leaseEnd = max(w.leaseEnd, until)
+	w.recordLease()
 	return true
 }
 
@@ -336,9 +349,10 @@
 		ms = 0
 	}
 	w.checkCapacity(task)
-	r = &run{number: req.Run, endsAt: time.Now().Add(time.Duration(ms) * time.Millisecond)}
+	r = &run{number: req.Run, endsAt: time.Now().Add(time.Duration(ms) * time.Millisecond), killTime: time.Duration(w.lease.rand.Int64N(int64(maxKillTime)))}
 	w.running[task] = r
 	w.checker.start(task, w.id)
+	w.recordLease()
 	if w.checker.isDeadly(task) {
 		w.crashAfterStart(r)
 	}
