--- a/standin/jobsim/leaseend.go
+++ b/standin/jobsim/leaseend.go
@@ -31,11 +31,11 @@
 	hiddenFrom int64
 }
 
-// newLease draws a clock. One in two runs as slow as it may.
+// newLease draws a clock. Three in four run as slow as they may.
 func newLease(seed uint64) lease {
 	r := rand.New(rand.NewPCG(seed, 2))
 	lag := maxClockLag
-	if r.IntN(2) == 0 {
+	if r.IntN(4) == 0 {
 		lag *= r.Float64()
 	}
 	return lease{rand: r, clockRate: 1 - lag}
--- a/standin/jobsim/leaseend_test.go
+++ b/standin/jobsim/leaseend_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -77,26 +78,35 @@
 	return nil
 }
 
-// cutOff cuts half of the workers of the pool off for longer than a lease, each at a moment of its own.
+// busyWorkers returns two in three of the workers of the pool that have runs: tasks that are
+// started again go to workers that are reached.
+func (l *leaseEnds) busyWorkers() []*Worker {
+	busy := slices.DeleteFunc(slices.Clone(l.servingWorkers()), func(w *Worker) bool {
+		_, used := w.load()
+		return used.CPU == 0
+	})
+	l.rand.Shuffle(len(busy), func(i, k int) { busy[i], busy[k] = busy[k], busy[i] })
+	return busy[:(2*len(busy)+2)/3]
+}
+
+// cutOff cuts workers off for longer than a lease, each at a moment of its own.
 func (l *leaseEnds) cutOff() {
-	serving := l.servingWorkers()
-	for _, i := range l.rand.Perm(len(serving))[:len(serving)/2] {
+	for _, w := range l.busyWorkers() {
 		time.Sleep(l.between(0, 300*time.Millisecond))
-		serving[i].SetUnreachable(true)
-		defer serving[i].SetUnreachable(false)
+		w.SetUnreachable(true)
+		defer w.SetUnreachable(false)
 	}
 	time.Sleep(cutOffTime)
 }
 
-// replaceHolder has another daemon follow the holder and not reach half of the workers, while
+// replaceHolder has another daemon follow the holder and not reach some busy workers, while
 // reads that wait for records end without a look at the last part of the wait.
 func (l *leaseEnds) replaceHolder() string {
 	d, kind := l.holder(), l.rand.IntN(4)
 	l.store.Log.SetFault(l.unwatchedReads(""))
-	serving := l.servingWorkers()
-	for _, i := range l.rand.Perm(len(serving))[:len(serving)/2] {
-		serving[i].HideFromSuccessors(true)
-		defer serving[i].HideFromSuccessors(false)
+	for _, w := range l.busyWorkers() {
+		w.HideFromSuccessors(true)
+		defer w.HideFromSuccessors(false)
 	}
 	defer l.store.Log.SetFault(nil)
 	end := time.Now().Add(succeededTime)
