--- a/internal/logstore/logtest/log.go
+++ b/internal/logstore/logtest/log.go
@@ -47,14 +47,14 @@
 	// Delay is the time before the call is executed, and ResponseDelay the
 	// time that its response takes.
 	Delay, ResponseDelay time.Duration
-	// Unwatched is the last part of the wait of a read in which the log does not look for
-	// records: the read ends empty though some have come.
-	Unwatched time.Duration
 	// Rejected calls are not executed and fail with the verdict not-run.
 	Rejected bool
 	// NoResponse calls get no response. If Executed is set, they are executed
 	// nevertheless, once their delay is over or the client has given up.
 	NoResponse, Executed bool
+	// LooksEarly has a read look for records when it comes, and answer at the end of its
+	// wait if there were none.
+	LooksEarly bool
 }
 
 // Log is the shared in-memory log. Client returns its clients.
@@ -309,12 +309,20 @@
 	if err != nil {
 		return logstore.Batch{}, err
 	}
-	watched := max(0, wait-f.Unwatched)
-	b, err := c.log.readOrWait(ctx, p, from, watched)
-	if err == nil && len(b.Records) == 0 && !clock.Sleep(ctx, wait-watched) {
+	b, err := c.readOrWait(ctx, p, from, wait, f.LooksEarly)
+	if !clock.Sleep(ctx, f.ResponseDelay) {
 		return logstore.Batch{}, errNoAnswer()
 	}
-	if !clock.Sleep(ctx, f.ResponseDelay) {
+	return b, err
+}
+
+// readOrWait does what Log.readOrWait does, or looks for records only once if early is set.
+func (c client) readOrWait(ctx context.Context, p logstore.Partition, from int64, wait time.Duration, early bool) (logstore.Batch, error) {
+	if !early {
+		return c.log.readOrWait(ctx, p, from, wait)
+	}
+	b, err := c.log.readOrWait(ctx, p, from, 0)
+	if err == nil && len(b.Records) == 0 && !clock.Sleep(ctx, wait) {
 		return logstore.Batch{}, errNoAnswer()
 	}
 	return b, err
--- a/standin/jobsim/leaseend_test.go
+++ b/standin/jobsim/leaseend_test.go
@@ -100,10 +100,10 @@
 }
 
 // replaceHolder has another daemon follow the holder and not reach some busy workers, while
-// reads that wait for records end without a look at the last part of the wait.
+// reads that wait for records end empty though the log has not looked at their end.
 func (l *leaseEnds) replaceHolder() string {
 	d, kind := l.holder(), l.rand.IntN(4)
-	l.store.Log.SetFault(l.unwatchedReads(""))
+	l.store.Log.SetFault(l.earlyReads(""))
 	for _, w := range l.busyWorkers() {
 		w.HideFromSuccessors(true)
 		defer w.HideFromSuccessors(false)
@@ -123,9 +123,9 @@
 		time.Sleep(l.between(1500*time.Millisecond, 4*time.Second))
 		d.signal(syscall.SIGCONT)
 	case 2:
-		l.store.Log.SetFault(l.unwatchedReads(d.name))
+		l.store.Log.SetFault(l.earlyReads(d.name))
 		time.Sleep(l.between(2200*time.Millisecond, 3500*time.Millisecond))
-		l.store.Log.SetFault(l.unwatchedReads(""))
+		l.store.Log.SetFault(l.earlyReads(""))
 	case 3:
 		d.signal(syscall.SIGTERM)
 		l.exited(d)
@@ -135,17 +135,14 @@
 	return d.name + " is " + []string{"killed", "paused", "cut off from the log", "stopped"}[kind]
 }
 
-// unwatchedReads returns faults of the log: one in two reads that wait does not look for records
-// in the last part of the wait, and a daemon gets no answer.
-func (l *leaseEnds) unwatchedReads(silentFor string) func(logtest.Call) logtest.Fault {
+// earlyReads returns faults of the log: one in two reads that wait looks for records
+// only once, and a daemon gets no answer.
+func (l *leaseEnds) earlyReads(silentFor string) func(logtest.Call) logtest.Fault {
 	// The log calls it one call at a time.
 	r := rand.New(rand.NewPCG(*soakSeed, leaseEndStream+1))
 	return func(c logtest.Call) logtest.Fault {
-		f := logtest.Fault{NoResponse: silentFor != "" && c.Client == silentFor}
-		if c.Op == logtest.Read && r.IntN(2) == 0 {
-			f.Unwatched = time.Duration(r.Int64N(int64(2 * time.Second)))
-		}
-		return f
+		early := c.Op == logtest.Read && r.IntN(2) == 0
+		return logtest.Fault{NoResponse: silentFor != "" && c.Client == silentFor, LooksEarly: early}
 	}
 }
 
