--- a/standin/jobsim/leaseend_test.go
+++ b/standin/jobsim/leaseend_test.go
@@ -149,7 +149,7 @@
 // Guards against a task that runs twice around the end of a lease (TWICE): a run counted as ended
 // when its lease had expired on a slow clock, though the worker may take as long as for a stop to
 // end it. Workers are cut off from all daemons, and then from those that follow the holder.
-func TestNoTaskRunsTwiceAroundLeaseEnds(t *testing.T) {
+func TestNoTaskRunsTwiceWhileWorkersAreCutOff(t *testing.T) {
 	t.Logf("seed %d", *soakSeed)
 	l := &leaseEnds{soak: newSoak(t, 0, IdleTimeouts{}), rand: rand.New(rand.NewPCG(*soakSeed, leaseEndStream))}
 	l.startDaemonsWithViews(t)
