Let runs in the model end up to stopMs after their lease

Cause: the model ended every run at the moment its lease expired, on clocks that were rarely 2% slow, so it could not draw a second run that starts while the first is being killed. Change: runs end up to 200 ms after their lease, in every fourth world all after 200 ms; in every third world all clocks are 2% slow.

--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -20,6 +20,8 @@
 	simLease       = 4 * time.Second
 	simDutyLease   = 2500 * time.Millisecond
 	simStopTimeout = 200 * time.Millisecond
+	// simSlowClock is the rate of the slowest clock that a worker may have.
+	simSlowClock = 0.98
 	// simTick is the resolution of virtual time.
 	simTick = 10 * time.Millisecond
 	// simCallTimeout is how long a holder waits for the answer to a call.
@@ -101,6 +103,8 @@
 	unansweredStart map[string]time.Duration
 	// maxEnds is how many ends a worker lists in one answer.
 	maxEnds int
+	// killTime returns how long after its lease a run ends.
+	killTime func() time.Duration
 	// logDown is set while the log answers no calls, and logDelay is how long it takes
 	// to answer an append.
 	logDown  bool
@@ -163,6 +167,7 @@
 		stopOrdered:      map[job.TaskID]bool{},
 	}
 	w.crashes = newCrashModel(w)
+	w.killTime = randomKillTime(seed)
 	w.maxEnds = simMaxEnds
 	if w.rng.IntN(2) == 0 {
 		w.maxEnds = 1 + w.rng.IntN(simMaxEnds)
@@ -182,11 +187,26 @@
 		bootedAt := s.bootedAt
 		s.boot()
 		s.bootedAt = bootedAt
+		if seed%3 == 0 {
+			s.clockRate = simSlowClock
+		}
 		w.workers = append(w.workers, s)
 	}
 	return w
 }
 
+// randomKillTime returns how long runs take to end after their lease in the world of a
+// seed: the longest time in every fourth world.
+func randomKillTime(seed uint64) func() time.Duration {
+	rng := newSeededRand(^seed)
+	return func() time.Duration {
+		if seed%4 == 0 {
+			return simStopTimeout
+		}
+		return time.Duration(rng.Int64N(int64(simStopTimeout) + 1))
+	}
+}
+
 func (w *simWorld) addViolation(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("%8.3f ", (w.now-time.Hour).Seconds())+fmt.Sprintf(format, args...))
 }
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -63,6 +63,9 @@
 	// gangComplete is set once all members of the run's gang are running.
 	gangComplete bool
 	stopping     bool
+	// lapsed is set once the lease has expired under the run, which ends at killedAt.
+	lapsed   bool
+	killedAt time.Duration
 }
 
 // active reports whether a long-running task has completed its startup and is not
@@ -209,7 +212,8 @@
 	s.acknowledged = max(s.acknowledged, upTo)
 }
 
-// step ends the runs whose time has come, and all runs once the lease has expired.
+// step ends the runs whose time has come, and all runs within simStopTimeout after the
+// lease has expired. No later lease saves those.
 func (s *simWorker) step() {
 	if !s.up {
 		return
@@ -220,9 +224,14 @@
 	}
 	for _, t := range s.sortedTasks() {
 		r := s.running[t]
+		if expired && !r.lapsed {
+			r.lapsed, r.killedAt = true, s.w.now+s.w.killTime()
+		}
 		reason := r.endReason
 		switch {
-		case expired:
+		case r.lapsed && s.w.now < r.killedAt:
+			continue
+		case r.lapsed:
 			reason = job.EndLeaseExpired
 		case r.step.Gang && !r.stopping:
 			if reason = s.w.gangEndReason(r); reason == "" {
