Draw faults around the ends of leases in the model

Cause: no schedule had workers idle for minutes, answers that overtake each other, holders that are replaced while starts are under way, or leases longer than a holder grants. Change: TestNoTaskRunsTwiceAroundLeaseEnds draws them. The answer to an order has the reading of the worker's clock at which it was carried out, not that at which it arrives.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -194,6 +194,9 @@
 		r.endsAt = w.now + time.Duration(1000+w.rng.IntN(20000))*time.Millisecond
 		r.endReason = job.EndFailed
 	}
+	if w.maxRun > 0 {
+		r.endsAt = w.now + time.Duration(w.rng.Int64N(int64(w.maxRun)))
+	}
 	if s.failing || w.rng.IntN(20) == 0 {
 		r.endReason = job.EndFailed
 	}
--- a/internal/scheduler/sim_leaseend_test.go
+++ b/internal/scheduler/sim_leaseend_test.go
@@ -86,3 +86,76 @@
 		g.Expect(w.starts).To(HaveEach(BeNumerically(">=", 2)), "seed %d", seed+1)
 	}
 }
+
+// runLeaseEndSchedule has workers stand idle for minutes, then has holders follow each other
+// while starts are under way, each out of reach of some workers or paused for as long as it may
+// act, and workers that restart meanwhile.
+func runLeaseEndSchedule(w *simWorld) {
+	w.maxLease *= time.Duration(1 + w.rng.IntN(3))
+	w.maxRun = 25 * time.Second
+	w.takeOver()
+	w.run(time.Second)
+	w.now += time.Duration(w.rng.IntN(10)) * time.Minute
+	w.run(time.Second)
+	for range 3 {
+		for range 1 + w.rng.IntN(3) {
+			w.submit(w.batchSpec(), 3)
+		}
+		w.run(time.Duration(20+w.rng.IntN(200)) * time.Millisecond)
+		for range 1 + w.rng.IntN(3) {
+			w.leaseEndFault()
+			w.run(time.Duration(w.rng.IntN(1500)) * time.Millisecond)
+		}
+		w.runPlanning(time.Duration(5000+w.rng.IntN(5000)) * time.Millisecond)
+	}
+}
+
+// leaseEndFault causes a fault in which a lease matters.
+func (w *simWorld) leaseEndFault() {
+	s := w.workers[w.rng.IntN(len(w.workers))]
+	switch w.rng.IntN(6) {
+	case 0, 1, 2:
+		w.supersedeWithStartsUnderWay()
+	case 3:
+		s.partitioned = true
+		w.after(time.Duration(3000+w.rng.IntN(5000))*time.Millisecond, func() { s.partitioned = false })
+	case 4:
+		s.crash()
+		w.after(time.Duration(200+w.rng.IntN(1500))*time.Millisecond, func() { w.restartWorker(s) })
+	case 5:
+		w.lostRate, w.delayedRate, w.unansweredRate = 0.1*w.rng.Float64(), 0.1*w.rng.Float64(), 0.1*w.rng.Float64()
+		w.lateRate = 0.5 * w.rng.Float64()
+	}
+}
+
+// supersedeWithStartsUnderWay has a holder take over that does not reach some workers. The
+// earlier one does not reach the log any more and may be paused for about as long as it may act.
+func (w *simWorld) supersedeWithStartsUnderWay() {
+	earlier := w.holder
+	earlier.remaining()
+	earlier.logCutOffUntil = w.now + time.Minute
+	w.takeOver()
+	if w.rng.IntN(2) == 0 {
+		earlier.paused = true
+		w.after(time.Duration(w.rng.Int64N(int64(simDutyLease))), func() { earlier.paused = false })
+	}
+	for _, s := range w.workers {
+		if w.rng.IntN(2) == 0 {
+			w.holder.cutOffUntil[s.id] = w.now + time.Duration(w.rng.IntN(15000))*time.Millisecond
+		}
+	}
+}
+
+// TestNoTaskRunsTwiceAroundLeaseEnds runs pools of more workers and longer tasks through faults
+// at the ends of leases. No invariant may break.
+func TestNoTaskRunsTwiceAroundLeaseEnds(t *testing.T) {
+	t.Parallel()
+	for i := range *schedules {
+		seed := *scheduleSeed + uint64(i)
+		w := newSimWorld(t, seed, 4+int(seed%4))
+		runLeaseEndSchedule(w)
+		if len(w.violations) > 0 {
+			t.Errorf("schedule %d: %d invariant violations, first:\n%s", seed, len(w.violations), w.violations[0])
+		}
+	}
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -103,6 +103,12 @@
 	unansweredStart map[string]time.Duration
 	// maxEnds is how many ends a worker lists in one answer.
 	maxEnds int
+	// maxLease is the longest lease that a worker allows, and maxRun, if it is not zero,
+	// the longest time that a run takes.
+	maxLease, maxRun time.Duration
+	// lateRate is the probability that an answer takes up to simCallTimeout, so that later
+	// ones may overtake it.
+	lateRate float64
 	// killTime returns how long after its lease a run ends.
 	killTime func() time.Duration
 	// logDown is set while the log answers no calls, and logDelay is how long it takes
@@ -168,6 +174,7 @@
 	}
 	w.crashes = newCrashModel(w)
 	w.killTime = randomKillTime(seed)
+	w.maxLease = simMaxLease
 	w.maxEnds = simMaxEnds
 	if w.rng.IntN(2) == 0 {
 		w.maxEnds = 1 + w.rng.IntN(simMaxEnds)
--- a/internal/scheduler/simcalls_test.go
+++ b/internal/scheduler/simcalls_test.go
@@ -46,7 +46,7 @@
 	w, s := h.w, c.to
 	timeout := verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer")
 	deliver := func(err error) {
-		w.after(w.networkDelay(), func() { h.runWhenActive(func() { c.answer(err) }) })
+		w.after(w.answerDelay(), func() { h.runWhenActive(func() { c.answer(err) }) })
 	}
 	giveUp := func() {
 		w.after(simCallTimeout+c.wait, func() { h.runWhenActive(func() { c.answer(timeout) }) })
@@ -95,6 +95,15 @@
 	}
 }
 
+// answerDelay returns how long an answer takes. It draws nothing more than networkDelay where no
+// answers are late.
+func (w *simWorld) answerDelay() time.Duration {
+	if w.lateRate > 0 && w.rng.Float64() < w.lateRate {
+		return time.Duration(w.rng.Int64N(int64(simCallTimeout)))
+	}
+	return w.networkDelay()
+}
+
 // runWhenActive calls do as soon as the holder is not paused, unless it is dead.
 func (h *simHolder) runWhenActive(do func()) {
 	switch {
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -89,7 +89,7 @@
 			Token:           w.token,
 			PreviousToken:   w.token - 1,
 			Lease:           simLease,
-			MaxLease:        simMaxLease,
+			MaxLease:        w.maxLease,
 			StopTimeout:     simStopTimeout,
 			DutyLease:       simDutyLease,
 			EarlierHolders:  earlier,
@@ -327,13 +327,18 @@
 		return
 	}
 	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
+	var clock int64
+	do := func() error {
+		clock = s.clock()
+		return s.startFrom(origin, o.Order)
+	}
 	h.conns.orderSent(s, 1)
-	h.call(simCall{to: s, address: o.Target.Address, do: func() error { return s.startFrom(origin, o.Order) }, answer: func(err error) {
+	h.call(simCall{to: s, address: o.Target.Address, do: do, answer: func(err error) {
 		h.conns.orderSent(s, -1)
 		if err != nil && verdict.Of(err) == verdict.MayHaveRun {
 			h.w.unansweredStart[s.id] = max(h.w.unansweredStart[s.id], origin.sentAt)
 		}
-		if h.core.StartAnswered(o, s.clock(), err, h.w.times()) {
+		if h.core.StartAnswered(o, clock, err, h.w.times()) {
 			retry()
 		}
 	}})
@@ -346,8 +351,13 @@
 	})
 	for _, stop := range stops {
 		s := h.worker(stop.Worker)
-		h.call(simCall{to: s, address: stop.Target.Address, do: func() error { return s.stop(stop.Run, stop.Token) }, answer: func(err error) {
-			h.conns.afterStop(h, err, func() { h.core.StopAnswered(stop, s.clock(), err, h.w.times()) })
+		var clock int64
+		do := func() error {
+			clock = s.clock()
+			return s.stop(stop.Run, stop.Token)
+		}
+		h.call(simCall{to: s, address: stop.Target.Address, do: do, answer: func(err error) {
+			h.conns.afterStop(h, err, func() { h.core.StopAnswered(stop, clock, err, h.w.times()) })
 		}})
 	}
 }
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -132,7 +132,7 @@
 }
 
 func (s *simWorker) extendLease(until int64) {
-	s.leaseUntil = max(s.leaseUntil, min(until, s.clock()+simMaxLease.Milliseconds()))
+	s.leaseUntil = max(s.leaseUntil, min(until, s.clock()+s.w.maxLease.Milliseconds()))
 }
 
 // start carries out a start order.
