Count a poll in flight when its worker is found restarted

Cause: the lease that a restarted worker may take from a poll counted only if the answer to that poll told of the restart. If the list tells sooner, the answer is dropped (found in review). Change: a worker that is found restarted while such a poll is in flight, or from which its answer comes after that, is taken to have the longest lease that it allows.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -111,6 +111,7 @@
 	}
 	if c.mayHaveRuns(ws) && remaining > 0 && c.mayExtendLease(ws) {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
+		ws.LeasePollSent()
 		switch {
 		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer(now):
 		case runsMixedTasks(ws):
@@ -138,12 +139,26 @@
 	return min(c.opt.Lease, c.longestGrant())
 }
 
+// polled returns the worker that a poll was sent to, or nil if its incarnation is no longer the
+// one that was polled. The next one may have carried the poll out.
+func (c *Core) polled(p Poll, t Times) *worker.State {
+	ws := c.workers[p.Worker]
+	if ws == nil || ws.Incarnation.StartedAt == p.startedAt {
+		return ws
+	}
+	if p.Request.LeaseUntil > 0 {
+		ws.RecordStrayLease(t.Now)
+	}
+	return nil
+}
+
 // PollFailed handles a poll that was not answered or was rejected.
 func (c *Core) PollFailed(p Poll, err error, t Times) {
-	ws := c.workers[p.Worker]
-	if ws == nil || ws.Incarnation.StartedAt != p.startedAt {
+	ws := c.polled(p, t)
+	if ws == nil {
 		return
 	}
+	ws.LeasePollEnded()
 	if errors.Is(err, worker.ErrWorkerReplaced) {
 		c.addressReassigned(ws, t)
 		return
@@ -174,8 +189,8 @@
 
 // PollSucceeded handles the answer to a poll.
 func (c *Core) PollSucceeded(p Poll, report worker.Report, t Times) {
-	ws := c.workers[p.Worker]
-	if ws == nil || ws.Incarnation.StartedAt != p.startedAt {
+	ws := c.polled(p, t)
+	if ws == nil {
 		return
 	}
 	if report.StartedAt != 0 && report.StartedAt != ws.Incarnation.StartedAt {
@@ -184,14 +199,12 @@
 		listing.Clock = report.Clock
 		later := report.StartedAt > ws.Incarnation.StartedAt
 		c.workerRestarted(ws, listing, t)
-		if p.Request.LeaseUntil > 0 {
-			ws.RecordStrayLease(t.Now)
-		}
 		// Only the list tells what capacity the next incarnation has.
 		ws.Listed = ws.Listed && !later
 		c.touch(p.Worker)
 		return
 	}
+	ws.LeasePollEnded()
 	if ws.UnansweredCalls > 0 {
 		c.opt.Logger.Info().Str("worker", p.Worker).Msg("worker answers again")
 		c.needsPlan = true
--- a/internal/scheduler/straylease_test.go
+++ b/internal/scheduler/straylease_test.go
@@ -40,7 +40,13 @@
 	w.listing.Incarnation.StartedAt++
 	p.core.PollSucceeded(poll, worker.Report{StartedAt: w.listing.Incarnation.StartedAt, Clock: p.clock(w)}, p.now)
 	p.g.Expect(p.awaitStart()).To(Equal(w), "the task starts there anew")
-	// From now on it is cut off; another worker has room.
+	p.expectNoPlanBefore(t, until)
+}
+
+// expectNoPlanBefore has the worker a be cut off, while another one has room, and fails if a task is planned
+// before a moment.
+func (p *crashPool) expectNoPlanBefore(t *testing.T, until time.Duration) {
+	t.Helper()
 	p.addWorker("b", "b")
 	for p.now.Now < until {
 		p.now.Now += crashTick
@@ -53,3 +59,24 @@
 		}
 	}
 }
+
+// Guards against the same where the list shows the restart before the answer to the poll comes.
+func TestHolderAwaitsLeaseOfWorkerThatTheListShowsRestartedFirst(t *testing.T) {
+	p := newCrashPool(t)
+	p.maxLease = strayMaxLease
+	p.takeOver()
+	w := p.awaitStart()
+	p.g.Expect(w).NotTo(BeNil())
+	p.wait(time.Second)
+	p.pollWorkers()
+	p.wait(time.Minute)
+	w.runs = nil
+	poll := p.core.Poll("a", p.now.Now, time.Second)
+	p.g.Expect(poll.Request.LeaseUntil).NotTo(BeZero())
+	p.restart(w)
+	until := p.now.Now + p.lease(w, poll.Request.LeaseUntil)
+	p.list() // the list shows the restart
+	p.core.PollSucceeded(poll, worker.Report{StartedAt: w.listing.Incarnation.StartedAt, Clock: p.clock(w)}, p.now)
+	p.g.Expect(p.awaitStart()).To(Equal(w), "the task starts there anew")
+	p.expectNoPlanBefore(t, until)
+}
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -14,6 +14,7 @@
 // that were sent since.
 func (s *State) ReplaceIncarnation(l Listing, now time.Duration) {
 	runs, listed, entry, touched, observer := s.Runs, s.Listed, s.EntryStartedAt, s.touched, s.observer
+	strayPoll := s.leasePollInFlight
 	priorLeaseExpiry := max(s.priorLeaseExpiry, s.leaseExpiry())
 	for _, r := range runs {
 		priorLeaseExpiry = max(priorLeaseExpiry, s.strayLeaseExpiry(r, now))
@@ -23,6 +24,9 @@
 	s.touch()
 	s.RestartedAt = now
 	s.priorLeaseExpiry = priorLeaseExpiry
+	if strayPoll {
+		s.RecordStrayLease(now)
+	}
 	for _, r := range runs {
 		r.carryOver(now)
 		s.AddRun(r)
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -57,8 +57,15 @@
 // readingAge returns the age of the last reading of the worker's clock.
 func (s *State) readingAge(now time.Duration) time.Duration { return now - s.workerClockAt }
 
-// RecordStrayLease records that this incarnation has carried out an order that named the end of
-// a lease by the clock of an earlier one: it may have taken the longest lease that it allows.
+// LeasePollSent records that a poll is sent that extends the lease, and LeasePollEnded that it
+// has ended, with or without an answer.
+func (s *State) LeasePollSent() { s.leasePollInFlight = true }
+
+// LeasePollEnded is the counterpart of LeasePollSent.
+func (s *State) LeasePollEnded() { s.leasePollInFlight = false }
+
+// RecordStrayLease records that this incarnation may have carried out an order that named the end
+// of a lease by the clock of an earlier one, and so taken the longest lease that it allows.
 func (s *State) RecordStrayLease(now time.Duration) {
 	s.priorLeaseExpiry = max(s.priorLeaseExpiry, now+s.bounds.LongestRun(s.bounds.Allowed))
 }
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -59,6 +59,8 @@
 	// milliseconds of the worker's clock.
 	leaseUntil int64
 	bounds     LeaseBounds
+	// leasePollInFlight is set while a poll is in flight that extends the lease.
+	leasePollInFlight bool
 	// earlierLeasesEnd is when the runs have ended whose leases an earlier holder may
 	// have granted, unless the worker has restarted since.
 	earlierLeasesEnd time.Duration
