Tell nothing of orders in a period that the daemon did not begin

Cause: a daemon whose claim of the fleet duty was stored, and which never learned of it, answered the next holder that there had been no orders, though its predecessor had given some; so did one whose session was of an earlier period (found in review). Change: the request names the token of the period; a daemon that has no session under it answers with an error, and the next holder waits for its predecessors. Figures: TestDaemonThatNeverBeganKnowsOfNoOrders fails without the condition and passes. A request without the field is answered as before.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -57,8 +57,10 @@
 
 // StepDownRequest is the request of MethodStepDown.
 type StepDownRequest struct {
-	// Token is the fencing token of the new holder.
+	// Token is the fencing token of the new holder, and Held the one under which the
+	// receiver held the duty, or 0 if it is not known.
 	Token int64 `cbor:"1,keyasint"`
+	Held  int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // StepDownResponse is the response to a StepDownRequest. Once it is sent, the
@@ -88,7 +90,7 @@
 	// StepDown stops the controller if its token is lower, waits until none of
 	// its orders is in progress and returns the ages of the recent ones. It must
 	// be set before Register.
-	StepDown func(token int64) (map[string]time.Duration, error)
+	StepDown func(q StepDownRequest) (map[string]time.Duration, error)
 
 	mu sync.Mutex
 	// highestToken is the highest fencing token of all orders received so far.
@@ -119,7 +121,7 @@
 		if err := record.Decode(body, &q); err != nil {
 			return nil, err
 		}
-		ages, err := a.StepDown(q.Token)
+		ages, err := a.StepDown(q)
 		return StepDownResponse{OrderAges: ages}, err
 	})
 }
@@ -192,11 +194,11 @@
 
 // StepDown makes an earlier holder of the fleet duty stop. It returns the ages of
 // its recent orders.
-func (p *PoolClient) StepDown(ctx context.Context, holderID string, token int64) (map[string]time.Duration, error) {
+func (p *PoolClient) StepDown(ctx context.Context, holderID string, q StepDownRequest) (map[string]time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout)
 	defer cancel()
 	var a StepDownResponse
-	err := p.Caller.Call(ctx, holderID, MethodStepDown, StepDownRequest{token}, &a)
+	err := p.Caller.Call(ctx, holderID, MethodStepDown, q, &a)
 	return a.OrderAges, err
 }
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -217,16 +217,20 @@
 
 // StepDown ends the current session if its token is lower than that of a new
 // holder, and waits until none of its orders is in progress. It returns the ages of
-// its recent orders. No order is sent under a lower token from then on.
-func (c *Controller) StepDown(token int64) (map[string]time.Duration, error) {
+// its recent orders, or an error if it does not know those of the period in question. No order
+// is sent under a lower token from then on.
+func (c *Controller) StepDown(q StepDownRequest) (map[string]time.Duration, error) {
 	c.mu.Lock()
-	c.highestToken = max(c.highestToken, token)
+	c.highestToken = max(c.highestToken, q.Token)
 	s := c.current
 	c.mu.Unlock()
-	if s == nil || s.issuer.Token >= token {
+	if q.Held != 0 && (s == nil || s.issuer.Token != q.Held) {
+		return nil, errNotTakenOver
+	}
+	if s == nil || s.issuer.Token >= q.Token {
 		return nil, nil
 	}
-	s.opt.Logger.Info().Int64("token", s.issuer.Token).Int64("newer_token", token).Msg("a newer holder of the fleet duty is known, this daemon stops moving hosts")
+	s.opt.Logger.Info().Int64("token", s.issuer.Token).Int64("newer_token", q.Token).Msg("a newer holder of the fleet duty is known, this daemon stops moving hosts")
 	s.cancel()
 	<-s.ended
 	if !s.takenOver {
@@ -261,7 +265,7 @@
 		s.pauseOrdered(recent.OrderAges)
 		return
 	}
-	ages, err := s.opt.Pools.StepDown(ctx, predecessor.ID, s.issuer.Token)
+	ages, err := s.opt.Pools.StepDown(ctx, predecessor.ID, StepDownRequest{Token: s.issuer.Token, Held: predecessor.Token})
 	if err == nil {
 		s.opt.Logger.Info().Str("holder", predecessor.Holder).Int("recent_orders", len(ages)).Msg("the previous holder of the fleet duty has stopped")
 		s.pauseOrdered(ages)
--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -105,3 +105,21 @@
 		})
 	}
 }
+
+// Guards against two holders whose orders for one host come too close (ONE): a daemon whose claim
+// was stored, and which never learned of it, told the next holder that there had been no orders.
+func TestDaemonThatNeverBeganKnowsOfNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		clock := bubbleClock{time.Now()}
+		cloud := newTestCloud(clock)
+		c := newTestController("old", cloud, &testPools{cloud: cloud}, logtest.New())
+		_, err := c.StepDown(StepDownRequest{Token: 7, Held: 6})
+		g.Expect(err).To(MatchError(errNotTakenOver))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		c.Run(ctx, 8, testLeaseUntil{clock, time.Hour}, Predecessor{})
+		_, err = c.StepDown(StepDownRequest{Token: 10, Held: 9})
+		g.Expect(err).To(MatchError(errNotTakenOver), "it has ended an earlier period")
+	})
+}
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -147,7 +147,7 @@
 			<-ctx.Done()
 			return eris.New("no answer")
 		}
-		ages, err := p.predecessor.StepDown(q.Token)
+		ages, err := p.predecessor.StepDown(q)
 		if err != nil {
 			return err
 		}
@@ -258,7 +258,7 @@
 		clock := bubbleClock{time.Now()}
 		cloud := newTestCloud(clock)
 		c := newTestController("old", cloud, &testPools{cloud: cloud}, logtest.New())
-		ages, err := c.StepDown(2)
+		ages, err := c.StepDown(StepDownRequest{Token: 2})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(ages).To(BeEmpty())
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
