Have the orders of a holder tell processes of a worker apart

Cause: a worker that starts again under its ID has forgotten the token, so that it carries out what was sent to its earlier process; its clock begins anew, so that such an order gives it the longest lease that it allows, and nobody waits for that. Orders to a worker take the next one after each restart that the holder learns of. A process that is young when it is first reached counts as holding the longest lease that workers allow; a successor waits for that lease at young processes that it does not reach.

--- a/cmd/greengaged/fleetwire.go
+++ b/cmd/greengaged/fleetwire.go
@@ -303,6 +303,7 @@
 				Options: scheduler.Options{
 					Pool:            pool,
 					Token:           int64(acquired.Token),
+					Tokens:          acquired.Tokens,
 					PreviousToken:   int64(acquired.Previous.HolderToken),
 					Lease:           taskLease,
 					MaxLease:        settings.MaxLease,
--- a/internal/duty/claims.go
+++ b/internal/duty/claims.go
@@ -10,7 +10,6 @@
 
 	"greengagedeck/internal/clock"
 	"greengagedeck/internal/logstore"
-	"greengagedeck/internal/record"
 	"greengagedeck/internal/verdict"
 )
 
@@ -52,11 +51,14 @@
 func (e *Elector) applyClaims(recs []logstore.Record, now time.Duration) {
 	for _, r := range recs {
 		n := Name(r.Key)
+		e.nextClaimOffset = max(e.nextClaimOffset, r.Offset+1)
+		if n == reserved {
+			continue
+		}
 		previous := e.table.claims[n]
 		if err := e.table.applyClaim(r, now); err != nil {
 			e.opt.Logger.Warn().Err(err).Int64("offset", r.Offset).Msg("ignoring undecodable claim record")
 		}
-		e.nextClaimOffset = max(e.nextClaimOffset, r.Offset+1)
 		e.reconcile(n, previous)
 	}
 }
@@ -78,7 +80,7 @@
 		e.held[n] = c.Token
 		e.claims.Inc(1)
 		e.opt.Logger.Info().Str("duty", string(n)).Int64("token", int64(c.Token)).Msg("duty gained")
-		e.opt.Observer.Acquired(Acquisition{Duty: n, Token: c.Token, Previous: previous, PriorLeaseRemaining: c.PriorLeaseRemaining})
+		e.opt.Observer.Acquired(Acquisition{Duty: n, Token: c.Token, Tokens: reservedTokens(n, claimRecord{}), Previous: previous, PriorLeaseRemaining: c.PriorLeaseRemaining})
 		wake(e.heartbeatNow)
 	}
 	e.heldGauge.Update(float64(len(e.held)))
@@ -128,12 +130,12 @@
 	if stopping || last != expected {
 		return false
 	}
-	value, err := record.Encode(c)
+	entries, err := claimEntries(n, c)
 	if err != nil {
 		e.logOutage.Failed("encode claim", err)
 		return false
 	}
-	result, err := e.opt.Log.Append(ctx, claimPartition, []logstore.Entry{{Key: string(n), Value: value}}, logstore.Condition{ExpectedEnd: &at})
+	result, err := e.opt.Log.Append(ctx, claimPartition, entries, logstore.Condition{ExpectedEnd: &at})
 	var conflict *logstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -145,7 +147,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyClaims([]logstore.Record{{Offset: result.Offset, Key: string(n), Value: value}}, e.opt.Clock.Now())
+	e.applyClaims([]logstore.Record{{Offset: result.Offset, Key: entries[0].Key, Value: entries[0].Value}}, e.opt.Clock.Now())
+	e.nextClaimOffset = max(e.nextClaimOffset, result.Offset+int64(len(entries)))
 	return true
 }
 
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -35,6 +35,8 @@
 type Acquisition struct {
 	Duty  Name
 	Token Token
+	// Tokens is how many consecutive tokens from Token on are this daemon's alone.
+	Tokens int
 	// Previous is the duty's claim before this one. Its token is 0 if there was
 	// none.
 	Previous Claim
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -33,8 +33,8 @@
 // schedule a pool.
 func (n Name) Pool() (string, bool) { return strings.CutPrefix(string(n), poolPrefix) }
 
-// Token is the fencing token of a holder's orders: every claim has a higher one
-// than all claims before it.
+// Token is a fencing token of a holder's orders: every claim has a higher one
+// than all claims before it, and than all that these reserve.
 type Token int64
 
 // Member is one incarnation (process) of a daemon.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -20,8 +20,10 @@
 // Options configure a Core.
 type Options struct {
 	Pool string
-	// Token is the fencing token under which the pool is held.
-	Token int64
+	// Token is the fencing token under which the pool is held, and Tokens how many
+	// consecutive tokens from it on no other holder uses: 1 if it is 0.
+	Token  int64
+	Tokens int
 	// PreviousToken is the token of the holder before this one, or 0 if it is not
 	// known or there was none.
 	PreviousToken int64
@@ -55,10 +57,15 @@
 
 // Core is the state of one pool. It is not safe for concurrent use.
 type Core struct {
-	opt Options
+	opt    Options
+	tokens orderTokens
 	// earlierLeasesEnd is when the last run has ended whose lease an earlier holder may
-	// have granted.
-	earlierLeasesEnd time.Duration
+	// have granted, and strayLeasesEnd the same for workers that may hold the lease of an order
+	// that was meant for an earlier incarnation.
+	earlierLeasesEnd, strayLeasesEnd time.Duration
+	// earlierOrdersEnd is when the last order of an earlier holder may be carried out, or 0 if
+	// there was none.
+	earlierOrdersEnd time.Duration
 	unreached        unreachedWorkers
 
 	jobs     map[job.ID]*trackedJob
@@ -207,7 +214,13 @@
 		c.opt.LogLimits = logstore.DefaultLimits
 	}
 	c.waiting = newWaitQueue(&c.accounts)
-	c.earlierLeasesEnd = now + opt.EarlierHolders + c.leaseBounds().LongestRun(c.longestGrant())
+	c.tokens = newOrderTokens(opt)
+	earlierHoldersEnd := now + opt.EarlierHolders
+	c.earlierLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(c.longestGrant())
+	c.strayLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(opt.MaxLease)
+	if opt.PreviousToken != 0 || opt.EarlierHolders != 0 {
+		c.earlierOrdersEnd = earlierHoldersEnd + worker.MaxOrderDelay
+	}
 	c.unreached = newUnreachedWorkers(now)
 	c.shares = accountShares{c}
 	return c
--- a/internal/scheduler/manager_test.go
+++ b/internal/scheduler/manager_test.go
@@ -67,7 +67,7 @@
 		"the log answers with another sequence": {&logstore.SequenceError{Expected: 3}, func(*Runner) {}},
 		"the log has a newer writer":            {logstore.ErrFenced, func(*Runner) {}},
 		"a worker has seen a newer token": {nil, func(r *Runner) {
-			r.core.checkFenced(&worker.RejectedError{Reason: worker.ReasonFenced})
+			r.core.checkFenced(&worker.RejectedError{Reason: worker.ReasonFenced}, "w", r.core.opt.Token)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -61,6 +61,7 @@
 		return StartOrder{}, SendNever
 	}
 	ws.StartSent(run, now)
+	ws.Ordered = true
 	return StartOrder{
 		Worker:    workerID,
 		Target:    ws.Target(),
@@ -70,7 +71,7 @@
 			Run:        r,
 			Payload:    j.Spec.Payload,
 			LeaseUntil: ws.ExtendLease(now, c.leaseLength(remaining)),
-			Token:      c.opt.Token,
+			Token:      c.tokens.of(workerID),
 			Checkpoint: j.Checkpoint(r.Task),
 			Ticket:     c.ticketFor(j, r.Task, ws.Incarnation),
 		},
@@ -127,7 +128,7 @@
 		return false
 	case errors.As(err, &rejection):
 		ws.RecordStartAnswer(rejection.Clock, s.sentAt, t.Now)
-		c.startRejected(ws, r, rejection, t)
+		c.startRejected(ws, r, s.Order.Token, rejection, t)
 		return false
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
 		ws.RecordUnanswered(t.Now)
@@ -174,9 +175,9 @@
 
 // startRejected handles a start that a worker rejected. Unless an earlier order
 // for the run is unaccounted for, the run is certainly not on the worker.
-func (c *Core) startRejected(ws *worker.State, r *worker.Run, rejection *worker.RejectedError, t Times) {
+func (c *Core) startRejected(ws *worker.State, r *worker.Run, token int64, rejection *worker.RejectedError, t Times) {
 	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", string(rejection.Reason)).Bool("earlier_unanswered", r.StartUnanswered).Msg("worker rejected a start")
-	if c.checkFenced(rejection) {
+	if c.checkFenced(rejection, ws.Incarnation.ID, token); c.fenced {
 		return
 	}
 	switch rejection.Reason {
@@ -194,19 +195,6 @@
 	c.endUnseen(ws, r, unseenStartRejected, t)
 }
 
-// checkFenced reports whether a rejection shows that another daemon holds the
-// pool. From then on this Core decides nothing.
-func (c *Core) checkFenced(rejection *worker.RejectedError) bool {
-	if rejection.Reason != worker.ReasonFenced {
-		return false
-	}
-	if !c.fenced {
-		c.fenced = true
-		c.opt.Logger.Warn().Int64("token", c.opt.Token).Msg("a worker has seen the token of a newer holder, this daemon stops scheduling the pool")
-	}
-	return true
-}
-
 // StopOrder is a stop to send to a worker.
 type StopOrder struct {
 	Worker    string
@@ -250,7 +238,8 @@
 			continue
 		}
 		r.StopInFlight = true
-		out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+		ws.Ordered = true
+		out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.tokens.of(id), startedAt: ws.Incarnation.StartedAt})
 	}
 	return out, stopping
 }
@@ -283,7 +272,7 @@
 	}
 	var rejection *worker.RejectedError
 	if errors.As(err, &rejection) {
-		c.checkFenced(rejection)
+		c.checkFenced(rejection, s.Worker, s.Token)
 	}
 	c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("stop failed")
 }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -98,7 +98,7 @@
 func (c *Core) Poll(id string, now, remaining time.Duration) Poll {
 	ws := c.workers[id]
 	p := Poll{Worker: id, Target: ws.Target(), Sent: now, startedAt: ws.Incarnation.StartedAt}
-	p.Request = worker.PollRequest{Token: c.opt.Token}
+	p.Request = worker.PollRequest{Token: c.tokens.of(id)}
 	if !ws.Fenced || ws.UnansweredCalls > 0 {
 		// Only workers that answer get their lease extended: runs on a worker
 		// that does not answer have to end when the lease expires. Nothing is
@@ -108,10 +108,12 @@
 	}
 	if ws.LastEndLogged > ws.LastEndAcknowledged {
 		p.Request.Acknowledged = ws.LastEndLogged
+		ws.Ordered = true
 	}
 	if c.mayHaveRuns(ws) && remaining > 0 && c.mayExtendLease(ws) {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		ws.LeasePollSent()
+		ws.Ordered = true
 		switch {
 		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer(now):
 		case runsMixedTasks(ws):
@@ -164,7 +166,7 @@
 		return
 	}
 	var rejection *worker.RejectedError
-	if errors.As(err, &rejection) && c.checkFenced(rejection) {
+	if errors.As(err, &rejection) && c.checkFenced(rejection, p.Worker, p.Request.Token) {
 		return
 	}
 	ws.RecordUnanswered(t.Now)
@@ -182,6 +184,7 @@
 	for _, r := range sortedRuns(ws) {
 		c.endUnseen(ws, r, unseenAddressReassigned, t)
 	}
+	c.tokens.forget(ws, t.Now)
 	c.removeWorker(ws.Incarnation.ID)
 	c.wakePoll(ws.Incarnation.ID)
 	c.Uncordon(ws.Incarnation.ID)
@@ -215,10 +218,7 @@
 		ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
 	}
 	if !ws.Fenced {
-		ws.Fenced = true
-		c.touch(p.Worker)
-		ws.FencedAt = t.Now
-		c.needsPlan = true
+		c.workerReached(ws, report.Clock, t)
 	}
 	ended := c.applyEnds(ws, report.Ended, t)
 	active := c.applyRunning(ws, report.Running, p.Sent, t.Now)
@@ -358,6 +358,9 @@
 			// The answer fenced off every earlier holder, so a run of theirs
 			// that is not there was never started and never will be.
 			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
+		case firstAnswer && r.StartUnanswered && c.tokens.rise() && r.StartSentAt < ws.RestartedAt:
+			// Its order went to an earlier incarnation, with a lower token.
+			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered:
 			// Its order went to an earlier incarnation and may still arrive.
 			c.requestStop(ws, r, "worker restarted before it answered a start")
--- /dev/null
+++ b/internal/scheduler/reached.go
@@ -0,0 +1,23 @@
+package scheduler
+
+import "greengagedeck/internal/worker"
+
+// workerReached records the first answer of an incarnation, or the first one since it was not
+// known whether it is still the one that was known. clock is the reading of its clock.
+func (c *Core) workerReached(ws *worker.State, clock int64, t Times) {
+	l := ws.Listing
+	l.Clock = clock
+	if ws.FencedAt == 0 && c.strayOrders(ws, t) && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, t.Wall)) {
+		ws.RecordStrayLease(t.Now)
+	}
+	ws.Fenced = true
+	ws.FencedAt = t.Now
+	c.touch(ws.Incarnation.ID)
+	c.needsPlan = true
+}
+
+// strayOrders reports whether a worker may have carried out orders that were meant for an
+// earlier incarnation, of this holder or an earlier one.
+func (c *Core) strayOrders(ws *worker.State, t Times) bool {
+	return ws.RestartedAt > 0 || t.Now < c.earlierOrdersEnd
+}
--- a/internal/scheduler/replacedworker.go
+++ b/internal/scheduler/replacedworker.go
@@ -32,7 +32,7 @@
 		for _, r := range sortedRuns(ws) {
 			c.endUnseen(ws, r, unseenHostReassigned, t)
 		}
-		c.dropIdle(id)
+		c.dropIdle(id, t.Now)
 	}
 }
 
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -277,6 +277,9 @@
 	r.work.Spent(stage.Plan, decided.Sub(start))
 	err = r.core.Encode(b, t)
 	r.work.Spent(stage.Encode, time.Since(decided))
+	if err == nil && r.core.tokens.usedUp {
+		err = errTokensUsedUp
+	}
 	return b, r.core.fenced, err
 }
 
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -56,6 +56,9 @@
 // refused at the intake if they exceed them, which is not simulated here.
 var simLogLimits = logstore.Limits{RecordBytes: 200, AppendBytes: 2 << 20}
 
+// simTokens is how many tokens a holder has, more than a worker restarts while it holds the pool.
+const simTokens = 64
+
 // submissionKind begins the keys of submissions.
 const submissionKind = "s"
 
@@ -86,8 +89,9 @@
 		conns:       newSimConns(w),
 		core: scheduler.NewCore(scheduler.Options{
 			Pool:            simPool,
-			Token:           w.token,
-			PreviousToken:   w.token - 1,
+			Token:           simTokens * w.token,
+			Tokens:          simTokens,
+			PreviousToken:   simTokens * (w.token - 1),
 			Lease:           simLease,
 			MaxLease:        w.maxLease,
 			StopTimeout:     simStopTimeout,
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -84,7 +84,8 @@
 				continue
 			}
 			r.SpeedInFlight = true
-			out = append(out, SpeedOrder{Worker: id, Target: ws.Target(), Run: r.ID, Percent: r.Speed, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+			ws.Ordered = true
+			out = append(out, SpeedOrder{Worker: id, Target: ws.Target(), Run: r.ID, Percent: r.Speed, Token: c.tokens.of(id), startedAt: ws.Incarnation.StartedAt})
 		}
 	}
 	return out
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"time"
-
 	"greengagedeck/internal/job"
 	"greengagedeck/internal/joblog"
 	"greengagedeck/internal/worker"
@@ -143,7 +141,7 @@
 	}
 	c.countPlanned(j)
 	c.waiting.jobChanged(j)
-	c.adoptRuns(j, t.Now)
+	c.adoptRuns(j, t)
 	c.stopRedundant(j)
 	c.applyEarlyCancels(j, t)
 	return j
@@ -158,11 +156,12 @@
 
 // adoptRuns tracks the runs that an earlier holder logged for a job. Each may
 // be on its worker until that worker has been polled.
-func (c *Core) adoptRuns(j *trackedJob, now time.Duration) {
+func (c *Core) adoptRuns(j *trackedJob, t Times) {
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
 		ws := c.workers[at.Worker.ID]
 		if ws == nil {
-			ws = worker.NewState(worker.Listing{Incarnation: at.Worker, Address: at.Address}, now, c.earlierLeasesEndAt(at.Worker.ID), c.leaseBounds())
+			l := worker.Listing{Incarnation: at.Worker, Address: at.Address}
+			ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l, t.Wall), c.leaseBounds())
 			ws.Listed = false
 			c.addWorker(ws)
 		}
@@ -170,7 +169,7 @@
 		// there.
 		ws.Unfence()
 		s := j.Step(r.Task)
-		run := worker.NewRun(r, s, worker.RunOrdered, now, c.expectedDuration(s))
+		run := worker.NewRun(r, s, worker.RunOrdered, t.Now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
 		run.Adopted = true
 		run.Suspect = j.Suspect(r.Task)
--- a/internal/scheduler/unreached.go
+++ b/internal/scheduler/unreached.go
@@ -52,17 +52,21 @@
 	for id, millis := range logged.RemainingMillis {
 		// The clock of this daemon may be faster than that of the last holder.
 		remaining := time.Duration(float64(millis) * holderDriftFactor * float64(time.Millisecond))
-		u.leasesEnd[id] = min(now+remaining, c.earlierLeasesEnd)
+		u.leasesEnd[id] = min(now+remaining, c.strayLeasesEnd)
 		u.recordedAt = now + restoredLeasesDelay - earlierLeasesInterval
 	}
 }
 
-// earlierLeasesEndAt returns when the last lease has expired that an earlier holder
-// may have granted to a worker.
-func (c *Core) earlierLeasesEndAt(id string) time.Duration {
-	if end, ok := c.unreached.leasesEnd[id]; ok {
+// earlierLeasesEndAt returns when the last lease has expired that an earlier holder may have
+// granted to a worker, or that an order of it has given to another incarnation than it was meant
+// for.
+func (c *Core) earlierLeasesEndAt(l worker.Listing, wall int64) time.Duration {
+	if end, ok := c.unreached.leasesEnd[l.Incarnation.ID]; ok {
 		return end
 	}
+	if c.earlierOrdersEnd > 0 && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, wall)) {
+		return c.strayLeasesEnd
+	}
 	return c.earlierLeasesEnd
 }
 
@@ -115,7 +119,7 @@
 // earlierLeasesRemaining returns, by worker ID, for how many milliseconds workers
 // that have runs and do not answer may still hold leases of earlier holders.
 func (c *Core) earlierLeasesRemaining(now time.Duration) map[string]int64 {
-	if now >= c.earlierLeasesEnd {
+	if now >= c.strayLeasesEnd {
 		return nil
 	}
 	out := map[string]int64{}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -34,7 +34,7 @@
 			c.countLapsed(ws, t)
 			c.opt.Logger.Info().Str("worker", id).Int("runs", len(ws.Runs)).Msg("worker is no longer listed")
 		}
-		c.dropIdle(id)
+		c.dropIdle(id, t.Now)
 	}
 	c.needsPlan = true
 }
@@ -60,8 +60,11 @@
 	ws := c.workers[l.Incarnation.ID]
 	switch {
 	case ws == nil:
-		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
+		ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l, t.Wall), c.leaseBounds())
 		ws.EntryStartedAt = l.Incarnation.StartedAt
+		if c.tokens.listedAgain(l.Incarnation, t.Now) {
+			ws.RestartedAt = t.Now
+		}
 		c.addWorker(ws)
 		c.wakePoll(l.Incarnation.ID)
 		c.applyCordon(ws)
@@ -80,6 +83,9 @@
 	if l.Draining && !ws.Draining {
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Dur("remaining", l.DrainRemaining).Int("runs", len(ws.Runs)).Msg("worker is draining")
 	}
+	if ws.FencedAt == 0 {
+		ws.AwaitEarlierLeases(c.earlierLeasesEndAt(l, t.Wall))
+	}
 	ws.Listing = l
 	ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
 	c.touch(l.Incarnation.ID)
@@ -94,6 +100,7 @@
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
 	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
 	c.recordCrash(ws, t)
+	c.tokens.restarted(ws)
 	ws.ReplaceIncarnation(l, t.Now)
 	c.wakePoll(l.Incarnation.ID)
 	c.applyCordon(ws)
@@ -101,8 +108,9 @@
 }
 
 // dropIdle removes a worker that is not listed and has no runs.
-func (c *Core) dropIdle(id string) {
+func (c *Core) dropIdle(id string, now time.Duration) {
 	if ws := c.workers[id]; ws != nil && !ws.Listed && len(ws.Runs) == 0 {
+		c.tokens.forget(ws, now)
 		c.removeWorker(id)
 		c.wakePoll(id)
 		delete(c.health, id)
@@ -300,7 +308,7 @@
 			c.logLeaseExpired(ws, r, t.Now)
 			c.endUnseen(ws, r, unseenLeaseExpired, t)
 		}
-		c.dropIdle(id)
+		c.dropIdle(id, t.Now)
 	}
 }
 
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -64,12 +64,6 @@
 // LeasePollEnded is the counterpart of LeasePollSent.
 func (s *State) LeasePollEnded() { s.leasePollInFlight = false }
 
-// RecordStrayLease records that this incarnation may have carried out an order that named the end
-// of a lease by the clock of an earlier one, and so taken the longest lease that it allows.
-func (s *State) RecordStrayLease(now time.Duration) {
-	s.priorLeaseExpiry = max(s.priorLeaseExpiry, now+s.bounds.LongestRun(s.bounds.Allowed))
-}
-
 // LeaseRemaining returns the least time that is left of the lease by the
 // worker's clock.
 func (s *State) LeaseRemaining(now time.Duration) time.Duration {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -31,8 +31,12 @@
 	// incarnation was fenced. Until then a run of an earlier holder or incarnation
 	// that no report has listed may be at the worker or may have ended there.
 	Reconciled bool
-	// FencedAt is when the holder learned that the incarnation has seen its token.
+	// FencedAt is when the holder learned that the incarnation has seen its token, or 0 if it
+	// has not been reached.
 	FencedAt time.Duration
+	// Ordered is set once an order was sent to this incarnation that another one must not
+	// carry out.
+	Ordered bool
 	// Runs are the runs that the worker has or may have.
 	Runs map[job.RunID]*Run
 	// Used is the amount of resources that the runs take, ServingRuns is how many
@@ -229,7 +233,7 @@
 	case clock == 0:
 		s.recordCallAnswered(now)
 	case s.clockJumped(clock, now):
-		s.Unfence()
+		s.otherIncarnationAnswered(now)
 	default:
 		s.RecordAnswer(clock, now)
 	}
@@ -241,12 +245,19 @@
 // number of an end of the one before, which would make it forget ends of its own.
 func (s *State) RecordStartAnswer(clock int64, sentAt, now time.Duration) {
 	if clock != 0 && clock < s.workerClock && sentAt >= s.workerClockAt {
-		s.Unfence()
+		s.otherIncarnationAnswered(now)
 		return
 	}
 	s.RecordOrderAnswer(clock, now)
 }
 
+// otherIncarnationAnswered records that another incarnation, which is not known yet, has
+// answered an order, and so may hold the lease that it named by the clock of this one.
+func (s *State) otherIncarnationAnswered(now time.Duration) {
+	s.RecordStrayLease(now)
+	s.Unfence()
+}
+
 // Unfence records that the runs at the worker are not known any more.
 func (s *State) Unfence() {
 	s.touch()
