Log which incarnation of a worker answers what

Cause: after tasks ran twice at workers that had started again under their IDs, no line told which incarnation was reached when, by whose clock an order named its lease, and which order a worker had rejected as fenced. Change: lines and counters only. `worker restarted` tells what was known of the incarnation before; `worker reached` is the first answer to a poll; answers of another incarnation, polls that outlive theirs and fenced orders have lines and counters; starts to young workers and those without an answer name the lease, the clock and its reading.

--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -67,6 +67,7 @@
 
 // sendStop sends a stop.
 func (r *Runner) sendStop(s StopOrder) {
+	s.sentAt = r.opt.Clock.Now()
 	reading, err := r.opt.Control.Stop(context.Background(), s.Target, s.Run, s.Token)
 	r.metrics.stopAnswered(err)
 	if err != nil {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -101,6 +101,8 @@
 	health  map[string]*workerHealth
 	crashes crashMonitor
 	unseen  unseenEnds
+	// incarnations count what was learnt of the incarnations of workers.
+	incarnations incarnationCounts
 	// durationRatios tell, by entry, how long tasks take relative to their
 	// estimates.
 	durationRatios map[string]*durationRatio
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -25,6 +25,8 @@
 	jobDuration                              tally.Histogram
 	pool                                     poolGauges
 	unseen                                   unseenCounters
+	incarnations                             incarnationCounters
+	fenced                                   fencedCounters
 	// jobsTakenBack counts the jobs that were taken back before the log held them.
 	jobsTakenBack tally.Counter
 	// poolScope has the pool's tag.
@@ -74,6 +76,8 @@
 		jobDuration:            scope.Histogram("job_seconds", jobBuckets),
 		pool:                   newPoolGauges(poolScope),
 		unseen:                 newUnseenCounters(scope),
+		incarnations:           newIncarnationCounters(scope),
+		fenced:                 newFencedCounters(scope),
 		poolScope:              poolScope,
 	}
 }
@@ -81,6 +85,7 @@
 // startAnswered counts a start and how it was answered.
 func (m metrics) startAnswered(err error) {
 	m.starts.Inc(1)
+	m.fenced.answered(kindStart, err)
 	var rejection *worker.RejectedError
 	switch {
 	case err == nil:
@@ -94,6 +99,7 @@
 // stopAnswered counts a stop and whether it failed.
 func (m metrics) stopAnswered(err error) {
 	m.stops.Inc(1)
+	m.fenced.answered(kindStop, err)
 	if err != nil {
 		m.stopsFailed.Inc(1)
 	}
@@ -102,6 +108,7 @@
 // speedAnswered counts a change of speed and whether it failed.
 func (m metrics) speedAnswered(err error) {
 	m.speedChanges.Inc(1)
+	m.fenced.answered(kindSpeed, err)
 	if err != nil {
 		m.speedChangesFailed.Inc(1)
 	}
@@ -110,6 +117,7 @@
 // pollAnswered counts a poll and whether it failed.
 func (m metrics) pollAnswered(err error) {
 	m.polls.Inc(1)
+	m.fenced.answered(kindPoll, err)
 	if err != nil {
 		m.pollsFailed.Inc(1)
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -21,6 +21,13 @@
 	startedAt int64
 	// sentAt is when the order was made, before it is sent.
 	sentAt time.Duration
+	// reading is the reading of the worker's clock that the order's lease was named by.
+	reading worker.ClockReading
+}
+
+// sentOrder returns the start for the log.
+func (s *StartOrder) sentOrder() sentOrder {
+	return sentOrder{kind: kindStart, run: s.Order.Run, token: s.Order.Token, sentAt: s.sentAt}
 }
 
 // SendDecision tells when to send an order.
@@ -61,11 +68,12 @@
 		return StartOrder{}, SendNever
 	}
 	ws.StartSent(run, now)
-	return StartOrder{
+	s := StartOrder{
 		Worker:    workerID,
 		Target:    ws.Target(),
 		startedAt: ws.Incarnation.StartedAt,
 		sentAt:    now,
+		reading:   ws.LastReading(),
 		Order: worker.StartOrder{
 			Run:        r,
 			Payload:    j.Spec.Payload,
@@ -74,7 +82,9 @@
 			Checkpoint: j.Checkpoint(r.Task),
 			Ticket:     c.ticketFor(j, r.Task, ws.Incarnation),
 		},
-	}, SendNow
+	}
+	c.noteStartSent(&s)
+	return s, SendNow
 }
 
 // unwantedAt returns why a start that has waited must not be sent to its worker any
@@ -109,7 +119,7 @@
 	var rejection *worker.RejectedError
 	switch {
 	case err == nil:
-		ws.RecordStartAnswer(clock, s.sentAt, t.Now)
+		c.recordStartAnswer(ws, &s, clock, t.Now)
 		if r.State != worker.RunConfirmed {
 			c.logStarted(r, s.Worker, t.Now)
 			c.confirmRun(ws, r, t.Now)
@@ -126,8 +136,8 @@
 		c.addressReassigned(ws, t)
 		return false
 	case errors.As(err, &rejection):
-		ws.RecordStartAnswer(rejection.Clock, s.sentAt, t.Now)
-		c.startRejected(ws, r, rejection, t)
+		c.recordStartAnswer(ws, &s, rejection.Clock, t.Now)
+		c.startRejected(ws, r, &s, rejection, t)
 		return false
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
 		ws.RecordUnanswered(t.Now)
@@ -136,7 +146,8 @@
 		return false
 	default:
 		if !r.StartUnanswered {
-			c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start got no answer")
+			s.describeLease(c.opt.Logger.Info()).Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).
+				Dur("sent_ago", t.Now-s.sentAt).Msg("start got no answer")
 		}
 		r.RecordUnansweredStart(t.Now)
 		c.stopUnanswered(ws, r, t.Now)
@@ -144,6 +155,13 @@
 	}
 }
 
+// recordStartAnswer records the clock in an answer to a start.
+func (c *Core) recordStartAnswer(ws *worker.State, s *StartOrder, clock int64, now time.Duration) {
+	if !ws.RecordStartAnswer(clock, s.sentAt, now) {
+		c.noteStrayAnswer(ws, s.sentOrder(), clock, now)
+	}
+}
+
 // confirmRun records that a worker has a run.
 func (c *Core) confirmRun(ws *worker.State, r *worker.Run, now time.Duration) {
 	ws.SetRunState(r, worker.RunConfirmed, now)
@@ -174,9 +192,9 @@
 
 // startRejected handles a start that a worker rejected. Unless an earlier order
 // for the run is unaccounted for, the run is certainly not on the worker.
-func (c *Core) startRejected(ws *worker.State, r *worker.Run, rejection *worker.RejectedError, t Times) {
+func (c *Core) startRejected(ws *worker.State, r *worker.Run, s *StartOrder, rejection *worker.RejectedError, t Times) {
 	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", string(rejection.Reason)).Bool("earlier_unanswered", r.StartUnanswered).Msg("worker rejected a start")
-	if c.checkFenced(rejection) {
+	if c.checkOrderFenced(ws, s.sentOrder(), rejection, t.Now) {
 		return
 	}
 	switch rejection.Reason {
@@ -214,6 +232,13 @@
 	Run       job.RunID
 	Token     int64
 	startedAt int64
+	// sentAt is when the stop was sent, or 0 if that is not known.
+	sentAt time.Duration
+}
+
+// sentOrder returns the stop for the log.
+func (s *StopOrder) sentOrder() sentOrder {
+	return sentOrder{kind: kindStop, run: s.Run, token: s.Token, sentAt: s.sentAt}
 }
 
 // StopOrders returns the stops to send now.
@@ -268,8 +293,8 @@
 		c.addressReassigned(ws, t)
 		return
 	}
-	if err == nil {
-		ws.RecordOrderAnswer(clock, t.Now)
+	if err == nil && !ws.RecordOrderAnswer(clock, t.Now) {
+		c.noteStrayAnswer(ws, s.sentOrder(), clock, t.Now)
 	}
 	r := ws.Runs[s.Run]
 	if r == nil {
@@ -283,7 +308,7 @@
 	}
 	var rejection *worker.RejectedError
 	if errors.As(err, &rejection) {
-		c.checkFenced(rejection)
+		c.checkOrderFenced(ws, s.sentOrder(), rejection, t.Now)
 	}
 	c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("stop failed")
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -38,8 +38,10 @@
 
 	// unseen counts the runs that counted as ended without a report since then.
 	unseen unseenCounts
-	starts []plannedStart
-	jobs   map[*trackedJob]jobVersion
+	// incarnations count what was learnt of the incarnations of workers since then.
+	incarnations incarnationCounts
+	starts       []plannedStart
+	jobs         map[*trackedJob]jobVersion
 	// encoded are the keys of jobs in the order in which they were encoded.
 	encoded []*trackedJob
 	// ends are the last ends that the batch covers, by worker ID.
@@ -97,6 +99,7 @@
 	b.ExcessJobs, b.CheckpointsDropped = c.excessJobs, c.checkpointsDropped
 	c.jobDurations, c.crashes.found, c.excessJobs, c.checkpointsDropped = nil, 0, 0, 0
 	b.unseen = c.unseen.takeCounts()
+	b.incarnations = c.incarnations.take()
 	c.place(b, t, checkHealth)
 	b.Work.Workers = c.index.refreshed
 	c.index.refreshed = 0
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -42,6 +42,11 @@
 	startedAt int64
 }
 
+// sentOrder returns the poll for the log.
+func (p *Poll) sentOrder() sentOrder {
+	return sentOrder{kind: kindPoll, token: p.Request.Token, sentAt: p.Sent}
+}
+
 // NextPoll returns when a worker should be polled next, or false when there is
 // no reason to. last is when the last poll ended.
 func (c *Core) NextPoll(id string, last time.Duration) (time.Duration, bool) {
@@ -147,6 +152,7 @@
 		return ws
 	}
 	if p.Request.LeaseUntil > 0 {
+		c.noteStrayPoll(p, ws, t.Now)
 		ws.RecordStrayLease(t.Now)
 	}
 	return nil
@@ -164,12 +170,13 @@
 		return
 	}
 	var rejection *worker.RejectedError
-	if errors.As(err, &rejection) && c.checkFenced(rejection) {
+	if errors.As(err, &rejection) && c.checkOrderFenced(ws, p.sentOrder(), rejection, t.Now) {
 		return
 	}
 	ws.RecordUnanswered(t.Now)
 	if ws.UnansweredCalls == 1 {
-		c.opt.Logger.Warn().Err(err).Str("worker", p.Worker).Int("runs", len(ws.Runs)).Msg("worker does not answer")
+		c.opt.Logger.Warn().Err(err).Str("worker", p.Worker).Int64("born", p.startedAt).Int("runs", len(ws.Runs)).
+			Int64("lease_until", p.Request.LeaseUntil).Dur("sent_ago", t.Now-p.Sent).Msg("worker does not answer")
 	}
 	c.needsPlan = true
 }
@@ -215,6 +222,7 @@
 		ws.LastEndAcknowledged = max(ws.LastEndAcknowledged, p.Request.Acknowledged)
 	}
 	if !ws.Fenced {
+		c.noteReached(ws, report, t.Now)
 		ws.Fenced = true
 		c.touch(p.Worker)
 		ws.FencedAt = t.Now
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -321,6 +321,7 @@
 		r.metrics.jobDuration.RecordDuration(duration)
 	}
 	r.metrics.unseen.record(b.unseen)
+	r.metrics.incarnations.record(b.incarnations)
 	r.metrics.correlatedCrashes.Inc(b.CorrelatedCrashes)
 	r.metrics.grantWaits.Inc(b.GrantWaits)
 	r.metrics.excessJobs.Inc(b.ExcessJobs)
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -105,7 +105,7 @@
 	c.speedWorkers[s.Worker] = true
 	if err != nil {
 		r.SpeedAtWorker = worker.SpeedUnknown
-		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Int("percent", s.Percent).Msg("changing the speed of a run failed")
+		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Int("percent", s.Percent).Int64("token", s.Token).Msg("changing the speed of a run failed")
 		return
 	}
 	r.SpeedAtWorker = s.Percent
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -92,7 +92,7 @@
 // workerRestarted replaces a worker's incarnation. The runs of the old one have
 // ended, which the first poll of the new incarnation confirms.
 func (c *Core) workerRestarted(ws *worker.State, l worker.Listing, t Times) {
-	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int("runs", len(ws.Runs)).Msg("worker restarted")
+	c.noteRestarted(ws, l, t.Now)
 	c.recordCrash(ws, t)
 	ws.ReplaceIncarnation(l, t.Now)
 	c.wakePoll(l.Incarnation.ID)
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -75,6 +75,17 @@
 	return r.State == RunOrdered && r.StartSentAt > 0 || r.StartUnanswered
 }
 
+// UnaccountedStarts returns how many runs have a start that was sent and not answered.
+func (s *State) UnaccountedStarts() int {
+	n := 0
+	for _, r := range s.Runs {
+		if r.startUnaccounted() {
+			n++
+		}
+	}
+	return n
+}
+
 // startMayArrive reports whether a start of the run that was not answered may still
 // be carried out by another incarnation of the worker.
 func (r *Run) startMayArrive(now time.Duration) bool {
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -54,6 +54,18 @@
 	return s.leaseUntil
 }
 
+// ClockReading is a reading of a worker's clock, in milliseconds, and when it was taken at the
+// latest, by the holder's clock.
+type ClockReading struct {
+	Clock int64
+	At    time.Duration
+}
+
+// LastReading returns the last reading of the worker's clock.
+func (s *State) LastReading() ClockReading {
+	return ClockReading{Clock: s.workerClock, At: s.workerClockAt}
+}
+
 // readingAge returns the age of the last reading of the worker's clock.
 func (s *State) readingAge(now time.Duration) time.Duration { return now - s.workerClockAt }
 
@@ -64,6 +76,9 @@
 // LeasePollEnded is the counterpart of LeasePollSent.
 func (s *State) LeasePollEnded() { s.leasePollInFlight = false }
 
+// LeasePollInFlight reports whether a poll is in flight that extends the lease.
+func (s *State) LeasePollInFlight() bool { return s.leasePollInFlight }
+
 // RecordStrayLease records that this incarnation may have carried out an order that named the end
 // of a lease by the clock of an earlier one, and so taken the longest lease that it allows.
 func (s *State) RecordStrayLease(now time.Duration) {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -79,6 +79,8 @@
 	// LastAnswer is when the worker last answered a call, and RestartedAt when this
 	// incarnation was found in place of another one, or 0.
 	LastAnswer, RestartedAt time.Duration
+	// KnownSince is when the holder learned of this incarnation.
+	KnownSince time.Duration
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
 	// leases expired while the worker was silent and listed.
 	Lapsed []*Run
@@ -101,6 +103,7 @@
 		Runs:             map[job.RunID]*Run{},
 		workerClock:      l.Clock,
 		workerClockAt:    now,
+		KnownSince:       now,
 		bounds:           b,
 		earlierLeasesEnd: earlierLeasesEnd,
 		priorLeaseExpiry: earlierLeasesEnd,
@@ -222,29 +225,31 @@
 
 // RecordOrderAnswer records an answer to an order, which does not say which
 // incarnation gave it. If the clock in it has jumped, another incarnation
-// answered, and the worker has to be polled again. clock is 0 if the answer
-// contained none.
-func (s *State) RecordOrderAnswer(clock int64, now time.Duration) {
+// answered, and the worker has to be polled again: it returns false. clock is 0 if
+// the answer contained none.
+func (s *State) RecordOrderAnswer(clock int64, now time.Duration) (same bool) {
 	switch {
 	case clock == 0:
 		s.recordCallAnswered(now)
 	case s.clockJumped(clock, now):
 		s.Unfence()
+		return false
 	default:
 		s.RecordAnswer(clock, now)
 	}
+	return true
 }
 
 // RecordStartAnswer is like RecordOrderAnswer for a start that was sent at a moment. If it was sent
 // after a reading of the worker's clock had come and its answer has a lower one, another
 // incarnation has answered, however soon the worker has restarted: it is not polled with the
 // number of an end of the one before, which would make it forget ends of its own.
-func (s *State) RecordStartAnswer(clock int64, sentAt, now time.Duration) {
+func (s *State) RecordStartAnswer(clock int64, sentAt, now time.Duration) (same bool) {
 	if clock != 0 && clock < s.workerClock && sentAt >= s.workerClockAt {
 		s.Unfence()
-		return
+		return false
 	}
-	s.RecordOrderAnswer(clock, now)
+	return s.RecordOrderAnswer(clock, now)
 }
 
 // Unfence records that the runs at the worker are not known any more.
