Let the model carry out orders in the next process of a worker

New schedules have workers that allow 10 s restart under their IDs, in series and behind cuts, while holders follow each other. They tell the cause of each second run, and how long tasks wait after they have lost their worker.

--- a/internal/scheduler/sim_capacity_test.go
+++ b/internal/scheduler/sim_capacity_test.go
@@ -31,6 +31,11 @@
 // simulation sent.
 type orderOrigin struct {
 	sentAt, listReadAt time.Duration
+	// holder is the token under which its sender claimed the pool, and process the start of the
+	// worker's process that it was meant for.
+	holder, process int64
+	// poll is set for a poll.
+	poll bool
 }
 
 // startFrom carries out a start order of the given origin.
--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -25,7 +25,7 @@
 	}
 	step := spec.Steps[t.Step]
 	if !step.Speculative {
-		w.checkNoDuplicateRun(t, o.Run)
+		w.checkNoDuplicateRun(s, o.Run)
 	}
 	w.checkStepOrder(spec, t)
 	if !step.LongRunning && !step.Gang && w.failures[t] >= w.maxFailures[t.Job] {
@@ -69,12 +69,16 @@
 	return checkpoint[:len(prefix)] == prefix
 }
 
-func (w *simWorld) checkNoDuplicateRun(t job.TaskID, run job.RunID) {
+// checkNoDuplicateRun checks that a start on a worker begins the task's only run.
+func (w *simWorld) checkNoDuplicateRun(at *simWorker, run job.RunID) {
+	t := run.Task
 	if w.doneAcknowledged[t] {
+		w.noteDoubleRun(at, run, nil, nil)
 		w.addViolation("TWICE start of %s run %d after an acknowledged end", t, run.Number)
 	}
 	for _, s := range w.workers {
 		if r := s.running[t]; s.up && r != nil {
+			w.noteDoubleRun(at, run, r, s)
 			w.addViolation("TWICE %s: run %d starts while run %d is active on %s", t, run.Number, r.id.Number, s.id)
 		}
 	}
@@ -188,7 +192,8 @@
 func (w *simWorld) newRun(s *simWorker, o worker.StartOrder) *simRun {
 	t := o.Run.Task
 	step := w.specs[t.Job].Steps[t.Step]
-	r := &simRun{id: o.Run, step: step, started: w.now, endReason: job.EndDone}
+	r := &simRun{id: o.Run, step: step, origin: s.startOrigin(), started: w.now, endReason: job.EndDone}
+	w.losses.started(r)
 	r.endsAt = w.now + time.Duration(50+w.rng.IntN(2000))*time.Millisecond
 	if step.LongRunning {
 		r.endsAt = w.now + time.Duration(1000+w.rng.IntN(20000))*time.Millisecond
@@ -207,6 +212,7 @@
 // runEnded records the end of a run on a worker.
 func (w *simWorld) runEnded(_ *simWorker, r *simRun, reason job.EndReason) {
 	w.crashes.runEnded(r, reason)
+	w.losses.ended(r, reason)
 	if reason == job.EndDone {
 		w.done[r.id.Task] = true
 		for k := range r.step.Count {
--- /dev/null
+++ b/internal/scheduler/sim_restart_test.go
@@ -0,0 +1,166 @@
+package scheduler_test
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"greengagedeck/internal/job"
+)
+
+// simLongestAllowed is a lease that workers allow and that is longer than holders grant.
+const simLongestAllowed = 10 * time.Second
+
+// newRestartWorld returns a world in which orders outlive the process of the worker that they
+// were meant for, and workers allow longer leases than holders grant.
+func newRestartWorld(t testing.TB, seed uint64, workers int) *simWorld {
+	w := newSimWorld(t, seed, workers)
+	w.ordersOutliveProcess = true
+	w.maxLease = simLongestAllowed
+	w.losses = simLosses{w: w, open: map[job.TaskID]lostRun{}}
+	return w
+}
+
+// runRestartSchedule has workers restart under their IDs, alone or in series, and be cut off soon
+// after, while holders follow each other and orders get no answer.
+func runRestartSchedule(w *simWorld) {
+	w.maxRun = 25 * time.Second
+	w.pollsWait = w.rng.IntN(2) == 0
+	w.takeOver()
+	w.run(time.Second)
+	if w.rng.IntN(2) == 0 {
+		w.now += time.Minute
+	}
+	for range 2 {
+		w.orderFaults()
+		for range 2 + w.rng.IntN(2) {
+			w.submit(w.batchSpec(), 3)
+		}
+		w.run(time.Duration(20+w.rng.IntN(1000)) * time.Millisecond)
+		for range 2 + w.rng.IntN(4) {
+			w.restartFault()
+			w.run(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+		}
+		w.runPlanning(time.Duration(5000+w.rng.IntN(8000)) * time.Millisecond)
+	}
+	w.endRestartSchedule()
+}
+
+// endRestartSchedule ends the faults and waits until the tasks that lost their worker have started
+// again.
+func (w *simWorld) endRestartSchedule() {
+	w.endFaults()
+	for _, s := range w.workers {
+		w.losses.workerReached(s)
+	}
+	for range 30 {
+		if w.losses.pending() == 0 {
+			return
+		}
+		w.run(time.Second)
+	}
+	w.losses.unended = w.losses.pending()
+}
+
+// orderFaults has orders get no answer, be late or be lost.
+func (w *simWorld) orderFaults() {
+	w.lostRate, w.delayedRate, w.unansweredRate = 0.05*w.rng.Float64(), 0.3*w.rng.Float64(), 0.1*w.rng.Float64()
+	w.lateRate = 0.5 * w.rng.Float64()
+}
+
+// restartFault causes a fault in which it matters which process of a worker carries an order out.
+func (w *simWorld) restartFault() {
+	s := w.workers[w.rng.IntN(len(w.workers))]
+	switch w.rng.IntN(9) {
+	case 0, 1, 2:
+		w.restartInSeries(s, 1+w.rng.IntN(3))
+	case 3, 4:
+		w.restartBehindCut(s)
+	case 5:
+		w.supersedeWithStartsUnderWay()
+	case 6:
+		w.pauseHolder()
+	case 7:
+		w.killHolder()
+	case 8:
+		w.submit(w.batchSpec(), 3)
+	}
+}
+
+// restartInSeries has a worker restart some times under its ID. Most often it is cut off soon
+// after.
+func (w *simWorld) restartInSeries(s *simWorker, times int) {
+	if !s.up {
+		return
+	}
+	s.crash()
+	w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() {
+		w.restartWorker(s)
+		lives := time.Duration(50+w.rng.IntN(1500)) * time.Millisecond
+		switch {
+		case times > 1:
+			w.after(lives, func() { w.restartInSeries(s, times-1) })
+		case w.rng.IntN(4) > 0:
+			w.after(lives, func() { w.cutOff(s, time.Duration(3000+w.rng.IntN(10000))*time.Millisecond) })
+		}
+	})
+}
+
+// restartBehindCut has a worker restart while it is cut off.
+func (w *simWorld) restartBehindCut(s *simWorker) {
+	length := time.Duration(1000+w.rng.IntN(8000)) * time.Millisecond
+	w.cutOff(s, length)
+	w.after(time.Duration(w.rng.Int64N(int64(length))), func() {
+		s.crash()
+		w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() { w.restartWorker(s) })
+	})
+}
+
+// cutOff cuts a worker off for a time, from all holders or from the newest alone.
+func (w *simWorld) cutOff(s *simWorker, length time.Duration) {
+	w.losses.workerLost(s, lossCut)
+	if w.rng.IntN(3) == 0 {
+		w.holder.cutOffUntil[s.id] = w.now + length
+	} else {
+		s.partitioned = true
+	}
+	w.after(length, func() {
+		s.partitioned = false
+		w.losses.workerReached(s)
+	})
+}
+
+// Guards against a worker that carries out orders which were meant for its earlier process, after
+// the holder or a successor has concluded what that process had.
+func TestNoTaskRunsTwiceWhileWorkersRestartUnderTheirIDs(t *testing.T) {
+	t.Parallel()
+	var losses simLosses
+	causes := map[string][]uint64{}
+	for i := range *schedules {
+		seed := *scheduleSeed + uint64(i)
+		w := newRestartWorld(t, seed, 3+int(seed%3))
+		runRestartSchedule(w)
+		losses.add(w.losses)
+		for _, d := range w.doubleRuns {
+			if seeds := causes[d.cause()]; !slices.Contains(seeds, seed) {
+				causes[d.cause()] = append(seeds, seed)
+			}
+		}
+		if len(w.violations) > 0 {
+			t.Errorf("schedule %d: %d invariant violations:\n%s", seed, len(w.violations), strings.Join(w.violations, "\n"))
+		}
+	}
+	t.Logf("after the loss of their worker: %s", &losses)
+	for _, cause := range sortedCauses(causes) {
+		t.Logf("%s: schedules %v", cause, causes[cause])
+	}
+}
+
+// sortedCauses returns the causes that the most schedules show first.
+func sortedCauses(causes map[string][]uint64) []string {
+	out := slices.Sorted(maps.Keys(causes))
+	slices.SortStableFunc(out, func(a, b string) int { return len(causes[b]) - len(causes[a]) })
+	return out
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -129,6 +129,13 @@
 	conns *connFaults
 	// customers are those of the world, or nil if it has none.
 	customers *simCustomers
+	// ordersOutliveProcess is set if an order without an answer may be carried out by the next
+	// process of its worker, and pollsWait if workers answer polls once a run ends.
+	ordersOutliveProcess, pollsWait bool
+	// doubleRuns are the starts that broke TWICE.
+	doubleRuns []doubleRun
+	// losses tell how long tasks wait after they have lost their worker.
+	losses simLosses
 	// listDown is set while no holder can read the list of workers.
 	listDown bool
 	// violations are the invariants found broken. Each begins with the kind:
--- a/internal/scheduler/simcalls_test.go
+++ b/internal/scheduler/simcalls_test.go
@@ -44,6 +44,10 @@
 // callOverNetwork does what call does where connections do not fail.
 func (h *simHolder) callOverNetwork(c simCall) {
 	w, s := h.w, c.to
+	if w.ordersOutliveProcess {
+		h.callAcrossProcesses(c)
+		return
+	}
 	timeout := verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer")
 	deliver := func(err error) {
 		w.after(w.answerDelay(), func() { h.runWhenActive(func() { c.answer(err) }) })
@@ -263,12 +267,12 @@
 }
 
 // waitForEnd returns a poll that answers when a run has ended or its wait is over.
-func (w *simWorld) waitForEnd(s *simWorker, req worker.PollRequest, rep *worker.Report) func() error {
+func (w *simWorld) waitForEnd(s *simWorker, origin orderOrigin, req worker.PollRequest, rep *worker.Report) func() error {
 	received, startedAt := time.Duration(0), int64(0)
 	return func() (err error) {
 		if received == 0 {
 			received, startedAt = w.now, s.startedAt
-			if *rep, err = s.poll(req); err != nil {
+			if *rep, err = s.pollFrom(origin, req); err != nil {
 				return err
 			}
 		}
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -326,7 +326,7 @@
 	if send != scheduler.SendNow {
 		return
 	}
-	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt}
+	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt, holder: h.token, process: o.MeantForProcess()}
 	var clock int64
 	do := func() error {
 		clock = s.clock()
@@ -376,9 +376,10 @@
 	}
 	h.polling[s.id] = true
 	p := h.core.Poll(s.id, h.w.now, h.remaining())
+	origin := orderOrigin{sentAt: h.w.now, listReadAt: h.listReadAt, holder: h.token, process: p.MeantForProcess(), poll: true}
 	var rep worker.Report
 	do := func() (err error) {
-		rep, err = s.poll(p.Request)
+		rep, err = s.pollFrom(origin, p.Request)
 		return err
 	}
 	c := simCall{to: s, address: p.Target.Address, do: do, answer: func(err error) {
@@ -388,11 +389,12 @@
 			h.core.PollFailed(p, err, h.w.times())
 			return
 		}
+		s.seen = s.seen || rep.StartedAt == s.startedAt
 		h.core.PollSucceeded(p, rep, h.w.times())
 	}}
-	if h.conns != nil {
+	if h.conns != nil || h.w.pollsWait {
 		c.wait = p.Request.Wait
-		c.do = h.w.waitForEnd(s, p.Request, &rep)
+		c.do = h.w.waitForEnd(s, origin, p.Request, &rep)
 	}
 	h.call(c)
 }
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -30,8 +30,12 @@
 	// addressReused is set once another worker answers at the address.
 	addressReused bool
 
-	token        int64
-	leaseUntil   int64
+	token      int64
+	leaseUntil int64
+	// leaseOrder is the order that gave the lease, and seen is set once a holder has had an
+	// answer to a poll of this process.
+	leaseOrder   orderOrigin
+	seen         bool
 	running      map[job.TaskID]*simRun
 	ended        []worker.RunEnd
 	lastEnd      int64
@@ -57,6 +61,7 @@
 type simRun struct {
 	id        job.RunID
 	step      job.Step
+	origin    runOrigin
 	started   time.Duration
 	endsAt    time.Duration
 	endReason job.EndReason
@@ -81,6 +86,7 @@
 // crash ends the worker and loses its runs.
 func (s *simWorker) crash() {
 	s.w.crashes.workerCrashed(s)
+	s.w.losses.workerLost(s, lossCrash)
 	s.up = false
 	for _, r := range s.running {
 		s.w.runEnded(s, r, job.EndWorkerLost)
@@ -99,6 +105,7 @@
 	s.startedAt++
 	s.bootedAt = s.w.now
 	s.up, s.draining = true, false
+	s.leaseOrder, s.seen = orderOrigin{}, false
 	s.token, s.leaseUntil, s.lastEnd, s.acknowledged = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
@@ -132,7 +139,10 @@
 }
 
 func (s *simWorker) extendLease(until int64) {
-	s.leaseUntil = max(s.leaseUntil, min(until, s.clock()+s.w.maxLease.Milliseconds()))
+	end := min(until, s.clock()+s.w.maxLease.Milliseconds())
+	if end > s.leaseUntil {
+		s.leaseUntil, s.leaseOrder = end, s.w.order
+	}
 }
 
 // start carries out a start order.
