Start no task while a worker has a run of it that counts as ended

Cause: a worker that had restarted carried out a start that was meant for its earlier process. The holder saw the run, had it stopped, and started the task elsewhere before it had ended. Change: such runs are tracked until they have ended, and starts of their tasks wait.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -108,6 +108,8 @@
 	health  map[string]*workerHealth
 	crashes crashMonitor
 	unseen  unseenEnds
+	// strayRuns are runs at workers that count as ended.
+	strayRuns strayRuns
 	// incarnations count what was learnt of the incarnations of workers.
 	incarnations incarnationCounts
 	// durationRatios tell, by entry, how long tasks take relative to their
@@ -210,6 +212,7 @@
 		overtaken:        map[worker.StepKey]*overtakenGroup{},
 		inflow:           usualInflow{},
 		noRuns:           newNoRuns(),
+		strayRuns:        strayRuns{},
 		planned:          map[int]int{},
 	}
 	if opt.LogLimits == (logstore.Limits{}) {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -63,13 +63,17 @@
 		c.wakePoll(workerID)
 		return StartOrder{}, SendLater
 	}
-	if reason := unwantedAt(ws, run, j.Step(r.Task)); reason != "" {
+	s := j.Step(r.Task)
+	if reason := unwantedAt(ws, run, s); reason != "" {
 		c.requestStop(ws, run, reason)
 		return StartOrder{}, SendNever
 	}
+	if !s.Speculative && c.awaitsStrayRun(r.Task) {
+		return StartOrder{}, SendLater
+	}
 	ws.StartSent(run, now)
 	ws.Ordered = true
-	s := StartOrder{
+	order := StartOrder{
 		Worker:    workerID,
 		Target:    ws.Target(),
 		startedAt: ws.Incarnation.StartedAt,
@@ -84,8 +88,8 @@
 			Ticket:     c.ticketFor(j, r.Task, ws.Incarnation),
 		},
 	}
-	c.noteStartSent(&s)
-	return s, SendNow
+	c.noteStartSent(&order)
+	return order, SendNow
 }
 
 // unwantedAt returns why a start that has waited must not be sent to its worker any
