Tell the causes of second runs that start after an acknowledged end

Cause: the model named the starting run as the one that counted as ended, though the run that was done had counted so. Change: the model keeps by which orders a run that ended was active. Workers of the new schedules also leave orders unanswered for a while before they restart.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -73,12 +73,12 @@
 func (w *simWorld) checkNoDuplicateRun(at *simWorker, run job.RunID) {
 	t := run.Task
 	if w.doneAcknowledged[t] {
-		w.noteDoubleRun(at, run, nil, nil)
+		w.noteDoubleRun(at.startOrigin(run), w.doneOrigins[t])
 		w.addViolation("TWICE start of %s run %d after an acknowledged end", t, run.Number)
 	}
 	for _, s := range w.workers {
 		if r := s.running[t]; s.up && r != nil {
-			w.noteDoubleRun(at, run, r, s)
+			w.noteDoubleRun(at.startOrigin(run), s.originOf(r))
 			w.addViolation("TWICE %s: run %d starts while run %d is active on %s", t, run.Number, r.id.Number, s.id)
 		}
 	}
@@ -192,7 +192,7 @@
 func (w *simWorld) newRun(s *simWorker, o worker.StartOrder) *simRun {
 	t := o.Run.Task
 	step := w.specs[t.Job].Steps[t.Step]
-	r := &simRun{id: o.Run, step: step, origin: s.startOrigin(), started: w.now, endReason: job.EndDone}
+	r := &simRun{id: o.Run, step: step, origin: s.startOrigin(o.Run), started: w.now, endReason: job.EndDone}
 	w.losses.started(r)
 	r.endsAt = w.now + time.Duration(50+w.rng.IntN(2000))*time.Millisecond
 	if step.LongRunning {
@@ -237,6 +237,7 @@
 	}
 	if e.Reason == job.EndDone && !w.specs[t.Job].Steps[t.Step].LongRunning {
 		w.doneAcknowledged[t] = true
+		w.doneOrigins[t] = s.endOrigins[e.Number]
 	}
 	if e.Reason == job.EndFailed {
 		w.failures[t]++
--- a/internal/scheduler/sim_restart_test.go
+++ b/internal/scheduler/sim_restart_test.go
@@ -36,18 +36,26 @@
 	for range 2 {
 		w.orderFaults()
 		for range 2 + w.rng.IntN(2) {
-			w.submit(w.batchSpec(), 3)
+			w.submitSmall()
 		}
 		w.run(time.Duration(20+w.rng.IntN(1000)) * time.Millisecond)
 		for range 2 + w.rng.IntN(4) {
 			w.restartFault()
 			w.run(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
 		}
-		w.runPlanning(time.Duration(5000+w.rng.IntN(8000)) * time.Millisecond)
+		w.runPlanningOften(time.Duration(5000+w.rng.IntN(8000)) * time.Millisecond)
 	}
 	w.endRestartSchedule()
 }
 
+// runPlanningOften advances the virtual time by d, while the holder plans every 50 ms.
+func (w *simWorld) runPlanningOften(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.holder.plannedAt = 0
+		w.run(50 * time.Millisecond)
+	}
+}
+
 // endRestartSchedule ends the faults and waits until the tasks that lost their worker have started
 // again.
 func (w *simWorld) endRestartSchedule() {
@@ -73,22 +81,36 @@
 // restartFault causes a fault in which it matters which process of a worker carries an order out.
 func (w *simWorld) restartFault() {
 	s := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(9) {
-	case 0, 1, 2:
-		w.restartInSeries(s, 1+w.rng.IntN(3))
-	case 3, 4:
+	switch w.rng.IntN(10) {
+	case 0, 1, 2, 3:
+		w.crashAfterLateOrders(s)
+	case 4, 5:
 		w.restartBehindCut(s)
-	case 5:
+	case 6, 7:
 		w.supersedeWithStartsUnderWay()
-	case 6:
+	case 8:
 		w.pauseHolder()
-	case 7:
+	case 9:
 		w.killHolder()
-	case 8:
-		w.submit(w.batchSpec(), 3)
 	}
 }
 
+// crashAfterLateOrders has a worker leave orders unanswered for a while, which it carries out
+// late, and then restart.
+func (w *simWorld) crashAfterLateOrders(s *simWorker) {
+	late := time.Duration(w.rng.IntN(1500)) * time.Millisecond
+	s.lateUntil = w.now + late
+	w.submitSmall()
+	w.after(late, func() { w.restartInSeries(s, 1+w.rng.IntN(3)) })
+}
+
+// submitSmall submits a job of one or two tasks that end.
+func (w *simWorld) submitSmall() {
+	spec := w.batchSpec()
+	spec.Steps[0].Count = 1 + w.rng.IntN(2)
+	w.submit(spec, 3)
+}
+
 // restartInSeries has a worker restart some times under its ID. Most often it is cut off soon
 // after.
 func (w *simWorld) restartInSeries(s *simWorker, times int) {
@@ -98,7 +120,8 @@
 	s.crash()
 	w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() {
 		w.restartWorker(s)
-		lives := time.Duration(50+w.rng.IntN(1500)) * time.Millisecond
+		w.submitSmall()
+		lives := time.Duration(50+w.rng.IntN(3000)) * time.Millisecond
 		switch {
 		case times > 1:
 			w.after(lives, func() { w.restartInSeries(s, times-1) })
@@ -113,8 +136,10 @@
 	length := time.Duration(1000+w.rng.IntN(8000)) * time.Millisecond
 	w.cutOff(s, length)
 	w.after(time.Duration(w.rng.Int64N(int64(length))), func() {
-		s.crash()
-		w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() { w.restartWorker(s) })
+		if s.up {
+			s.crash()
+			w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() { w.restartWorker(s) })
+		}
 	})
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -134,6 +134,8 @@
 	ordersOutliveProcess, pollsWait bool
 	// doubleRuns are the starts that broke TWICE.
 	doubleRuns []doubleRun
+	// doneOrigins tells of the runs in doneAcknowledged.
+	doneOrigins map[job.TaskID]runOrigin
 	// losses tell how long tasks wait after they have lost their worker.
 	losses simLosses
 	// listDown is set while no holder can read the list of workers.
@@ -170,6 +172,7 @@
 		maxFailures:      map[job.ID]int{},
 		cancelled:        map[job.ID]time.Duration{},
 		doneAcknowledged: map[job.TaskID]bool{},
+		doneOrigins:      map[job.TaskID]runOrigin{},
 		done:             map[job.TaskID]bool{},
 		failures:         map[job.TaskID]int{},
 		starts:           map[job.TaskID]int{},
--- a/internal/scheduler/simprocess_test.go
+++ b/internal/scheduler/simprocess_test.go
@@ -32,6 +32,8 @@
 	roll := w.rng.Float64()
 	switch {
 	case c.address != s.address:
+	case s.up && w.now < s.lateUntil && !s.partitioned && w.now >= h.cutOffUntil[s.id]:
+		c.carryOutLate(true)
 	case s.partitioned || w.now < h.cutOffUntil[s.id]:
 		if roll < w.delayedRate {
 			c.carryOutLate(false)
@@ -114,22 +116,23 @@
 	return s.poll(req)
 }
 
-// doubleRun is a start of a task that has another active run, or a run that was done. older is the
-// one of the two that counted as ended, which is the one that starts if the other is done.
+// doubleRun is a start of a run of a task that has another one, which is active or whose end as
+// done was acknowledged.
 type doubleRun struct {
-	task job.TaskID
-	// starts is set if older is the one that starts.
-	starts bool
+	// older is the run that counted as ended when the other one was ordered, and starts is set if it
+	// is the one that starts.
 	older  runOrigin
+	starts bool
 	// successor is set if another holder ordered the newer run.
 	successor bool
 }
 
 // runOrigin tells by which orders a run is active.
 type runOrigin struct {
-	start orderOrigin
-	// process is the one that has the run, and seen is set if a holder had had an answer of it
-	// before the run started.
+	number int
+	start  orderOrigin
+	// process is the start of the worker's process that has the run, and seen is set if a holder
+	// had had an answer to a poll of it before the run started.
 	process int64
 	seen    bool
 	// lease is the order that gave the process its last lease.
@@ -142,36 +145,37 @@
 // strayLease reports whether the lease of the run was meant for an earlier process.
 func (r runOrigin) strayLease() bool { return r.lease.process < r.process }
 
-// cause tells how the older run came to be active.
+// startCause tells which process has carried out a start that was meant for an earlier one, and
+// whether that was before or after the newer run started.
+func (d doubleRun) startCause() string {
+	process, seen, order := "the next process", "seen", "before"
+	if d.older.process > d.older.start.process+1 {
+		process = "a later process"
+	}
+	if !d.older.seen {
+		seen = "unseen"
+	}
+	if d.starts {
+		order = "after"
+	}
+	return fmt.Sprintf("start carried out by %s, %s, %s the newer run starts", process, seen, order)
+}
+
+// cause tells why the older run was not over.
 func (d doubleRun) cause() string {
-	r := d.older
-	holder := "one holder"
+	holder := "one holder: "
 	if d.successor {
-		holder = "successor"
+		holder = "successor: "
 	}
 	switch {
-	case r.strayStart():
-		after := "active when the next run starts"
-		if d.starts {
-			after = "carried out after the next run"
-		}
-		seen := "seen"
-		if !r.seen {
-			seen = "unseen"
-		}
-		life := "the next process"
-		if r.process > r.start.process+1 {
-			life = "a later process"
-		}
-		return fmt.Sprintf("%s: start carried out by %s, %s, %s", holder, life, seen, after)
-	case r.strayLease() && r.lease.poll:
-		return holder + ": lease by a poll meant for an earlier process"
-	case r.strayLease():
-		return holder + ": lease by a start meant for an earlier process"
-	case d.starts:
-		return holder + ": start meant for this process, carried out after the next run"
+	case d.older.strayStart():
+		return holder + d.startCause()
+	case d.older.strayLease() && d.older.lease.poll:
+		return holder + "lease from a poll meant for an earlier process"
+	case d.older.strayLease():
+		return holder + "lease from a start meant for an earlier process"
 	default:
-		return holder + ": start and lease meant for this process"
+		return holder + "start and lease meant for the process"
 	}
 }
 
@@ -182,22 +186,16 @@
 	return o
 }
 
-// noteDoubleRun records that a start of a run breaks TWICE: other is the task's active run on a
-// worker, or nil if a run was done.
-func (w *simWorld) noteDoubleRun(s *simWorker, run job.RunID, other *simRun, at *simWorker) {
-	d := doubleRun{task: run.Task, starts: true, older: s.startOrigin()}
-	if other != nil && other.id.Number < run.Number {
-		d.starts, d.older = false, at.originOf(other)
-		d.successor = d.older.start.holder != w.order.holder
-	} else if other != nil {
-		d.successor = d.older.start.holder != other.origin.start.holder
-	} else {
-		d.successor = d.older.start.holder != w.token
-	}
-	w.doubleRuns = append(w.doubleRuns, d)
+// startOrigin returns the origin of a run that the order being carried out starts.
+func (s *simWorker) startOrigin(run job.RunID) runOrigin {
+	return runOrigin{number: run.Number, start: s.w.order, process: s.startedAt, seen: s.seen, lease: s.leaseOrder}
 }
 
-// startOrigin returns the origin of a run that the order being carried out starts.
-func (s *simWorker) startOrigin() runOrigin {
-	return runOrigin{start: s.w.order, process: s.startedAt, seen: s.seen, lease: s.leaseOrder}
+// noteDoubleRun records that a run starts while another one of its task is active or done.
+func (w *simWorld) noteDoubleRun(starting, other runOrigin) {
+	d := doubleRun{older: other, successor: starting.start.holder != other.start.holder}
+	if starting.number < other.number {
+		d.older, d.starts = starting, true
+	}
+	w.doubleRuns = append(w.doubleRuns, d)
 }
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -34,8 +34,10 @@
 	leaseUntil int64
 	// leaseOrder is the order that gave the lease, and seen is set once a holder has had an
 	// answer to a poll of this process.
-	leaseOrder   orderOrigin
-	seen         bool
+	leaseOrder orderOrigin
+	seen       bool
+	// lateUntil is until when the worker answers no orders and carries them out late.
+	lateUntil    time.Duration
 	running      map[job.TaskID]*simRun
 	ended        []worker.RunEnd
 	lastEnd      int64
@@ -46,6 +48,8 @@
 	// by the number of an end, when the run ended.
 	leaseExpiredAt time.Duration
 	endedAt        map[int64]time.Duration
+	// endOrigins tells, by the number of an end, how the run came to be active.
+	endOrigins map[int64]runOrigin
 	// capacities is the course of the capacity, and listedCapacity the capacity
 	// in the worker's entry in the list. Both are zero while it has not changed.
 	capacities     []capacityChange
@@ -109,6 +113,7 @@
 	s.token, s.leaseUntil, s.lastEnd, s.acknowledged = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
+	s.endOrigins = map[int64]runOrigin{}
 	s.running = map[job.TaskID]*simRun{}
 	s.newestRun = map[job.TaskID]int{}
 }
@@ -268,6 +273,7 @@
 	s.newestRun[r.id.Task] = max(s.newestRun[r.id.Task], r.id.Number)
 	s.lastEnd++
 	s.endedAt[s.lastEnd] = s.w.now
+	s.endOrigins[s.lastEnd] = s.originOf(r)
 	s.ended = append(s.ended, worker.RunEnd{Number: s.lastEnd, Run: r.id, Reason: reason, Checkpoint: fmt.Sprintf("%s@%d", r.id.Task, r.id.Number)})
 	s.w.runEnded(s, r, reason)
 }
