Tell which second runs come from an acknowledgement of another process

Cause: one cause of second runs could not be told from the causes named so far. Change: a poll that was meant for an earlier process and names an end of it makes the next process forget ends of its own, which the model now tells.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -237,7 +237,9 @@
 	}
 	if e.Reason == job.EndDone && !w.specs[t.Job].Steps[t.Step].LongRunning {
 		w.doneAcknowledged[t] = true
-		w.doneOrigins[t] = s.endOrigins[e.Number]
+		done := s.endOrigins[e.Number]
+		done.acknowledgement = w.order
+		w.doneOrigins[t] = done
 	}
 	if e.Reason == job.EndFailed {
 		w.failures[t]++
--- a/internal/scheduler/simprocess_test.go
+++ b/internal/scheduler/simprocess_test.go
@@ -135,8 +135,9 @@
 	// had had an answer to a poll of it before the run started.
 	process int64
 	seen    bool
-	// lease is the order that gave the process its last lease.
-	lease orderOrigin
+	// lease is the order that gave the process its last lease, and acknowledgement the poll that
+	// acknowledged the end of the run, if any did.
+	lease, acknowledgement orderOrigin
 }
 
 // strayStart reports whether the start of the run was meant for an earlier process.
@@ -145,6 +146,12 @@
 // strayLease reports whether the lease of the run was meant for an earlier process.
 func (r runOrigin) strayLease() bool { return r.lease.process < r.process }
 
+// strayAcknowledgement reports whether a poll that was meant for an earlier process acknowledged the
+// end of the run.
+func (r runOrigin) strayAcknowledgement() bool {
+	return r.acknowledgement.poll && r.acknowledgement.process < r.process
+}
+
 // startCause tells which process has carried out a start that was meant for an earlier one, and
 // whether that was before or after the newer run started.
 func (d doubleRun) startCause() string {
@@ -168,6 +175,8 @@
 		holder = "successor: "
 	}
 	switch {
+	case d.older.strayAcknowledgement():
+		return holder + "end acknowledged by a poll meant for an earlier process"
 	case d.older.strayStart():
 		return holder + d.startCause()
 	case d.older.strayLease() && d.older.lease.poll:
@@ -194,7 +203,7 @@
 // noteDoubleRun records that a run starts while another one of its task is active or done.
 func (w *simWorld) noteDoubleRun(starting, other runOrigin) {
 	d := doubleRun{older: other, successor: starting.start.holder != other.start.holder}
-	if starting.number < other.number {
+	if starting.number <= other.number {
 		d.older, d.starts = starting, true
 	}
 	w.doubleRuns = append(w.doubleRuns, d)
