Ask an idle worker which process it is before a start

Change: a start waits until a poll has told which process answers: at most 250 ms ago for a worker without runs, 2 s for one that has some and is polled all the time. A start that is held is looked at again after 4 ms, then 8, up to 50 ms. Harnesses of tests poll an idle worker before a start, as the runner does. Latency was not measured.

--- a/internal/scheduler/agent.go
+++ b/internal/scheduler/agent.go
@@ -40,29 +40,35 @@
 // answered or no longer wanted.
 func (r *Runner) startRun(ctx context.Context, a *agent, run job.RunID, committedAt time.Duration) {
 	r.work.Waited(stage.Start, r.opt.Clock.Now()-committedAt)
+	heldRetry := firstHeldRetry
 	for ctx.Err() == nil {
-		resend := r.sendStart(ctx, a, run)
-		if !resend || !clock.Sleep(ctx, startRetry) {
+		resend, held := r.sendStart(ctx, a, run)
+		wait := startRetry
+		if held {
+			wait = heldRetry
+			heldRetry = min(2*heldRetry, startRetry)
+		}
+		if !resend || !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
 }
 
-// sendStart sends the start of a run once. It returns true when the start
-// should be sent again.
-func (r *Runner) sendStart(ctx context.Context, a *agent, run job.RunID) (resend bool) {
+// sendStart sends the start of a run once. It returns whether the start should be sent
+// again, and whether it was held back.
+func (r *Runner) sendStart(ctx context.Context, a *agent, run job.RunID) (resend, held bool) {
 	a.orderSlots <- struct{}{}
 	defer func() { <-a.orderSlots }()
 	var s StartOrder
 	var send SendDecision
 	r.update(stage.Start, func(t Times) { s, send = r.core.StartOrder(run, a.id, t.Now, r.opt.Duty.Remaining()) })
 	if send != SendNow {
-		return send == SendLater
+		return send == SendLater, true
 	}
 	clock, err := r.opt.Control.Start(ctx, s.Target, s.Order)
 	r.metrics.startAnswered(err)
 	r.update(stage.Start, func(t Times) { resend = r.core.StartAnswered(s, clock, err, t) })
-	return resend
+	return resend, false
 }
 
 // sendStop sends a stop.
--- a/internal/scheduler/customerpool_test.go
+++ b/internal/scheduler/customerpool_test.go
@@ -145,6 +145,11 @@
 	out := map[customer.ID]int{}
 	for _, s := range scheduler.BatchStarts(b) {
 		o, send := p.c.StartOrder(s.Run, s.Worker, p.now.Now, simDutyLease)
+		if send == scheduler.SendLater {
+			// The worker was idle, and is polled first.
+			p.answer(s.Worker)
+			o, send = p.c.StartOrder(s.Run, s.Worker, p.now.Now, simDutyLease)
+		}
 		p.g.Expect(send).To(Equal(scheduler.SendNow))
 		p.c.StartAnswered(o, p.now.Now.Milliseconds(), nil, p.now)
 		st := p.specs[s.Run.Task.Job].Steps[s.Run.Task.Step]
--- a/internal/scheduler/noruncases_test.go
+++ b/internal/scheduler/noruncases_test.go
@@ -198,6 +198,7 @@
 		p.add("a")
 		p.submit(noRunJob, task(1000))
 		p.commit()
+		p.polled = "a"
 	},
 	scheduler.NoRunStartUnanswered: func(p *noRunPool) {
 		p.add("a")
--- a/internal/scheduler/norunpool_test.go
+++ b/internal/scheduler/norunpool_test.go
@@ -25,6 +25,8 @@
 	// stuck is set.
 	holder scheduler.HolderState
 	stuck  bool
+	// polled is a worker that answers a poll before each check, or empty.
+	polled string
 	rep    scheduler.NoRunReport
 }
 
@@ -106,6 +108,11 @@
 // send sends a start, which err answers.
 func (p *noRunPool) send(s scheduler.PlannedStart, err error) {
 	o, decision := p.c.StartOrder(s.Run, s.Worker, p.now.Now, simDutyLease)
+	if decision == scheduler.SendLater {
+		// The worker was idle, and is polled first.
+		p.answer(s.Worker)
+		o, decision = p.c.StartOrder(s.Run, s.Worker, p.now.Now, simDutyLease)
+	}
 	p.g.Expect(decision).To(Equal(scheduler.SendNow))
 	p.c.StartAnswered(o, 0, err, p.now)
 }
@@ -127,6 +134,9 @@
 		if !p.stuck {
 			p.holder.PlannedAt = p.now.Now
 		}
+		if p.polled != "" {
+			p.answer(p.polled)
+		}
 		p.rep = p.c.CheckRuns(p.now, p.holder)
 	}
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -33,6 +33,9 @@
 	// startRetry is the wait before a start that was not answered is sent
 	// again.
 	startRetry = 50 * time.Millisecond
+	// firstHeldRetry is the first wait after a start was held back: most workers that are
+	// polled for it answer within that time. Later waits double up to startRetry.
+	firstHeldRetry = 4 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
 	maxOrdersPerWorker = 3
 )
--- a/internal/scheduler/sharedhost_test.go
+++ b/internal/scheduler/sharedhost_test.go
@@ -52,6 +52,8 @@
 		}
 	}
 	g.Expect(onA).NotTo(BeNil())
+	// Worker a was idle, and is polled before the start.
+	c.PollSucceeded(c.Poll("a", now.Now, simDutyLease), worker.Report{StartedAt: 1, Clock: now.Now.Milliseconds()}, now)
 	o, send := c.StartOrder(onA.Run, "a", now.Now, simDutyLease)
 	g.Expect(send).To(Equal(scheduler.SendNow))
 	now.Now += 600 * time.Millisecond
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -14,6 +14,11 @@
 	// minSurvivalWait is how long a poll waits that is to find a suspect after its
 	// crashWindow.
 	minSurvivalWait = time.Millisecond
+	// maxIdentityAge is how old the last poll that told which incarnation answers may be for a
+	// start to be sent. A worker that has runs is polled all the time, and a poll waits for up to
+	// 1.5 s; one without runs is not polled, and may be smaller since.
+	maxIdentityAge     = 2 * time.Second
+	maxIdleIdentityAge = 250 * time.Millisecond
 )
 
 // MarkCrash records that this incarnation has ended: the runs that may be the
@@ -169,16 +174,39 @@
 	return s.LastAnswer < needed
 }
 
-// HoldsStart reports whether a run is not to be started now: the last reading of the worker's
+// HoldsStart reports whether a run is not to be started now: another incarnation may have taken
+// the worker's place, with other capacity, the last reading of the worker's
 // clock is too old to name the end of a lease by, or the run is one that AwaitsAnswer is about,
 // and its worker has not answered yet, or not recently, so that it may be gone.
 func (s *State) HoldsStart(r *Run, now time.Duration) bool {
-	if s.AwaitsAnswer(r) || r.State == RunOrdered && s.readingAge(now) > maxReadingAge {
+	if s.AwaitsAnswer(r) || r.State == RunOrdered && (s.readingAge(now) > maxReadingAge || s.mayBeReplaced(now)) {
 		return true
 	}
 	return (r.Suspect || r.Verified) && r.State == RunOrdered && r.StartSentAt == 0 && !s.answeredRecently(now)
 }
 
+// mayBeReplaced reports whether no poll has told recently that this incarnation answers.
+func (s *State) mayBeReplaced(now time.Duration) bool {
+	switch age := now - s.identifiedAt; {
+	case age <= maxIdleIdentityAge:
+		return false
+	case age > maxIdentityAge:
+		return true
+	default:
+		return !s.hasSentRuns()
+	}
+}
+
+// hasSentRuns reports whether the worker has or may have a run.
+func (s *State) hasSentRuns() bool {
+	for _, r := range s.Runs {
+		if r.State == RunConfirmed || r.StartSentAt > 0 || r.Adopted {
+			return true
+		}
+	}
+	return false
+}
+
 // StartAwaitsAnswer reports whether the start of a run waits for an answer.
 func (s *State) StartAwaitsAnswer(now time.Duration) bool {
 	for _, r := range s.Runs {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -79,6 +79,8 @@
 	// LastAnswer is when the worker last answered a call, and RestartedAt when this
 	// incarnation was found in place of another one, or 0.
 	LastAnswer, RestartedAt time.Duration
+	// identifiedAt is when an answer last told that this incarnation gave it.
+	identifiedAt time.Duration
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
 	// leases expired while the worker was silent and listed.
 	Lapsed []*Run
@@ -206,6 +208,12 @@
 // RecordAnswer records an answer that is known to be from this incarnation, and
 // the reading of the worker's clock in it.
 func (s *State) RecordAnswer(clock int64, now time.Duration) {
+	s.identifiedAt = now
+	s.recordReading(clock, now)
+}
+
+// recordReading records an answer and the reading of the worker's clock in it.
+func (s *State) recordReading(clock int64, now time.Duration) {
 	s.recordCallAnswered(now)
 	s.workerClock = clock
 	s.workerClockAt = now
@@ -231,7 +239,7 @@
 	case s.clockJumped(clock, now):
 		s.Unfence()
 	default:
-		s.RecordAnswer(clock, now)
+		s.recordReading(clock, now)
 	}
 }
 
