Do not repeat an order for a host whose worker takes tasks again

Change: an order is not sent again while its worker's pool reports the worker as not empty, and is dropped once the last call is older than the time between orders of two holders. A worker that no pool reports is treated as before.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -384,7 +384,7 @@
 	}
 	v := s.buildView(ctx)
 	s.reportWaves(ctx, v)
-	s.retryPending(ctx)
+	s.retryPending(ctx, v)
 	d := Decide(v, s.opt.Params)
 	s.trackSurplus(d.Surplus)
 	s.logDemands(v, d.Demands)
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -12,13 +12,22 @@
 )
 
 // retryPending repeats the orders whose outcome is unknown. Orders are
-// idempotent: one that was already carried out has no further effect.
-func (s *session) retryPending(ctx context.Context) {
+// idempotent: one that was already carried out has no further effect. One whose worker may
+// have tasks again, since it has restarted and so lost its cordon, is not repeated, and is
+// forgotten once the last call can no longer be carried out.
+func (s *session) retryPending(ctx context.Context, v View) {
+	inUse := workersInUse(v)
+	now := s.opt.Clock.Now()
 	s.mu.Lock()
 	var retries []Action
 	for host, a := range s.pending {
-		if !s.inFlight[host] {
+		switch {
+		case s.inFlight[host]:
+		case !inUse[a.Worker]:
 			retries = append(retries, a)
+		case now-s.lastOrdered[host] >= s.opt.OrderSeparation:
+			delete(s.pending, host)
+			s.opt.Logger.Info().Str("machine", host).Str("worker", a.Worker).Str("reason", a.Reason).Msg("order without an answer dropped, its worker takes tasks again")
 		}
 	}
 	s.mu.Unlock()
@@ -27,6 +36,17 @@
 	}
 }
 
+// workersInUse returns the workers that their pools report and that have tasks or may get some.
+func workersInUse(v View) map[string]bool {
+	out := map[string]bool{}
+	for _, p := range v.Pools {
+		for _, l := range p.Report.Workers {
+			out[l.ID] = !l.Empty
+		}
+	}
+	return out
+}
+
 // execute carries out the actions of a decision. It reports whether a worker was
 // cordoned.
 func (s *session) execute(ctx context.Context, actions []Action) (cordoned bool) {
