Log a poll with a lease that got no answer before a restart

Cause: a poll that got no answer may still be carried out by the next incarnation, and `worker restarted` told only of one in flight. Change: the line says how long before the last such poll was sent. Figures: the new test passes with the others on these lines.

--- a/internal/scheduler/incarnations.go
+++ b/internal/scheduler/incarnations.go
@@ -71,7 +71,11 @@
 // known one.
 func (c *Core) noteRestarted(ws *worker.State, l worker.Listing, now time.Duration) {
 	c.incarnations.restarted++
-	c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int64("before", ws.Incarnation.StartedAt).
+	e := c.opt.Logger.Info()
+	if ws.LeasePollUnansweredAt > 0 {
+		e.Dur("lease_poll_unanswered", now-ws.LeasePollUnansweredAt)
+	}
+	e.Str("worker", l.Incarnation.ID).Int64("born", l.Incarnation.StartedAt).Int64("before", ws.Incarnation.StartedAt).
 		Int64("clock", l.Clock).Int("runs", len(ws.Runs)).Int("unanswered_calls", ws.UnansweredCalls).
 		Int("unaccounted_starts", ws.UnaccountedStarts()).Bool("lease_poll_in_flight", ws.LeasePollInFlight()).
 		Bool("was_reached", ws.Fenced).Dur("prior_lease_remaining", ws.PriorLeaseRemaining(now)).Msg("worker restarted")
--- a/internal/scheduler/incarnations_test.go
+++ b/internal/scheduler/incarnations_test.go
@@ -148,6 +148,26 @@
 		haveNumber("before", 1), haveNumber("born", 2), haveNumber("lease_until", poll.Request.LeaseUntil), haveNumber("sent_ago", 1000)))
 }
 
+// No line told of a poll with a lease that had got no answer when the restart was found: the next
+// incarnation may still carry it out.
+func TestUnansweredLeasePollIsLoggedWithRestart(t *testing.T) {
+	p, log := newLoggedPool(t)
+	w := p.awaitStart()
+	// No lease of an earlier holder is left.
+	p.wait(time.Minute)
+	p.pollWorkers()
+	poll := p.core.Poll("a", p.now.Now, time.Second)
+	p.g.Expect(poll.Request.LeaseUntil).NotTo(BeZero())
+	p.wait(time.Second)
+	p.core.PollFailed(poll, verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer"), p.now)
+	p.wait(time.Second)
+	p.restart(w)
+	p.list()
+	p.g.Expect(onlyLine(p.g, log, msgRestarted)).To(And(
+		haveNumber("lease_poll_unanswered", 2000), HaveKeyWithValue("lease_poll_in_flight", false), haveNumber("unanswered_calls", 1),
+		haveNumber("prior_lease_remaining", 0)))
+}
+
 // A line with "fenced" told neither which order it was nor its token and age.
 func TestOrderRejectedAsFencedIsLogged(t *testing.T) {
 	fenced := &worker.RejectedError{Reason: worker.ReasonFenced, Clock: 9}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -174,6 +174,9 @@
 		return
 	}
 	ws.RecordUnanswered(t.Now)
+	if p.Request.LeaseUntil > 0 {
+		ws.LeasePollUnansweredAt = p.Sent
+	}
 	if ws.UnansweredCalls == 1 {
 		c.opt.Logger.Warn().Err(err).Str("worker", p.Worker).Int64("born", p.startedAt).Int("runs", len(ws.Runs)).
 			Int64("lease_until", p.Request.LeaseUntil).Dur("sent_ago", t.Now-p.Sent).Msg("worker does not answer")
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -61,6 +61,9 @@
 	bounds     LeaseBounds
 	// leasePollInFlight is set while a poll is in flight that extends the lease.
 	leasePollInFlight bool
+	// LeasePollUnansweredAt is when the last poll was sent to this incarnation that extends the lease
+	// and got no answer, or 0.
+	LeasePollUnansweredAt time.Duration
 	// earlierLeasesEnd is when the runs have ended whose leases an earlier holder may
 	// have granted, unless the worker has restarted since.
 	earlierLeasesEnd time.Duration
