Have stand-in workers carry out orders to an earlier process

Cause: a stand-in worker carries out an order in the process that it was sent to, or never. On the users' platform a worker may start again under its ID and take calls to its former process. Change: DelayOrders has most orders be under way until the worker has started again, and RestartInPlace has it start again under its ID while connections hang or are refused. The longest lease that workers allow can be set. Nothing uses it yet. Figures: TestNoTaskRunsTwiceWhileWorkersAreCutOff and the checker's tests pass.

--- a/standin/jobsim/crash.go
+++ b/standin/jobsim/crash.go
@@ -119,12 +119,17 @@
 	w.goDown(minDownTime+time.Duration(w.rand.Int64N(int64(maxDownTime-minDownTime))), false)
 }
 
-// goDown ends the worker until it comes back. injected is set if no task is the cause.
-// It must be called with mu held.
+// goDown ends the worker and breaks off its connections until it comes back. injected is set if no
+// task is the cause. It must be called with mu held.
 func (w *Worker) goDown(down time.Duration, injected bool) {
+	w.endProcess(down, injected)
+	w.listener.breakOff()
+}
+
+// endProcess ends the worker without a word until it comes back. It must be called with mu held.
+func (w *Worker) endProcess(down time.Duration, injected bool) {
 	w.checker.workerCrashed(crash{worker: w.id, injected: injected}, slices.Collect(maps.Keys(w.running)))
 	w.running = map[job.TaskID]*run{}
-	w.listener.breakOff()
 	now := time.Now()
 	w.up = false
 	w.backAt, w.comeback = now.Add(down), comebackRandom
@@ -155,6 +160,10 @@
 // comeBack starts the next incarnation of a worker that crashed: under its ID or
 // a new one, at its address or at another. It must be called with mu held.
 func (w *Worker) comeBack() {
+	if w.strays.hanging {
+		w.startProcess()
+		return
+	}
 	address := w.addr
 	moved, replaced := w.comeback == comebackReplaced, w.comeback == comebackReplaced
 	if w.comeback == comebackRandom {
@@ -174,8 +183,14 @@
 		w.replacements++
 		w.id = fmt.Sprintf("%s-%d", w.name, w.replacements)
 	}
+	w.startProcess()
+}
+
+// startProcess starts the next process of a worker that serves orders. It must be called with mu held.
+func (w *Worker) startProcess() {
 	delete(w.silentEntries, w.id)
 	w.reset()
+	w.strays.collecting, w.strays.hanging = false, false
 	w.up = true
 }
 
--- a/standin/jobsim/daemon_test.go
+++ b/standin/jobsim/daemon_test.go
@@ -51,8 +51,9 @@
 	starts int
 }
 
-// newDaemon picks free ports for an entry host and writes its settings file.
-func newDaemon(dir, name, store string) (*daemon, error) {
+// newDaemon picks free ports for an entry host and writes its settings file. Workers allow leases of
+// at most allowedLease.
+func newDaemon(dir, name, store string, allowedLease time.Duration) (*daemon, error) {
 	firstPort, err := fleet.FreePortRange(4)
 	if err != nil {
 		return nil, err
@@ -66,7 +67,7 @@
 	}
 	text := fmt.Sprintf("nodeName=%s\nzone=a\nlistenAddresses.frontend=%s\nlistenAddresses.ready=127.0.0.1:%d\ninternalPorts=%d,%d\n"+
 		"platform.address=%s\nplatform.recordBytes=%d\ncloud.address=%s\nbounds.holdMaxMs=%d\nbounds.graceS=%g\nlimits.cores=1\nlimits.cpuShare=%g\nlimits.linkMbps=1000\n",
-		name, d.callerAddress, firstPort+1, firstPort+2, firstPort+3, store, storeLimits.RecordBytes, store, maxLease.Milliseconds(), daemonGrace.Seconds(), coreShare)
+		name, d.callerAddress, firstPort+1, firstPort+2, firstPort+3, store, storeLimits.RecordBytes, store, allowedLease.Milliseconds(), daemonGrace.Seconds(), coreShare)
 	return d, os.WriteFile(d.settingsFile, []byte(text), 0o600)
 }
 
--- a/standin/jobsim/leaseend.go
+++ b/standin/jobsim/leaseend.go
@@ -23,6 +23,8 @@
 type lease struct {
 	// rand is a source of its own, so that a seed draws the same other events without it.
 	rand *rand.Rand
+	// allowed is the longest lease.
+	allowed time.Duration
 	// clockRate is the rate of the worker's clock.
 	clockRate float64
 	// lateAnswers has some answers come late.
@@ -38,7 +40,14 @@
 	if r.IntN(4) == 0 {
 		lag *= r.Float64()
 	}
-	return lease{rand: r, clockRate: 1 - lag}
+	return lease{rand: r, allowed: maxLease, clockRate: 1 - lag}
+}
+
+// AllowLease sets the longest lease that the worker allows.
+func (w *Worker) AllowLease(longest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lease.allowed = longest
 }
 
 // SetLateAnswers has some answers come late, or none.
@@ -63,7 +72,7 @@
 func (w *Worker) hides(token int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.unreachable.Load() || w.lease.hiddenFrom > 0 && token >= w.lease.hiddenFrom
+	return w.unreachable.Load() || w.strays.hanging || w.lease.hiddenFrom > 0 && token >= w.lease.hiddenFrom
 }
 
 // delayAnswer holds an answer back if it is to come late.
--- a/standin/jobsim/soak_test.go
+++ b/standin/jobsim/soak_test.go
@@ -71,6 +71,8 @@
 	// views are the stores of daemons that do not use the one of all.
 	views  []*Store
 	client *fasthttp.Client
+	// allowedLease is the longest lease that workers allow according to the daemons' settings.
+	allowedLease time.Duration
 
 	// version is that of the configuration in force.
 	version int
@@ -106,7 +108,7 @@
 	g := NewWithT(t)
 	store, err := StartStore(idle)
 	g.Expect(err).NotTo(HaveOccurred())
-	s := &soak{g: g, store: store, checker: NewRunChecker(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}, acceptedAt: map[job.ID]time.Time{}}
+	s := &soak{g: g, store: store, checker: NewRunChecker(), allowedLease: maxLease, client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}, acceptedAt: map[job.ID]time.Time{}}
 	// close reads the logs, so it must run before the cleanup of the directory removes
 	// them: cleanups run in reverse order.
 	dir := t.ArtifactDir()
@@ -122,7 +124,7 @@
 		s.workers = append(s.workers, w)
 	}
 	for i := range daemons {
-		d, err := newDaemon(dir, fmt.Sprintf("d%d", i), store.Address())
+		d, err := newDaemon(dir, fmt.Sprintf("d%d", i), store.Address(), s.allowedLease)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(d.start()).To(Succeed())
 		s.daemons = append(s.daemons, d)
@@ -137,7 +139,7 @@
 		view, err := s.store.View(name)
 		s.g.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(func() { _ = view.Close() })
-		d, err := newDaemon(t.ArtifactDir(), name, view.Address())
+		d, err := newDaemon(t.ArtifactDir(), name, view.Address(), s.allowedLease)
 		s.g.Expect(err).NotTo(HaveOccurred())
 		s.g.Expect(d.start()).To(Succeed())
 		s.views, s.daemons = append(s.views, view), append(s.daemons, d)
--- a/standin/jobsim/worker.go
+++ b/standin/jobsim/worker.go
@@ -23,7 +23,7 @@
 	heartbeatInterval = 700 * time.Millisecond
 	// tickInterval is the interval at which a worker checks its runs.
 	tickInterval = 10 * time.Millisecond
-	// maxLease is the longest lease that a worker grants.
+	// maxLease is the longest lease that a worker allows unless AllowLease is called.
 	maxLease = 6 * time.Second
 	// maxStopTime is the longest time that a run takes to stop.
 	maxStopTime = 150 * time.Millisecond
@@ -72,6 +72,7 @@
 	// newestRun is the highest number of an ended or stopped run, by task.
 	newestRun map[job.TaskID]int
 	lease     lease
+	strays    strays
 	ended     []endedRun
 	// lastEnd is the sequence number of the last ended run.
 	lastEnd int64
@@ -105,6 +106,7 @@
 		name: name, id: name, pool: pool, store: s, checker: checker, stop: make(chan struct{}),
 		rand:          rand.New(rand.NewPCG(seed, 1)),
 		lease:         newLease(seed),
+		strays:        strays{rand: rand.New(rand.NewPCG(seed, 3))},
 		silentEntries: map[string]time.Time{},
 		capacities:    []capacityChange{{capacity: fullCapacity}},
 		up:            true,
@@ -154,20 +156,22 @@
 func (w *Worker) SetUnreachable(unreachable bool) { w.unreachable.Store(unreachable) }
 
 // holdCall holds a call back while its token does not reach the worker. It reports whether it did: the
-// connection is closed then without an answer.
-func (w *Worker) holdCall(ctx *fasthttp.RequestCtx, token int64) bool {
+// call gets no answer then.
+func (w *Worker) holdCall(token int64) bool {
 	held := false
 	for w.hides(token) {
 		held = true
 		time.Sleep(tickInterval)
 	}
-	if held {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
-	}
 	return held
 }
 
+// dropAnswer has the connection of a call be closed without an answer.
+func dropAnswer(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
 func (w *Worker) reset() {
 	w.startTime = time.Now()
 	w.token, w.leaseEnd, w.lastEnd, w.ended = 0, 0, 0, nil
@@ -273,20 +277,46 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if w.holdCall(ctx, req.FencingToken) {
+	path, instance := string(ctx.Path()), string(ctx.Request.Header.Peek("X-Expect-Instance"))
+	a, ok := w.receive(path, instance, req)
+	if !ok || w.holdCall(req.FencingToken) {
+		dropAnswer(ctx)
 		return
 	}
+	ctx.SetStatusCode(a.status)
+	ctx.SetBody(a.body)
+}
+
+// receive carries out a call once it has reached the worker. It returns false if it gets no answer.
+func (w *Worker) receive(path, instance string, req request) (answer, bool) {
+	if o, ok := w.drawStray(); ok {
+		return w.receiveStray(o, path, instance, req)
+	}
+	if w.holdCall(req.FencingToken) {
+		return answer{}, false
+	}
+	a := w.carryOut(path, instance, req)
+	w.delayAnswer()
+	return a, true
+}
+
+// answer is what a worker answers to a call.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// carryOut carries out a call to an instance, which is the ID of a worker.
+func (w *Worker) carryOut(path, instance string, req request) answer {
 	task, err := job.ParseTaskID(req.Task)
 	if err != nil && req.Task != "" {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return
+		return answer{status: fasthttp.StatusBadRequest}
 	}
-	if string(ctx.Request.Header.Peek("X-Expect-Instance")) != w.currentID() {
-		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
-		return
+	if instance != w.currentID() {
+		return answer{status: fasthttp.StatusMisdirectedRequest}
 	}
 	body := map[string]any{}
-	switch string(ctx.Path()) {
+	switch path {
 	case "/v1/run-start":
 		body["reason"] = w.startRun(task, req)
 	case "/v1/run-stop":
@@ -297,19 +327,15 @@
 	w.mu.Lock()
 	body["clockMs"] = w.clock().Milliseconds()
 	w.mu.Unlock()
+	status := fasthttp.StatusOK
 	if r, ok := body["reason"].(string); ok && r != "" {
-		ctx.SetStatusCode(fasthttp.StatusConflict)
+		status = fasthttp.StatusConflict
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	w.delayAnswer()
-	if w.holdCall(ctx, req.FencingToken) {
-		return
+		return answer{status: fasthttp.StatusInternalServerError}
 	}
-	ctx.SetBody(data)
+	return answer{status, data}
 }
 
 // renewLease rejects a fencing token older than the current one. Otherwise it stores
@@ -320,7 +346,7 @@
 	}
 	w.expireRuns(time.Now())
 	w.token = req.FencingToken
-	until := min(time.Duration(req.UntilMs)*time.Millisecond, w.clock()+maxLease)
+	until := min(time.Duration(req.UntilMs)*time.Millisecond, w.clock()+w.lease.allowed)
 	w.leaseEnd = max(w.leaseEnd, until)
 	w.recordLease()
 	return true
