--- a/internal/scheduler/sim_restart_test.go
+++ b/internal/scheduler/sim_restart_test.go
@@ -175,6 +175,9 @@
 		}
 		if len(w.violations) > 0 {
 			t.Errorf("schedule %d: %d invariant violations:\n%s", seed, len(w.violations), strings.Join(w.violations, "\n"))
+			for _, d := range w.doubleRuns {
+				t.Log(d)
+			}
 		}
 	}
 	t.Logf("after the loss of their worker: %s", &losses)
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -132,6 +132,8 @@
 	// ordersOutliveProcess is set if an order without an answer may be carried out by the next
 	// process of its worker, and pollsWait if workers answer polls once a run ends.
 	ordersOutliveProcess, pollsWait bool
+	// hold returns true for a call that gets no answer and that its caller carries out. It may be nil.
+	hold func(*openCall) bool
 	// doubleRuns are the starts that broke TWICE.
 	doubleRuns []doubleRun
 	// doneOrigins tells of the runs in doneAcknowledged.
@@ -225,7 +227,7 @@
 }
 
 func (w *simWorld) addViolation(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf("%8.3f ", (w.now-time.Hour).Seconds())+fmt.Sprintf(format, args...))
+	w.violations = append(w.violations, fmt.Sprintf("%8.3f ", seconds(w.now))+fmt.Sprintf(format, args...))
 }
 
 // after schedules a call of do.
--- a/internal/scheduler/simcalls_test.go
+++ b/internal/scheduler/simcalls_test.go
@@ -26,6 +26,9 @@
 type simCall struct {
 	to      *simWorker
 	address string
+	// start or poll is the order, or nil if it is another one.
+	start *worker.StartOrder
+	poll  *worker.PollRequest
 	// wait is how long the worker may delay its answer.
 	wait   time.Duration
 	do     func() error
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -333,7 +333,7 @@
 		return s.startFrom(origin, o.Order)
 	}
 	h.conns.orderSent(s, 1)
-	h.call(simCall{to: s, address: o.Target.Address, do: do, answer: func(err error) {
+	h.call(simCall{to: s, address: o.Target.Address, start: &o.Order, do: do, answer: func(err error) {
 		h.conns.orderSent(s, -1)
 		if err != nil && verdict.Of(err) == verdict.MayHaveRun {
 			h.w.unansweredStart[s.id] = max(h.w.unansweredStart[s.id], origin.sentAt)
@@ -382,7 +382,7 @@
 		rep, err = s.pollFrom(origin, p.Request)
 		return err
 	}
-	c := simCall{to: s, address: p.Target.Address, do: do, answer: func(err error) {
+	c := simCall{to: s, address: p.Target.Address, poll: &p.Request, do: do, answer: func(err error) {
 		h.polling[s.id] = false
 		h.lastPoll[s.id] = h.w.now
 		if err != nil {
--- a/internal/scheduler/simprocess_test.go
+++ b/internal/scheduler/simprocess_test.go
@@ -29,6 +29,9 @@
 	w, s := h.w, call.to
 	c := &openCall{simCall: call, h: h, sentAt: w.now}
 	w.after(simCallTimeout+c.wait, func() { c.end(verdict.NewMayHaveRun(verdict.ReasonTimeout, "no answer")) })
+	if w.hold != nil && w.hold(c) {
+		return
+	}
 	roll := w.rng.Float64()
 	switch {
 	case c.address != s.address:
@@ -188,6 +191,20 @@
 	}
 }
 
+// String tells the cause and by which orders the older run was active.
+func (d doubleRun) String() string {
+	o := d.older
+	text := fmt.Sprintf("%s (run %d of process %d: start of holder %d for process %d, sent at %.3f", d.cause(), o.number, o.process,
+		o.start.holder, o.start.process, seconds(o.start.sentAt))
+	if o.lease.holder != 0 {
+		text += fmt.Sprintf("; lease of holder %d for process %d, sent at %.3f", o.lease.holder, o.lease.process, seconds(o.lease.sentAt))
+	}
+	return text + ")"
+}
+
+// seconds returns a moment as the seconds since a world began.
+func seconds(at time.Duration) float64 { return (at - time.Hour).Seconds() }
+
 // originOf returns how a run of the worker came to be active.
 func (s *simWorker) originOf(r *simRun) runOrigin {
 	o := r.origin
