Have more schedules show leases that another process took

Cause: unanswered starts make a holder wait, which hides the leases of late polls. Change: half of the faults come without a new job, and some cuts come with a takeover.

--- a/internal/scheduler/sim_restart_test.go
+++ b/internal/scheduler/sim_restart_test.go
@@ -39,20 +39,20 @@
 			w.submitSmall()
 		}
 		w.run(time.Duration(20+w.rng.IntN(1000)) * time.Millisecond)
-		for range 2 + w.rng.IntN(4) {
+		for range 2 + w.rng.IntN(5) {
 			w.restartFault()
 			w.run(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
 		}
-		w.runPlanningOften(time.Duration(5000+w.rng.IntN(8000)) * time.Millisecond)
+		w.runPlanningOften(time.Duration(5000+w.rng.IntN(6000)) * time.Millisecond)
 	}
 	w.endRestartSchedule()
 }
 
-// runPlanningOften advances the virtual time by d, while the holder plans every 50 ms.
+// runPlanningOften advances the virtual time by d, while the holder plans every 100 ms.
 func (w *simWorld) runPlanningOften(d time.Duration) {
 	for end := w.now + d; w.now < end; {
 		w.holder.plannedAt = 0
-		w.run(50 * time.Millisecond)
+		w.run(100 * time.Millisecond)
 	}
 }
 
@@ -100,8 +100,10 @@
 func (w *simWorld) crashAfterLateOrders(s *simWorker) {
 	late := time.Duration(w.rng.IntN(1500)) * time.Millisecond
 	s.lateUntil = w.now + late
-	w.submitSmall()
-	w.after(late, func() { w.restartInSeries(s, 1+w.rng.IntN(3)) })
+	if w.rng.IntN(2) == 0 {
+		w.submitSmall()
+	}
+	w.after(late, func() { w.restartInSeries(s, 1+w.rng.IntN(2)*w.rng.IntN(3)) })
 }
 
 // submitSmall submits a job of one or two tasks that end.
@@ -126,7 +128,7 @@
 		case times > 1:
 			w.after(lives, func() { w.restartInSeries(s, times-1) })
 		case w.rng.IntN(4) > 0:
-			w.after(lives, func() { w.cutOff(s, time.Duration(3000+w.rng.IntN(10000))*time.Millisecond) })
+			w.after(lives, func() { w.cutOffAtTakeover(s) })
 		}
 	})
 }
@@ -143,6 +145,14 @@
 	})
 }
 
+// cutOffAtTakeover cuts a worker off, at times while another holder takes over.
+func (w *simWorld) cutOffAtTakeover(s *simWorker) {
+	w.cutOff(s, time.Duration(3000+w.rng.IntN(10000))*time.Millisecond)
+	if w.rng.IntN(4) == 0 {
+		w.supersedeWithStartsUnderWay()
+	}
+}
+
 // cutOff cuts a worker off for a time, from all holders or from the newest alone.
 func (w *simWorld) cutOff(s *simWorker, length time.Duration) {
 	w.losses.workerLost(s, lossCut)
