Hold a start while an unknown run of its task is active

Cause: a run that a worker lists and the holder does not know, such as one of a start that the next process carried out late, was stopped, and its task was started elsewhere while it was active (TWICE). Change: no start of the task is sent until the worker's state has the run no more: its end is listed, its stop is confirmed or its lease has ended.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,6 +95,8 @@
 	// stoppingWorkers are the workers that may have runs to be stopped, and
 	// speedWorkers those that may have runs whose speed is to be changed.
 	stoppingWorkers, speedWorkers map[string]bool
+	// unknownRuns are the runs of which tasks must not start anew yet.
+	unknownRuns unknownRuns
 	// cordons are the workers that take no new tasks, by worker ID.
 	cordons map[string]*cordon
 	demand  demand.Estimate
@@ -191,6 +193,7 @@
 		accounts:         newCustomerAccounts(),
 		wakes:            map[string]bool{},
 		stoppingWorkers:  map[string]bool{},
+		unknownRuns:      unknownRuns{},
 		speedWorkers:     map[string]bool{},
 		cordons:          map[string]*cordon{},
 		health:           map[string]*workerHealth{},
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -233,7 +233,7 @@
 		return NoRunStartEarlierLease
 	case now-c.listReadAt > maxListAge:
 		return NoRunStartOldList
-	case ws.HoldsStart(r, now):
+	case ws.HoldsStart(r, now) || c.unknownRuns.active(c, r.ID):
 		return NoRunStartHeld
 	default:
 		return NoRunStartNotSent
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -51,7 +51,7 @@
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
 	// only once its lease has expired do its tasks run elsewhere.
-	if remaining <= 0 || !reachable(ws) || !c.mayExtendLease(ws) || now-c.listReadAt > maxListAge || ws.HoldsStart(run, now) {
+	if remaining <= 0 || !reachable(ws) || !c.mayExtendLease(ws) || now-c.listReadAt > maxListAge || ws.HoldsStart(run, now) || c.unknownRuns.active(c, r) {
 		// The worker may not be polled while it is idle.
 		c.wakePoll(workerID)
 		return StartOrder{}, SendLater
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -325,6 +325,7 @@
 	}
 	r := worker.NewRun(row.Run, s, worker.RunConfirmed, now, 0)
 	ws.AddRun(r)
+	c.unknownRuns[r.ID] = ws.Incarnation.ID
 	c.noteStarted(r.ID, ws.Incarnation.ID)
 	c.requestStop(ws, r, "not in the log")
 	return r
