--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -233,7 +233,7 @@
 		return NoRunStartEarlierLease
 	case now-c.listReadAt > maxListAge:
 		return NoRunStartOldList
-	case ws.HoldsStart(r, now):
+	case ws.HoldsStart(r, now) || c.awaitsStrayRun(r.ID.Task):
 		return NoRunStartHeld
 	default:
 		return NoRunStartNotSent
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -106,6 +107,10 @@
 	c.speedWorkers[s.Worker] = true
 	if err != nil {
 		r.SpeedAtWorker = worker.SpeedUnknown
+		var rejection *worker.RejectedError
+		if errors.As(err, &rejection) {
+			c.checkFenced(rejection, s.Worker, s.Token)
+		}
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Int("percent", s.Percent).Int64("token", s.Token).Msg("changing the speed of a run failed")
 		return
 	}
