List a worker again that was down when its lapsed entry came back

Cause: In the model, entries of workers lapse together and come back later, only for workers that are up then. A worker that was down at that moment, and started again after the faults had ended, stayed out of the list for ever, so that jobs which need its label did not end. Change: Such a worker writes its entry when it starts again. No check changes.

--- a/internal/scheduler/sim_liveness_faults_test.go
+++ b/internal/scheduler/sim_liveness_faults_test.go
@@ -169,7 +169,7 @@
 		w.refreshLists()
 		w.after(time.Duration(w.rng.IntN(1800))*time.Millisecond, func() {
 			for _, s := range lapsed {
-				s.listed = s.up
+				s.listed, s.listsAtBoot = s.up, !s.up
 			}
 			w.refreshLists()
 		})
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -50,6 +50,8 @@
 	replacedBy *simWorker
 	// oldEntry is the worker's entry in the list until it has written it again, or nil.
 	oldEntry *worker.Listing
+	// listsAtBoot is set if it was down when it would have written a lapsed entry again.
+	listsAtBoot bool
 	// failing is set if every run that starts here will fail.
 	failing bool
 }
@@ -99,6 +101,7 @@
 	s.startedAt++
 	s.bootedAt = s.w.now
 	s.up, s.draining = true, false
+	s.listed, s.listsAtBoot = s.listed || s.listsAtBoot, false
 	s.token, s.leaseUntil, s.lastEnd, s.acknowledged = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
