Send again the starts of earlier holders that a worker does not list

Cause: After a takeover, the first answer of a worker that does not list a run which an earlier holder planned there ended the run at once, and its task started elsewhere. That holder, paused meanwhile, could still have the run started by the worker's next process, which has forgotten the successor's token. Change: While an order of an earlier holder may be carried out, the successor has the same run started at the same worker, under its own token. It does so only if the worker is still the process for which the log says the run was planned, as that process rejects a run that ended there, or has restarted since and no process has started the run. Otherwise (restarted, rejected, not reached, draining, cordoned, not listed, shrunk, without a ticket) the run and its room are held back until earlier holders cannot send orders, and the task is then placed again. A gang of which a member is held back is stopped. Runs of jobs that need them no more end at once. A worker's crash is no longer put on a run that it was known not to have, nor on a repeated one that it survived. The tests of crashes, restarts and capacity that asked for a new run at once after a takeover from a holder that may still act now have one that has ended, or wait and check that nothing starts before; those of starts that were never sent ask for the same run. Cost: a repeated start waits for one plan, like a new run; a held-back task until the earlier holders' time is over, 2.5 s after the claim in the models.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -134,6 +134,8 @@
 	p.g.Expect(p.plan()).To(HaveLen(4))
 	p.workers[0].listing.Capacity = job.Resources{CPU: 2000}
 	p.takeOver()
+	p.expectRunning(0, "earlier holders may send all four starts")
+	p.wait(simDutyLease)
 	p.expectRunning(2, "what the worker has room for")
 }
 
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -38,6 +38,9 @@
 			out = append(out, s.run)
 		}
 	}
+	for _, s := range b.repeatedStarts {
+		out = append(out, s.run)
+	}
 	return out
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -101,6 +101,8 @@
 	health  map[string]*workerHealth
 	crashes crashMonitor
 	unseen  unseenEnds
+	// repeatedStarts are the starts of earlier holders to send again.
+	repeatedStarts []plannedStart
 	// durationRatios tell, by entry, how long tasks take relative to their
 	// estimates.
 	durationRatios map[string]*durationRatio
--- a/internal/scheduler/correlatedcrash_test.go
+++ b/internal/scheduler/correlatedcrash_test.go
@@ -259,6 +259,8 @@
 	p.pollWorkers()
 	p.g.Expect(p.awaitStart()).NotTo(BeNil())
 	p.crashAll(p.workers)
+	// The earlier holder has ended, so that it sends no more starts.
+	p.earlierHolders = 0
 	p.takeOver()
 	p.pollWorkers()
 	p.g.Expect(scheduler.PossibleCrashes(p.core)).To(Equal(1))
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -192,6 +192,8 @@
 	p.workers[0].crash()
 	p.wait(simRestartTime)
 	p.restart(p.workers[0])
+	// The earlier holder has ended, so that it sends no more starts.
+	p.earlierHolders = 0
 	p.takeOver()
 	rep := p.core.Report(p.now.Now, time.Second)
 	p.g.Expect(rep.Workers).To(HaveLen(1))
--- a/internal/scheduler/crashpool_test.go
+++ b/internal/scheduler/crashpool_test.go
@@ -155,7 +155,7 @@
 			p.log[e.Key] = e.Value
 		}
 	}
-	planned := scheduler.BatchStarts(b)
+	planned := slices.Concat(scheduler.BatchStarts(b), scheduler.RepeatedStarts(b))
 	committed := map[job.RunID]bool{}
 	for _, r := range p.core.Committed(b, p.now) {
 		committed[r] = true
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -15,9 +15,14 @@
 }
 
 // BatchStarts returns the starts that a batch holds.
-func BatchStarts(b *Batch) []PlannedStart {
-	out := make([]PlannedStart, 0, len(b.starts))
-	for _, s := range b.starts {
+func BatchStarts(b *Batch) []PlannedStart { return exportedStarts(b.starts) }
+
+// RepeatedStarts returns the starts of earlier holders that a batch has sent again.
+func RepeatedStarts(b *Batch) []PlannedStart { return exportedStarts(b.repeatedStarts) }
+
+func exportedStarts(starts []plannedStart) []PlannedStart {
+	out := make([]PlannedStart, 0, len(starts))
+	for _, s := range starts {
 		out = append(out, PlannedStart{s.run, s.worker.ID})
 	}
 	return out
--- a/internal/scheduler/grants_test.go
+++ b/internal/scheduler/grants_test.go
@@ -105,7 +105,7 @@
 	p.owners[spec.ID], p.specs[spec.ID] = "a", spec
 	earlier := job.New(spec, job.Terms{Entry: "e", Pool: simPool, MaxAttempts: 3, Customer: "a"})
 	for k := range 2 {
-		at := job.Location{Worker: job.Incarnation{ID: "w000", StartedAt: 1}, Address: "a000"}
+		at := job.Location{Worker: job.Incarnation{ID: "w000", StartedAt: -1}, Address: "a000"}
 		earlier.Place(job.TaskID{Job: spec.ID, Index: k}, at)
 	}
 	p.c.Restore([]joblog.ProgressRecord{
@@ -119,7 +119,7 @@
 	p.grant(cpuGrant(3000))
 	p.g.Expect(p.plan()).To(Equal(map[customer.ID]int{"a": 1}))
 	p.listWorkers()
-	p.g.Expect(p.plan()).To(Equal(map[customer.ID]int{"a": 2}), "their worker does not have the adopted runs")
+	p.g.Expect(p.plan()).To(Equal(map[customer.ID]int{"a": 2}), "their worker has restarted and does not have the adopted runs")
 }
 
 // Guards against tasks that are stopped to be moved and then not started again since their
--- a/internal/scheduler/norunreason.go
+++ b/internal/scheduler/norunreason.go
@@ -78,7 +78,7 @@
 	// worker, which does not answer, has expired.
 	NoRunLease NoRunReason = "lease-of-unreachable-worker"
 	// NoRunEarlierLease means that an earlier holder planned the run, and its worker
-	// was not polled yet.
+	// was not polled yet, or has no such run and earlier holders may still send its start.
 	NoRunEarlierLease NoRunReason = "run-of-earlier-holder"
 )
 
@@ -209,7 +209,7 @@
 	switch {
 	case r.State == worker.RunPlanned:
 		return NoRunNotLogged
-	case r.Adopted && !ws.Fenced:
+	case r.Adopted && !ws.Fenced || r.AwaitsEarlierHolders() && !r.Stopping:
 		return NoRunEarlierLease
 	case r.State == worker.RunOrdered && r.StartSentAt == 0 && !r.Stopping:
 		return c.unsentReason(ws, r, h, now)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -46,7 +46,7 @@
 		return StartOrder{}, SendNever
 	}
 	run := ws.Runs[r]
-	if run == nil || run.State != worker.RunOrdered || run.Stopping {
+	if run == nil || run.State != worker.RunOrdered || run.Stopping || run.AwaitsEarlierHolders() {
 		return StartOrder{}, SendNever
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
@@ -132,7 +132,7 @@
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
 		ws.RecordUnanswered(t.Now)
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start did not reach the worker")
-		c.endUnseen(ws, r, unseenStartNotCarriedOut, t)
+		c.endMissing(ws, r, unseenStartNotCarriedOut, t)
 		return false
 	default:
 		if !r.StartUnanswered {
@@ -191,7 +191,7 @@
 		c.requestStop(ws, r, "start rejected after an earlier start got no answer")
 		return
 	}
-	c.endUnseen(ws, r, unseenStartRejected, t)
+	c.endMissing(ws, r, unseenStartRejected, t)
 }
 
 // checkFenced reports whether a rejection shows that another daemon holds the
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -39,7 +39,9 @@
 	// unseen counts the runs that counted as ended without a report since then.
 	unseen unseenCounts
 	starts []plannedStart
-	jobs   map[*trackedJob]jobVersion
+	// repeatedStarts are starts of runs that are in the log already.
+	repeatedStarts []plannedStart
+	jobs           map[*trackedJob]jobVersion
 	// encoded are the keys of jobs in the order in which they were encoded.
 	encoded []*trackedJob
 	// ends are the last ends that the batch covers, by worker ID.
@@ -98,6 +100,7 @@
 	c.jobDurations, c.crashes.found, c.excessJobs, c.checkpointsDropped = nil, 0, 0, 0
 	b.unseen = c.unseen.takeCounts()
 	c.place(b, t, checkHealth)
+	b.repeatedStarts, c.repeatedStarts = c.repeatedStarts, nil
 	b.Work.Workers = c.index.refreshed
 	c.index.refreshed = 0
 	return b
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -119,7 +119,7 @@
 		default:
 			p.Request.Wait = pollWait
 		}
-		p.Request.Wait = min(p.Request.Wait, c.untilOverdue(ws, now))
+		p.Request.Wait = min(p.Request.Wait, c.untilOverdue(ws, now), untilEarlierHoldersEnd(ws, now))
 		if rest := ws.IsolatedFor(now); rest > 0 {
 			// If the worker crashes later, its last answer shows that the suspect is
 			// not the cause.
@@ -354,20 +354,21 @@
 			continue
 		}
 		switch {
-		case firstAnswer && r.StartSentAt == 0:
-			// The answer fenced off every earlier holder, so a run of theirs
-			// that is not there was never started and never will be.
-			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
+		case c.repeatsStart(ws, r, firstAnswer, t.Now):
+		case r.StartSentAt == 0 && firstAnswer || r.AwaitsEarlierHolders():
+			// The answer fenced off every earlier holder, so this process will
+			// not start a run of theirs that is not there. A later one may.
+			c.endMissing(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered:
 			// Its order went to an earlier incarnation and may still arrive.
 			c.requestStop(ws, r, "worker restarted before it answered a start")
 		case r.State == worker.RunConfirmed && r.StateSince < p.Sent:
 			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", p.Worker).Msg("worker no longer lists a run that it confirmed")
-			c.endUnseen(ws, r, unseenNotListed, t)
+			c.endMissing(ws, r, unseenNotListed, t)
 		case r.StopAnsweredAt > 0 && r.StopAnsweredAt+c.opt.StopTimeout < p.Sent:
 			// The stop keeps a start that is still in transit from taking
 			// effect.
-			c.endUnseen(ws, r, unseenNotListedAfterStop, t)
+			c.endMissing(ws, r, unseenNotListedAfterStop, t)
 		}
 	}
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -335,7 +336,7 @@
 		r.logWaiters.logged(b.Versions())
 	})
 	workerOf := make(map[job.RunID]string, len(b.starts))
-	for _, s := range b.starts {
+	for _, s := range slices.Concat(b.starts, b.repeatedStarts) {
 		workerOf[s.run] = s.worker.ID
 	}
 	r.mu.Lock()
--- a/internal/scheduler/simholder_test.go
+++ b/internal/scheduler/simholder_test.go
@@ -251,7 +251,7 @@
 		h.w.t.Fatal(difference)
 	}
 	h.w.customers.plannedBy(h, b)
-	for _, s := range scheduler.BatchStarts(b) {
+	for _, s := range slices.Concat(scheduler.BatchStarts(b), scheduler.RepeatedStarts(b)) {
 		h.runWorkers[s.Run] = s.Worker
 	}
 	h.planning = true
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -173,6 +173,7 @@
 		run := worker.NewRun(r, s, worker.RunOrdered, now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
 		run.Adopted = true
+		run.PlannedFor = at.Worker.StartedAt
 		run.Suspect = j.Suspect(r.Task)
 		ws.AddRun(run)
 		c.wakePoll(at.Worker.ID)
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -69,6 +69,8 @@
 // together with a deadly one, whose crash keeps its start from being answered.
 func TestTasksWithTwoPossibleCrashesStartApart(t *testing.T) {
 	p := newCorePool(t, 2)
+	// The earlier holder has ended, so that it sends no more starts.
+	p.earlierHolders = 0
 	for range 2 {
 		p.crashUnseen(p.awaitStart())
 	}
@@ -119,6 +121,8 @@
 // crashed before: such a start says nothing about its task.
 func TestStartOfSuspectWaitsForAnswerOfItsWorker(t *testing.T) {
 	p := newCrashPool(t)
+	// The earlier holder has ended, so that it sends no more starts.
+	p.earlierHolders = 0
 	for range 2 {
 		p.crashUnseen(p.awaitStart())
 	}
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -100,6 +100,11 @@
 	moved := job.RunID{Task: job.TaskID{Job: longRunningJob, Index: 1}, Number: 2}
 	b, err := c.Plan(now)
 	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Committed(b, now)).To(BeEmpty(), "the earlier holder may send the start of task 1 to worker a")
+	now.Now += simDutyLease
+	pollWorkers(c, now, 0)
+	b, err = c.Plan(now)
+	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.Committed(b, now)).To(ConsistOf(moved), "task 1 was lost and is started on worker b")
 	now.Now += time.Second
 	pollWorkers(c, now, 0)
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -70,12 +70,12 @@
 	switch {
 	case r.State == RunPlanned:
 		return false
-	case r.StartSentAt == 0 && !r.Adopted:
+	case r.StartSentAt == 0 && (!r.Adopted || s.Reconciled && r.State == RunOrdered):
 		return false
 	case r.orderUnderWay():
 		return true
 	default:
-		return r.LastReported == 0 && r.Adopted || s.LastAnswer < s.latestStart(r)+crashWindow
+		return r.LastReported == 0 && r.Adopted && r.StartSentAt == 0 || s.LastAnswer < s.latestStart(r)+crashWindow
 	}
 }
 
@@ -96,6 +96,7 @@
 // StartSent records that a start of a run is sent.
 func (s *State) StartSent(r *Run, now time.Duration) {
 	r.StartSentAt = now
+	r.RepeatsStart = false
 	r.SentWhileUp = r.SentWhileUp || s.answeredRecently(now)
 }
 
@@ -182,7 +183,7 @@
 // StartAwaitsAnswer reports whether the start of a run waits for an answer.
 func (s *State) StartAwaitsAnswer(now time.Duration) bool {
 	for _, r := range s.Runs {
-		if !r.Adopted && s.HoldsStart(r, now) {
+		if (!r.Adopted || r.RepeatsStart) && s.HoldsStart(r, now) {
 			return true
 		}
 	}
--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -52,7 +52,6 @@
 func (s *State) strayLeaseExpiry(r *Run, now time.Duration) time.Duration {
 	// The clock of another incarnation is behind, so that it grants what it allows.
 	longestRun := s.bounds.LongestRun(s.bounds.Allowed)
-	earlierStartsEnd := s.earlierLeasesEnd - s.bounds.LongestRun(s.bounds.Granted) + maxOrderDelay
 	switch {
 	case r.startMayArrive(now):
 		return r.StartSentAt + maxOrderDelay + longestRun
@@ -62,7 +61,7 @@
 		// The answer to the start may be that of the new incarnation. One to a poll
 		// tells which incarnation has the run.
 		return now + longestRun
-	case r.Adopted && now < earlierStartsEnd:
+	case r.Adopted && now < s.EarlierOrdersEnd():
 		// A start that an earlier holder sent may be unaccounted for.
 		return now + longestRun
 	default:
--- a/internal/worker/run.go
+++ b/internal/worker/run.go
@@ -46,6 +46,12 @@
 	StartSentAt time.Duration
 	// Adopted is set for a run that an earlier holder of the pool planned.
 	Adopted bool
+	// PlannedFor is when the process of the worker was started for which an adopted run was
+	// planned, or 0 if the run may have been started.
+	PlannedFor int64
+	// RepeatsStart is set while this holder is to send the start of an adopted run, which no
+	// process of the worker has carried out.
+	RepeatsStart bool
 	// Suspect is set for a run of a task under which a worker has crashed before.
 	Suspect bool
 	// Verified is set for a run that is started only on a worker that has just
