--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -112,6 +112,8 @@
 	strayRuns strayRuns
 	// incarnations count what was learnt of the incarnations of workers.
 	incarnations incarnationCounts
+	// repeatedStarts are the starts of earlier holders to send again.
+	repeatedStarts []plannedStart
 	// durationRatios tell, by entry, how long tasks take relative to their
 	// estimates.
 	durationRatios map[string]*durationRatio
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -160,8 +160,7 @@
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
 		ws := c.workers[at.Worker.ID]
 		if ws == nil {
-			l := worker.Listing{Incarnation: at.Worker, Address: at.Address}
-			ws = worker.NewState(l, t.Now, c.earlierLeasesEndAt(l, t.Wall), c.leaseBounds())
+			ws = c.newWorker(worker.Listing{Incarnation: at.Worker, Address: at.Address}, t)
 			ws.Listed = false
 			c.addWorker(ws)
 		}
@@ -172,6 +171,7 @@
 		run := worker.NewRun(r, s, worker.RunOrdered, t.Now, c.expectedDuration(s))
 		run.SpeedAtWorker = worker.SpeedUnknown
 		run.Adopted = true
+		run.PlannedFor = at.Worker.StartedAt
 		run.Suspect = j.Suspect(r.Task)
 		ws.AddRun(run)
 		c.wakePoll(at.Worker.ID)
--- a/internal/scheduler/unreached.go
+++ b/internal/scheduler/unreached.go
@@ -57,19 +57,33 @@
 	}
 }
 
-// earlierLeasesEndAt returns when the last lease has expired that an earlier holder may have
-// granted to a worker, or that an order of it has given to another incarnation than it was meant
-// for.
-func (c *Core) earlierLeasesEndAt(l worker.Listing, wall int64) time.Duration {
-	if end, ok := c.unreached.leasesEnd[l.Incarnation.ID]; ok {
+// earlierLeasesEndAt returns when the last lease has expired that an earlier holder
+// may have granted to a worker.
+func (c *Core) earlierLeasesEndAt(id string) time.Duration {
+	if end, ok := c.unreached.leasesEnd[id]; ok {
 		return end
 	}
-	if c.earlierOrdersEnd > 0 && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, wall)) {
-		return c.strayLeasesEnd
-	}
 	return c.earlierLeasesEnd
 }
 
+// newWorker returns the state of a worker that this holder has not tracked yet.
+func (c *Core) newWorker(l worker.Listing, t Times) *worker.State {
+	ws := worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
+	c.awaitStrayLease(ws, l, t.Wall)
+	return ws
+}
+
+// awaitStrayLease has a worker that was not reached yet count as holding a lease that an order of
+// an earlier holder has given to another incarnation than it was meant for, if it is so young that
+// it may. What the previous holder logged of it covers that.
+func (c *Core) awaitStrayLease(ws *worker.State, l worker.Listing, wall int64) {
+	_, logged := c.unreached.leasesEnd[l.Incarnation.ID]
+	if ws.FencedAt > 0 || logged || c.earlierOrdersEnd == 0 || !c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, wall)) {
+		return
+	}
+	ws.AwaitEarlierLeases(c.strayLeasesEnd)
+}
+
 // mayExtendLease reports whether orders may extend a worker's lease. The next holder
 // does not wait for a lease that this one grants to a worker that its record names.
 func (c *Core) mayExtendLease(ws *worker.State) bool { return !c.unreached.recorded[ws.Incarnation.ID] }
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -71,6 +71,8 @@
 	// earlierLeasesEnd is when the runs have ended whose leases an earlier holder may
 	// have granted, unless the worker has restarted since.
 	earlierLeasesEnd time.Duration
+	// earlierHoldersEnd is until when earlier holders may send orders to the worker.
+	earlierHoldersEnd time.Duration
 	// priorLeaseExpiry is the same, and for the leases that runs of an earlier incarnation
 	// may have.
 	priorLeaseExpiry time.Duration
@@ -116,6 +118,8 @@
 		bounds:           b,
 		earlierLeasesEnd: earlierLeasesEnd,
 		priorLeaseExpiry: earlierLeasesEnd,
+		// Their last orders grant the longest lease that holders grant.
+		earlierHoldersEnd: earlierLeasesEnd - b.LongestRun(b.Granted),
 	}
 }
 
