--- a/internal/scheduler/incarnations.go
+++ b/internal/scheduler/incarnations.go
@@ -97,7 +97,7 @@
 	n := compareRunLists(ws, report)
 	c.opt.Logger.Info().Str("worker", ws.Incarnation.ID).Int64("born", ws.Incarnation.StartedAt).Int64("clock", report.Clock).
 		Bool("restarted", ws.RestartedAt > 0).Bool("again", again).Dur("after", now-ws.KnownSince).
-		Int64("token", c.opt.Token).Dur("prior_lease_remaining", ws.PriorLeaseRemaining(now)).
+		Int64("token", c.tokens.of(ws.Incarnation.ID)).Dur("prior_lease_remaining", ws.PriorLeaseRemaining(now)).
 		Int("runs_found", n.found).Int("runs_unexpected", n.unexpected).Int("runs_missing", n.missing).
 		Int("ends", len(report.Ended)).Bool("partial", report.Partial).Msg(msgReached)
 }
@@ -183,22 +183,18 @@
 	if rejection.Reason == worker.ReasonFenced {
 		c.noteFenced(ws, o, rejection.Clock, now)
 	}
-	return c.checkFenced(rejection)
+	return c.checkFenced(rejection, ws.Incarnation.ID, o.token)
 }
 
 // noteFenced logs that a worker has rejected an order since it has seen a higher token. It may be
 // one of this holder, if that has sent the worker a higher token than the order's.
 func (c *Core) noteFenced(ws *worker.State, o sentOrder, clock int64, now time.Duration) {
-	highest := c.highestTokenSent(ws)
+	highest := c.tokens.of(ws.Incarnation.ID)
 	o.describe(c.opt.Logger.Warn(), now).Str("worker", ws.Incarnation.ID).Int64("born", ws.Incarnation.StartedAt).Int64("clock", clock).
 		Int64("highest_token_sent", highest).Bool("own", highest > o.token).Bool("was_reached", ws.Fenced).
 		Msg("worker rejected an order as fenced")
 }
 
-// highestTokenSent returns the highest token that an order of this holder to a worker carried.
-// All carry the same one.
-func (c *Core) highestTokenSent(*worker.State) int64 { return c.opt.Token }
-
 // describeLease adds to a line which incarnation an order names a lease to and by which reading of
 // its clock.
 func (s *StartOrder) describeLease(e *zerolog.Event) *zerolog.Event {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -53,7 +53,7 @@
 		return StartOrder{}, SendNever
 	}
 	run := ws.Runs[r]
-	if run == nil || run.State != worker.RunOrdered || run.Stopping {
+	if run == nil || run.State != worker.RunOrdered || run.Stopping || run.AwaitsEarlierHolders() {
 		return StartOrder{}, SendNever
 	}
 	// A start extends the lease, which a worker that does not answer must not get:
@@ -63,12 +63,17 @@
 		c.wakePoll(workerID)
 		return StartOrder{}, SendLater
 	}
-	if reason := unwantedAt(ws, run, j.Step(r.Task)); reason != "" {
+	s := j.Step(r.Task)
+	if reason := unwantedAt(ws, run, s); reason != "" {
 		c.requestStop(ws, run, reason)
 		return StartOrder{}, SendNever
 	}
+	if !s.Speculative && c.awaitsStrayRun(r.Task) {
+		return StartOrder{}, SendLater
+	}
 	ws.StartSent(run, now)
-	s := StartOrder{
+	ws.Ordered = true
+	order := StartOrder{
 		Worker:    workerID,
 		Target:    ws.Target(),
 		startedAt: ws.Incarnation.StartedAt,
@@ -78,13 +83,13 @@
 			Run:        r,
 			Payload:    j.Spec.Payload,
 			LeaseUntil: ws.ExtendLease(now, c.leaseLength(remaining)),
-			Token:      c.opt.Token,
+			Token:      c.tokens.of(workerID),
 			Checkpoint: j.Checkpoint(r.Task),
 			Ticket:     c.ticketFor(j, r.Task, ws.Incarnation),
 		},
 	}
-	c.noteStartSent(&s)
-	return s, SendNow
+	c.noteStartSent(&order)
+	return order, SendNow
 }
 
 // unwantedAt returns why a start that has waited must not be sent to its worker any
@@ -142,7 +147,7 @@
 	case verdict.Of(err) == verdict.NotRun && !r.StartUnanswered:
 		ws.RecordUnanswered(t.Now)
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Msg("start did not reach the worker")
-		c.endUnseen(ws, r, unseenStartNotCarriedOut, t)
+		c.endMissing(ws, r, unseenStartNotCarriedOut, t)
 		return false
 	default:
 		if !r.StartUnanswered {
@@ -194,7 +199,7 @@
 // for the run is unaccounted for, the run is certainly not on the worker.
 func (c *Core) startRejected(ws *worker.State, r *worker.Run, s *StartOrder, rejection *worker.RejectedError, t Times) {
 	c.opt.Logger.Info().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", ws.Incarnation.ID).Str("reason", string(rejection.Reason)).Bool("earlier_unanswered", r.StartUnanswered).Msg("worker rejected a start")
-	if c.checkOrderFenced(ws, s.sentOrder(), rejection, t.Now) {
+	if c.checkOrderFenced(ws, s.sentOrder(), rejection, t.Now); c.fenced {
 		return
 	}
 	switch rejection.Reason {
@@ -209,20 +214,7 @@
 		c.requestStop(ws, r, "start rejected after an earlier start got no answer")
 		return
 	}
-	c.endUnseen(ws, r, unseenStartRejected, t)
-}
-
-// checkFenced reports whether a rejection shows that another daemon holds the
-// pool. From then on this Core decides nothing.
-func (c *Core) checkFenced(rejection *worker.RejectedError) bool {
-	if rejection.Reason != worker.ReasonFenced {
-		return false
-	}
-	if !c.fenced {
-		c.fenced = true
-		c.opt.Logger.Warn().Int64("token", c.opt.Token).Msg("a worker has seen the token of a newer holder, this daemon stops scheduling the pool")
-	}
-	return true
+	c.endMissing(ws, r, unseenStartRejected, t)
 }
 
 // StopOrder is a stop to send to a worker.
@@ -275,7 +267,8 @@
 			continue
 		}
 		r.StopInFlight = true
-		out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+		ws.Ordered = true
+		out = append(out, StopOrder{Worker: id, Target: ws.Target(), Run: r.ID, Token: c.tokens.of(id), startedAt: ws.Incarnation.StartedAt})
 	}
 	return out, stopping
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -41,7 +41,9 @@
 	// incarnations count what was learnt of the incarnations of workers since then.
 	incarnations incarnationCounts
 	starts       []plannedStart
-	jobs         map[*trackedJob]jobVersion
+	// repeatedStarts are starts of runs that are in the log already.
+	repeatedStarts []plannedStart
+	jobs           map[*trackedJob]jobVersion
 	// encoded are the keys of jobs in the order in which they were encoded.
 	encoded []*trackedJob
 	// ends are the last ends that the batch covers, by worker ID.
@@ -101,6 +103,7 @@
 	b.unseen = c.unseen.takeCounts()
 	b.incarnations = c.incarnations.take()
 	c.place(b, t, checkHealth)
+	b.repeatedStarts, c.repeatedStarts = c.repeatedStarts, nil
 	b.Work.Workers = c.index.refreshed
 	c.index.refreshed = 0
 	return b
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -103,7 +103,7 @@
 func (c *Core) Poll(id string, now, remaining time.Duration) Poll {
 	ws := c.workers[id]
 	p := Poll{Worker: id, Target: ws.Target(), Sent: now, startedAt: ws.Incarnation.StartedAt}
-	p.Request = worker.PollRequest{Token: c.opt.Token}
+	p.Request = worker.PollRequest{Token: c.tokens.of(id)}
 	if !ws.Fenced || ws.UnansweredCalls > 0 {
 		// Only workers that answer get their lease extended: runs on a worker
 		// that does not answer have to end when the lease expires. Nothing is
@@ -113,10 +113,12 @@
 	}
 	if ws.LastEndLogged > ws.LastEndAcknowledged {
 		p.Request.Acknowledged = ws.LastEndLogged
+		ws.Ordered = true
 	}
 	if c.mayHaveRuns(ws) && remaining > 0 && c.mayExtendLease(ws) {
 		p.Request.LeaseUntil = ws.ExtendLease(now, c.leaseLength(remaining))
 		ws.LeasePollSent()
+		ws.Ordered = true
 		switch {
 		case ws.LastEndSeen > ws.LastEndLogged || ws.StartAwaitsAnswer(now):
 		case runsMixedTasks(ws):
@@ -124,7 +126,7 @@
 		default:
 			p.Request.Wait = pollWait
 		}
-		p.Request.Wait = min(p.Request.Wait, c.untilOverdue(ws, now))
+		p.Request.Wait = min(p.Request.Wait, c.untilOverdue(ws, now), untilEarlierHoldersEnd(ws, now))
 		if rest := ws.IsolatedFor(now); rest > 0 {
 			// If the worker crashes later, its last answer shows that the suspect is
 			// not the cause.
@@ -192,6 +194,7 @@
 	for _, r := range sortedRuns(ws) {
 		c.endUnseen(ws, r, unseenAddressReassigned, t)
 	}
+	c.tokens.forget(ws, t.Now)
 	c.removeWorker(ws.Incarnation.ID)
 	c.wakePoll(ws.Incarnation.ID)
 	c.Uncordon(ws.Incarnation.ID)
@@ -226,10 +229,7 @@
 	}
 	if !ws.Fenced {
 		c.noteReached(ws, report, t.Now)
-		ws.Fenced = true
-		c.touch(p.Worker)
-		ws.FencedAt = t.Now
-		c.needsPlan = true
+		c.workerReached(ws, report.Clock, t)
 	}
 	ended := c.applyEnds(ws, report.Ended, t)
 	active := c.applyRunning(ws, report.Running, p.Sent, t.Now)
@@ -336,6 +336,7 @@
 	}
 	r := worker.NewRun(row.Run, s, worker.RunConfirmed, now, 0)
 	ws.AddRun(r)
+	c.strayRuns.add(ws, r)
 	c.noteStarted(r.ID, ws.Incarnation.ID)
 	c.requestStop(ws, r, "not in the log")
 	return r
@@ -365,20 +366,24 @@
 			continue
 		}
 		switch {
-		case firstAnswer && r.StartSentAt == 0:
-			// The answer fenced off every earlier holder, so a run of theirs
-			// that is not there was never started and never will be.
+		case c.repeatsStart(ws, r, firstAnswer, t.Now):
+		case r.StartSentAt == 0 && firstAnswer || r.AwaitsEarlierHolders():
+			// The answer fenced off every earlier holder, so this process will
+			// not start a run of theirs that is not there. A later one may.
+			c.endMissing(ws, r, unseenNotInFirstAnswer, t)
+		case firstAnswer && r.StartUnanswered && c.tokens.rise() && r.StartSentAt < ws.RestartedAt:
+			// Its order went to an earlier incarnation, with a lower token.
 			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered:
 			// Its order went to an earlier incarnation and may still arrive.
 			c.requestStop(ws, r, "worker restarted before it answered a start")
 		case r.State == worker.RunConfirmed && r.StateSince < p.Sent:
 			c.opt.Logger.Warn().Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", p.Worker).Msg("worker no longer lists a run that it confirmed")
-			c.endUnseen(ws, r, unseenNotListed, t)
+			c.endMissing(ws, r, unseenNotListed, t)
 		case r.StopAnsweredAt > 0 && r.StopAnsweredAt+c.opt.StopTimeout < p.Sent:
 			// The stop keeps a start that is still in transit from taking
 			// effect.
-			c.endUnseen(ws, r, unseenNotListedAfterStop, t)
+			c.endMissing(ws, r, unseenNotListedAfterStop, t)
 		}
 	}
 }
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// startRetry is the wait before a start that was not answered is sent
 	// again.
 	startRetry = 50 * time.Millisecond
+	// firstHeldRetry is the first wait after a start was held back: most workers that are
+	// polled for it answer within that time. Later waits double up to startRetry.
+	firstHeldRetry = 4 * time.Millisecond
 	// maxOrdersPerWorker bounds the orders in flight to one worker.
 	maxOrdersPerWorker = 3
 )
@@ -277,6 +281,9 @@
 	r.work.Spent(stage.Plan, decided.Sub(start))
 	err = r.core.Encode(b, t)
 	r.work.Spent(stage.Encode, time.Since(decided))
+	if err == nil && r.core.tokens.usedUp {
+		err = errTokensUsedUp
+	}
 	return b, r.core.fenced, err
 }
 
@@ -336,7 +343,7 @@
 		r.logWaiters.logged(b.Versions())
 	})
 	workerOf := make(map[job.RunID]string, len(b.starts))
-	for _, s := range b.starts {
+	for _, s := range slices.Concat(b.starts, b.repeatedStarts) {
 		workerOf[s.run] = s.worker.ID
 	}
 	r.mu.Lock()
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -58,6 +58,8 @@
 	replacedBy *simWorker
 	// oldEntry is the worker's entry in the list until it has written it again, or nil.
 	oldEntry *worker.Listing
+	// listsAtBoot is set if it was down when it would have written a lapsed entry again.
+	listsAtBoot bool
 	// failing is set if every run that starts here will fail.
 	failing bool
 }
@@ -110,6 +112,7 @@
 	s.bootedAt = s.w.now
 	s.up, s.draining = true, false
 	s.leaseOrder, s.seen = orderOrigin{}, false
+	s.listed, s.listsAtBoot = s.listed || s.listsAtBoot, false
 	s.token, s.leaseUntil, s.lastEnd, s.acknowledged = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"time"
 
 	"greengagedeck/internal/job"
@@ -84,7 +85,8 @@
 				continue
 			}
 			r.SpeedInFlight = true
-			out = append(out, SpeedOrder{Worker: id, Target: ws.Target(), Run: r.ID, Percent: r.Speed, Token: c.opt.Token, startedAt: ws.Incarnation.StartedAt})
+			ws.Ordered = true
+			out = append(out, SpeedOrder{Worker: id, Target: ws.Target(), Run: r.ID, Percent: r.Speed, Token: c.tokens.of(id), startedAt: ws.Incarnation.StartedAt})
 		}
 	}
 	return out
@@ -105,6 +107,10 @@
 	c.speedWorkers[s.Worker] = true
 	if err != nil {
 		r.SpeedAtWorker = worker.SpeedUnknown
+		var rejection *worker.RejectedError
+		if errors.As(err, &rejection) {
+			c.checkFenced(rejection, s.Worker, s.Token)
+		}
 		c.opt.Logger.Info().Err(err).Stringer("task", r.ID.Task).Int("run", r.ID.Number).Str("worker", s.Worker).Int("percent", s.Percent).Int64("token", s.Token).Msg("changing the speed of a run failed")
 		return
 	}
--- a/internal/scheduler/unreached.go
+++ b/internal/scheduler/unreached.go
@@ -52,7 +52,7 @@
 	for id, millis := range logged.RemainingMillis {
 		// The clock of this daemon may be faster than that of the last holder.
 		remaining := time.Duration(float64(millis) * holderDriftFactor * float64(time.Millisecond))
-		u.leasesEnd[id] = min(now+remaining, c.earlierLeasesEnd)
+		u.leasesEnd[id] = min(now+remaining, c.strayLeasesEnd)
 		u.recordedAt = now + restoredLeasesDelay - earlierLeasesInterval
 	}
 }
@@ -66,6 +66,24 @@
 	return c.earlierLeasesEnd
 }
 
+// newWorker returns the state of a worker that this holder has not tracked yet.
+func (c *Core) newWorker(l worker.Listing, t Times) *worker.State {
+	ws := worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
+	c.awaitStrayLease(ws, l, t.Wall)
+	return ws
+}
+
+// awaitStrayLease has a worker that was not reached yet count as holding a lease that an order of
+// an earlier holder has given to another incarnation than it was meant for, if it is so young that
+// it may. What the previous holder logged of it covers that.
+func (c *Core) awaitStrayLease(ws *worker.State, l worker.Listing, wall int64) {
+	_, logged := c.unreached.leasesEnd[l.Incarnation.ID]
+	if ws.FencedAt > 0 || logged || c.earlierOrdersEnd == 0 || !c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, wall)) {
+		return
+	}
+	ws.AwaitEarlierLeases(c.strayLeasesEnd)
+}
+
 // mayExtendLease reports whether orders may extend a worker's lease. The next holder
 // does not wait for a lease that this one grants to a worker that its record names.
 func (c *Core) mayExtendLease(ws *worker.State) bool { return !c.unreached.recorded[ws.Incarnation.ID] }
@@ -115,7 +133,7 @@
 // earlierLeasesRemaining returns, by worker ID, for how many milliseconds workers
 // that have runs and do not answer may still hold leases of earlier holders.
 func (c *Core) earlierLeasesRemaining(now time.Duration) map[string]int64 {
-	if now >= c.earlierLeasesEnd {
+	if now >= c.strayLeasesEnd {
 		return nil
 	}
 	out := map[string]int64{}
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -31,8 +31,12 @@
 	// incarnation was fenced. Until then a run of an earlier holder or incarnation
 	// that no report has listed may be at the worker or may have ended there.
 	Reconciled bool
-	// FencedAt is when the holder learned that the incarnation has seen its token.
+	// FencedAt is when the holder learned that the incarnation has seen its token, or 0 if it
+	// has not been reached.
 	FencedAt time.Duration
+	// Ordered is set once an order was sent to this incarnation that another one must not
+	// carry out.
+	Ordered bool
 	// Runs are the runs that the worker has or may have.
 	Runs map[job.RunID]*Run
 	// Used is the amount of resources that the runs take, ServingRuns is how many
@@ -67,6 +71,8 @@
 	// earlierLeasesEnd is when the runs have ended whose leases an earlier holder may
 	// have granted, unless the worker has restarted since.
 	earlierLeasesEnd time.Duration
+	// earlierHoldersEnd is until when earlier holders may send orders to the worker.
+	earlierHoldersEnd time.Duration
 	// priorLeaseExpiry is the same, and for the leases that runs of an earlier incarnation
 	// may have.
 	priorLeaseExpiry time.Duration
@@ -84,6 +90,8 @@
 	LastAnswer, RestartedAt time.Duration
 	// KnownSince is when the holder learned of this incarnation.
 	KnownSince time.Duration
+	// identifiedAt is when an answer last told that this incarnation gave it.
+	identifiedAt time.Duration
 	// Lapsed are runs that may be the cause if this incarnation has ended: their
 	// leases expired while the worker was silent and listed.
 	Lapsed []*Run
@@ -110,6 +118,8 @@
 		bounds:           b,
 		earlierLeasesEnd: earlierLeasesEnd,
 		priorLeaseExpiry: earlierLeasesEnd,
+		// Their last orders grant the longest lease that holders grant.
+		earlierHoldersEnd: earlierLeasesEnd - b.LongestRun(b.Granted),
 	}
 }
 
@@ -212,6 +222,12 @@
 // RecordAnswer records an answer that is known to be from this incarnation, and
 // the reading of the worker's clock in it.
 func (s *State) RecordAnswer(clock int64, now time.Duration) {
+	s.identifiedAt = now
+	s.recordReading(clock, now)
+}
+
+// recordReading records an answer and the reading of the worker's clock in it.
+func (s *State) recordReading(clock int64, now time.Duration) {
 	s.recordCallAnswered(now)
 	s.workerClock = clock
 	s.workerClockAt = now
@@ -235,10 +251,10 @@
 	case clock == 0:
 		s.recordCallAnswered(now)
 	case s.clockJumped(clock, now):
-		s.Unfence()
+		s.otherIncarnationAnswered(now)
 		return false
 	default:
-		s.RecordAnswer(clock, now)
+		s.recordReading(clock, now)
 	}
 	return true
 }
@@ -249,12 +265,19 @@
 // number of an end of the one before, which would make it forget ends of its own.
 func (s *State) RecordStartAnswer(clock int64, sentAt, now time.Duration) (same bool) {
 	if clock != 0 && clock < s.workerClock && sentAt >= s.workerClockAt {
-		s.Unfence()
+		s.otherIncarnationAnswered(now)
 		return false
 	}
 	return s.RecordOrderAnswer(clock, now)
 }
 
+// otherIncarnationAnswered records that another incarnation, which is not known yet, has
+// answered an order, and so may hold the lease that it named by the clock of this one.
+func (s *State) otherIncarnationAnswered(now time.Duration) {
+	s.RecordStrayLease(now)
+	s.Unfence()
+}
+
 // Unfence records that the runs at the worker are not known any more.
 func (s *State) Unfence() {
 	s.touch()
