--- a/standin/jobsim/restart_test.go
+++ b/standin/jobsim/restart_test.go
@@ -158,7 +158,7 @@
 // Guards against a task that runs twice since a worker that started again under its ID carries out
 // orders that were meant for its earlier process (TWICE): it takes a longer lease than the holder
 // counts with and is cut off, or it starts a run that counts as ended.
-func TestNoTaskRunsTwiceWhileWorkersRestartUnderTheirIDs(t *testing.T) {
+func TestNoTaskRunsTwiceWhileRestartedWorkersAreCutOff(t *testing.T) {
 	t.Logf("seed %d", *soakSeed)
 	l := &restarts{leaseEnds{soak: newSoak(t, 0, IdleTimeouts{}), rand: rand.New(rand.NewPCG(*soakSeed, restartStream))}}
 	l.allowedLease = longestAllowed
