Tell the newest holder's orders by their sender in the model

Cause: two checks took an order for one of the newest holder if its token was the claim's. Change: they ask who sent the order, so that they hold if a holder uses other tokens too.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -20,7 +20,7 @@
 	if o.Checkpoint != "" && !w.isOwnCheckpoint(t, o.Checkpoint) {
 		w.addViolation("UNASKED checkpoint %s for %s", o.Checkpoint, t)
 	}
-	if at, ok := w.cancelled[t.Job]; ok && w.now > at+simCancelTimeout && o.Token == w.token && !s.partitioned {
+	if at, ok := w.cancelled[t.Job]; ok && w.now > at+simCancelTimeout && w.order.holder == w.token && !s.partitioned {
 		w.addViolation("UNASKED start of %s, cancelled %v ago", t, w.now-at)
 	}
 	step := spec.Steps[t.Step]
--- a/internal/scheduler/sim_crash_test.go
+++ b/internal/scheduler/sim_crash_test.go
@@ -163,7 +163,7 @@
 // with the log count.
 func (m *crashModel) checkStart(s *simWorker, o worker.StartOrder) {
 	t, w := o.Run.Task, m.w
-	inTouch := o.Token == w.token && w.holder.active() && !w.logDown && !s.partitioned
+	inTouch := w.order.holder == w.token && w.holder.active() && !w.logDown && !s.partitioned
 	if !m.deadly[t] || m.crashes[t] < simCrashBudget || !inTouch {
 		return
 	}
