Have the list show the process before a restart behind a cut

Cause: the list of the model showed each restart at once, so that a holder waited for late starts that it does not know of while a worker's entry lags. Change: in half of the restarts behind a cut the entry stays until the worker is in reach again and writes it. A directed test names the second run that comes of it.

--- a/internal/scheduler/sim_restart_test.go
+++ b/internal/scheduler/sim_restart_test.go
@@ -133,18 +133,34 @@
 	})
 }
 
-// restartBehindCut has a worker restart while it is cut off.
+// restartBehindCut has a worker restart while it is cut off. At times the list shows the process
+// before until the worker is in reach again and writes its entry.
 func (w *simWorld) restartBehindCut(s *simWorker) {
 	length := time.Duration(1000+w.rng.IntN(8000)) * time.Millisecond
+	ends := w.now + length
 	w.cutOff(s, length)
 	w.after(time.Duration(w.rng.Int64N(int64(length))), func() {
 		if s.up {
+			if w.rng.IntN(2) == 0 {
+				w.keepEntry(s, ends-w.now+time.Duration(w.rng.Int64N(int64(simHeartbeat))))
+			}
 			s.crash()
 			w.after(time.Duration(100+w.rng.IntN(1200))*time.Millisecond, func() { w.restartWorker(s) })
 		}
 	})
 }
 
+// keepEntry has the list show a worker's present entry for a time.
+func (w *simWorld) keepEntry(s *simWorker, length time.Duration) {
+	entry := s.listing()
+	s.oldEntry = &entry
+	w.after(length, func() {
+		if s.oldEntry == &entry {
+			s.oldEntry = nil
+		}
+	})
+}
+
 // cutOffAtTakeover cuts a worker off, at times while another holder takes over.
 func (w *simWorld) cutOffAtTakeover(s *simWorker) {
 	w.cutOff(s, time.Duration(3000+w.rng.IntN(10000))*time.Millisecond)
--- a/internal/scheduler/sim_restartcauses_test.go
+++ b/internal/scheduler/sim_restartcauses_test.go
@@ -317,6 +317,25 @@
 	c.expectOneRun(2)
 }
 
+// Guards against a start without an answer that the next process carries out behind a cut while the
+// list still shows the process before: the start was sent again and answered, and the holder waits
+// for the lease of that run alone.
+func TestNoRunStartsWhileProcessThatIsNotListedHasLateStart(t *testing.T) {
+	c := newRestartCase(t)
+	start := c.holdCalls(1, isStart)
+	c.submitOne(true)
+	c.awaitConfirmed()
+	c.s.partitioned = true
+	entry := c.s.listing()
+	c.s.oldEntry = &entry
+	c.openOther()
+	c.restart()
+	c.pass(time.Second)
+	start.carryOut(c)
+	c.pass(20 * time.Second)
+	c.expectOneRun(2)
+}
+
 // Guards against a start without an answer that a worker carries out after its second restart: the
 // process between was told to stop the run and did not list it.
 func TestNoLateStartIsCarriedOutAfterSecondRestart(t *testing.T) {
