Name the lease that another process's order gave to an acknowledged run

Cause: in one schedule of 3000 (2661) the second run seemed to have no cause: an order of another process had given the lease, and a later order of this one extended it again before the end was acknowledged. Change: the model remembers the last order that extended a lease and was meant for an earlier process.

--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -239,6 +239,10 @@
 		w.doneAcknowledged[t] = true
 		done := s.endOrigins[e.Number]
 		done.acknowledgement = w.order
+		if s.strayLease.holder != 0 {
+			// The end counts since the lease has not expired until now.
+			done.lease = s.strayLease
+		}
 		w.doneOrigins[t] = done
 	}
 	if e.Reason == job.EndFailed {
--- a/internal/scheduler/sim_restartcauses_test.go
+++ b/internal/scheduler/sim_restartcauses_test.go
@@ -122,7 +122,7 @@
 	c.restartWorker(c.s)
 }
 
-// hold has the next calls to the first worker that match get no answer: up to most of them.
+// holdCalls has the next calls to the first worker that match get no answer, most of them at most.
 func (c *restartCase) holdCalls(most int, match func(*openCall) bool) *heldCalls {
 	held := &heldCalls{}
 	c.hold = func(call *openCall) bool {
--- a/internal/scheduler/simworker_test.go
+++ b/internal/scheduler/simworker_test.go
@@ -32,10 +32,11 @@
 
 	token      int64
 	leaseUntil int64
-	// leaseOrder is the order that gave the lease, and seen is set once a holder has had an
-	// answer to a poll of this process.
-	leaseOrder orderOrigin
-	seen       bool
+	// leaseOrder is the order that gave the lease, and strayLease the last one that extended it
+	// and was meant for an earlier process. seen is set once a holder has had an answer to a poll
+	// of this process.
+	leaseOrder, strayLease orderOrigin
+	seen                   bool
 	// lateUntil is until when the worker answers no orders and carries them out late.
 	lateUntil    time.Duration
 	running      map[job.TaskID]*simRun
@@ -109,7 +110,7 @@
 	s.startedAt++
 	s.bootedAt = s.w.now
 	s.up, s.draining = true, false
-	s.leaseOrder, s.seen = orderOrigin{}, false
+	s.leaseOrder, s.strayLease, s.seen = orderOrigin{}, orderOrigin{}, false
 	s.token, s.leaseUntil, s.lastEnd, s.acknowledged = 0, 0, 0, 0
 	s.ended = nil
 	s.endedAt = map[int64]time.Duration{}
@@ -145,8 +146,12 @@
 
 func (s *simWorker) extendLease(until int64) {
 	end := min(until, s.clock()+s.w.maxLease.Milliseconds())
-	if end > s.leaseUntil {
-		s.leaseUntil, s.leaseOrder = end, s.w.order
+	if end <= s.leaseUntil {
+		return
+	}
+	s.leaseUntil, s.leaseOrder = end, s.w.order
+	if s.leaseOrder.process < s.startedAt {
+		s.strayLease = s.leaseOrder
 	}
 }
 
