Have only successors of restarted workers' holders wait for the longest lease

Change: the holder logs, with the record of earlier leases, the workers whose process it reached after a restart and that may hold the longest lease, before it starts anything there. Only at those a successor waits longer, and only as long as that lease may last.

--- a/internal/joblog/leases.go
+++ b/internal/joblog/leases.go
@@ -17,6 +17,9 @@
 	// RemainingMillis is, by worker ID, how long the leases may last from when the
 	// record was made, in milliseconds of the holder's clock.
 	RemainingMillis map[string]int64 `cbor:"2,keyasint"`
+	// StrayMillis is the same for workers that the holder has reached and that may hold a longer
+	// lease than holders grant, of an order that was meant for an earlier incarnation.
+	StrayMillis map[string]int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EarlierLeasesEntry returns the entry of a record of earlier leases, which replaces
--- a/internal/scheduler/reached.go
+++ b/internal/scheduler/reached.go
@@ -7,8 +7,9 @@
 func (c *Core) workerReached(ws *worker.State, clock int64, t Times) {
 	l := ws.Listing
 	l.Clock = clock
-	if ws.FencedAt == 0 && c.strayOrders(ws, t) && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, t.Wall)) {
+	if ws.FencedAt == 0 && c.strayOrders(ws) && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, t.Wall)) {
 		ws.RecordStrayLease(t.Now)
+		c.unreached.strays[ws.Incarnation.ID] = true
 	}
 	ws.Fenced = true
 	ws.FencedAt = t.Now
@@ -17,7 +18,8 @@
 }
 
 // strayOrders reports whether a worker may have carried out orders that were meant for an
-// earlier incarnation, of this holder or an earlier one.
-func (c *Core) strayOrders(ws *worker.State, t Times) bool {
-	return ws.RestartedAt > 0 || t.Now < c.earlierOrdersEnd
+// earlier incarnation: this holder knows that it has restarted, or the previous one has logged it.
+func (c *Core) strayOrders(ws *worker.State) bool {
+	_, logged := c.unreached.strayLeasesEnd[ws.Incarnation.ID]
+	return ws.RestartedAt > 0 || logged
 }
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -160,7 +160,7 @@
 	j.EachActiveRun(func(r job.RunID, at job.Location) {
 		ws := c.workers[at.Worker.ID]
 		if ws == nil {
-			ws = c.newWorker(worker.Listing{Incarnation: at.Worker, Address: at.Address}, t)
+			ws = c.newWorker(worker.Listing{Incarnation: at.Worker, Address: at.Address}, t.Now)
 			ws.Listed = false
 			c.addWorker(ws)
 		}
--- a/internal/scheduler/unreached.go
+++ b/internal/scheduler/unreached.go
@@ -27,9 +27,15 @@
 	// leasesEnd is when the leases of earlier holders have expired according to the
 	// previous holder's record, by worker ID.
 	leasesEnd map[string]time.Duration
+	// strayLeasesEnd is the same for the workers in its StrayMillis.
+	strayLeasesEnd map[string]time.Duration
 	// recorded are the workers that this holder's record in the log names, or may
 	// name while a batch is being logged.
 	recorded map[string]bool
+	// recordedStrays are the workers in the StrayMillis of this holder's record.
+	recordedStrays map[string]bool
+	// strays are the workers that may hold stray leases since they were reached.
+	strays map[string]bool
 	// recordedAt is when the last record was made, or the pool was taken over.
 	recordedAt time.Duration
 	// inLog is set while the log holds a record, of this holder or an earlier one.
@@ -37,7 +43,10 @@
 }
 
 func newUnreachedWorkers(now time.Duration) unreachedWorkers {
-	return unreachedWorkers{leasesEnd: map[string]time.Duration{}, recorded: map[string]bool{}, recordedAt: now}
+	return unreachedWorkers{
+		leasesEnd: map[string]time.Duration{}, strayLeasesEnd: map[string]time.Duration{},
+		recorded: map[string]bool{}, strays: map[string]bool{}, recordedAt: now,
+	}
 }
 
 // restoreEarlierLeases applies the record of earlier leases. It counts if it is that
@@ -50,11 +59,18 @@
 		return
 	}
 	for id, millis := range logged.RemainingMillis {
-		// The clock of this daemon may be faster than that of the last holder.
-		remaining := time.Duration(float64(millis) * holderDriftFactor * float64(time.Millisecond))
-		u.leasesEnd[id] = min(now+remaining, c.strayLeasesEnd)
+		u.leasesEnd[id] = min(now+loggedRemaining(millis), c.strayLeasesEnd)
 		u.recordedAt = now + restoredLeasesDelay - earlierLeasesInterval
 	}
+	for id, millis := range logged.StrayMillis {
+		u.strayLeasesEnd[id] = now + loggedRemaining(millis)
+	}
+}
+
+// loggedRemaining returns how long a lease may last at most of which another holder has logged how
+// long it lasts: the clock of this daemon may be faster.
+func loggedRemaining(millis int64) time.Duration {
+	return time.Duration(float64(millis) * holderDriftFactor * float64(time.Millisecond))
 }
 
 // earlierLeasesEndAt returns when the last lease has expired that an earlier holder
@@ -67,45 +83,37 @@
 }
 
 // newWorker returns the state of a worker that this holder has not tracked yet.
-func (c *Core) newWorker(l worker.Listing, t Times) *worker.State {
-	ws := worker.NewState(l, t.Now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
-	c.awaitStrayLease(ws, l, t.Wall)
+func (c *Core) newWorker(l worker.Listing, now time.Duration) *worker.State {
+	ws := worker.NewState(l, now, c.earlierLeasesEndAt(l.Incarnation.ID), c.leaseBounds())
+	ws.AwaitEarlierLeases(c.unreached.strayLeasesEnd[l.Incarnation.ID])
 	return ws
 }
 
-// awaitStrayLease has a worker that was not reached yet count as holding a lease that an order of
-// an earlier holder has given to another incarnation than it was meant for, if it is so young that
-// it may. What the previous holder logged of it covers that.
-func (c *Core) awaitStrayLease(ws *worker.State, l worker.Listing, wall int64) {
-	_, logged := c.unreached.leasesEnd[l.Incarnation.ID]
-	if ws.FencedAt > 0 || logged || c.earlierOrdersEnd == 0 || !c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, wall)) {
-		return
-	}
-	ws.AwaitEarlierLeases(c.strayLeasesEnd)
-}
-
 // mayExtendLease reports whether orders may extend a worker's lease. The next holder
 // does not wait for a lease that this one grants to a worker that its record names.
 func (c *Core) mayExtendLease(ws *worker.State) bool { return !c.unreached.recorded[ws.Incarnation.ID] }
 
-// encodeEarlierLeases adds the record of earlier leases to a batch when it is due,
-// and as soon as a worker that the last one names has been reached.
+// encodeEarlierLeases adds the record of earlier leases to a batch when it is due, as soon as a
+// worker that the last one names has been reached, and before a start goes to a worker that may hold
+// a stray lease.
 func (c *Core) encodeEarlierLeases(b *Batch, now time.Duration) error {
 	u := &c.unreached
-	remaining := c.earlierLeasesRemaining(now)
-	if len(remaining) == 0 {
+	remaining, strays := c.earlierLeasesRemaining(now), c.strayLeasesRemaining(now)
+	if len(remaining) == 0 && len(strays) == 0 {
 		// The record of another holder is deleted with what is logged anyway.
 		if len(u.recorded) > 0 || u.inLog && len(b.Progress) > 0 {
 			u.inLog = false
+			u.recordedStrays = nil
 			b.earlierLeases = &joblog.EarlierLeases{}
 			b.Progress = append(b.Progress, joblog.DeleteEarlierLeases())
 		}
 		return nil
 	}
-	if now < u.recordedAt+earlierLeasesInterval && !u.namesOther(remaining) {
+	due := len(remaining) > 0 && now >= u.recordedAt+earlierLeasesInterval
+	if !due && !u.namesOther(remaining) && !u.lacksStray(strays) {
 		return nil
 	}
-	b.earlierLeases = &joblog.EarlierLeases{Token: c.opt.Token, RemainingMillis: remaining}
+	b.earlierLeases = &joblog.EarlierLeases{Token: c.opt.Token, RemainingMillis: remaining, StrayMillis: strays}
 	e, err := joblog.EarlierLeasesEntry(*b.earlierLeases)
 	if err != nil {
 		return err
@@ -116,9 +124,54 @@
 	for id := range remaining {
 		u.recorded[id] = true
 	}
+	u.recordedStrays = map[string]bool{}
+	for id := range strays {
+		u.recordedStrays[id] = true
+	}
 	return nil
 }
 
+// lacksStray reports whether the record in the log does not name one of the workers in strays.
+func (u *unreachedWorkers) lacksStray(strays map[string]int64) bool {
+	for id := range strays {
+		if !u.recordedStrays[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// strayLeasesRemaining returns, by worker ID, for how many milliseconds workers that this holder has
+// reached may hold stray leases, if the next holder would not wait for that long anyway.
+func (c *Core) strayLeasesRemaining(now time.Duration) map[string]int64 {
+	bounds := c.leaseBounds()
+	if bounds.Allowed <= bounds.Granted {
+		return nil
+	}
+	awaited := bounds.LongestRun(bounds.Granted)
+	var out map[string]int64
+	for id := range c.unreached.strays {
+		ws := c.workers[id]
+		if ws == nil || ws.StrayLeaseRemaining(now) <= awaited {
+			delete(c.unreached.strays, id)
+			continue
+		}
+		if len(ws.Runs) > 0 {
+			out = setMillis(out, id, ws.StrayLeaseRemaining(now))
+		}
+	}
+	return out
+}
+
+// setMillis sets a time in a map that may be nil, rounded up to milliseconds.
+func setMillis(m map[string]int64, id string, d time.Duration) map[string]int64 {
+	if m == nil {
+		m = map[string]int64{}
+	}
+	m[id] = d.Milliseconds() + 1
+	return m
+}
+
 // namesOther reports whether the record in the log names workers other than those in
 // remaining.
 func (u *unreachedWorkers) namesOther(remaining map[string]int64) bool {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -60,7 +60,7 @@
 	ws := c.workers[l.Incarnation.ID]
 	switch {
 	case ws == nil:
-		ws = c.newWorker(l, t)
+		ws = c.newWorker(l, t.Now)
 		ws.EntryStartedAt = l.Incarnation.StartedAt
 		if c.tokens.listedAgain(l.Incarnation, t.Now) {
 			ws.RestartedAt = t.Now
@@ -83,7 +83,6 @@
 	if l.Draining && !ws.Draining {
 		c.opt.Logger.Info().Str("worker", l.Incarnation.ID).Dur("remaining", l.DrainRemaining).Int("runs", len(ws.Runs)).Msg("worker is draining")
 	}
-	c.awaitStrayLease(ws, l, t.Wall)
 	ws.Listing = l
 	ws.Listed, ws.EntryStartedAt = true, l.Incarnation.StartedAt
 	c.touch(l.Incarnation.ID)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -76,6 +76,9 @@
 	// priorLeaseExpiry is the same, and for the leases that runs of an earlier incarnation
 	// may have.
 	priorLeaseExpiry time.Duration
+	// strayLeaseEnd is when runs have ended under the lease of an order that was meant for an
+	// earlier incarnation, or 0 if there is none.
+	strayLeaseEnd time.Duration
 
 	// LastEndSeen is the number of the last end that was processed,
 	// LastEndLogged of the last one in the log, and LastEndAcknowledged of the
--- a/internal/worker/stray.go
+++ b/internal/worker/stray.go
@@ -42,7 +42,13 @@
 // RecordStrayLease records that this incarnation may hold a lease of an order that was meant for
 // an earlier one and carried out until now, and so the longest lease that it allows.
 func (s *State) RecordStrayLease(now time.Duration) {
-	s.priorLeaseExpiry = max(s.priorLeaseExpiry, now+s.bounds.LongestRun(s.bounds.Allowed))
+	s.strayLeaseEnd = now + s.bounds.LongestRun(s.bounds.Allowed)
+	s.priorLeaseExpiry = max(s.priorLeaseExpiry, s.strayLeaseEnd)
+}
+
+// StrayLeaseRemaining returns for how long runs may be active under such a lease.
+func (s *State) StrayLeaseRemaining(now time.Duration) time.Duration {
+	return max(0, s.strayLeaseEnd-now)
 }
 
 // MaxOrderDelay is how long after it was sent an unanswered order may still be carried out by
