Count young workers of an earlier holder as holding the longest lease once they are reached

Cause: a successor that does not know of a restart counted 5 s of lease at a process that an order of an earlier holder had given 10. Change: a process that is young when a successor first reaches it, while orders of earlier holders may be carried out, counts as holding the longest lease. It is not logged for the next holder.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -63,7 +63,10 @@
 	// have granted, and strayLeasesEnd the same for workers that may hold the lease of an order
 	// that was meant for an earlier incarnation.
 	earlierLeasesEnd, strayLeasesEnd time.Duration
-	unreached                        unreachedWorkers
+	// earlierOrdersEnd is when the last order of an earlier holder may be carried out, or 0 if
+	// there was none.
+	earlierOrdersEnd time.Duration
+	unreached        unreachedWorkers
 
 	jobs     map[job.ID]*trackedJob
 	openJobs openJobs
@@ -222,6 +225,9 @@
 	earlierHoldersEnd := now + opt.EarlierHolders
 	c.earlierLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(c.longestGrant())
 	c.strayLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(opt.MaxLease)
+	if opt.PreviousToken != 0 || opt.EarlierHolders != 0 {
+		c.earlierOrdersEnd = earlierHoldersEnd + worker.MaxOrderDelay
+	}
 	c.unreached = newUnreachedWorkers(now)
 	c.shares = accountShares{c}
 	return c
--- a/internal/scheduler/reached.go
+++ b/internal/scheduler/reached.go
@@ -7,9 +7,8 @@
 func (c *Core) workerReached(ws *worker.State, clock int64, t Times) {
 	l := ws.Listing
 	l.Clock = clock
-	if ws.FencedAt == 0 && c.strayOrders(ws) && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, t.Wall)) {
-		ws.RecordStrayLease(t.Now)
-		c.unreached.strays[ws.Incarnation.ID] = true
+	if ws.FencedAt == 0 && c.leaseBounds().MayHoldStrayLease(worker.AgeOf(l, t.Wall)) {
+		c.awaitStrayLease(ws, t)
 	}
 	ws.Fenced = true
 	ws.FencedAt = t.Now
@@ -17,9 +16,18 @@
 	c.needsPlan = true
 }
 
-// strayOrders reports whether a worker may have carried out orders that were meant for an
-// earlier incarnation: this holder knows that it has restarted, or the previous one has logged it.
-func (c *Core) strayOrders(ws *worker.State) bool {
+// awaitStrayLease has a young incarnation that was just reached count as holding the lease of an
+// order that was meant for an earlier one. The next holder is to wait for it, too, if the worker
+// is known to have restarted. Where only earlier holders may know that, as long as an order of
+// theirs may be carried out, the next one does not wait: most young incarnations are the first.
+func (c *Core) awaitStrayLease(ws *worker.State, t Times) {
 	_, logged := c.unreached.strayLeasesEnd[ws.Incarnation.ID]
-	return ws.RestartedAt > 0 || logged
+	restarted := ws.RestartedAt > 0 || logged
+	if !restarted && t.Now >= c.earlierOrdersEnd {
+		return
+	}
+	ws.RecordStrayLease(t.Now)
+	if restarted {
+		c.unreached.strays[ws.Incarnation.ID] = true
+	}
 }
