Keep what is known of a worker's process while it is not listed

Cause: a worker that had left the list for a moment came back as a new one: the next restart raised no token, and the longest lease that its process may hold was forgotten. What was kept of it was dropped before a late lease had ended; a successor looked at young processes for too short a time. Change: a forgotten worker is remembered for as long as an order may be late and its lease lasts, with whether it was sent orders and had restarted.

--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -14,7 +14,7 @@
 // retryPending repeats the orders whose outcome is unknown. Orders are
 // idempotent: one that was already carried out has no further effect. One whose worker may
 // have tasks again, since it has restarted and so lost its cordon, is not repeated, and is
-// forgotten once the last call can no longer be carried out.
+// forgotten once another holder may order the host.
 func (s *session) retryPending(ctx context.Context, v View) {
 	inUse := workersInUse(v)
 	now := s.opt.Clock.Now()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -63,8 +63,8 @@
 	// have granted, and strayLeasesEnd the same for workers that may hold the lease of an order
 	// that was meant for an earlier incarnation.
 	earlierLeasesEnd, strayLeasesEnd time.Duration
-	// earlierOrdersEnd is when the last order of an earlier holder may be carried out, or 0 if
-	// there was none.
+	// earlierOrdersEnd is when the last lease has expired that an order of an earlier holder may
+	// give, however late it is carried out, or 0 if there was none.
 	earlierOrdersEnd time.Duration
 	unreached        unreachedWorkers
 
@@ -221,12 +221,13 @@
 		c.opt.LogLimits = logstore.DefaultLimits
 	}
 	c.waiting = newWaitQueue(&c.accounts)
-	c.tokens = newOrderTokens(opt)
+	longestLease := c.leaseBounds().LongestRun(opt.MaxLease)
+	c.tokens = newOrderTokens(opt, longestLease)
 	earlierHoldersEnd := now + opt.EarlierHolders
 	c.earlierLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(c.longestGrant())
-	c.strayLeasesEnd = earlierHoldersEnd + c.leaseBounds().LongestRun(opt.MaxLease)
+	c.strayLeasesEnd = earlierHoldersEnd + longestLease
 	if opt.PreviousToken != 0 || opt.EarlierHolders != 0 {
-		c.earlierOrdersEnd = earlierHoldersEnd + worker.MaxOrderDelay
+		c.earlierOrdersEnd = c.strayLeasesEnd + worker.MaxOrderDelay
 	}
 	c.unreached = newUnreachedWorkers(now)
 	c.shares = accountShares{c}
--- a/internal/scheduler/ordertoken.go
+++ b/internal/scheduler/ordertoken.go
@@ -28,12 +28,17 @@
 	// forgotten are the workers to which orders were sent and that were forgotten a short time
 	// ago, by ID.
 	forgotten map[string]forgottenWorker
+	// rememberFor is how long they are kept.
+	rememberFor time.Duration
 	// usedUp is set once there was no higher token for a worker.
 	usedUp bool
 }
 
-func newOrderTokens(opt Options) orderTokens {
-	return orderTokens{first: opt.Token, count: max(1, opt.Tokens), raised: map[string]int{}, forgotten: map[string]forgottenWorker{}}
+func newOrderTokens(opt Options, longestLease time.Duration) orderTokens {
+	return orderTokens{
+		first: opt.Token, count: max(1, opt.Tokens), rememberFor: worker.MaxOrderDelay + longestLease,
+		raised: map[string]int{}, forgotten: map[string]forgottenWorker{},
+	}
 }
 
 // of returns the token of orders to a worker.
@@ -62,36 +67,43 @@
 	o.raised[id]++
 }
 
-// forgottenWorker is the last incarnation of a worker that was forgotten at a moment: it had left
-// the list and had no run.
+// forgottenWorker is what is kept of a worker that was forgotten at a moment: it had left the list
+// and had no run.
 type forgottenWorker struct {
 	incarnation job.Incarnation
+	ordered     bool
+	restartedAt time.Duration
 	at          time.Duration
 }
 
-// forget records that a worker is not tracked any more.
+// forget records that a worker is not tracked any more. It is remembered for as long as an order to
+// it may be carried out, and a lease lasts that the order names.
 func (o *orderTokens) forget(ws *worker.State, now time.Duration) {
 	for id, f := range o.forgotten {
-		if now > f.at+worker.MaxOrderDelay {
+		if now > f.at+o.rememberFor {
 			delete(o.forgotten, id)
 		}
 	}
-	if ws.Ordered {
-		o.forgotten[ws.Incarnation.ID] = forgottenWorker{ws.Incarnation, now}
+	if ws.Ordered || ws.RestartedAt > 0 {
+		o.forgotten[ws.Incarnation.ID] = forgottenWorker{ws.Incarnation, ws.Ordered, ws.RestartedAt, now}
 	}
 }
 
-// listedAgain raises the token of orders to a worker if it was forgotten, has restarted since,
-// and may still carry out orders that were meant for the incarnation before. It reports whether
-// that is so.
-func (o *orderTokens) listedAgain(i job.Incarnation, now time.Duration) bool {
-	f, ok := o.forgotten[i.ID]
-	delete(o.forgotten, i.ID)
-	if !ok || f.incarnation == i || now > f.at+worker.MaxOrderDelay {
-		return false
+// listedAgain applies what is kept of a worker that was forgotten to its new state. If it has
+// restarted since, the token of orders to it is raised.
+func (o *orderTokens) listedAgain(ws *worker.State, now time.Duration) {
+	f, ok := o.forgotten[ws.Incarnation.ID]
+	delete(o.forgotten, ws.Incarnation.ID)
+	switch {
+	case !ok || now > f.at+o.rememberFor:
+	case f.incarnation == ws.Incarnation:
+		ws.Ordered, ws.RestartedAt = f.ordered, f.restartedAt
+	default:
+		ws.RestartedAt = now
+		if f.ordered {
+			o.raise(ws.Incarnation.ID)
+		}
 	}
-	o.raise(i.ID)
-	return true
 }
 
 // checkFenced reports whether a rejection of an order to a worker says that the worker has seen
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -373,7 +373,7 @@
 			c.endMissing(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered && c.tokens.rise() && r.StartSentAt < ws.RestartedAt:
 			// Its order went to an earlier incarnation, with a lower token.
-			c.endUnseen(ws, r, unseenNotInFirstAnswer, t)
+			c.endMissing(ws, r, unseenNotInFirstAnswer, t)
 		case firstAnswer && r.StartUnanswered:
 			// Its order went to an earlier incarnation and may still arrive.
 			c.requestStop(ws, r, "worker restarted before it answered a start")
--- a/internal/scheduler/reached.go
+++ b/internal/scheduler/reached.go
@@ -18,8 +18,8 @@
 
 // awaitStrayLease has a young incarnation that was just reached count as holding the lease of an
 // order that was meant for an earlier one. The next holder is to wait for it, too, if the worker
-// is known to have restarted. Where only earlier holders may know that, as long as an order of
-// theirs may be carried out, the next one does not wait: most young incarnations are the first.
+// is known to have restarted. Where only earlier holders may know that, as long as a lease may last
+// that an order of theirs gave, the next one does not wait: most young incarnations are the first.
 func (c *Core) awaitStrayLease(ws *worker.State, t Times) {
 	_, logged := c.unreached.strayLeasesEnd[ws.Incarnation.ID]
 	restarted := ws.RestartedAt > 0 || logged
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -62,9 +62,7 @@
 	case ws == nil:
 		ws = c.newWorker(l, t.Now)
 		ws.EntryStartedAt = l.Incarnation.StartedAt
-		if c.tokens.listedAgain(l.Incarnation, t.Now) {
-			ws.RestartedAt = t.Now
-		}
+		c.tokens.listedAgain(ws, t.Now)
 		c.addWorker(ws)
 		c.wakePoll(l.Incarnation.ID)
 		c.applyCordon(ws)
